Serve a request through entry, agreement, agent and stand-in engine

Cause: nothing existed. Change: thin whole path in one process (demo): three control replicas with prevote, majority commit and a leader lease, configuration patches against a number, claims of non-repeatable requests, committed orders with fencing, agents as the gate to each upstream, entry with retries, stand-in engine and plain service. Conclusion: the layout carries the path; separate processes come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test binary check format bench capacity clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/wisteriawall demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --console-script wisteriawall \
+		--output-file dist/wisteriawall \
+		--requirement requirements-run.lock . --no-build-isolation
+
+clean:
+	rm -rf dist build .venv
--- /dev/null
+++ b/src/wisteriawall/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with `python -m wisteriawall`."""
+
+from wisteriawall import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/src/wisteriawall/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent: the only gate to one upstream."""
--- /dev/null
+++ b/src/wisteriawall/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration document: its types, validation and patches."""
--- /dev/null
+++ b/src/wisteriawall/config/patch.py
@@ -0,0 +1,64 @@
+"""JSON merge patches (RFC 7396) against a numbered document."""
+
+from typing import final
+
+import msgspec
+
+from wisteriawall import errors
+from wisteriawall.config import document
+from wisteriawall.config import validation
+
+__all__ = ["PatchInvalid", "apply_patch", "merge"]
+
+
+@final
+class PatchInvalid(errors.UsageError):
+    """The patched document is not valid; `faults` name every bad field."""
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+def merge(target: object, change: object) -> object:
+    """Return `target` with the merge patch `change` applied."""
+    if not isinstance(change, dict):
+        return change
+    base = dict(target) if isinstance(target, dict) else {}
+    for name, value in change.items():
+        if value is None:
+            base.pop(name, None)
+        else:
+            base[name] = merge(base.get(name), value)
+    return base
+
+
+def apply_patch(
+    *, current: document.Document, change: bytes
+) -> document.Document:
+    """Return the next document: `current` patched and numbered one higher.
+
+    Args:
+        current: Document that the patch was written against.
+        change: JSON merge patch.
+
+    Raises:
+        PatchInvalid: The patch is not JSON or the result is not valid.
+    """
+    try:
+        changed = merge(
+            msgspec.to_builtins(current), msgspec.json.decode(change)
+        )
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise PatchInvalid((f"patch: not JSON: {error}",)) from error
+    if not isinstance(changed, dict):
+        raise PatchInvalid(("patch: expected an object",))
+    changed["number"] = current.number + 1
+    try:
+        result = msgspec.convert(changed, document.Document)
+    except msgspec.ValidationError as error:
+        raise PatchInvalid((str(error),)) from error
+    faults = tuple(validation.find_faults(result))
+    if faults:
+        raise PatchInvalid(faults)
+    return result
--- /dev/null
+++ b/src/wisteriawall/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control replica: agreement, configuration, claims and orders."""
--- /dev/null
+++ b/src/wisteriawall/control/events.py
@@ -0,0 +1,212 @@
+"""Events that a control replica reduces and effects that it asks for.
+
+`now_ms` is a monotonic clock reading and `wall_ms` is Unix time; both come
+from the shell that delivers the event.
+"""
+
+from typing import final
+
+import msgspec
+
+from wisteriawall.config import document
+from wisteriawall.control import ledger
+from wisteriawall.control import raft
+from wisteriawall.wire import control_messages
+from wisteriawall.wire import fleet
+from wisteriawall.wire import raft_messages
+
+__all__ = [
+    "Answer",
+    "AuditReply",
+    "AuditRequest",
+    "Called",
+    "ConfigReply",
+    "ConfigRequest",
+    "DrainRequest",
+    "Effect",
+    "Event",
+    "PatchReply",
+    "PatchRequest",
+    "PeerMessage",
+    "ProcessStatus",
+    "Reply",
+    "Request",
+    "RunnerStatus",
+    "StatusReply",
+    "StatusRequest",
+    "Ticked",
+    "Unavailable",
+]
+
+
+@final
+class PatchRequest(msgspec.Struct, frozen=True, tag="patch"):
+    """An operator's patch against a configuration number."""
+
+    patch_id: str
+    operator: str
+    base_number: int
+    change: bytes
+
+
+@final
+class PatchReply(msgspec.Struct, frozen=True, tag="patched"):
+    """What the log decided, and how many live processes hold the result."""
+
+    outcome: ledger.PatchOutcome
+    holding: int
+    processes: int
+
+
+@final
+class ConfigRequest(msgspec.Struct, frozen=True, tag="config"):
+    """Read the configuration."""
+
+
+@final
+class ConfigReply(msgspec.Struct, frozen=True, tag="config-is"):
+    """The newest configuration that this replica knows to be current."""
+
+    document: document.Document
+
+
+@final
+class DrainRequest(msgspec.Struct, frozen=True, tag="drain"):
+    """Stop new work to a runner, or let it take work again."""
+
+    operator: str
+    runner: str
+    undo: bool
+
+
+@final
+class StatusRequest(msgspec.Struct, frozen=True, tag="status"):
+    """Read the state of replicas, processes and runners."""
+
+
+@final
+class ProcessStatus(msgspec.Struct, frozen=True):
+    """A process that renews its lease here; `seen_ms` is time since."""
+
+    name: str
+    kind: control_messages.ProcessKind
+    incarnation: int
+    config_number: int
+    seen_ms: int
+
+
+@final
+class RunnerStatus(msgspec.Struct, frozen=True):
+    """Agreed state of a runner as operators see it."""
+
+    name: str
+    service: str
+    zone: str
+    phase: fleet.RunnerPhase
+    role: fleet.Role
+    pending: str
+
+
+@final
+class StatusReply(msgspec.Struct, frozen=True, tag="status-is"):
+    """State of the cluster as this replica knows it."""
+
+    replica: str
+    role: str
+    leader: str
+    term: int
+    commit_index: int
+    config_number: int
+    fleet_version: int
+    processes: list[ProcessStatus]
+    runners: list[RunnerStatus]
+
+
+@final
+class AuditRequest(msgspec.Struct, frozen=True, tag="audit"):
+    """Read audit records after a log index, oldest first."""
+
+    after_index: int
+    limit: int
+
+
+@final
+class AuditReply(msgspec.Struct, frozen=True, tag="audit-is"):
+    """Audit records in log order."""
+
+    records: list[ledger.AuditRecord]
+
+
+@final
+class Unavailable(msgspec.Struct, frozen=True, tag="unavailable"):
+    """The outcome of a write is not known; ask again with the same id."""
+
+    reason: str
+
+
+Request = (
+    control_messages.Renew
+    | control_messages.ClaimRequest
+    | control_messages.SettleRequest
+    | control_messages.OrderReport
+    | PatchRequest
+    | ConfigRequest
+    | DrainRequest
+    | StatusRequest
+    | AuditRequest
+)
+Reply = (
+    control_messages.ControlReply
+    | PatchReply
+    | ConfigReply
+    | StatusReply
+    | AuditReply
+    | Unavailable
+)
+
+
+@final
+class Ticked(msgspec.Struct, frozen=True, tag="tick"):
+    """Time passed."""
+
+    now_ms: int
+    wall_ms: int
+
+
+@final
+class PeerMessage(msgspec.Struct, frozen=True, tag="peer"):
+    """A message of another replica arrived."""
+
+    message: raft_messages.RaftMessage
+    now_ms: int
+    wall_ms: int
+
+
+@final
+class Called(msgspec.Struct, frozen=True, tag="call"):
+    """A request arrived; exactly one `Answer` with its id follows."""
+
+    call_id: int
+    request: Request
+    now_ms: int
+    wall_ms: int
+
+
+Event = Ticked | PeerMessage | Called
+
+
+@final
+class Answer(msgspec.Struct, frozen=True, tag="answer"):
+    """Answer the call with this id."""
+
+    call_id: int
+    reply: Reply
+
+
+Effect = (
+    raft.SaveHardState
+    | raft.AppendLog
+    | raft.TruncateLog
+    | raft.SendPeer
+    | Answer
+)
--- /dev/null
+++ b/src/wisteriawall/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process, for newcomers and checks."""
--- /dev/null
+++ b/src/wisteriawall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry: serves callers and relays answers."""
--- /dev/null
+++ b/src/wisteriawall/entry/parsing.py
@@ -0,0 +1,190 @@
+"""Parse and check callers' requests."""
+
+import hashlib
+from typing import final
+
+import msgspec
+
+from wisteriawall.config import document
+from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import server as server_lib
+
+__all__ = ["CallerRequest", "Refused", "parse"]
+
+SERVICES_PREFIX = "/services/"
+COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+DEFAULT_MAX_TOKENS = 256
+MAX_KEY_CHARS = 255
+
+
+@final
+class Refused(Exception):
+    """The request is not valid; `refusal` is its answer."""
+
+    def __init__(self, refusal: refusal_lib.Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+@final
+class CompletionBody(msgspec.Struct, frozen=True):
+    """The fields of a completion request that the entry needs."""
+
+    model: str
+    prompt: str = ""
+    messages: list["Message"] = []
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+@final
+class Message(msgspec.Struct, frozen=True):
+    """One chat message."""
+
+    role: str
+    content: str = ""
+
+
+@final
+class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A checked request; `path` is what the upstream is asked."""
+
+    account: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    key: str
+    digest: str
+    prefill_tokens: int
+    decode_tokens: int
+    stream: bool
+
+
+def parse(
+    environ: server_lib.Environ, config: document.Document
+) -> CallerRequest:
+    """Return the checked request.
+
+    Raises:
+        Refused: The request is not valid under `config`.
+    """
+    account = _account(environ, config)
+    path = environ["PATH_INFO"]
+    if path in COMPLETION_PATHS:
+        return _parse_completion(environ, config, account)
+    if path.startswith(SERVICES_PREFIX):
+        return _parse_plain(environ, config, account)
+    raise _refused(404, refusal_lib.Code.NOT_FOUND, f"no resource at {path}")
+
+
+def _account(environ: server_lib.Environ, config: document.Document) -> str:
+    scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    # Comparing digests of the token leaks nothing about the token itself.
+    for name, account in config.accounts.items():
+        if scheme.lower() == "bearer" and account.token_digest == digest:
+            return name
+    raise _refused(
+        401,
+        refusal_lib.Code.UNAUTHENTICATED,
+        "expected `Authorization: Bearer` with a client account's token",
+    )
+
+
+def _parse_completion(
+    environ: server_lib.Environ, config: document.Document, account: str
+) -> CallerRequest:
+    if environ["REQUEST_METHOD"] != "POST":
+        raise _refused(405, refusal_lib.Code.BAD_REQUEST, "expected POST")
+    body = server_lib.read_body(environ)
+    try:
+        parsed = msgspec.json.decode(body, type=CompletionBody)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise _refused(
+            400, refusal_lib.Code.BAD_REQUEST, f"body: {error}"
+        ) from error
+    text = parsed.prompt or " ".join(m.content for m in parsed.messages)
+    return CallerRequest(
+        account=account,
+        service=_service_of_model(config, parsed.model),
+        method="POST",
+        path=environ["PATH_INFO"],
+        content_type="application/json",
+        body=body,
+        key=_key(environ),
+        digest=_digest(environ, body),
+        prefill_tokens=len(text.split()) + 1,
+        decode_tokens=parsed.max_tokens,
+        stream=parsed.stream,
+    )
+
+
+def _service_of_model(config: document.Document, model: str) -> str:
+    for name, service in config.services.items():
+        if service.kind is document.ServiceKind.MODEL and (
+            model in service.models or model in service.adapters
+        ):
+            return name
+    raise _refused(
+        404, refusal_lib.Code.NOT_FOUND, f"no service has model {model!r}"
+    )
+
+
+def _parse_plain(
+    environ: server_lib.Environ, config: document.Document, account: str
+) -> CallerRequest:
+    rest = environ["PATH_INFO"].removeprefix(SERVICES_PREFIX)
+    name, _, path = rest.partition("/")
+    service = config.services.get(name)
+    if service is None or service.kind is not document.ServiceKind.PLAIN:
+        raise _refused(
+            404, refusal_lib.Code.NOT_FOUND, f"no plain service {name!r}"
+        )
+    route = f"{environ['REQUEST_METHOD']} /{path}"
+    key = _key(environ)
+    if route in service.non_repeatable and not key:
+        raise _refused(
+            400,
+            refusal_lib.Code.KEY_REQUIRED,
+            f"{route} runs at most once, expected an Idempotency-Key",
+        )
+    body = server_lib.read_body(environ)
+    query = environ.get("QUERY_STRING", "")
+    return CallerRequest(
+        account=account,
+        service=name,
+        method=environ["REQUEST_METHOD"],
+        path=f"/{path}" + (f"?{query}" if query else ""),
+        content_type=environ.get("CONTENT_TYPE", ""),
+        body=body,
+        key=key,
+        digest=_digest(environ, body),
+        prefill_tokens=1,
+        decode_tokens=1,
+        stream=False,
+    )
+
+
+def _key(environ: server_lib.Environ) -> str:
+    key: str = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if len(key) > MAX_KEY_CHARS:
+        raise _refused(
+            400,
+            refusal_lib.Code.BAD_REQUEST,
+            f"Idempotency-Key: got {len(key)} characters, "
+            f"expected at most {MAX_KEY_CHARS}",
+        )
+    return key
+
+
+def _digest(environ: server_lib.Environ, body: bytes) -> str:
+    head = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}\n"
+    return hashlib.sha256(head.encode() + body).hexdigest()
+
+
+def _refused(status: int, code: refusal_lib.Code, message: str) -> Refused:
+    return Refused(
+        refusal_lib.Refusal(status=status, code=code, message=message)
+    )
--- /dev/null
+++ b/src/wisteriawall/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/wisteriawall/observability/logs.py
@@ -0,0 +1,36 @@
+"""Log setup: short lines as text or JSON."""
+
+import enum
+import logging
+from typing import final
+
+from pythonjsonlogger import json as json_logger
+
+__all__ = ["LogFormat", "configure"]
+
+TEXT_FORMAT = "%(asctime)s %(levelname)s %(message)s"
+JSON_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+@final
+class LogFormat(enum.StrEnum):
+    """Form of a log line."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+def configure(*, log_format: LogFormat, level: str) -> None:
+    """Send logs of every part to standard error.
+
+    Args:
+        log_format: Form of each line.
+        level: Lowest level shown, as `INFO`.
+    """
+    handler = logging.StreamHandler()
+    if log_format is LogFormat.JSON:
+        handler.setFormatter(json_logger.JsonFormatter(JSON_FIELDS))
+    else:
+        handler.setFormatter(logging.Formatter(TEXT_FORMAT))
+    logging.getLogger("urllib3").setLevel(logging.WARNING)
+    logging.basicConfig(handlers=[handler], level=level.upper(), force=True)
--- /dev/null
+++ b/src/wisteriawall/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator commands."""
--- /dev/null
+++ b/src/wisteriawall/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: routing, roles, limits and retries."""
--- /dev/null
+++ b/src/wisteriawall/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: engine, plain service and VM list."""
--- /dev/null
+++ b/src/wisteriawall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable log of a control replica."""
--- /dev/null
+++ b/src/wisteriawall/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server, refusals and their JSON form."""
--- /dev/null
+++ b/src/wisteriawall/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between processes and the sockets that carry them."""
--- /dev/null
+++ b/src/wisteriawall/wire/fleet.py
@@ -0,0 +1,120 @@
+"""Typed state of runners and orders, shared by control, entry and agent."""
+
+import enum
+from typing import final
+
+import msgspec
+
+__all__ = [
+    "FENCE_ZERO",
+    "Action",
+    "Fence",
+    "FleetView",
+    "KeptAnswer",
+    "LoadReport",
+    "Order",
+    "Role",
+    "RunnerPhase",
+    "RunnerView",
+    "ServiceDemand",
+]
+
+
+@final
+class Role(enum.StrEnum):
+    """Work that an engine is set up to take."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    MIXED = "mixed"
+
+
+@final
+class RunnerPhase(enum.StrEnum):
+    """Whether a runner may receive new work."""
+
+    LIVE = "live"
+    CHANGING = "changing"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@final
+class Fence(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Fencing position: leader term, then the order's log index."""
+
+    term: int
+    order_id: int
+
+
+FENCE_ZERO = Fence(0, 0)
+
+
+@final
+class Action(enum.StrEnum):
+    """What an order asks of an engine."""
+
+    SET_ROLE = "set-role"
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@final
+class Order(msgspec.Struct, frozen=True, array_like=True):
+    """A committed order to one engine; `argument` is the role or model."""
+
+    fence: Fence
+    runner: str
+    action: Action
+    argument: str
+
+
+@final
+class RunnerView(msgspec.Struct, frozen=True, array_like=True):
+    """Agreed state of one runner."""
+
+    runner: str
+    phase: RunnerPhase
+    role: Role
+
+
+@final
+class FleetView(msgspec.Struct, frozen=True, array_like=True):
+    """Agreed state of every runner at one fleet version."""
+
+    version: int
+    runners: list[RunnerView]
+
+
+@final
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Token work that arrived for a service since the last report."""
+
+    service: str
+    prefill_tokens: int
+    decode_tokens: int
+
+
+@final
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
+    """Load of one runner as its agent last saw it.
+
+    `sequence` rises with every report of one agent incarnation.
+    """
+
+    runner: str
+    incarnation: int
+    sequence: int
+    waiting_prefill_tokens: int
+    running_streams: int
+    free_pieces: int
+
+
+@final
+class KeptAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer of a non-repeatable request, kept for resubmission."""
+
+    status: int
+    content_type: str
+    body: bytes
