--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/python -m bench
 
 binary: $(STAMP)
-	mkdir -p dist
+	mkdir -p dist; rm -rf build
 	$(BIN)/shiv --quiet --console-script wisteriawall \
 		--output-file dist/wisteriawall \
 		--requirement requirements-run.lock . --no-build-isolation
--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -1,18 +1,19 @@
 """Command line of every program."""
 
-import pathlib
 import sys
-import tempfile
-import time
 from typing import Annotated
 
 import typer
 
 import wisteriawall
 from wisteriawall import errors
-from wisteriawall.demo import check as check_lib
-from wisteriawall.demo import cluster as cluster_lib
+from wisteriawall.commands import agent as agent_command
+from wisteriawall.commands import control as control_command
+from wisteriawall.commands import demo as demo_command
+from wisteriawall.commands import entry as entry_command
+from wisteriawall.commands import stand_in as stand_in_command
 from wisteriawall.observability import logs
+from wisteriawall.settings import checks
 
 __all__ = ["app", "main"]
 
@@ -20,35 +21,10 @@
     name="wisteriawall",
     help="Serve language models on a fixed fleet of engines.",
     no_args_is_help=True,
+    add_completion=False,
     pretty_exceptions_enable=False,
 )
 
-EntryPort = Annotated[
-    int,
-    typer.Option(
-        envvar="WISTERIAWALL_ENTRY_PORT",
-        min=0,
-        max=65_535,
-        help="Port for callers; 0 takes a free one.",
-    ),
-]
-AdminPort = Annotated[
-    int,
-    typer.Option(
-        envvar="WISTERIAWALL_ADMIN_PORT",
-        min=0,
-        max=65_535,
-        help="Port for operators; 0 takes a free one.",
-    ),
-]
-ForSeconds = Annotated[
-    float,
-    typer.Option("--for", min=0.0, help="Seconds to run; 0 runs on."),
-]
-Check = Annotated[
-    bool, typer.Option("--check", help="Run the demo's checks and exit.")
-]
-
 
 def _print_version(wanted: bool) -> None:
     if wanted:
@@ -84,68 +60,21 @@
     logs.configure(log_format=log_format, level=log_level)
 
 
-@app.command()
-def demo(
-    entry_port: EntryPort = 8080,
-    admin_port: AdminPort = 8081,
-    for_seconds: ForSeconds = 0.0,
-    check: Check = False,
-) -> None:
-    """Run a whole cluster with stand-in engines in this process."""
-    if check:
-        entry_port = admin_port = 0
-    with tempfile.TemporaryDirectory(prefix="wisteriawall-") as folder:
-        cluster = cluster_lib.DemoCluster(
-            folder=pathlib.Path(folder),
-            entry_address=f"127.0.0.1:{entry_port}",
-            admin_address=f"127.0.0.1:{admin_port}",
-        )
-        cluster.start()
-        held = (
-            _run_checks(cluster) if check else _run_demo(cluster, for_seconds)
-        )
-        cluster.stop()
-    raise typer.Exit(errors.ExitCode.OK if held else errors.ExitCode.FAILED)
-
-
-def _run_checks(cluster: cluster_lib.DemoCluster) -> bool:
-    all_held = True
-    for result in check_lib.run(cluster):
-        word = "ok" if result.held else "FAILED"
-        typer.echo(f"{word}: {result.name}: {result.detail}")
-        all_held = all_held and result.held
-    return all_held
-
-
-def _run_demo(cluster: cluster_lib.DemoCluster, for_seconds: float) -> bool:
-    entry = f"http://{cluster.entry.address}"
-    operator = f"http://{cluster.admin_addresses[0]}"
-    account = f"-H 'Authorization: Bearer {cluster_lib.ACCOUNT_TOKEN}'"
-    admin = f"-H 'Authorization: Bearer {cluster_lib.OPERATOR_TOKEN}'"
-    body = (
-        '\'{"model": "brief-writer", "prompt": "a brown dog", '
-        '"max_tokens": 20, "stream": true}\''
-    )
-    typer.echo(f"entry: {entry}\noperators: {operator}\nTry:")
-    typer.echo(f"  curl -N {account} {entry}/v1/completions -d {body}")
-    typer.echo(
-        f"  curl {account} -H 'Idempotency-Key: order-1' "
-        f"{entry}/services/orders/payments -d '{{}}'"
-    )
-    typer.echo(f"  curl -L --location-trusted {admin} {operator}/v1/status")
-    deadline = time.monotonic() + for_seconds if for_seconds else None
-    try:
-        while deadline is None or time.monotonic() < deadline:
-            time.sleep(0.2)
-    except KeyboardInterrupt:
-        typer.echo("stopping")
-    return True
+app.command()(agent_command.agent)
+app.command()(control_command.control)
+app.command()(demo_command.demo)
+app.command()(entry_command.entry)
+app.command(name="stand-in")(stand_in_command.stand_in)
 
 
 def main() -> None:
     """Run the command line; one line on standard error for each fault."""
     try:
         app()
+    except checks.SettingErrors as group:
+        for fault in group.exceptions:
+            sys.stderr.write(f"wisteriawall: {fault}\n")
+        sys.exit(errors.ExitCode.USAGE)
     except errors.WisteriawallError as error:
         sys.stderr.write(f"wisteriawall: {error}\n")
         sys.exit(error.exit_code)
--- /dev/null
+++ b/src/wisteriawall/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, one module for each program."""
--- /dev/null
+++ b/src/wisteriawall/commands/control.py
@@ -0,0 +1,113 @@
+"""`wisteriawall control`: run one control replica."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from wisteriawall.commands import options
+from wisteriawall.commands import serving
+from wisteriawall.control import admin as admin_lib
+from wisteriawall.control import shell as shell_lib
+from wisteriawall.settings import checks
+from wisteriawall.settings import programs
+from wisteriawall.web import server as server_lib
+
+__all__ = ["control"]
+
+
+def control(
+    replica: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_REPLICA", help="Name of this replica."
+        ),
+    ],
+    peers: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_PEERS",
+            help="Every replica's peer address: NAME=HOST:PORT,...",
+        ),
+    ],
+    rpc: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_RPC",
+            help="Address for entries and agents: HOST:PORT.",
+        ),
+    ],
+    admin: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_ADMIN",
+            help="Address for operators: HOST:PORT.",
+        ),
+    ],
+    data: Annotated[
+        pathlib.Path,
+        typer.Option(
+            envvar="WISTERIAWALL_DATA",
+            help="Data folder of this replica alone.",
+        ),
+    ],
+    cluster_key: options.ClusterKey = "",
+    admin_peers: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_ADMIN_PEERS",
+            help="Every replica's operator address: NAME=HOST:PORT,...",
+        ),
+    ] = "",
+    operators: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_OPERATORS",
+            help='Operators by the SHA-256 of their token: {"<hex>": "name"}.',
+        ),
+    ] = "",
+) -> None:
+    """Run one control replica: agreement, configuration, orders."""
+    settings = programs.ControlSettings(
+        replica=replica,
+        peers=peers,
+        rpc=rpc,
+        admin=admin,
+        admin_peers=admin_peers,
+        data=data,
+        key=cluster_key,
+        operators=operators,
+    )
+    settings.check()
+    shell = shell_lib.ControlShell(
+        replica=replica,
+        peer_address_by_replica=checks.parse_addresses("--peers", peers),
+        rpc_address=rpc,
+        folder=data,
+        key=checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key),
+        incarnation=serving.incarnation(),
+    )
+    app = admin_lib.AdminApp(
+        shell=shell,
+        address_by_replica=_admin_peers(admin_peers, replica, admin),
+        operator_by_token_digest=settings.operator_by_token_digest(),
+    )
+    http = server_lib.HttpServer(address=admin, app=app)
+
+    def start() -> None:
+        shell.start()
+        http.start()
+
+    def stop() -> None:
+        http.stop()
+        shell.stop()
+
+    serving.run_until_signalled(
+        start=start, stop=stop, line=f"control: operators at {http.address}"
+    )
+
+
+def _admin_peers(text: str, replica: str, own: str) -> dict[str, str]:
+    if not text:
+        return {replica: own}
+    return checks.parse_addresses("--admin-peers", text)
--- /dev/null
+++ b/src/wisteriawall/commands/options.py
@@ -0,0 +1,34 @@
+"""Options that several commands share, each a flag and a variable."""
+
+from typing import Annotated
+
+import typer
+
+__all__ = ["ClusterKey", "Control", "Listen"]
+
+ClusterKey = Annotated[
+    str,
+    typer.Option(
+        "--cluster-key",
+        envvar="WISTERIAWALL_CLUSTER_KEY",
+        show_envvar=True,
+        help=(
+            "Shared secret of the cluster, at least 32 hex digits; "
+            "prefer the variable, since flags show in process lists."
+        ),
+    ),
+]
+Control = Annotated[
+    str,
+    typer.Option(
+        envvar="WISTERIAWALL_CONTROL",
+        help="Control replicas' RPC addresses: NAME=HOST:PORT,...",
+    ),
+]
+Listen = Annotated[
+    str,
+    typer.Option(
+        envvar="WISTERIAWALL_LISTEN",
+        help="HTTP address to serve: HOST:PORT; port 0 takes a free one.",
+    ),
+]
--- /dev/null
+++ b/src/wisteriawall/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of every program, checked before anything starts."""
--- /dev/null
+++ b/testing/config/test_patch.py
@@ -0,0 +1,53 @@
+"""Tests of `wisteriawall.config.patch`."""
+
+import msgspec
+import pytest
+
+from wisteriawall.config import document
+from wisteriawall.config import patch
+
+SERVICE = {"kind": "plain", "share_pieces": 2}
+
+
+@pytest.mark.parametrize(
+    ("change", "fault"),
+    [
+        pytest.param(
+            {"services": {"shop": SERVICE}},
+            "capacity_pieces = 0",
+            id="share-over-capacity",
+        ),
+        pytest.param(
+            {
+                "capacity_pieces": 2,
+                "services": {"shop": SERVICE},
+                "runners": {
+                    "r": {
+                        "service": "shop",
+                        "address": "",
+                        "zone": "a",
+                        "vm": "v",
+                        "fencing": "ignored",
+                    }
+                },
+            },
+            "runners.r.address",
+            id="unfenced-engine-without-agent",
+        ),
+        pytest.param({"surprise": 1}, "surprise", id="unknown-field"),
+    ],
+)
+def test_invalid_patch_names_the_field(change: object, fault: str) -> None:
+    with pytest.raises(patch.PatchInvalid, match=fault):
+        patch.apply_patch(
+            current=document.empty(), change=msgspec.json.encode(change)
+        )
+
+
+def test_valid_patch_raises_the_number_by_one() -> None:
+    change = {"capacity_pieces": 2, "services": {"shop": SERVICE}, "number": 9}
+    result = patch.apply_patch(
+        current=document.empty(), change=msgspec.json.encode(change)
+    )
+    assert result.number == 1
+    assert result.services["shop"].share_pieces == 2
--- /dev/null
+++ b/testing/settings/test_checks.py
@@ -0,0 +1,59 @@
+"""Tests of `wisteriawall.settings.checks`."""
+
+from collections.abc import Callable
+
+import pytest
+
+from wisteriawall.settings import checks
+
+
+@pytest.mark.parametrize(
+    ("parse", "text", "line"),
+    [
+        pytest.param(
+            checks.parse_address,
+            "nowhere",
+            "--x: got 'nowhere', expected HOST:PORT, as 10.0.0.1:7000",
+            id="address-without-port",
+        ),
+        pytest.param(
+            checks.parse_address,
+            "10.0.0.1:70000",
+            "--x: got '10.0.0.1:70000', expected HOST:PORT, as 10.0.0.1:7000",
+            id="port-too-large",
+        ),
+        pytest.param(
+            checks.parse_name,
+            "a b",
+            "--x: got 'a b', expected 1 to 128 letters, digits, dots, dashes",
+            id="name-with-space",
+        ),
+        pytest.param(
+            checks.parse_key,
+            "beef",
+            "--x: got '(hidden)', expected at least 32 hex digits",
+            id="short-key-stays-hidden",
+        ),
+    ],
+)
+def test_fault_names_setting_value_and_expectation(
+    parse: Callable[[str, str], object], text: str, line: str
+) -> None:
+    with pytest.raises(checks.SettingError) as caught:
+        parse("--x", text)
+    assert str(caught.value) == line
+
+
+def test_collect_reports_every_fault() -> None:
+    with pytest.raises(checks.SettingErrors) as caught:
+        checks.collect(
+            [
+                lambda: checks.parse_name("--a", ""),
+                lambda: checks.parse_name("--b", "fine"),
+                lambda: checks.parse_address("--c", ""),
+            ]
+        )
+    assert [str(e).split(":")[0] for e in caught.value.exceptions] == [
+        "--a",
+        "--c",
+    ]
