--- a/src/wisteriawall/config/document.py
+++ b/src/wisteriawall/config/document.py
@@ -72,6 +72,8 @@
     """An upstream and the agent in front of it.
 
     `address` is the agent's HTTP host and port; empty means no agent.
+    `feed` is where the agent publishes load and cache events; empty means
+    that entries route without them.
     """
 
     service: str
@@ -81,6 +83,7 @@
     pieces: int = 1
     role: AutoRole = AutoRole.AUTO
     fencing: Fencing = Fencing.ENFORCED
+    feed: str = ""
 
 
 @final
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -16,7 +16,15 @@
 
 from wisteriawall import errors
 
-__all__ = ["PeerLinks", "PeerServer", "RpcClient", "RpcServer", "RpcTimeout"]
+__all__ = [
+    "PeerLinks",
+    "PeerServer",
+    "Publisher",
+    "RpcClient",
+    "RpcServer",
+    "RpcTimeout",
+    "Subscriber",
+]
 
 _LOG = logging.getLogger("wire")
 
@@ -171,3 +179,63 @@
         socket = pynng.Push0(send_buffer_size=PEER_BUFFER_MESSAGES)
         socket.dial(f"tcp://{address}", block=False)
         return socket
+
+
+@final
+class Publisher:
+    """Publish one-way messages to whoever subscribes.
+
+    Args:
+        address: Host and port; port 0 takes a free one.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._socket = pynng.Pub0()
+        listener = self._socket.listen(f"tcp://{address}")
+        self.address = str(listener.local_address)
+
+    def publish(self, message: bytes) -> None:
+        """Send `message` to every subscriber that keeps up."""
+        with contextlib.suppress(pynng.NNGException):
+            self._socket.send(message)
+
+    def close(self) -> None:
+        """Release the port."""
+        self._socket.close()
+
+
+@final
+class Subscriber:
+    """Receive what a changing set of publishers sends."""
+
+    def __init__(self, *, receive: Callable[[bytes], None]) -> None:
+        self._socket = pynng.Sub0(recv_buffer_size=PEER_BUFFER_MESSAGES)
+        self._socket.subscribe(b"")
+        self._dialer_by_address: dict[str, pynng.Dialer] = {}
+        self._receive = receive
+        self._thread = threading.Thread(
+            target=self._run, name="feed", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start receiving."""
+        self._thread.start()
+
+    def follow(self, addresses: set[str]) -> None:
+        """Subscribe to exactly these publishers."""
+        for address in addresses - set(self._dialer_by_address):
+            self._dialer_by_address[address] = self._socket.dial(
+                f"tcp://{address}", block=False
+            )
+        for address in set(self._dialer_by_address) - addresses:
+            self._dialer_by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Release every connection."""
+        self._socket.close()
+        self._thread.join(timeout=1.0)
+
+    def _run(self) -> None:
+        with contextlib.suppress(pynng.Closed):
+            while True:
+                self._receive(self._socket.recv())
