--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 PYTHON ?= python3
+SEED ?= 1
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test binary check format bench capacity clean
+.PHONY: demo test test-long binary check format bench capacity docs docs-check clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,6 +18,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+test-long: $(STAMP)
+	$(BIN)/python -m pytest --hypothesis-profile=long --hypothesis-seed=$(SEED)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -29,6 +33,12 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+docs: $(STAMP)
+	$(BIN)/python -m tools.settings_reference
+
+docs-check: $(STAMP)
+	$(BIN)/python -m tools.settings_reference --check
+
 binary: $(STAMP)
 	mkdir -p dist; rm -rf build
 	$(BIN)/shiv --quiet --console-script wisteriawall \
--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -8,6 +8,7 @@
 import wisteriawall
 from wisteriawall import errors
 from wisteriawall.commands import agent as agent_command
+from wisteriawall.commands import check_settings as check_settings_command
 from wisteriawall.commands import control as control_command
 from wisteriawall.commands import demo as demo_command
 from wisteriawall.commands import entry as entry_command
@@ -61,6 +62,10 @@
 
 
 app.command()(agent_command.agent)
+app.command(
+    name="check-settings",
+    context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
+)(check_settings_command.check_settings)
 app.command()(control_command.control)
 app.command()(demo_command.demo)
 app.command()(entry_command.entry)
--- a/src/wisteriawall/commands/agent.py
+++ b/src/wisteriawall/commands/agent.py
@@ -40,7 +40,7 @@
         control=control,
         key=cluster_key,
     )
-    settings.check()
+    serving.check(settings)
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
     shell = shell_lib.AgentShell(
         runner=runner,
--- /dev/null
+++ b/src/wisteriawall/commands/check_settings.py
@@ -0,0 +1,46 @@
+"""`wisteriawall check-settings`: check a program's settings alone."""
+
+import enum
+from typing import Annotated
+from typing import final
+
+import typer
+from typer import core
+
+from wisteriawall.commands import serving
+
+__all__ = ["Program", "check_settings"]
+
+
+@final
+class Program(enum.StrEnum):
+    """A program whose settings can be checked."""
+
+    AGENT = "agent"
+    CONTROL = "control"
+    ENTRY = "entry"
+
+
+def check_settings(
+    context: typer.Context,
+    program: Annotated[
+        Program, typer.Argument(help="Program whose settings to check.")
+    ],
+) -> None:
+    """Check a program's flags and variables; start nothing.
+
+    Flags of the program follow its name, as
+    `wisteriawall check-settings entry --zone zone-a`.
+    """
+    root = context.find_root().command
+    assert isinstance(root, core.TyperGroup)
+    command = root.commands[program.value]
+    token = serving.checking_only.set(True)
+    try:
+        command.main(
+            args=list(context.args),
+            prog_name=f"wisteriawall {program}",
+            standalone_mode=False,
+        )
+    finally:
+        serving.checking_only.reset(token)
--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -78,7 +78,7 @@
         key=cluster_key,
         operators=operators,
     )
-    settings.check()
+    serving.check(settings)
     shell = shell_lib.ControlShell(
         replica=replica,
         peer_address_by_replica=checks.parse_addresses("--peers", peers),
--- a/src/wisteriawall/commands/entry.py
+++ b/src/wisteriawall/commands/entry.py
@@ -32,7 +32,7 @@
     settings = programs.EntrySettings(
         name=name, listen=listen, zone=zone, control=control, key=cluster_key
     )
-    settings.check()
+    serving.check(settings)
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
     shell = shell_lib.EntryShell(
         name=name,
--- a/src/wisteriawall/commands/serving.py
+++ b/src/wisteriawall/commands/serving.py
@@ -1,13 +1,45 @@
 """Run one program until a signal asks it to stop."""
 
 from collections.abc import Callable
+import contextvars
 import signal
 import threading
 import time
+from typing import Protocol
 
 import typer
 
-__all__ = ["incarnation", "run_until_signalled"]
+__all__ = [
+    "Checked",
+    "check",
+    "checking_only",
+    "incarnation",
+    "run_until_signalled",
+]
+
+checking_only: contextvars.ContextVar[bool] = contextvars.ContextVar(
+    "checking_only", default=False
+)
+
+
+class Checked(Protocol):
+    """Settings that can check themselves."""
+
+    def check(self) -> None:
+        """Raise `SettingErrors` unless every setting is valid."""
+
+
+def check(settings: Checked) -> None:
+    """Check settings before anything starts.
+
+    Raises:
+        SettingErrors: At least one setting is invalid.
+        typer.Exit: The command line asked for the check alone.
+    """
+    settings.check()
+    if checking_only.get():
+        typer.echo("settings: valid")
+        raise typer.Exit
 
 
 def incarnation() -> int:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Maintainers' tools; none of them ships."""
