--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/mypy -p tools -p bench
 
 format: $(STAMP)
 	$(BIN)/ruff format .
@@ -39,6 +40,9 @@
 docs-check: $(STAMP)
 	$(BIN)/python -m tools.settings_reference --check
 
+capacity: $(STAMP)
+	$(BIN)/python -m tools.capacity
+
 binary: $(STAMP)
 	mkdir -p dist; rm -rf build
 	$(BIN)/shiv --quiet --console-script wisteriawall \
--- /dev/null
+++ b/tools/capacity/__main__.py
@@ -0,0 +1,52 @@
+"""Write the measured slopes into docs/CAPACITY.md (`make capacity`)."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import pathlib
+import sys
+
+from tools.capacity import model
+from tools.capacity import slopes
+
+PAGE = pathlib.Path("docs/CAPACITY.md")
+BEGIN = "<!-- slopes: written by make capacity -->\n"
+END = "<!-- end of slopes -->\n"
+
+
+def main() -> int:
+    """Measure, print and write the table; return the exit code."""
+    measured = list(slopes.measure())
+    roles = list(model.work_out(measured))
+    table = "".join((*_table(measured), "\n", *_role_table(roles)))
+    sys.stdout.write(table)
+    if "--print" in sys.argv:
+        return _exit_code(roles)
+    head, _, rest = PAGE.read_text().partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    PAGE.write_text(head + BEGIN + table + END + tail)
+    return _exit_code(roles)
+
+
+def _exit_code(roles: Iterable[model.Role]) -> int:
+    """Return nonzero when a role on a node exceeds the letter's budget."""
+    return sum(not role.inside_node_budget for role in roles)
+
+
+def _role_table(roles: Iterable[model.Role]) -> Iterator[str]:
+    yield "| role | core | network | state |\n|---|---|---|---|\n"
+    for role in roles:
+        core = f"{role.core_percent:.2f}%"
+        network = f"{role.bytes_per_s / 1000:,.1f} KB/s"
+        state = f"{role.state_bytes / 1e6:,.2f} MB"
+        yield f"| {role.name} | {core} | {network} | {state} |\n"
+
+
+def _table(measured: Iterable[slopes.Slope]) -> Iterator[str]:
+    yield "| slope | value | each | measured on |\n|---|---|---|---|\n"
+    for slope in measured:
+        value = f"{slope.value:,.0f} {slope.unit}"
+        yield f"| {slope.name} | {value} | {slope.each} | {slope.source} |\n"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
