--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -52,6 +52,13 @@
         ),
     ],
     cluster_key: options.ClusterKey = "",
+    bootstrap: Annotated[
+        bool,
+        typer.Option(
+            envvar="WISTERIAWALL_BOOTSTRAP",
+            help="Found a new cluster of --peers if the data folder is empty.",
+        ),
+    ] = False,
     admin_peers: Annotated[
         str,
         typer.Option(
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -29,6 +29,9 @@
     "PatchRequest",
     "PeerMessage",
     "ProcessStatus",
+    "ReplicaAdd",
+    "ReplicaRemove",
+    "ReplicasReply",
     "Reply",
     "Request",
     "RunnerStatus",
@@ -79,6 +82,37 @@
     undo: bool
 
 
+@final
+class ReplicaAdd(msgspec.Struct, frozen=True, tag="replica-add"):
+    """Add a replica; it gets its vote once it has caught up.
+
+    The answer comes when the addition is committed. A replica whose disk was
+    replaced is added under a new name. Asking again changes nothing.
+    """
+
+    operator: str
+    replica: str
+    peer_address: str
+    rpc_address: str
+    admin_address: str
+
+
+@final
+class ReplicaRemove(msgspec.Struct, frozen=True, tag="replica-remove"):
+    """Remove a replica; asking again changes nothing."""
+
+    operator: str
+    replica: str
+
+
+@final
+class ReplicasReply(msgspec.Struct, frozen=True, tag="replicas"):
+    """The membership, and why a change was refused, empty if it was not."""
+
+    members: list[raft_messages.Member]
+    refusal: str = ""
+
+
 @final
 class StatusRequest(msgspec.Struct, frozen=True, tag="status"):
     """Read the state of replicas, processes and runners."""
@@ -120,6 +154,7 @@
     fleet_version: int
     processes: list[ProcessStatus]
     runners: list[RunnerStatus]
+    members: list[raft_messages.Member] = msgspec.field(default_factory=list)
 
 
 @final
@@ -152,6 +187,8 @@
     | PatchRequest
     | ConfigRequest
     | DrainRequest
+    | ReplicaAdd
+    | ReplicaRemove
     | StatusRequest
     | AuditRequest
 )
@@ -160,6 +197,7 @@
     | PatchReply
     | ConfigReply
     | StatusReply
+    | ReplicasReply
     | AuditReply
     | Unavailable
 )
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -157,6 +157,9 @@
         case events.ConfigRequest():
             reply = _read_config(control, event.now_ms)
             yield events.Answer(event.call_id, reply)
+        case events.ReplicaAdd() | events.ReplicaRemove():
+            reply = events.Unavailable("membership changes are not served yet")
+            yield events.Answer(event.call_id, reply)
         case events.AuditRequest(after_index, limit):
             records = (r for r in control.ledger.audit if r.index > after_index)
             page = [r for r, _ in zip(records, range(limit), strict=False)]
--- a/src/wisteriawall/wire/raft_messages.py
+++ b/src/wisteriawall/wire/raft_messages.py
@@ -8,12 +8,30 @@
     "AppendReply",
     "AppendRequest",
     "LogEntry",
+    "Member",
     "RaftMessage",
     "VoteReply",
     "VoteRequest",
 ]
 
 
+@final
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One replica of the agreed membership and where it is reached.
+
+    `voting` is False while a new replica still catches up. `identity` names
+    the data folder that the replica was first heard with, empty before that;
+    a replica that returns with another folder is not this member.
+    """
+
+    replica: str
+    peer_address: str = ""
+    rpc_address: str = ""
+    admin_address: str = ""
+    voting: bool = True
+    identity: str = ""
+
+
 @final
 class LogEntry(msgspec.Struct, frozen=True, array_like=True):
     """One record of the replicated log; `command` is an encoded command."""
--- a/testing/processes/test_whole_path.py
+++ b/testing/processes/test_whole_path.py
@@ -1,61 +1,26 @@
 """The whole path as separate processes on loopback."""
 
-from collections.abc import Iterator
+from collections.abc import Callable
 import hashlib
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import time
 
 import msgspec
-import pytest
 import urllib3
 
 from wisteriawall.demo import cluster as cluster_lib
 
-KEY = "ab" * 32
 TOKEN = "operator"
 ACCOUNT = "account"
 READY_S = 20.0
 
-
-class Processes:
-    """Processes that one test started, ended by id at teardown."""
-
-    def __init__(self) -> None:
-        """Start with none."""
-        self.running: list[subprocess.Popen[str]] = []
-
-    def start(self, *arguments: str) -> subprocess.Popen[str]:
-        """Start one program and wait for its line."""
-        process = subprocess.Popen(
-            [sys.executable, "-m", "wisteriawall", *arguments],
-            env={**os.environ, "WISTERIAWALL_CLUSTER_KEY": KEY},
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        self.running.append(process)
-        assert process.stdout is not None
-        assert process.stdout.readline()
-        return process
-
-
-@pytest.fixture
-def processes() -> Iterator[Processes]:
-    """Yield a starter of processes; kill what is left."""
-    started = Processes()
-    yield started
-    for process in started.running:
-        process.kill()
-        process.wait()
-        assert process.stdout is not None
-        process.stdout.close()
+Start = Callable[..., subprocess.Popen[str]]
 
 
 def test_request_crosses_separate_processes(
-    processes: Processes, tmp_path: pathlib.Path
+    start: Start, tmp_path: pathlib.Path
 ) -> None:
     names = ("c1", "c2", "c3")
     peers, rpc, admin = (
@@ -67,19 +32,20 @@
     ]
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     for name in names:
-        processes.start(
-            *("control", "--replica", name, "--peers", joined[0]),
+        start(
+            *("control", "--bootstrap", "--replica", name),
+            *("--peers", joined[0]),
             *("--rpc", rpc[name], "--admin", admin[name]),
             *("--admin-peers", joined[2], "--data", str(tmp_path / name)),
             *("--operators", msgspec.json.encode({digest: "op"}).decode()),
         )
     upstream, gate, entry = (cluster_lib.free_address() for _ in range(3))
-    processes.start("stand-in", "model", "--listen", upstream)
-    processes.start(
+    start("stand-in", "model", "--listen", upstream)
+    start(
         *("agent", "--runner", "r1", "--upstream", upstream),
         *("--listen", gate, "--control", joined[1]),
     )
-    front = processes.start(
+    front = start(
         *("entry", "--name", "e1", "--zone", "a", "--listen", entry),
         *("--control", joined[1]),
     )
