Name every bad field of a patched document

Cause: type checks stopped at the first fault, so an operator mended one field per patch; addresses, accounts, versions and names went unchecked. Change: config/fields.py walks the decoded document along its types and yields each fault with its path; validation checks the values. New typed fields: service limits, weight store rate, runner model. Conclusion: testing/config/test_fields.py holds both tables; with the walk returning after its first fault the types row fails.

--- a/src/wisteriawall/config/document.py
+++ b/src/wisteriawall/config/document.py
@@ -14,9 +14,11 @@
     "AutoRole",
     "Document",
     "Fencing",
+    "Limits",
     "Runner",
     "Service",
     "ServiceKind",
+    "WeightStore",
     "empty",
 ]
 
@@ -47,6 +49,31 @@
     MIXED = "mixed"
 
 
+@final
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds on the work of one service that an entry accepts.
+
+    `max_queued` counts requests that wait at one entry; `max_streams` counts
+    answers in progress on one runner; `max_output_tokens` bounds one answer.
+    """
+
+    max_queued: int = 256
+    max_streams: int = 64
+    max_output_tokens: int = 32_768
+
+
+@final
+class WeightStore(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Rate of the weight store, shared by the whole fleet.
+
+    At most `fetches_at_once` orders that fetch weights are pending, and each
+    starts at least `fetch_interval_ms` after the one before.
+    """
+
+    fetches_at_once: int = 2
+    fetch_interval_ms: int = 1_000
+
+
 @final
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A service that callers address.
@@ -65,6 +92,7 @@
     deadline_ms: int = 60_000
     payback_s: float = 10.0
     non_repeatable: list[str] = []
+    limits: Limits = Limits()
 
 
 @final
@@ -73,7 +101,8 @@
 
     `address` is the agent's HTTP host and port; empty means no agent.
     `feed` is where the agent publishes load and cache events; empty means
-    that entries route without them.
+    that entries route without them. `model` is one of the service's models;
+    empty means the first.
     """
 
     service: str
@@ -84,6 +113,7 @@
     role: AutoRole = AutoRole.AUTO
     fencing: Fencing = Fencing.ENFORCED
     feed: str = ""
+    model: str = ""
 
 
 @final
@@ -103,6 +133,7 @@
     services: dict[str, Service]
     runners: dict[str, Runner]
     accounts: dict[str, Account]
+    weight_store: WeightStore = WeightStore()
 
 
 def empty() -> Document:
--- a/src/wisteriawall/config/patch.py
+++ b/src/wisteriawall/config/patch.py
@@ -6,9 +6,10 @@
 
 from wisteriawall import errors
 from wisteriawall.config import document
+from wisteriawall.config import fields
 from wisteriawall.config import validation
 
-__all__ = ["PatchInvalid", "apply_patch", "merge"]
+__all__ = ["PatchInvalid", "apply_patch", "diff", "merge"]
 
 
 @final
@@ -33,6 +34,22 @@
     return base
 
 
+def diff(before: object, after: object) -> object:
+    """Return the merge patch that turns `before` into `after`.
+
+    Neither may hold a null, which a merge patch cannot express.
+    """
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        return after
+    removed = {name: None for name in before if name not in after}
+    changed = {
+        name: diff(before[name], value) if name in before else value
+        for name, value in after.items()
+        if name not in before or before[name] != value
+    }
+    return removed | changed
+
+
 def apply_patch(
     *, current: document.Document, change: bytes
 ) -> document.Document:
@@ -54,10 +71,10 @@
     if not isinstance(changed, dict):
         raise PatchInvalid(("patch: expected an object",))
     changed["number"] = current.number + 1
-    try:
-        result = msgspec.convert(changed, document.Document)
-    except msgspec.ValidationError as error:
-        raise PatchInvalid((str(error),)) from error
+    faults = tuple(fields.find_faults(changed, document.Document))
+    if faults:
+        raise PatchInvalid(faults)
+    result = msgspec.convert(changed, document.Document)
     faults = tuple(validation.find_faults(result))
     if faults:
         raise PatchInvalid(faults)
