--- a/testing/processes/conftest.py
+++ b/testing/processes/conftest.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import os
+import pathlib
 import subprocess
 import sys
 
 import pytest
+from support import site
 
 KEY = "ab" * 32
 
@@ -36,3 +38,9 @@
         process.wait()
         assert process.stdout is not None
         process.stdout.close()
+
+
+@pytest.fixture
+def new_site(start: Start, tmp_path: pathlib.Path) -> site.Site:
+    """Return a site of which nothing runs yet."""
+    return site.Site(start, tmp_path)
--- /dev/null
+++ b/testing/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several test folders share."""
