Let renewals carry configuration patches, fleet changes and engine state

Cause: a renewal after any change carried the whole document and the whole fleet view, which grow with runners and accounts. Change: additive fields in Grant, Renew, OrderReport and FleetView; the entry applies received patches and partial views.

--- a/src/wisteriawall/entry/reducer.py
+++ b/src/wisteriawall/entry/reducer.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import final
 
+from wisteriawall.config import delta
 from wisteriawall.config import document
 from wisteriawall.entry import events
 from wisteriawall.policy import routing
@@ -276,14 +277,10 @@
 ) -> None:
     if grant.config_number < entry.config.number:
         return
-    if grant.config is not None:
-        entry.config = grant.config
+    entry.config = delta.received(entry.config, grant)
     if grant.config_number != entry.config.number:
         return
-    if (
-        grant.fleet_view is not None
-        and grant.fleet_view.version > entry.fleet_view.version
-    ):
-        entry.fleet_view = grant.fleet_view
+    if grant.fleet_view is not None:
+        entry.fleet_view = fleet.merge_view(entry.fleet_view, grant.fleet_view)
     until_ms = asked_ms - grant.age_ms + LEASE_MS
     entry.lease_until_ms = max(entry.lease_until_ms, until_ms)
--- a/src/wisteriawall/wire/control_messages.py
+++ b/src/wisteriawall/wire/control_messages.py
@@ -38,7 +38,9 @@
     """Renew a configuration lease and report liveness.
 
     `config_number` and `fleet_version` are the newest the sender holds; the
-    answer omits what has not changed. `runner` is set by agents.
+    answer omits what has not changed. `runner` is set by agents. `leaving`
+    says that a planned stop began; `engine` is the agent's newest inspection
+    of its engine, None before the first.
     """
 
     process: str
@@ -48,6 +50,8 @@
     fleet_version: int
     runner: str
     demand: list[fleet.ServiceDemand]
+    leaving: bool = False
+    engine: fleet.EngineView | None = None
 
 
 @final
@@ -56,7 +60,10 @@
 
     `age_ms` bounds how long before this answer the state was confirmed
     current. `config` and `fleet_view` are None when the sender already holds
-    the newest. `order` is the pending order of the agent's runner. `floor` is
+    the newest. `config_changes`, when not empty, are the accepted merge
+    patches since the sender's number and stand for the document; see
+    `wisteriawall.config.delta`. Agents get no document, and of the fleet only
+    their own runner. `order` is the pending order of the agent's runner. `floor` is
     the newest fencing position known for the runner.
     """
 
@@ -68,6 +75,7 @@
     order: fleet.Order | None
     floor: fleet.Fence
     leader: str
+    config_changes: list[bytes] = []
 
 
 @final
@@ -127,7 +135,7 @@
 class OrderReport(
     msgspec.Struct, frozen=True, array_like=True, tag="order-report"
 ):
-    """Report the result of an order; `state` is the engine's own account."""
+    """Report the result of an order; `engine` is its state after it."""
 
     order_id: int
     runner: str
@@ -135,6 +143,7 @@
     succeeded: bool
     detail: str
     role: fleet.Role
+    engine: fleet.EngineView | None = None
 
 
 @final
--- a/src/wisteriawall/wire/fleet.py
+++ b/src/wisteriawall/wire/fleet.py
@@ -8,6 +8,7 @@
 __all__ = [
     "FENCE_ZERO",
     "Action",
+    "EngineView",
     "Fence",
     "FleetView",
     "KeptAnswer",
@@ -17,6 +18,7 @@
     "RunnerPhase",
     "RunnerView",
     "ServiceDemand",
+    "merge_view",
 ]
 
 
@@ -53,11 +55,17 @@
 
 @final
 class Action(enum.StrEnum):
-    """What an order asks of an engine."""
+    """What an order asks of an engine.
+
+    The argument of LOAD and UNLOAD is `model@version`, that of the adapter
+    actions the adapter's name. LOAD replaces the model that is loaded.
+    """
 
     SET_ROLE = "set-role"
     LOAD = "load"
     UNLOAD = "unload"
+    LOAD_ADAPTER = "load-adapter"
+    UNLOAD_ADAPTER = "unload-adapter"
 
 
 @final
@@ -70,21 +78,56 @@
     argument: str
 
 
+@final
+class EngineView(msgspec.Struct, frozen=True, array_like=True):
+    """What an agent knows of its engine; `model` is `model@version`.
+
+    `unclear` says that the engine crashed or gave no answer in the middle of
+    a change, so that the rest may be wrong.
+    """
+
+    role: Role
+    model: str = ""
+    adapters: list[str] = []
+    unclear: bool = False
+
+
 @final
 class RunnerView(msgspec.Struct, frozen=True, array_like=True):
-    """Agreed state of one runner."""
+    """Agreed state of one runner; `model` is `model@version`."""
 
     runner: str
     phase: RunnerPhase
     role: Role
+    model: str = ""
+    adapters: list[str] = []
 
 
 @final
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
-    """Agreed state of every runner at one fleet version."""
+    """Agreed state of the runners at one fleet version.
+
+    With `base` 0 the view is whole. Otherwise it holds only the runners that
+    changed after version `base`, and no runner was removed since.
+    """
 
     version: int
     runners: list[RunnerView]
+    base: int = 0
+
+
+def merge_view(held: FleetView, received: FleetView) -> FleetView:
+    """Return the whole view after `received`, the newer of the two."""
+    if received.version <= held.version:
+        return held
+    if not received.base:
+        return received
+    if received.base > held.version:
+        return held
+    by_runner = {view.runner: view for view in held.runners}
+    by_runner.update({view.runner: view for view in received.runners})
+    runners = [by_runner[name] for name in sorted(by_runner)]
+    return FleetView(received.version, runners)
 
 
 @final
