Split the ledger by job; derive orders, membership and patch answers

Cause: orders covered roles alone, a patch was answered before anyone held it, nobody noticed lost or leaving runners, claims of dead entries ran for ever, and each renewal carried whole documents. Change: one module each for configuration, claims, orders, membership and audit under a small ledger; the leader submits due commands every 250 ms from ledger, merged liveness and VM list. Followers tell the leader of their processes in summaries that repeat changes. Orders carry the term of their decision; a finished order falls below the floor. Renewals carry patches since the sender's number, and a replica behind the sender grants nothing. A claim whose outcome is unknown is no longer granted to the same request id again.

--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -3,13 +3,17 @@
 from collections.abc import Mapping
 import hashlib
 import hmac
+from typing import Annotated
+from typing import Literal
+from typing import TypeVar
 from typing import final
+from urllib import parse
 
 import msgspec
 import urllib3
 
 from wisteriawall.control import events
-from wisteriawall.control import ledger
+from wisteriawall.control import outcomes
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
@@ -22,6 +26,8 @@
 FORWARD_TIMEOUT_S = 6.0
 FORWARDED = "Wisteriawall-Forwarded"
 FORWARDED_ENVIRON = headers_lib.environ_name(FORWARDED)
+
+QueryT = TypeVar("QueryT", bound=msgspec.Struct)
 COPIED_HEADERS = ("Authorization", "If-Match", "Idempotency-Key")
 
 
@@ -77,13 +83,15 @@
     ) -> events.Request | refusal_lib.Refusal:
         match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
             case "GET", "/v1/config":
-                return events.ConfigRequest()
+                return _config_request(environ)
+            case "GET", "/v1/config/history":
+                return _history_request(environ)
             case "PATCH", "/v1/config":
                 return _patch_request(environ, operator)
             case "GET", "/v1/status":
-                return events.StatusRequest()
+                return events.StatusRequest(whole=not _is_forwarded(environ))
             case "GET", "/v1/audit":
-                return events.AuditRequest(0, AUDIT_PAGE_RECORDS)
+                return _audit_request(environ)
             case "POST", "/v1/drain":
                 return _drain_request(environ, operator)
             case _:
@@ -102,6 +110,10 @@
                 return server_lib.refuse(start_response, _unavailable(reason))
             case events.PatchReply():
                 return _respond_patch(start_response, reply)
+            case events.NotKept(reason) | events.DrainReply(refusal=reason) if (
+                reason
+            ):
+                return server_lib.refuse(start_response, _not_found(reason))
             case events.ConfigReply(document):
                 etag = ("ETag", f'"{document.number}"')
                 return server_lib.respond(
@@ -129,7 +141,7 @@
         try:
             response = self._pool.request(
                 environ["REQUEST_METHOD"],
-                f"http://{address}{environ['PATH_INFO']}",
+                f"http://{address}{_path(environ)}",
                 body=body,
                 headers=_forwarded_headers(environ),
                 timeout=FORWARD_TIMEOUT_S,
@@ -177,6 +189,94 @@
     )
 
 
+def _not_found(reason: str) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=404, code=refusal_lib.Code.NOT_FOUND, message=reason
+    )
+
+
+def _is_forwarded(environ: server_lib.Environ) -> bool:
+    return FORWARDED_ENVIRON in environ
+
+
+def _path(environ: server_lib.Environ) -> str:
+    query = environ.get("QUERY_STRING", "")
+    path: str = environ["PATH_INFO"]
+    return f"{path}?{query}" if query else path
+
+
+def _config_request(
+    environ: server_lib.Environ,
+) -> events.Request | refusal_lib.Refusal:
+    query = _query(environ, _ConfigQuery)
+    if isinstance(query, refusal_lib.Refusal):
+        return query
+    return events.ConfigRequest(query.number)
+
+
+def _history_request(
+    environ: server_lib.Environ,
+) -> events.Request | refusal_lib.Refusal:
+    query = _query(environ, _HistoryQuery)
+    if isinstance(query, refusal_lib.Refusal):
+        return query
+    return events.HistoryRequest(query.limit)
+
+
+def _audit_request(
+    environ: server_lib.Environ,
+) -> events.Request | refusal_lib.Refusal:
+    query = _query(environ, _AuditQuery)
+    if isinstance(query, refusal_lib.Refusal):
+        return query
+    return events.AuditRequest(
+        query.after, query.limit, query.kind, query.subject
+    )
+
+
+def _query(
+    environ: server_lib.Environ, wanted: type[QueryT]
+) -> QueryT | refusal_lib.Refusal:
+    """Return the typed query string, or the refusal that names its fault."""
+    pairs = parse.parse_qsl(environ.get("QUERY_STRING", ""))
+    try:
+        return msgspec.convert(dict(pairs), wanted, strict=False)
+    except msgspec.ValidationError as error:
+        return refusal_lib.Refusal(
+            status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
+        )
+
+
+_Limit = Annotated[int, msgspec.Meta(ge=1, le=AUDIT_PAGE_RECORDS)]
+
+
+@final
+class _ConfigQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    number: int | None = None
+
+
+@final
+class _HistoryQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    limit: _Limit = 50
+
+
+@final
+class _AuditQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    after: int = 0
+    kind: Literal[
+        "",
+        "patch",
+        "order",
+        "order-result",
+        "membership",
+        "drain",
+        "leadership",
+        "replica",
+    ] = ""
+    subject: str = ""
+    limit: _Limit = AUDIT_PAGE_RECORDS
+
+
 def _forwarded_headers(environ: server_lib.Environ) -> dict[str, str]:
     named = {
         name: environ[headers_lib.environ_name(name)]
@@ -231,7 +331,7 @@
 ) -> server_lib.Response:
     """Answer a patch; the body depends on the logged outcome alone."""
     match reply.outcome:
-        case ledger.ConfigChanged(number):
+        case outcomes.ConfigChanged(number):
             held = f"{reply.holding} of {reply.processes}"
             return server_lib.respond(
                 start_response,
@@ -242,13 +342,19 @@
                     ("Wisteriawall-Processes", held),
                 ],
             )
-        case ledger.ConfigStale(expected, current):
+        case outcomes.ConfigStale(expected, current):
             refusal = refusal_lib.Refusal(
                 status=412,
                 code=refusal_lib.Code.STALE_CONFIG,
                 message=f"patch against {expected}, current is {current}",
             )
-        case ledger.ConfigInvalid(faults):
+        case outcomes.PatchIdReused(patch_id):
+            refusal = refusal_lib.Refusal(
+                status=422,
+                code=refusal_lib.Code.CLAIM_MISMATCH,
+                message=f"patch id {patch_id!r} was used for another patch",
+            )
+        case outcomes.ConfigInvalid(faults):
             refusal = refusal_lib.Refusal(
                 status=422,
                 code=refusal_lib.Code.INVALID,
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -4,15 +4,19 @@
 
 import msgspec
 
+from wisteriawall.control import state
 from wisteriawall.wire import fleet
 
 __all__ = [
     "Command",
     "CompleteOrder",
+    "ForgetEntry",
     "GrantClaim",
     "IssueOrder",
     "PatchConfig",
-    "SetPhase",
+    "RecordEngine",
+    "SetDrain",
+    "SetPresence",
     "SettleClaim",
     "TakeLead",
     "decode",
@@ -66,13 +70,19 @@
 
 @final
 class IssueOrder(msgspec.Struct, frozen=True, tag="order"):
-    """Give an order to a runner's engine, unless one is pending there."""
+    """Give an order to a runner's engine, unless something is against it.
+
+    `term` is the leader's term when it decided; `planned` marks orders of
+    the role planner, which yield to those of the configuration.
+    """
 
     runner: str
     action: fleet.Action
     argument: str
     cause: str
     at_ms: int
+    term: int
+    planned: bool = False
 
 
 @final
@@ -85,16 +95,48 @@
     detail: str
     role: fleet.Role
     at_ms: int
+    engine: fleet.EngineView | None = None
 
 
 @final
-class SetPhase(msgspec.Struct, frozen=True, tag="phase"):
-    """Record that a runner entered a phase."""
+class SetPresence(msgspec.Struct, frozen=True, tag="presence"):
+    """Record what membership says of a runner, as judged in `term`."""
 
     runner: str
-    phase: fleet.RunnerPhase
+    presence: state.Presence
+    incarnation: int
     cause: str
     at_ms: int
+    term: int
+
+
+@final
+class RecordEngine(msgspec.Struct, frozen=True, tag="engine"):
+    """Record what an agent found when it inspected its engine."""
+
+    runner: str
+    incarnation: int
+    engine: fleet.EngineView
+    at_ms: int
+
+
+@final
+class SetDrain(msgspec.Struct, frozen=True, tag="drain"):
+    """Record an operator's drain order, or that it is undone."""
+
+    runner: str
+    drained: bool
+    operator: str
+    at_ms: int
+
+
+@final
+class ForgetEntry(msgspec.Struct, frozen=True, tag="entry-gone"):
+    """Record that an entry's incarnation and all before it are gone."""
+
+    entry: str
+    incarnation: int
+    at_ms: int
 
 
 Command = (
@@ -104,7 +146,10 @@
     | SettleClaim
     | IssueOrder
     | CompleteOrder
-    | SetPhase
+    | SetPresence
+    | RecordEngine
+    | SetDrain
+    | ForgetEntry
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -9,10 +9,13 @@
 import msgspec
 
 from wisteriawall.config import document
-from wisteriawall.control import ledger
+from wisteriawall.control import membership
+from wisteriawall.control import outcomes
 from wisteriawall.control import raft
+from wisteriawall.control import state
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
+from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
 
 __all__ = [
@@ -22,9 +25,13 @@
     "Called",
     "ConfigReply",
     "ConfigRequest",
+    "DrainReply",
     "DrainRequest",
     "Effect",
     "Event",
+    "HistoryReply",
+    "HistoryRequest",
+    "NotKept",
     "PatchReply",
     "PatchRequest",
     "PeerMessage",
@@ -35,10 +42,12 @@
     "Reply",
     "Request",
     "RunnerStatus",
+    "SendLiveness",
     "StatusReply",
     "StatusRequest",
     "Ticked",
     "Unavailable",
+    "VmListRead",
 ]
 
 
@@ -56,14 +65,16 @@
 class PatchReply(msgspec.Struct, frozen=True, tag="patched"):
     """What the log decided, and how many live processes hold the result."""
 
-    outcome: ledger.PatchOutcome
+    outcome: outcomes.PatchOutcome
     holding: int
     processes: int
 
 
 @final
 class ConfigRequest(msgspec.Struct, frozen=True, tag="config"):
-    """Read the configuration."""
+    """Read the configuration, or the one that had an earlier number."""
+
+    number: int | None = None
 
 
 @final
@@ -73,6 +84,27 @@
     document: document.Document
 
 
+@final
+class HistoryRequest(msgspec.Struct, frozen=True, tag="history"):
+    """Read how the newest configuration numbers came about."""
+
+    limit: int
+
+
+@final
+class HistoryReply(msgspec.Struct, frozen=True, tag="history-is"):
+    """Configuration versions, newest first."""
+
+    versions: list[state.ConfigVersion]
+
+
+@final
+class NotKept(msgspec.Struct, frozen=True, tag="not-kept"):
+    """What was asked for does not exist here; `reason` says what is kept."""
+
+    reason: str
+
+
 @final
 class DrainRequest(msgspec.Struct, frozen=True, tag="drain"):
     """Stop new work to a runner, or let it take work again."""
@@ -82,6 +114,14 @@
     undo: bool
 
 
+@final
+class DrainReply(msgspec.Struct, frozen=True, tag="drained"):
+    """Whether a drain order was recorded, and why not."""
+
+    runner: str
+    refusal: str = ""
+
+
 @final
 class ReplicaAdd(msgspec.Struct, frozen=True, tag="replica-add"):
     """Add a replica; it gets its vote once it has caught up.
@@ -115,7 +155,13 @@
 
 @final
 class StatusRequest(msgspec.Struct, frozen=True, tag="status"):
-    """Read the state of replicas, processes and runners."""
+    """Read the state of replicas, processes and runners.
+
+    Only the leader knows every process. With `whole`, another replica that
+    knows a leader answers `NotLeader`.
+    """
+
+    whole: bool = False
 
 
 @final
@@ -159,17 +205,22 @@
 
 @final
 class AuditRequest(msgspec.Struct, frozen=True, tag="audit"):
-    """Read audit records after a log index, oldest first."""
+    """Read audit records after a log index, oldest first.
+
+    An empty `kind` takes all; `subject` takes those that start with it.
+    """
 
     after_index: int
     limit: int
+    kind: str = ""
+    subject: str = ""
 
 
 @final
 class AuditReply(msgspec.Struct, frozen=True, tag="audit-is"):
     """Audit records in log order."""
 
-    records: list[ledger.AuditRecord]
+    records: list[state.AuditRecord]
 
 
 @final
@@ -186,6 +237,7 @@
     | control_messages.OrderReport
     | PatchRequest
     | ConfigRequest
+    | HistoryRequest
     | DrainRequest
     | ReplicaAdd
     | ReplicaRemove
@@ -196,6 +248,9 @@
     control_messages.ControlReply
     | PatchReply
     | ConfigReply
+    | HistoryReply
+    | NotKept
+    | DrainReply
     | StatusReply
     | ReplicasReply
     | AuditReply
@@ -215,7 +270,7 @@
 class PeerMessage(msgspec.Struct, frozen=True, tag="peer"):
     """A message of another replica arrived."""
 
-    message: raft_messages.RaftMessage
+    message: peer_messages.PeerMessage
     now_ms: int
     wall_ms: int
 
@@ -230,7 +285,23 @@
     wall_ms: int
 
 
-Event = Ticked | PeerMessage | Called
+@final
+class VmListRead(msgspec.Struct, frozen=True, tag="vm-list"):
+    """The platform's list of VMs was read; it may lag."""
+
+    vm_by_name: dict[str, membership.VmState]
+    now_ms: int
+
+
+Event = Ticked | PeerMessage | Called | VmListRead
+
+
+@final
+class SendLiveness(msgspec.Struct, frozen=True, tag="send-liveness"):
+    """Send a liveness summary to the leader; it may be lost."""
+
+    peer: str
+    message: peer_messages.Liveness
 
 
 @final
@@ -246,5 +317,6 @@
     | raft.AppendLog
     | raft.TruncateLog
     | raft.SendPeer
+    | SendLiveness
     | Answer
 )
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -2,77 +2,112 @@
 
 from collections.abc import Iterator
 import dataclasses
+import itertools
 from typing import final
 
-from wisteriawall.config import document
+from wisteriawall.control import audit
 from wisteriawall.control import commands
+from wisteriawall.control import configuration
 from wisteriawall.control import events
+from wisteriawall.control import leading
 from wisteriawall.control import ledger as ledger_lib
+from wisteriawall.control import liveness
+from wisteriawall.control import membership
+from wisteriawall.control import outcomes
 from wisteriawall.control import raft as raft_lib
+from wisteriawall.control import renewal
+from wisteriawall.control import state
+from wisteriawall.control import status
+from wisteriawall.control import writes
 from wisteriawall.wire import control_messages
-from wisteriawall.wire import fleet
+from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
 
-__all__ = ["Control", "Process", "reduce"]
+__all__ = ["Control", "reduce"]
 
 MAX_CONFIRMED_AGE_MS = 1_000
-PROCESS_LIVE_MS = 2_000
+LEAD_MS = 250
+PATCH_WAIT_MS = 2_400
 
 
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Process:
-    """An entry or agent that renews its lease at this replica."""
+class Waiting:
+    """A call whose answer depends on a log entry."""
 
-    kind: control_messages.ProcessKind
-    incarnation: int
-    config_number: int
-    seen_ms: int
+    call_id: int
+    term: int
 
 
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Waiting:
-    """A call whose answer depends on a log entry."""
+class PatchWait:
+    """A committed patch whose answer waits for processes to hold it."""
 
     call_id: int
-    term: int
+    outcome: outcomes.ConfigChanged
+    until_ms: int
 
 
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Control:
-    """State of one control replica."""
+    """State of one control replica.
+
+    `led_term` is the newest term that this replica led, since
+    `led_ms`; `lead_index` is its newest log entry of its own accord.
+    """
 
     raft: raft_lib.Raft
-    ledger: ledger_lib.Ledger = dataclasses.field(
-        default_factory=ledger_lib.Ledger
-    )
-    process_by_name: dict[str, Process] = dataclasses.field(
-        default_factory=dict
+    ledger: state.Ledger = dataclasses.field(default_factory=state.Ledger)
+    processes: liveness.Processes = dataclasses.field(
+        default_factory=liveness.Processes
     )
+    vm_by_name: dict[str, membership.VmState] | None = None
     waiting_by_index: dict[int, Waiting] = dataclasses.field(
         default_factory=dict
     )
-    ordering: set[str] = dataclasses.field(default_factory=set)
+    patch_waits: list[PatchWait] = dataclasses.field(default_factory=list)
+    document_size: renewal.DocumentSize = dataclasses.field(
+        default_factory=renewal.DocumentSize
+    )
     led_term: int = 0
+    led_ms: int = 0
+    lead_due_ms: int = 0
+    lead_index: int = 0
+    now_ms: int = 0
 
 
 def reduce(control: Control, event: events.Event) -> Iterator[events.Effect]:
     """Yield the effects of one event, in the order to carry them out."""
+    control.now_ms = max(control.now_ms, event.now_ms)
     match event:
         case events.Ticked(now_ms, wall_ms):
             yield from _follow_raft(
                 control, raft_lib.tick(control.raft, now_ms)
             )
             yield from _lead(control, now_ms, wall_ms)
-        case events.PeerMessage(message, now_ms, _):
-            yield from _follow_raft(
-                control, raft_lib.receive(control.raft, message, now_ms)
-            )
+            yield from _report_liveness(control, now_ms)
+        case events.PeerMessage():
+            yield from _on_peer(control, event)
         case events.Called():
             yield from _on_call(control, event)
+        case events.VmListRead(vm_by_name, _):
+            control.vm_by_name = vm_by_name
     yield from _abandon_calls(control)
+    yield from _answer_patches(control)
+
+
+def _on_peer(
+    control: Control, event: events.PeerMessage
+) -> Iterator[events.Effect]:
+    match event.message:
+        case peer_messages.Liveness() as summary:
+            liveness.absorb(control.processes, summary, event.now_ms)
+        case message:
+            yield from _follow_raft(
+                control, raft_lib.receive(control.raft, message, event.now_ms)
+            )
 
 
 def _follow_raft(
@@ -95,43 +130,21 @@
     outcome = ledger_lib.apply(
         control.ledger, index=entry.index, term=entry.term, command=command
     )
-    if isinstance(command, commands.IssueOrder):
-        control.ordering.discard(command.runner)
     waiting = control.waiting_by_index.pop(entry.index, None)
     if waiting is None:
         return
     if waiting.term != entry.term:
         reply: events.Reply = events.Unavailable("leadership moved")
+        yield events.Answer(waiting.call_id, reply)
+    elif isinstance(outcome, outcomes.ConfigChanged):
+        until_ms = control.now_ms + PATCH_WAIT_MS
+        control.patch_waits.append(
+            PatchWait(
+                call_id=waiting.call_id, outcome=outcome, until_ms=until_ms
+            )
+        )
     else:
-        reply = _reply_for(control, command, outcome)
-    yield events.Answer(waiting.call_id, reply)
-
-
-def _reply_for(
-    control: Control,
-    command: commands.Command,
-    outcome: ledger_lib.Outcome,
-) -> events.Reply:
-    match command, outcome:
-        case commands.PatchConfig(), (
-            ledger_lib.ConfigChanged()
-            | ledger_lib.ConfigStale()
-            | ledger_lib.ConfigInvalid()
-        ):
-            number = control.ledger.config.number
-            processes = control.process_by_name.values()
-            holding = sum(p.config_number >= number for p in processes)
-            return events.PatchReply(outcome, holding, len(processes))
-        case commands.GrantClaim(), ledger_lib.ClaimOutcome(
-            verdict, claim_id, answer
-        ):
-            return control_messages.ClaimReply(verdict, claim_id, answer)
-        case commands.SettleClaim(claim_id), _:
-            return control_messages.SettleReply(claim_id)
-        case commands.CompleteOrder(order_id), _:
-            return control_messages.OrderReportReply(order_id)
-        case _:
-            return _status(control, 0)
+        yield events.Answer(waiting.call_id, writes.reply_for(command, outcome))
 
 
 def _abandon_calls(control: Control) -> Iterator[events.Effect]:
@@ -143,29 +156,57 @@
             waiting.call_id, events.Unavailable("leadership lost")
         )
     control.waiting_by_index.clear()
-    control.ordering.clear()
+    for wait in control.patch_waits:
+        wait.until_ms = control.now_ms
+
+
+def _answer_patches(control: Control) -> Iterator[events.Effect]:
+    """Answer committed patches that every live process holds, or late ones."""
+    if not control.patch_waits:
+        return
+    held = [
+        process.beat.config_number
+        for process in liveness.live(control.processes, control.now_ms)
+    ]
+    # A new leader hears of every process within one lease.
+    knows_all = control.now_ms - control.led_ms >= liveness.LIVE_MS
+    for wait in list(control.patch_waits):
+        holding = sum(number >= wait.outcome.number for number in held)
+        complete = knows_all and holding == len(held)
+        if complete or control.now_ms >= wait.until_ms:
+            control.patch_waits.remove(wait)
+            yield events.Answer(
+                wait.call_id,
+                events.PatchReply(wait.outcome, holding, len(held)),
+            )
 
 
 def _on_call(control: Control, event: events.Called) -> Iterator[events.Effect]:
     match event.request:
         case control_messages.Renew() as renew:
             reply = _renew(control, renew, event.now_ms)
-            yield events.Answer(event.call_id, reply)
-        case events.StatusRequest():
-            reply = _status(control, event.now_ms)
-            yield events.Answer(event.call_id, reply)
-        case events.ConfigRequest():
-            reply = _read_config(control, event.now_ms)
-            yield events.Answer(event.call_id, reply)
+        case events.StatusRequest(whole):
+            reply = _status(control, whole, event.now_ms)
+        case events.ConfigRequest(number):
+            reply = _read_config(control, number, event.now_ms)
+        case events.HistoryRequest(limit):
+            reply = events.HistoryReply(
+                control.ledger.history[: -limit - 1 : -1]
+            )
         case events.ReplicaAdd() | events.ReplicaRemove():
             reply = events.Unavailable("membership changes are not served yet")
-            yield events.Answer(event.call_id, reply)
-        case events.AuditRequest(after_index, limit):
-            records = (r for r in control.ledger.audit if r.index > after_index)
-            page = [r for r, _ in zip(records, range(limit), strict=False)]
-            yield events.Answer(event.call_id, events.AuditReply(page))
+        case events.AuditRequest(after_index, limit, kind, subject):
+            records = audit.select(
+                control.ledger,
+                after_index=after_index,
+                kind=kind,
+                subject=subject,
+            )
+            reply = events.AuditReply(list(itertools.islice(records, limit)))
         case _:
             yield from _write(control, event)
+            return
+    yield events.Answer(event.call_id, reply)
 
 
 def _write(control: Control, event: events.Called) -> Iterator[events.Effect]:
@@ -173,7 +214,7 @@
         reply = control_messages.NotLeader(control.raft.leader)
         yield events.Answer(event.call_id, reply)
         return
-    command = _command_for(event.request, event.wall_ms)
+    command = writes.command_for(event.request, event.wall_ms)
     index = control.raft.last_index + 1
     control.waiting_by_index[index] = Waiting(
         call_id=event.call_id, term=control.raft.term
@@ -190,154 +231,103 @@
     )
 
 
-def _command_for(request: events.Request, wall_ms: int) -> commands.Command:
-    match request:
-        case events.PatchRequest(patch_id, operator, base_number, change):
-            return commands.PatchConfig(
-                patch_id, operator, base_number, change, wall_ms
-            )
-        case events.DrainRequest(operator, runner, undo):
-            phase = (
-                fleet.RunnerPhase.LIVE if undo else fleet.RunnerPhase.DRAINING
-            )
-            return commands.SetPhase(runner, phase, operator, wall_ms)
-        case control_messages.ClaimRequest():
-            return commands.GrantClaim(
-                request.account,
-                request.service,
-                request.key,
-                request.digest,
-                request.request_id,
-                request.entry,
-                request.incarnation,
-                wall_ms,
-            )
-        case control_messages.SettleRequest():
-            return commands.SettleClaim(
-                request.claim_id,
-                request.request_id,
-                request.released,
-                request.answer,
-                wall_ms,
-            )
-        case control_messages.OrderReport():
-            return commands.CompleteOrder(
-                request.order_id,
-                request.runner,
-                request.succeeded,
-                request.detail,
-                request.role,
-                wall_ms,
-            )
-        case _:
-            raise AssertionError(f"not a write: {type(request).__name__}")
+def _is_current(control: Control, now_ms: int) -> bool:
+    """Tell whether the applied state was current a moment ago."""
+    confirmed_ms = control.raft.confirmed_ms
+    return confirmed_ms >= 0 and now_ms - confirmed_ms <= MAX_CONFIRMED_AGE_MS
 
 
 def _renew(
     control: Control, renew: control_messages.Renew, now_ms: int
 ) -> events.Reply:
-    age_ms = now_ms - control.raft.confirmed_ms
-    if control.raft.confirmed_ms < 0 or age_ms > MAX_CONFIRMED_AGE_MS:
-        return control_messages.NotLeader(control.raft.leader)
-    known = control.process_by_name.get(renew.process)
-    if known is None or known.incarnation <= renew.incarnation:
-        control.process_by_name[renew.process] = Process(
-            kind=renew.kind,
-            incarnation=renew.incarnation,
-            config_number=renew.config_number,
-            seen_ms=now_ms,
-        )
-    book = control.ledger
-    runner = book.runner_by_name.get(renew.runner)
-    has_config = renew.config_number == book.config.number
-    has_fleet = renew.fleet_version == book.fleet_version
-    return control_messages.Grant(
-        age_ms=age_ms,
-        config_number=book.config.number,
-        config=None if has_config else book.config,
-        fleet_version=book.fleet_version,
-        fleet_view=None if has_fleet else book.fleet_view(),
-        order=runner.pending if runner else None,
-        floor=runner.floor if runner else fleet.Fence(0, 0),
+    not_leader = control_messages.NotLeader(control.raft.leader)
+    if not _is_current(control, now_ms):
+        return not_leader
+    liveness.hear(
+        control.processes, renew, replica=control.raft.replica, now_ms=now_ms
+    )
+    grant = renewal.grant(
+        control.ledger,
+        renew,
+        size=control.document_size,
+        age_ms=now_ms - control.raft.confirmed_ms,
         leader=control.raft.leader,
     )
+    return grant or not_leader
 
 
-def _read_config(control: Control, now_ms: int) -> events.Reply:
-    age_ms = now_ms - control.raft.confirmed_ms
-    if control.raft.confirmed_ms < 0 or age_ms > MAX_CONFIRMED_AGE_MS:
+def _read_config(
+    control: Control, number: int | None, now_ms: int
+) -> events.Reply:
+    if not _is_current(control, now_ms):
         return control_messages.NotLeader(control.raft.leader)
-    return events.ConfigReply(control.ledger.config)
-
-
-def _status(control: Control, now_ms: int) -> events.StatusReply:
-    raft = control.raft
-    processes = [
-        events.ProcessStatus(
-            name, p.kind, p.incarnation, p.config_number, now_ms - p.seen_ms
-        )
-        for name, p in sorted(control.process_by_name.items())
-    ]
-    runners = [
-        events.RunnerStatus(
-            name,
-            control.ledger.config.runners[name].service,
-            control.ledger.config.runners[name].zone,
-            state.phase,
-            state.role,
-            f"{state.pending.action} {state.pending.argument}"
-            if state.pending
-            else "",
+    if number is None:
+        return events.ConfigReply(control.ledger.config)
+    found = configuration.document_at(control.ledger, number)
+    if found is None:
+        newest = control.ledger.config.number
+        oldest = newest - len(control.ledger.history)
+        return events.NotKept(
+            f"configuration {number}, expected {oldest} to {newest}"
         )
-        for name, state in sorted(control.ledger.runner_by_name.items())
-    ]
-    return events.StatusReply(
-        replica=raft.replica,
-        role=raft.role.value,
-        leader=raft.leader,
-        term=raft.term,
-        commit_index=raft.commit_index,
-        config_number=control.ledger.config.number,
-        fleet_version=control.ledger.fleet_version,
-        processes=processes,
-        runners=runners,
+    return events.ConfigReply(found)
+
+
+def _status(control: Control, whole: bool, now_ms: int) -> events.Reply:
+    leader = control.raft.leader
+    if whole and leader not in ("", control.raft.replica):
+        return control_messages.NotLeader(leader)
+    return status.build(
+        raft=control.raft,
+        ledger=control.ledger,
+        processes=control.processes,
+        now_ms=now_ms,
     )
 
 
 def _lead(
     control: Control, now_ms: int, wall_ms: int
 ) -> Iterator[events.Effect]:
-    """Issue what the leader owes: its audit line and due orders."""
+    """Submit what the leader owes: its audit line and due commands."""
     raft = control.raft
     if not raft.holds_lease(now_ms):
         return
     if control.led_term != raft.term:
         control.led_term = raft.term
+        control.led_ms = now_ms
+        control.lead_index = 0
         yield from _submit(
             control, commands.TakeLead(raft.replica, wall_ms), now_ms
         )
-    for name, runner in control.ledger.config.runners.items():
-        yield from _reconcile_role(control, name, runner, now_ms, wall_ms)
+    if now_ms < control.lead_due_ms or raft.applied_index < control.lead_index:
+        # What is not applied yet would be decided a second time.
+        return
+    control.lead_due_ms = now_ms + LEAD_MS
+    liveness.forget_old(control.processes, now_ms)
+    situation = leading.Situation(
+        ledger=control.ledger,
+        processes=control.processes,
+        vm_by_name=control.vm_by_name,
+        term=raft.term,
+        led_ms=control.led_ms,
+        now_ms=now_ms,
+        wall_ms=wall_ms,
+    )
+    for command in list(leading.due_commands(situation)):
+        yield from _submit(control, command, now_ms)
+        control.lead_index = raft.last_index
 
 
-def _reconcile_role(
-    control: Control,
-    name: str,
-    runner: document.Runner,
-    now_ms: int,
-    wall_ms: int,
-) -> Iterator[events.Effect]:
-    state = control.ledger.runner_by_name[name]
-    settled = (
-        runner.role is document.AutoRole.AUTO
-        or runner.role.value == state.role.value
-        or state.pending is not None
-        or name in control.ordering
-    )
-    if settled:
+def _report_liveness(
+    control: Control, now_ms: int
+) -> Iterator[events.SendLiveness]:
+    raft = control.raft
+    if not raft.leader or raft.role is not raft_lib.RaftRole.FOLLOWER:
         return
-    control.ordering.add(name)
-    command = commands.IssueOrder(
-        name, fleet.Action.SET_ROLE, runner.role.value, "configuration", wall_ms
-    )
-    yield from _submit(control, command, now_ms)
+    for summary in liveness.summarize(
+        control.processes,
+        replica=raft.replica,
+        leader_term=raft.term,
+        now_ms=now_ms,
+    ):
+        yield events.SendLiveness(raft.leader, summary)
--- /dev/null
+++ b/src/wisteriawall/control/renewal.py
@@ -0,0 +1,88 @@
+"""Answer renewals: grant the lease with only what the sender lacks."""
+
+import msgspec
+
+from wisteriawall.control import configuration
+from wisteriawall.control import state
+from wisteriawall.wire import control_messages
+from wisteriawall.wire import fleet
+
+__all__ = ["DocumentSize", "grant"]
+
+
+class DocumentSize:
+    """Size of the encoded document, measured once for each number."""
+
+    __slots__ = ("_bytes", "_number")
+
+    def __init__(self) -> None:
+        self._number = -1
+        self._bytes = 0
+
+    def of(self, ledger: state.Ledger) -> int:
+        """Return the size of the current document in bytes."""
+        if self._number != ledger.config.number:
+            self._number = ledger.config.number
+            self._bytes = len(msgspec.msgpack.encode(ledger.config))
+        return self._bytes
+
+
+def grant(
+    ledger: state.Ledger,
+    renew: control_messages.Renew,
+    *,
+    size: DocumentSize,
+    age_ms: int,
+    leader: str,
+) -> control_messages.Grant | None:
+    """Return the grant, None when this replica is behind the sender.
+
+    A replica that has not applied the sender's number must not extend a
+    lease: its age says when an older number was current.
+    """
+    if renew.config_number > ledger.config.number:
+        return None
+    is_agent = renew.kind is control_messages.ProcessKind.AGENT
+    runner = ledger.runner_by_name.get(renew.runner)
+    changes = [] if is_agent else _changes(ledger, renew, size)
+    lacks = not is_agent and renew.config_number < ledger.config.number
+    return control_messages.Grant(
+        age_ms=age_ms,
+        config_number=ledger.config.number,
+        config=ledger.config if lacks and not changes else None,
+        fleet_version=ledger.fleet_version,
+        fleet_view=_agent_view(ledger, renew)
+        if is_agent
+        else _entry_view(ledger, renew),
+        order=runner.pending if runner else None,
+        floor=runner.floor if runner else fleet.FENCE_ZERO,
+        leader=leader,
+        config_changes=changes,
+    )
+
+
+def _changes(
+    ledger: state.Ledger, renew: control_messages.Renew, size: DocumentSize
+) -> list[bytes]:
+    changes = configuration.changes_since(ledger, renew.config_number)
+    if sum(map(len, changes)) < size.of(ledger):
+        return changes
+    return []
+
+
+def _entry_view(
+    ledger: state.Ledger, renew: control_messages.Renew
+) -> fleet.FleetView | None:
+    if renew.fleet_version == ledger.fleet_version:
+        return None
+    return ledger.fleet_view(renew.fleet_version)
+
+
+def _agent_view(
+    ledger: state.Ledger, renew: control_messages.Renew
+) -> fleet.FleetView | None:
+    runner = ledger.runner_by_name.get(renew.runner)
+    if runner is None or runner.changed_version <= renew.fleet_version:
+        return None
+    view = state.view_of(renew.runner, runner)
+    return fleet.FleetView(ledger.fleet_version, [view], renew.fleet_version)
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -16,6 +16,7 @@
 import random
 import threading
 import time
+from typing import TypeAlias
 from typing import final
 
 from wisteriawall.control import events
@@ -24,7 +25,7 @@
 from wisteriawall.storage import replica_log
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
-from wisteriawall.wire import raft_messages
+from wisteriawall.wire import peer_messages
 from wisteriawall.wire import transport
 
 __all__ = ["ControlShell"]
@@ -35,6 +36,8 @@
 CALL_TIMEOUT_S = 5.0
 MAX_BATCH_EVENTS = 512
 
+_Deferred: TypeAlias = raft.SendPeer | events.SendLiveness | events.Answer
+
 
 @final
 class ControlShell:
@@ -60,9 +63,9 @@
         incarnation: int,
     ) -> None:
         sender = envelope.Sender(replica, incarnation)
-        self._raft_codec: envelope.Codec[raft_messages.RaftMessage] = (
+        self._raft_codec: envelope.Codec[peer_messages.PeerMessage] = (
             envelope.Codec(
-                message_type=raft_messages.RaftMessage, key=key, sender=sender
+                message_type=peer_messages.PeerMessage, key=key, sender=sender
             )
         )
         self._rpc_codec: envelope.Codec[object] = envelope.Codec(
@@ -177,7 +180,7 @@
 
     def _carry_out(self, effects: Iterable[events.Effect]) -> None:
         """Write and sync first; send and answer only what is durable."""
-        deferred: list[raft.SendPeer | events.Answer] = []
+        deferred: list[_Deferred] = []
         written = False
         for effect in effects:
             match effect:
@@ -197,9 +200,11 @@
         for effect in deferred:
             self._deliver(effect)
 
-    def _deliver(self, effect: raft.SendPeer | events.Answer) -> None:
+    def _deliver(self, effect: _Deferred) -> None:
         match effect:
-            case raft.SendPeer(peer, message):
+            case raft.SendPeer(peer, message) | events.SendLiveness(
+                peer, message
+            ):
                 data = self._raft_codec.encode(message)
                 self._links.send(peer=peer, message=data)
             case events.Answer(call_id, reply):
--- /dev/null
+++ b/src/wisteriawall/control/status.py
@@ -0,0 +1,58 @@
+"""State of the cluster as operators see it, from one replica."""
+
+from collections.abc import Iterator
+
+from wisteriawall.control import events
+from wisteriawall.control import liveness
+from wisteriawall.control import raft as raft_lib
+from wisteriawall.control import state
+
+__all__ = ["build"]
+
+
+def build(
+    *,
+    raft: raft_lib.Raft,
+    ledger: state.Ledger,
+    processes: liveness.Processes,
+    now_ms: int,
+) -> events.StatusReply:
+    """Return the status as this replica knows it."""
+    return events.StatusReply(
+        replica=raft.replica,
+        role=raft.role.value,
+        leader=raft.leader,
+        term=raft.term,
+        commit_index=raft.commit_index,
+        config_number=ledger.config.number,
+        fleet_version=ledger.fleet_version,
+        processes=list(_processes(processes, now_ms)),
+        runners=list(_runners(ledger)),
+    )
+
+
+def _processes(
+    processes: liveness.Processes, now_ms: int
+) -> Iterator[events.ProcessStatus]:
+    for name, process in sorted(processes.by_name.items()):
+        yield events.ProcessStatus(
+            name,
+            process.beat.kind,
+            process.beat.incarnation,
+            process.beat.config_number,
+            now_ms - process.seen_ms,
+        )
+
+
+def _runners(ledger: state.Ledger) -> Iterator[events.RunnerStatus]:
+    for name, runner in sorted(ledger.runner_by_name.items()):
+        configured = ledger.config.runners[name]
+        pending = runner.pending
+        yield events.RunnerStatus(
+            name,
+            configured.service,
+            configured.zone,
+            runner.phase,
+            runner.role,
+            f"{pending.action} {pending.argument}" if pending else "",
+        )
--- /dev/null
+++ b/src/wisteriawall/control/writes.py
@@ -0,0 +1,78 @@
+"""Requests that write: the command of each, and the reply to its outcome."""
+
+from wisteriawall.control import commands
+from wisteriawall.control import events
+from wisteriawall.control import outcomes
+from wisteriawall.wire import control_messages
+
+__all__ = ["command_for", "reply_for"]
+
+
+def command_for(request: events.Request, wall_ms: int) -> commands.Command:
+    """Return the command that carries out a write request."""
+    match request:
+        case events.PatchRequest(patch_id, operator, base_number, change):
+            return commands.PatchConfig(
+                patch_id, operator, base_number, change, wall_ms
+            )
+        case events.DrainRequest(operator, runner, undo):
+            return commands.SetDrain(runner, not undo, operator, wall_ms)
+        case control_messages.ClaimRequest():
+            return commands.GrantClaim(
+                request.account,
+                request.service,
+                request.key,
+                request.digest,
+                request.request_id,
+                request.entry,
+                request.incarnation,
+                wall_ms,
+            )
+        case control_messages.SettleRequest():
+            return commands.SettleClaim(
+                request.claim_id,
+                request.request_id,
+                request.released,
+                request.answer,
+                wall_ms,
+            )
+        case control_messages.OrderReport():
+            return commands.CompleteOrder(
+                request.order_id,
+                request.runner,
+                request.succeeded,
+                request.detail,
+                request.role,
+                wall_ms,
+                request.engine,
+            )
+        case _:
+            raise AssertionError(f"not a write: {type(request).__name__}")
+
+
+def reply_for(
+    command: commands.Command, outcome: outcomes.Outcome
+) -> events.Reply:
+    """Return the reply to a write whose command was applied."""
+    match command, outcome:
+        case commands.PatchConfig(), (
+            outcomes.ConfigChanged()
+            | outcomes.ConfigStale()
+            | outcomes.ConfigInvalid()
+            | outcomes.PatchIdReused()
+        ):
+            return events.PatchReply(outcome, 0, 0)
+        case commands.GrantClaim(), outcomes.ClaimOutcome(
+            verdict, claim_id, answer
+        ):
+            return control_messages.ClaimReply(verdict, claim_id, answer)
+        case commands.SettleClaim(claim_id), _:
+            return control_messages.SettleReply(claim_id)
+        case commands.CompleteOrder(order_id), _:
+            return control_messages.OrderReportReply(order_id)
+        case commands.SetDrain(runner), outcomes.Dropped(reason):
+            return events.DrainReply(runner, reason)
+        case commands.SetDrain(runner), _:
+            return events.DrainReply(runner)
+        case _:
+            raise AssertionError(f"no reply to {type(command).__name__}")
