--- a/src/wisteriawall/agent/events.py
+++ b/src/wisteriawall/agent/events.py
@@ -1,9 +1,11 @@
 """Events that an agent reduces and effects that it asks for."""
 
+import enum
 from typing import final
 
 import msgspec
 
+from wisteriawall.agent import engine_messages
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
@@ -17,8 +19,11 @@
     "Execute",
     "FloorLearned",
     "Granted",
-    "OrderFinished",
+    "Inspect",
+    "Inspected",
+    "OrderAnswered",
     "OrderReported",
+    "Outcome",
     "Reject",
     "Report",
     "Stopping",
@@ -27,22 +32,29 @@
 
 @final
 class Arrived(msgspec.Struct, frozen=True, tag="arrived"):
-    """An entry asks to run one attempt; `claim_id` 0 means repeatable."""
+    """An entry asks to run one attempt; `claim_id` 0 means repeatable.
+
+    `agent_incarnation` is the agent process that the entry aims at, 0 when
+    the entry did not know one.
+    """
 
     request_id: str
     attempt: int
     config_number: int
     claim_id: int
     now_ms: int
+    agent_incarnation: int = 0
 
 
 @final
 class Ended(msgspec.Struct, frozen=True, tag="ended"):
-    """An admitted attempt ended."""
+    """An admitted attempt ended; `not_run` means the upstream got no byte."""
 
     request_id: str
     attempt: int
     now_ms: int
+    claim_id: int = 0
+    not_run: bool = False
 
 
 @final
@@ -63,16 +75,37 @@
 
 
 @final
-class OrderFinished(msgspec.Struct, frozen=True, tag="order-finished"):
-    """The engine answered an order, or was inspected after one."""
+class Outcome(enum.StrEnum):
+    """What is known of an order after it was given to the engine."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNCLEAR = "unclear"
+
+
+@final
+class OrderAnswered(msgspec.Struct, frozen=True, tag="order-answered"):
+    """The engine answered an order, or gave no answer in time.
+
+    `role` is the engine's role after the order; it counts only if done.
+    """
 
     order_id: int
-    succeeded: bool
+    outcome: Outcome
     detail: str
     role: fleet.Role
     now_ms: int
 
 
+@final
+class Inspected(msgspec.Struct, frozen=True, tag="inspected"):
+    """The engine gave an account of itself; None when it did not answer."""
+
+    order_id: int
+    account: engine_messages.EngineState | None
+    now_ms: int
+
+
 @final
 class OrderReported(msgspec.Struct, frozen=True, tag="order-reported"):
     """Control committed the result of an order."""
@@ -93,7 +126,8 @@
     | Ended
     | Granted
     | FloorLearned
-    | OrderFinished
+    | OrderAnswered
+    | Inspected
     | OrderReported
     | Stopping
 )
@@ -121,6 +155,14 @@
     order: fleet.Order
 
 
+@final
+class Inspect(msgspec.Struct, frozen=True, tag="inspect"):
+    """Ask the engine for its state, after a delay."""
+
+    order_id: int
+    delay_ms: int
+
+
 @final
 class Report(msgspec.Struct, frozen=True, tag="report"):
     """Report the result of an order until control confirms it."""
@@ -131,4 +173,4 @@
     role: fleet.Role
 
 
-Effect = Admit | Reject | Execute | Report
+Effect = Admit | Reject | Execute | Inspect | Report
--- a/src/wisteriawall/commands/options.py
+++ b/src/wisteriawall/commands/options.py
@@ -4,7 +4,7 @@
 
 import typer
 
-__all__ = ["ClusterKey", "Control", "Listen"]
+__all__ = ["ClusterKey", "Control", "Listen", "Statsd"]
 
 ClusterKey = Annotated[
     str,
@@ -32,3 +32,10 @@
         help="HTTP address to serve: HOST:PORT; port 0 takes a free one.",
     ),
 ]
+Statsd = Annotated[
+    str,
+    typer.Option(
+        envvar="WISTERIAWALL_STATSD",
+        help="Metrics collector: HOST:PORT by UDP; empty sends none.",
+    ),
+]
--- a/src/wisteriawall/settings/checks.py
+++ b/src/wisteriawall/settings/checks.py
@@ -18,6 +18,7 @@
     "parse_folder",
     "parse_key",
     "parse_name",
+    "parse_optional_address",
 ]
 
 MIN_KEY_BYTES = 16
@@ -69,6 +70,11 @@
     return text
 
 
+def parse_optional_address(setting: str, text: str) -> str:
+    """Return `text` if it is empty or an IP host and port."""
+    return parse_address(setting, text) if text else text
+
+
 def parse_addresses(setting: str, text: str) -> dict[str, str]:
     """Return addresses by name from `name=HOST:PORT,...`."""
     addresses: dict[str, str] = {}
--- a/src/wisteriawall/settings/programs.py
+++ b/src/wisteriawall/settings/programs.py
@@ -120,6 +120,8 @@
     upstream: str
     control: str
     key: str
+    feed: str = ""
+    statsd: str = ""
 
     def check(self) -> None:
         """Raise `SettingErrors` unless every setting is valid."""
@@ -135,6 +137,12 @@
                 functools.partial(
                     checks.parse_addresses, "--control", self.control
                 ),
+                functools.partial(
+                    checks.parse_optional_address, "--feed", self.feed
+                ),
+                functools.partial(
+                    checks.parse_optional_address, "--statsd", self.statsd
+                ),
                 functools.partial(
                     checks.parse_key, "WISTERIAWALL_CLUSTER_KEY", self.key
                 ),
--- a/src/wisteriawall/wire/fleet.py
+++ b/src/wisteriawall/wire/fleet.py
@@ -13,6 +13,7 @@
     "KeptAnswer",
     "LoadReport",
     "Order",
+    "OrderPhase",
     "Role",
     "RunnerPhase",
     "RunnerView",
@@ -96,11 +97,25 @@
     decode_tokens: int
 
 
+@final
+class OrderPhase(enum.StrEnum):
+    """What an agent does about an order; UNCLEAR needs an inspection."""
+
+    NONE = "none"
+    DRAINING = "draining"
+    INSPECTING = "inspecting"
+    EXECUTING = "executing"
+    UNCLEAR = "unclear"
+
+
 @final
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """Load of one runner as its agent last saw it.
 
-    `sequence` rises with every report of one agent incarnation.
+    `sequence` rises with every report of one agent incarnation. The agent's
+    own counts are current: `running_requests`, `leaving`, `order_phase` and
+    `first_token_ms`, the time to the first byte of the last answer that
+    began, 0 before any did. The engine's own account of itself lags.
     """
 
     runner: str
@@ -109,6 +124,12 @@
     waiting_prefill_tokens: int
     running_streams: int
     free_pieces: int
+    queued_decode_tokens: int = 0
+    cached_pieces: int = 0
+    first_token_ms: int = 0
+    running_requests: int = 0
+    leaving: bool = False
+    order_phase: OrderPhase = OrderPhase.NONE
 
 
 @final
--- a/src/wisteriawall/wire/headers.py
+++ b/src/wisteriawall/wire/headers.py
@@ -1,6 +1,7 @@
 """HTTP headers between entry and agent, in request and WSGI spelling."""
 
 __all__ = [
+    "AGENT",
     "ATTEMPT",
     "CLAIM",
     "NUMBER",
@@ -12,6 +13,8 @@
 REQUEST = "Wisteriawall-Request"
 ATTEMPT = "Wisteriawall-Attempt"
 NUMBER = "Wisteriawall-Config"
+# Incarnation of the agent that a dispatch aims at.
+AGENT = "Wisteriawall-Agent"
 CLAIM = "Wisteriawall-Claim"
 TOKEN = "Wisteriawall-Token"
 
