Publish an agent's feed and inspect an engine around every order

Entries had no load or cache picture, and a lost order answer was reported as failed after one inspection, even when the engine had not begun or could be asked again.

The dispatch may name the agent incarnation it aims at. The body is read before the lease is checked, so that a slow body cannot pass on an old lease. Metrics go out by statsd.

--- a/src/wisteriawall/agent/engine_client.py
+++ b/src/wisteriawall/agent/engine_client.py
@@ -1,22 +1,26 @@
-"""Client of one engine's order and state interface."""
+"""Client of one engine's order, state, load and cache interface."""
 
+from typing import TypeVar
 from typing import final
 
 import msgspec
 import urllib3
 
 from wisteriawall import errors
+from wisteriawall.agent import engine_messages
 from wisteriawall.wire import fleet
 
-__all__ = ["EngineClient", "EngineState", "EngineUnclear", "OrderRefused"]
+__all__ = ["EngineClient", "EngineUnclear", "OrderRefused"]
 
 ORDER_TIMEOUT_S = 60.0
 STATE_TIMEOUT_S = 2.0
 
+MessageT = TypeVar("MessageT")
+
 
 @final
 class EngineUnclear(errors.WisteriawallError):
-    """The engine gave no answer; the order may have taken effect."""
+    """The engine gave no answer; an order may have taken effect."""
 
 
 @final
@@ -24,67 +28,81 @@
     """The engine refused the order; it had no effect."""
 
 
-@final
-class EngineState(msgspec.Struct, frozen=True):
-    """What an engine says of itself."""
-
-    role: fleet.Role
-    busy: bool
-    waiting_prefill_tokens: int
-    running_streams: int
-    free_pieces: int
-
-
-@final
-class OrderBody(msgspec.Struct, frozen=True):
-    """Body of an order request."""
-
-    term: int
-    order_id: int
-    action: fleet.Action
-    argument: str
-
-
 @final
 class EngineClient:
     """Call one engine.
 
     Args:
         address: Host and port of the engine.
+        order_timeout_s: Longest wait for an order's answer.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, order_timeout_s: float = ORDER_TIMEOUT_S
+    ) -> None:
         self._url = f"http://{address}/admin"
+        self._order_timeout_s = order_timeout_s
         self._pool = urllib3.PoolManager(retries=False)
 
-    def give_order(self, order: fleet.Order) -> EngineState:
+    def give_order(self, order: fleet.Order) -> engine_messages.EngineState:
         """Carry out `order` and return the state after it.
 
         Raises:
             OrderRefused: The engine refused the order.
-            EngineUnclear: No answer came back.
+            EngineUnclear: No answer came back in time.
         """
-        body = OrderBody(
+        body = engine_messages.OrderBody(
             order.fence.term,
             order.fence.order_id,
             order.action,
             order.argument,
         )
         status, data = self._request(
-            "POST", "/orders", msgspec.json.encode(body), ORDER_TIMEOUT_S
+            "POST",
+            "/orders",
+            msgspec.json.encode(body),
+            self._order_timeout_s,
         )
-        if status != 200:
+        if 400 <= status < 500:
             raise OrderRefused(data.decode(errors="replace"))
-        return _decode_state(data)
+        if status != 200:
+            raise EngineUnclear(f"HTTP {status}")
+        return _decode(data, engine_messages.EngineState)
 
-    def inspect(self) -> EngineState:
-        """Return the engine's state.
+    def inspect(self) -> engine_messages.EngineState:
+        """Return the engine's own account of its state.
 
         Raises:
-            EngineUnclear: No answer came back.
+            EngineUnclear: No usable answer came back.
         """
-        _, data = self._request("GET", "/state", b"", STATE_TIMEOUT_S)
-        return _decode_state(data)
+        return self._get("/state", engine_messages.EngineState)
+
+    def load(self) -> engine_messages.EngineLoad:
+        """Return the engine's newest load report.
+
+        Raises:
+            EngineUnclear: No usable answer came back.
+        """
+        return self._get("/load", engine_messages.EngineLoad)
+
+    def cache_events(self, *, after: int | None) -> engine_messages.CachePage:
+        """Return cache changes from number `after`, or the whole cache.
+
+        Raises:
+            EngineUnclear: No usable answer came back.
+        """
+        query = "" if after is None else f"?after={after}"
+        return self._get(f"/cache{query}", engine_messages.CachePage)
+
+    def close(self) -> None:
+        """Drop idle connections."""
+        self._pool.clear()
+
+    def _get(self, path: str, message_type: type[MessageT]) -> MessageT:
+        status, data = self._request("GET", path, b"", STATE_TIMEOUT_S)
+        if status != 200:
+            raise EngineUnclear(f"{path}: HTTP {status}")
+        return _decode(data, message_type)
 
     def _request(
         self, method: str, path: str, body: bytes, timeout_s: float
@@ -98,8 +116,8 @@
         return response.status, response.data
 
 
-def _decode_state(data: bytes) -> EngineState:
+def _decode(data: bytes, message_type: type[MessageT]) -> MessageT:
     try:
-        return msgspec.json.decode(data, type=EngineState)
-    except msgspec.DecodeError as error:
-        raise EngineUnclear(f"malformed state: {error}") from error
+        return msgspec.json.decode(data, type=message_type)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        raise EngineUnclear(f"malformed answer: {error}") from error
--- a/src/wisteriawall/agent/gate.py
+++ b/src/wisteriawall/agent/gate.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from wisteriawall.agent import events
+from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import headers
@@ -32,6 +33,7 @@
         upstream: Host and port of the upstream.
         token: Secret that entries present.
         submit: Reduces an event and returns the effects for its sender.
+        metrics: Where admissions, refusals and first bytes are counted.
     """
 
     def __init__(
@@ -40,7 +42,10 @@
         upstream: str,
         token: str,
         submit: Callable[[events.Event], list[events.Effect]],
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self.first_token_ms = 0
+        self._metrics = metrics
         self._upstream = upstream
         self._token = token.encode()
         self._submit = submit
@@ -55,15 +60,18 @@
         token = environ.get(headers.environ_name(headers.TOKEN), "")
         if not hmac.compare_digest(token.encode(), self._token):
             return server_lib.refuse(start_response, _UNAUTHENTICATED)
+        # A slow body must not let an old lease or number pass.
+        body = server_lib.read_body(environ)
         arrived = _parse_arrival(environ)
         if arrived is None:
             return server_lib.refuse(start_response, _BAD_HEAD)
-        body = server_lib.read_body(environ)
         for effect in self._submit(arrived):
             match effect:
                 case events.Reject(_, refusal):
+                    self._metrics.count(f"refused.{refusal.code}")
                     return server_lib.refuse(start_response, refusal)
                 case events.Admit():
+                    self._metrics.count("admitted")
                     return self._relay(environ, start_response, arrived, body)
                 case _:
                     pass
@@ -77,10 +85,13 @@
         body: bytes,
     ) -> server_lib.Response:
         try:
-            response = self._open(environ, body)
+            response = self._open(environ, arrived, body)
         except urllib3.exceptions.HTTPError as error:
-            self._end(arrived)
-            return server_lib.refuse(start_response, _failure(error))
+            refusal = _failure(error)
+            not_run = refusal.run is refusal_lib.RunState.NOT_RUN
+            self._end(arrived, not_run=not_run)
+            self._metrics.count(f"upstream_failed.{refusal.run}")
+            return server_lib.refuse(start_response, refusal)
         head = [
             (name, response.headers[name])
             for name in COPIED_HEADERS
@@ -90,15 +101,28 @@
         head.append((headers.ATTEMPT, str(arrived.attempt)))
         start_response(server_lib.status_line(response.status), head)
         return RelayedBody(
-            response=response, on_close=functools.partial(self._end, arrived)
+            response=response,
+            on_first=functools.partial(self._note_first, arrived),
+            on_close=functools.partial(self._end, arrived, not_run=False),
         )
 
+    def _note_first(self, arrived: events.Arrived) -> None:
+        self.first_token_ms = _now_ms() - arrived.now_ms
+        self._metrics.time_ms("first_token", self.first_token_ms)
+
     def _open(
-        self, environ: server_lib.Environ, body: bytes
+        self,
+        environ: server_lib.Environ,
+        arrived: events.Arrived,
+        body: bytes,
     ) -> urllib3.BaseHTTPResponse:
         query = environ.get("QUERY_STRING", "")
         path = environ["PATH_INFO"] + (f"?{query}" if query else "")
-        copied = {"Content-Type": environ.get("CONTENT_TYPE", "")}
+        copied = {
+            "Content-Type": environ.get("CONTENT_TYPE", ""),
+            headers.REQUEST: arrived.request_id,
+            headers.ATTEMPT: str(arrived.attempt),
+        }
         key = environ.get("HTTP_IDEMPOTENCY_KEY")
         if key:
             copied["Idempotency-Key"] = key
@@ -111,9 +135,15 @@
             preload_content=False,
         )
 
-    def _end(self, arrived: events.Arrived) -> None:
+    def _end(self, arrived: events.Arrived, *, not_run: bool) -> None:
         self._submit(
-            events.Ended(arrived.request_id, arrived.attempt, _now_ms())
+            events.Ended(
+                arrived.request_id,
+                arrived.attempt,
+                _now_ms(),
+                arrived.claim_id,
+                not_run,
+            )
         )
 
 
@@ -125,14 +155,20 @@
         self,
         *,
         response: urllib3.BaseHTTPResponse,
+        on_first: Callable[[], None],
         on_close: Callable[[], None],
     ) -> None:
         self._response = response
+        self._on_first = on_first
         self._on_close = on_close
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the upstream's bytes; an error aborts the connection."""
-        yield from self._response.stream(CHUNK_BYTES, decode_content=False)
+        chunks = self._response.stream(CHUNK_BYTES, decode_content=False)
+        first = next(chunks, b"")
+        self._on_first()
+        yield first
+        yield from chunks
         self._response.release_conn()
 
     def close(self) -> None:
@@ -177,6 +213,7 @@
             config_number=int(read(headers.NUMBER)),
             claim_id=int(read(headers.CLAIM) or "0"),
             now_ms=_now_ms(),
+            agent_incarnation=int(read(headers.AGENT) or "0"),
         )
     except ValueError:
         return None
--- a/src/wisteriawall/agent/reducer.py
+++ b/src/wisteriawall/agent/reducer.py
@@ -6,16 +6,13 @@
 from wisteriawall.agent import events
 from wisteriawall.agent import orders
 from wisteriawall.agent import state
-from wisteriawall.config import document
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
 
 __all__ = ["reduce"]
 
 
-def reduce(
-    agent: state.Agent, event: events.Event
-) -> Iterator[events.Effect]:
+def reduce(agent: state.Agent, event: events.Event) -> Iterator[events.Effect]:
     """Yield the effects of one event, in the order to carry them out."""
     match event:
         case events.Arrived():
@@ -53,18 +50,10 @@
         agent.superseded_ms = now_ms
     until_ms = asked_ms - grant.age_ms + admission.LEASE_MS
     agent.lease_until_ms = max(agent.lease_until_ms, until_ms)
-    if grant.config is not None:
-        _learn_kind(agent, grant.config)
     if grant.fleet_view is not None:
         _follow_phase(agent, grant.fleet_view)
 
 
-def _learn_kind(agent: state.Agent, config: document.Document) -> None:
-    runner = config.runners.get(agent.runner)
-    service = config.services.get(runner.service) if runner else None
-    agent.kind = service.kind if service else None
-
-
 def _follow_phase(agent: state.Agent, view: fleet.FleetView) -> None:
     phases = [r.phase for r in view.runners if r.runner == agent.runner]
     taking = (fleet.RunnerPhase.LIVE, fleet.RunnerPhase.CHANGING)
--- a/src/wisteriawall/agent/state.py
+++ b/src/wisteriawall/agent/state.py
@@ -4,7 +4,6 @@
 from typing import final
 
 from wisteriawall.agent import events
-from wisteriawall.config import document
 from wisteriawall.wire import fleet
 
 __all__ = ["Agent", "PendingOrder"]
@@ -36,7 +35,6 @@
 
     runner: str
     incarnation: int
-    kind: document.ServiceKind | None = None
     config_number: int = 0
     previous_number: int = 0
     superseded_ms: int = 0
--- a/src/wisteriawall/commands/agent.py
+++ b/src/wisteriawall/commands/agent.py
@@ -7,6 +7,8 @@
 from wisteriawall.agent import shell as shell_lib
 from wisteriawall.commands import options
 from wisteriawall.commands import serving
+from wisteriawall.config import document
+from wisteriawall.observability import metrics
 from wisteriawall.settings import checks
 from wisteriawall.settings import programs
 
@@ -31,6 +33,43 @@
     control: options.Control,
     cluster_key: options.ClusterKey = "",
     listen: options.Listen = "127.0.0.1:8090",
+    kind: Annotated[
+        document.ServiceKind,
+        typer.Option(
+            envvar="WISTERIAWALL_KIND",
+            help="Whether the upstream is a model engine or a plain service.",
+        ),
+    ] = document.ServiceKind.MODEL,
+    feed: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_FEED",
+            help=(
+                "Address to publish load and cache events on: HOST:PORT; "
+                "empty publishes none."
+            ),
+        ),
+    ] = "",
+    drain_deadline_seconds: Annotated[
+        float,
+        typer.Option(
+            envvar="WISTERIAWALL_DRAIN_DEADLINE_SECONDS",
+            min=0.0,
+            help=(
+                "Seconds after which a planned stop cuts running answers; "
+                "0 never cuts one."
+            ),
+        ),
+    ] = 0.0,
+    order_timeout_seconds: Annotated[
+        float,
+        typer.Option(
+            envvar="WISTERIAWALL_ORDER_TIMEOUT_SECONDS",
+            min=0.1,
+            help="Seconds after which an unanswered order is unclear.",
+        ),
+    ] = 60.0,
+    statsd: options.Statsd = "",
 ) -> None:
     """Run the agent in front of one upstream."""
     settings = programs.AgentSettings(
@@ -39,6 +78,8 @@
         upstream=upstream,
         control=control,
         key=cluster_key,
+        feed=feed,
+        statsd=statsd,
     )
     serving.check(settings)
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
@@ -50,6 +91,13 @@
         key=key,
         token=programs.derive_token(key),
         incarnation=serving.incarnation(),
+        options=shell_lib.AgentOptions(
+            kind=kind,
+            feed=feed,
+            drain_deadline_s=drain_deadline_seconds,
+            order_timeout_s=order_timeout_seconds,
+            metrics=metrics.make(address=statsd, part=f"agent.{runner}"),
+        ),
     )
     serving.run_until_signalled(
         start=shell.start,
--- a/src/wisteriawall/standin/engine.py
+++ b/src/wisteriawall/standin/engine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wisteriawall.agent import engine_client
+from wisteriawall.agent import engine_messages
 from wisteriawall.config import document
 from wisteriawall.standin import engine_core
 from wisteriawall.web import refusal as refusal_lib
@@ -124,7 +124,7 @@
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
         order = msgspec.json.decode(
-            server_lib.read_body(environ), type=engine_client.OrderBody
+            server_lib.read_body(environ), type=engine_messages.OrderBody
         )
         fence = fleet.Fence(order.term, order.order_id)
         with self._order_lock:
@@ -139,13 +139,7 @@
     def _respond_state(
         self, start_response: server_lib.StartResponse
     ) -> server_lib.Response:
-        state = engine_client.EngineState(
-            self.core.role,
-            self.core.busy,
-            self.core.waiting_prefill_tokens,
-            self.core.running_streams,
-            self.core.free_streams,
-        )
+        state = engine_messages.EngineState(self.core.role, self.core.busy)
         return server_lib.respond(
             start_response, status=200, body=msgspec.json.encode(state)
         )
