Take test ports from an address that outgoing connections do not use

Cause: a run of test_faults failed with 'Address in use': the kernel gave the probed port of 127.0.0.1 to an outgoing connection before the program listened on it. Ruled out: a process left from an earlier test. Site agents publish feeds; make capacity also measures idle processes. Conclusion: the race is gone by construction.

--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 import hashlib
+import os
 import pathlib
 import secrets
 import socket
@@ -37,11 +38,18 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port the kernel just had free."""
+    """Return a loopback address whose port the kernel just had free.
+
+    Outgoing connections leave from 127.0.0.1 and could take a port of that
+    address before it is listened on. So the address is one of this process
+    alone.
+    """
+    pid = os.getpid()
+    host = f"127.{1 + pid // 200 % 200}.{pid % 200}.1"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         port: int = probe.getsockname()[1]
-        return f"127.0.0.1:{port}"
+        return f"{host}:{port}"
 
 
 @final
--- a/testing/support/site.py
+++ b/testing/support/site.py
@@ -49,6 +49,7 @@
         )
         self.process_by_name: dict[str, subprocess.Popen[str]] = {}
         self.gate_by_runner: dict[str, str] = {}
+        self.feed_by_runner: dict[str, str] = {}
         self.upstream_by_runner: dict[str, str] = {}
         self.entry_by_name: dict[str, str] = {}
 
@@ -78,8 +79,12 @@
         gate = self.gate_by_runner.setdefault(
             runner, cluster_lib.free_address()
         )
+        feed = self.feed_by_runner.setdefault(
+            runner, cluster_lib.free_address()
+        )
         self.process_by_name[f"agent/{runner}"] = self._start(
             *("agent", "--runner", runner, "--listen", gate),
+            *("--feed", feed),
             *("--upstream", self.upstream_by_runner[runner]),
             *("--control", _joined(self._rpc)),
         )
@@ -129,6 +134,7 @@
                 runner: {
                     "service": runner.partition("-")[0],
                     "address": gate,
+                    "feed": self.feed_by_runner[runner],
                     "zone": "abc"[number % 3],
                     "vm": f"vm-{runner}",
                 }
--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from tools.capacity import model
+from tools.capacity import processes
 from tools.capacity import slopes
 
 PAGE = pathlib.Path("docs/CAPACITY.md")
@@ -17,7 +18,11 @@
     """Measure, print and write the table; return the exit code."""
     measured = list(slopes.measure())
     roles = list(model.work_out(measured))
-    table = "".join((*_table(measured), "\n", *_role_table(roles)))
+    idle = processes.measure()
+    table = "\n".join(
+        "".join(part)
+        for part in (_table(measured), _role_table(roles), _idle_table(idle))
+    )
     sys.stdout.write(table)
     if "--print" in sys.argv:
         return _exit_code(roles)
@@ -41,6 +46,14 @@
         yield f"| {role.name} | {core} | {network} | {state} |\n"
 
 
+def _idle_table(idle: Iterable[processes.IdleProcess]) -> Iterator[str]:
+    yield "| idle process | core | resident | threads |\n|---|---|---|---|\n"
+    for process in idle:
+        core = f"{process.core_percent:.1f}%"
+        resident = f"{process.resident_bytes / 1e6:,.0f} MB"
+        yield f"| {process.name} | {core} | {resident} | {process.threads} |\n"
+
+
 def _table(measured: Iterable[slopes.Slope]) -> Iterator[str]:
     yield "| slope | value | each | measured on |\n|---|---|---|---|\n"
     for slope in measured:
