--- a/src/wisteriawall/control/liveness.py
+++ b/src/wisteriawall/control/liveness.py
@@ -6,6 +6,8 @@
 import dataclasses
 from typing import final
 
+import msgspec
+
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
 from wisteriawall.wire import peer_messages
@@ -97,26 +99,41 @@
         return
     processes.sequence_by_replica[summary.replica] = summary.sequence
     for beat in summary.beats:
-        _note(processes, beat, summary.replica, now_ms)
+        plain = msgspec.structs.replace(beat, age_ms=0)
+        _note(processes, plain, summary.replica, now_ms - beat.age_ms)
     listed = {beat.process for beat in summary.beats}
-    gone = set(summary.gone)
+    age_ms_by_gone = {gone.process: gone.age_ms for gone in summary.gone}
     for name, process in processes.by_name.items():
-        if process.replica != summary.replica or name in gone:
+        if process.replica != summary.replica:
+            continue
+        if name in age_ms_by_gone:
+            process.seen_ms = now_ms - age_ms_by_gone[name]
+        elif name in listed or not summary.full:
+            process.seen_ms = max(process.seen_ms, now_ms - GONE_MS)
             continue
-        if name in listed or not summary.full:
-            process.seen_ms = now_ms
+        # Later summaries say nothing of it, so they must not revive it.
+        process.replica = ""
     _add_demand(processes, summary.demand)
 
 
 def summarize(
-    processes: Processes, *, replica: str, leader_term: int, now_ms: int
+    processes: Processes,
+    *,
+    replica: str,
+    leader_term: int,
+    connected: bool,
+    now_ms: int,
 ) -> Iterator[peer_messages.Liveness]:
-    """Yield the summary that is due at the leader, if one is."""
-    if leader_term != processes.leader_term:
+    """Yield the summary that is due at the leader, if one is.
+
+    After a time without connection the summary is full, because the leader
+    may have missed every repetition of a change.
+    """
+    if leader_term != processes.leader_term or not connected:
         processes.leader_term = leader_term
         processes.due_ms = now_ms
         processes.full_due_ms = now_ms
-    if now_ms < processes.due_ms:
+    if now_ms < processes.due_ms or not connected:
         return
     full = now_ms >= processes.full_due_ms
     if full:
@@ -129,7 +146,10 @@
         sequence=processes.sequence,
         full=full,
         beats=list(_beats(processes, replica, full, now_ms)),
-        gone=sorted(processes.gone_ms_by_name),
+        gone=[
+            peer_messages.Gone(name, now_ms - processes.by_name[name].seen_ms)
+            for name in sorted(processes.gone_ms_by_name)
+        ],
         demand=drain_demand(processes),
     )
 
@@ -170,18 +190,19 @@
 
 
 def _note(
-    processes: Processes, beat: peer_messages.Beat, replica: str, now_ms: int
+    processes: Processes, beat: peer_messages.Beat, replica: str, seen_ms: int
 ) -> None:
     known = processes.by_name.get(beat.process)
-    if known is not None and known.beat.incarnation > beat.incarnation:
-        return
-    same = known is not None and known.beat == beat
-    same = same and known is not None and known.replica == replica
+    changed_ms = seen_ms
+    if known is not None:
+        # A process that moved is still listed by its former replica.
+        age = (known.beat.incarnation, known.seen_ms)
+        if age > (beat.incarnation, seen_ms):
+            return
+        if known.beat == beat and known.replica == replica:
+            changed_ms = known.changed_ms
     processes.by_name[beat.process] = Process(
-        beat=beat,
-        replica=replica,
-        seen_ms=now_ms,
-        changed_ms=known.changed_ms if same and known else now_ms,
+        beat=beat, replica=replica, seen_ms=seen_ms, changed_ms=changed_ms
     )
     processes.gone_ms_by_name.pop(beat.process, None)
 
@@ -209,7 +230,8 @@
         if process.replica != replica or now_ms - process.seen_ms > GONE_MS:
             continue
         if full or now_ms - process.changed_ms <= REPEAT_MS:
-            yield process.beat
+            age_ms = now_ms - process.seen_ms
+            yield msgspec.structs.replace(process.beat, age_ms=age_ms)
 
 
 def _add_demand(
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -328,6 +328,7 @@
         control.processes,
         replica=raft.replica,
         leader_term=raft.term,
+        connected=_is_current(control, now_ms),
         now_ms=now_ms,
     ):
         yield events.SendLiveness(raft.leader, summary)
--- a/src/wisteriawall/wire/peer_messages.py
+++ b/src/wisteriawall/wire/peer_messages.py
@@ -8,12 +8,12 @@
 from wisteriawall.wire import fleet
 from wisteriawall.wire import raft_messages
 
-__all__ = ["Beat", "Liveness", "PeerMessage"]
+__all__ = ["Beat", "Gone", "Liveness", "PeerMessage"]
 
 
 @final
 class Beat(msgspec.Struct, frozen=True, array_like=True):
-    """Newest renewal of one process, without its demand."""
+    """Newest renewal of one process, `age_ms` ago, without its demand."""
 
     process: str
     incarnation: int
@@ -22,6 +22,15 @@
     runner: str
     leaving: bool
     engine: fleet.EngineView | None
+    age_ms: int = 0
+
+
+@final
+class Gone(msgspec.Struct, frozen=True, array_like=True):
+    """A process that fell silent; `age_ms` is the time since it renewed."""
+
+    process: str
+    age_ms: int
 
 
 @final
@@ -38,7 +47,7 @@
     sequence: int
     full: bool
     beats: list[Beat]
-    gone: list[str]
+    gone: list[Gone]
     demand: list[fleet.ServiceDemand]
 
 
