--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -55,6 +55,7 @@
         self.done_ms = 0
         self.highest_executed = fleet.FENCE_ZERO
         self.reports: list[control_messages.OrderReport] = []
+        self.confirmed_ids: set[int] = set()
 
     @property
     def runner(self) -> str:
@@ -92,6 +93,7 @@
         if self.order is None:
             # The invariants of orders at one engine.
             assert order.fence >= self.highest_executed
+            assert order.fence.order_id not in self.confirmed_ids
             self.highest_executed = order.fence
             self.order = order
             self.done_ms = now_ms + ORDER_MS
@@ -121,6 +123,8 @@
         self.now_ms = 0
         self.loss = 0.0
         self.cut: set[str] = set()
+        self.isolated: set[str] = set()
+        self.ends: list[tuple[int, set[str], str]] = []
         self.paused: set[str] = set()
         self.control_by_name = {
             name: reducer.Control(raft=self._raft(name)) for name in REPLICAS
@@ -203,6 +207,7 @@
         """Advance time; check every invariant at every step."""
         for _ in range(duration_ms // STEP_MS):
             self.now_ms += STEP_MS
+            self._end_disturbances()
             for name in REPLICAS:
                 if name not in self.paused:
                     now_ms = self.local_ms(name)
@@ -211,11 +216,40 @@
             self._step_processes()
             self.check()
 
+    def disturb(self, kind: str, name: str, duration_ms: int) -> None:
+        """Cut off, isolate from its peers, or pause a process for a while."""
+        disturbed: set[str] = getattr(self, kind)
+        disturbed.add(name)
+        self.ends.append((self.now_ms + duration_ms, disturbed, name))
+
+    def _end_disturbances(self) -> None:
+        for end in list(self.ends):
+            until_ms, disturbed, name = end
+            if self.now_ms >= until_ms:
+                disturbed.discard(name)
+                self.ends.remove(end)
+
+    def restart_agent(self, name: str) -> None:
+        """Restart an agent, which learns its floor from a majority."""
+        old = self.process_by_name[name]
+        new = Process(name, old.offset_ms)
+        new.incarnation = old.incarnation + 1
+        new.highest_executed = old.highest_executed
+        new.confirmed_ids = old.confirmed_ids
+        asked = self.random.sample(REPLICAS, 2)
+        runners = [
+            self.control_by_name[replica].ledger.runner_by_name.get(new.runner)
+            for replica in asked
+        ]
+        new.floor = max(r.floor if r else fleet.FENCE_ZERO for r in runners)
+        self.process_by_name[name] = new
+
     def _deliver_peers(self) -> None:
         waiting, self.peer_messages = self.peer_messages, []
         for message in waiting:
             origin, target, body = message
-            if {origin, target} & self.cut or self.random.random() < self.loss:
+            unreachable = {origin, target} & (self.cut | self.isolated)
+            if unreachable or self.random.random() < self.loss:
                 continue
             if target in self.paused or self.random.random() < self.loss:
                 self.peer_messages.append(message)
@@ -275,6 +309,7 @@
             case control_messages.Grant():
                 self.late.append((process, reply, asked_ms))
             case control_messages.OrderReportReply(order_id):
+                process.confirmed_ids.add(order_id)
                 process.reports = [
                     r for r in process.reports if r.order_id != order_id
                 ]
@@ -429,7 +464,7 @@
     def start(self, seed: int) -> None:
         """Start a cluster."""
         self.world = World(seed)
-        self.patch_calls: list[tuple[str, int]] = []
+        self.patch_calls: list[tuple[int, str, int]] = []
         self.claim_calls: list[tuple[str, str, int]] = []
         self.ids = itertools.count(1)
 
@@ -445,14 +480,17 @@
 
     @stateful.rule(
         name=st.sampled_from([*REPLICAS, "entry/e1", "agent/r1"]),
-        duration_ms=st.sampled_from([400, 2_500]),
-        kind=st.sampled_from(["cut", "paused"]),
+        duration_ms=st.sampled_from([400, 2_500, 5_000]),
+        kind=st.sampled_from(["cut", "isolated", "paused"]),
     )
     def disturb(self, name: str, duration_ms: int, kind: str) -> None:
-        """Cut off or pause one process for a while."""
-        getattr(self.world, kind).add(name)
-        self.world.run(duration_ms)
-        getattr(self.world, kind).discard(name)
+        """Cut off, isolate or pause one process for a while."""
+        self.world.disturb(kind, name, duration_ms)
+
+    @stateful.rule(name=st.sampled_from([f"agent/{r}" for r in RUNNERS]))
+    def restart_agent(self, name: str) -> None:
+        """Restart an agent."""
+        self.world.restart_agent(name)
 
     @stateful.rule(name=st.sampled_from(REPLICAS))
     def crash(self, name: str) -> None:
@@ -474,8 +512,8 @@
         ):
             patch_id = f"p{next(self.ids)}"
             for call in self.world.patch(patch_id, change, max(numbers)):
-                self.patch_calls.append((patch_id, call))
-        self.world.run(100)
+                self.patch_calls.append((max(numbers), patch_id, call))
+        self.world.run(1_000)
 
     @stateful.rule(key=st.sampled_from(["k1", "k2"]))
     def claim(self, key: str) -> None:
@@ -490,12 +528,13 @@
 
     @stateful.invariant()
     def one_patch_wins_each_number(self) -> None:
-        """Each number was won by one patch id."""
+        """Of the patches against a number, one wins and makes the next."""
         winners: defaultdict[int, set[str]] = defaultdict(set)
-        for patch_id, call in self.patch_calls:
+        for base, patch_id, call in self.patch_calls:
             match self.world.reply_by_call.get(call):
                 case events.PatchReply(outcomes.ConfigChanged(number)):
-                    winners[number].add(patch_id)
+                    assert number == base + 1
+                    winners[base].add(patch_id)
         assert all(len(ids) == 1 for ids in winners.values())
 
     @stateful.invariant()
@@ -515,13 +554,13 @@
         if not hasattr(self, "world"):
             return
         self.world.loss = 0.0
-        self.world.run(6_000)
+        self.world.run(11_000)
         numbers = {p.number for p in self.world.process_by_name.values()}
         assert numbers == {max(self.world.committed_ms)}
 
 
 Promises.TestCase.settings = hypothesis.settings(
-    max_examples=12, stateful_step_count=10
+    max_examples=40, stateful_step_count=16
 )
 TestPromises = Promises.TestCase
 
