--- /dev/null
+++ b/src/wisteriawall/benchmark/__init__.py
@@ -0,0 +1,1 @@
+"""Policies measured against baselines on seeded traces in virtual time."""
--- a/src/wisteriawall/policy/limits.py
+++ b/src/wisteriawall/policy/limits.py
@@ -31,6 +31,7 @@
 MIN_RETRY_AFTER_MS = 500
 MAX_RETRY_AFTER_MS = 60_000
 JITTER_SHARE = 0.5
+MIN_WAIT_SHARE = 0.1
 MAX_ACCOUNTS = 4_096
 MAX_UNSETTLED = 16_384
 RATE_WINDOW_MS = 1_000
@@ -60,7 +61,8 @@
     """A request that asks for admission.
 
     `tokens` is its estimated work and `run_ms` how long it takes to run;
-    `deadline_ms` is on the clock that the caller passes as `now_ms`.
+    `deadline_ms` is on the clock that the caller passes as `now_ms`. An
+    account of weight 2 gets twice the tokens of one of weight 1.
     """
 
     request_id: str
@@ -68,12 +70,21 @@
     tokens: int
     run_ms: int
     deadline_ms: int
+    arrival_ms: int
     priority: Priority = Priority.INTERACTIVE
+    weight: float = 1.0
 
     @property
     def latest_start_ms(self) -> int:
-        """Return when it must be dispatched to meet its deadline."""
-        return self.deadline_ms - self.run_ms
+        """Return when it must be dispatched to meet its deadline.
+
+        A too long estimate alone never refuses a request: it may always
+        wait for a share of its time, so that a wrong estimate is corrected
+        by what the answer takes.
+        """
+        time_ms = self.deadline_ms - self.arrival_ms
+        least_ms = self.arrival_ms + round(time_ms * MIN_WAIT_SHARE)
+        return max(self.deadline_ms - self.run_ms, least_ms)
 
 
 @final
@@ -176,7 +187,7 @@
     waiting = own.heap_by_account[account][0][2]
     _remove(queue, waiting)
     own.served += waiting.tokens
-    queue.served_by_account[account] += waiting.tokens
+    queue.served_by_account[account] += waiting.tokens / waiting.weight
     queue.unsettled_by_id[waiting.request_id] = waiting
     if len(queue.unsettled_by_id) > MAX_UNSETTLED:
         del queue.unsettled_by_id[next(iter(queue.unsettled_by_id))]
@@ -221,7 +232,8 @@
     difference = actual_tokens - waiting.tokens
     queue.classes[waiting.priority].served += difference
     if waiting.account in queue.served_by_account:
-        queue.served_by_account[waiting.account] += difference
+        served = difference / waiting.weight
+        queue.served_by_account[waiting.account] += served
 
 
 def _insert(queue: AdmissionQueue, waiting: Waiting) -> None:
--- a/src/wisteriawall/policy/roles.py
+++ b/src/wisteriawall/policy/roles.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 from typing import final
@@ -14,23 +15,29 @@
 from wisteriawall.wire import fleet
 
 __all__ = [
+    "Need",
     "Planner",
     "RoleChange",
     "Runner",
     "Service",
     "Split",
+    "lost_engines",
     "observe",
     "plan",
 ]
 
 FAST_S = 5.0
-SLOW_S = 30.0
+SLOW_S = 20.0
 HORIZON_S = 60.0
-COOL_DOWN_MS = 15_000
-ZONE_SPACING_MS = 5_000
+RUNNER_COOL_DOWN_MS = 30_000
+ZONE_SPACING_MS = 15_000
+SERVICE_SPACING_MS = 5_000
 MAX_CHANGES = 2
 HEADROOM = 1.1
-MIXED_EFFICIENCY = 0.85
+MIXED_PREFILL_SHARE = 0.7
+MIXED_DECODE_SHARE = 0.95
+BUFFER_GAIN_SHARE = 0.9
+STREAM_DRAIN_S = 0.2
 
 
 @final
@@ -39,7 +46,7 @@
     """A runner as the leader knows it.
 
     `is_clear` is False while what the engine does is not known: it then
-    counts as lost.
+    counts as lost. `streams` must end before it can change.
     """
 
     runner: str
@@ -47,6 +54,7 @@
     role: fleet.Role
     phase: fleet.RunnerPhase
     is_clear: bool = True
+    streams: int = 0
 
 
 @final
@@ -55,16 +63,18 @@
     """What the planner must respect of one service.
 
     `min_engines` is the share that changes must leave in work.
-    `payback` is how many engine-seconds a change must earn for each one that
-    it costs.
+    `payback_s` is how many engine-seconds a change must earn back and
+    `change_s` how many it takes.
     """
 
     service: str
     runners: Sequence[Runner]
     min_engines: int = 1
-    payback: float = 1.0
+    payback_s: float = 10.0
     change_s: float = 5.0
-    speed: speeds.EngineSpeed = speeds.DEFAULT
+    speed_by_role: Mapping[fleet.Role, speeds.EngineSpeed] = dataclasses.field(
+        default_factory=lambda: speeds.SPEED_BY_ROLE
+    )
 
 
 @final
@@ -88,6 +98,32 @@
     mixed: int
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Need:
+    """Engines that prefill and decode demand would keep busy."""
+
+    prefill: float
+    decode: float
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Option:
+    """A change and the engines that it saves while demand lasts."""
+
+    gain: float
+    runner: Runner
+    role: fleet.Role
+
+    @property
+    def rank(self) -> tuple[float, int, str]:
+        """Order options: gain, a mixed engine before others, few streams."""
+        is_mixed = self.role is fleet.Role.MIXED
+        worth = self.gain * (1.0 if is_mixed else BUFFER_GAIN_SHARE)
+        return round(worth, 6), -self.runner.streams, self.runner.runner
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Demand:
@@ -100,7 +136,7 @@
     fast_decode: float = 0.0
     slow_prefill: float = 0.0
     slow_decode: float = 0.0
-    changed_ms: int = -COOL_DOWN_MS
+    changed_ms: int = -SERVICE_SPACING_MS
 
 
 @final
@@ -165,74 +201,100 @@
     planner: Planner, service: Service, demand: _Demand, now_ms: int
 ) -> Iterator[RoleChange]:
     """Yield at most one change: the one that earns the most."""
-    if now_ms - demand.changed_ms < COOL_DOWN_MS:
-        return
     working = [r for r in service.runners if _is_working(r)]
     if len(working) - 1 < max(1, service.min_engines):
         return
-    split = _split_of(working)
-    prefill_s, decode_s = _engines_needed(service, demand)
-    now_lost = lost_engines(split, prefill_s, decode_s)
-    best: tuple[float, Runner, fleet.Role] | None = None
-    for runner in working:
-        if not _may_change(planner, runner, now_ms):
-            continue
-        for role in fleet.Role:
-            after = _after(split, runner.role, role)
-            if role is runner.role or not _covers_roles(after):
-                continue
-            gain = now_lost - lost_engines(after, prefill_s, decode_s)
-            if best is None or gain > best[0]:
-                best = (gain, runner, role)
-    if best is None:
+    if now_ms - demand.changed_ms < SERVICE_SPACING_MS:
         return
-    gain, runner, role = best
-    cost_s = service.payback * service.change_s
-    if gain * HORIZON_S <= cost_s:
+    open_ones = [r for r in working if _may_change(planner, r, now_ms)]
+    split = _split_of(working)
+    options = _options(open_ones, split, _needs(service, demand))
+    best = max(options, key=lambda option: option.rank, default=None)
+    if best is None or best.gain * HORIZON_S <= _price_s(service, best.runner):
         return
     demand.changed_ms = now_ms
-    planner.changed_ms_by_runner[runner.runner] = now_ms
-    planner.changed_ms_by_zone[runner.zone] = now_ms
+    planner.changed_ms_by_runner[best.runner.runner] = now_ms
+    planner.changed_ms_by_zone[best.runner.zone] = now_ms
     yield RoleChange(
         service=service.service,
-        runner=runner.runner,
-        role=role,
+        runner=best.runner.runner,
+        role=best.role,
         cause=(
-            f"saves {gain * HORIZON_S:.1f} engine-seconds in "
-            f"{HORIZON_S:.0f} s; prefill needs {prefill_s:.1f} engines, "
-            f"decode {decode_s:.1f}"
+            f"saves {best.gain * HORIZON_S:.0f} engine-seconds in "
+            f"{HORIZON_S:.0f} s, must save "
+            f"{_price_s(service, best.runner):.0f}"
         ),
     )
 
 
-def lost_engines(split: Split, prefill: float, decode: float) -> float:
-    """Return the engines' worth of demand that a split leaves undone."""
-    over_prefill = max(0.0, prefill - split.prefill)
-    over_decode = max(0.0, decode - split.decode)
-    mixed = split.mixed * MIXED_EFFICIENCY
-    return max(0.0, over_prefill + over_decode - mixed)
+def _options(
+    runners: Sequence[Runner], split: Split, needs: Sequence[Need]
+) -> Iterator[_Option]:
+    """Yield each change that leaves every needed role a runner.
+
+    Its gain is the least over the quick and the slow estimate of demand, so
+    that neither a burst nor a fading past moves an engine.
+    """
+    for runner in runners:
+        for role in fleet.Role:
+            after = _after(split, runner.role, role)
+            if role is runner.role or not _covers_roles(after):
+                continue
+            gain = min(
+                lost_engines(split, need) - lost_engines(after, need)
+                for need in needs
+            )
+            yield _Option(gain=gain, runner=runner, role=role)
+
 
+def lost_engines(split: Split, need: Need) -> float:
+    """Return the engines' worth of demand that a split leaves undone.
 
-def _engines_needed(service: Service, demand: _Demand) -> tuple[float, float]:
-    """Return the engines that prefill and decode demand need."""
-    prefill = min(demand.fast_prefill, demand.slow_prefill)
-    decode = min(demand.fast_decode, demand.slow_decode)
-    scale = HEADROOM / 1_000
+    Mixed engines take what dedicated ones can't; a step that does both
+    slows both, so that they take it at a share of the speed.
+    """
+    over_prefill = max(0.0, need.prefill - split.prefill)
+    over_decode = max(0.0, need.decode - split.decode)
+    mixed = over_prefill / MIXED_PREFILL_SHARE
+    mixed += over_decode / MIXED_DECODE_SHARE
+    return max(0.0, mixed - split.mixed)
+
+
+def _needs(service: Service, demand: _Demand) -> tuple[Need, Need]:
+    """Return the engines that demand needs, by quick and slow estimate."""
     return (
-        service.speed.prefill_work_ms(1) * prefill * scale,
-        service.speed.decode_work_ms(1) * decode * scale,
+        _need(service, demand.fast_prefill, demand.fast_decode),
+        _need(service, demand.slow_prefill, demand.slow_decode),
     )
 
 
+def _need(service: Service, prefill: float, decode: float) -> Need:
+    reading = service.speed_by_role[fleet.Role.PREFILL]
+    writing = service.speed_by_role[fleet.Role.DECODE]
+    scale = HEADROOM / 1_000
+    return Need(
+        prefill=reading.prefill_work_ms(1) * prefill * scale,
+        decode=writing.decode_work_ms(1) * decode * scale,
+    )
+
+
+def _price_s(service: Service, runner: Runner) -> float:
+    """Return the engine-seconds that a change must save."""
+    cost_s = service.change_s + runner.streams * STREAM_DRAIN_S
+    return max(cost_s, service.payback_s)
+
+
 def _is_working(runner: Runner) -> bool:
     return runner.is_clear and runner.phase is fleet.RunnerPhase.LIVE
 
 
 def _may_change(planner: Planner, runner: Runner, now_ms: int) -> bool:
-    of_runner = planner.changed_ms_by_runner.get(runner.runner, -COOL_DOWN_MS)
+    of_runner = planner.changed_ms_by_runner.get(
+        runner.runner, -RUNNER_COOL_DOWN_MS
+    )
     of_zone = planner.changed_ms_by_zone.get(runner.zone, -ZONE_SPACING_MS)
     return (
-        now_ms - of_runner >= COOL_DOWN_MS
+        now_ms - of_runner >= RUNNER_COOL_DOWN_MS
         and now_ms - of_zone >= ZONE_SPACING_MS
     )
 
--- a/src/wisteriawall/policy/routing.py
+++ b/src/wisteriawall/policy/routing.py
@@ -1,8 +1,10 @@
 """Choice of the runner, or pair of runners, for one attempt.
 
 Each candidate's cost is the time until the answer is whole, estimated from
-corrected load. Reports are stale and several entries choose at once, so
-that the choice falls at random among those whose cost is near the best.
+corrected load, and the time by which it delays the answers beside it. So
+prompts gather on some runners and streams on others, without orders. Reports
+are stale and several entries choose at once, so that the choice falls at
+random among those whose cost is near the best.
 """
 
 from collections.abc import Iterable
@@ -29,7 +31,6 @@
 NEAR_BEST_SHARE = 0.05
 OTHER_ZONE_MS = 2.0
 ADAPTER_LOAD_MS = 2_000.0
-WRONG_ROLE_MS = 20_000.0
 PAIR_GAIN_SHARE = 0.1
 
 
@@ -53,6 +54,8 @@
     `waiting_tokens` is the prompt work ahead of a new attempt and `streams`
     the answers in progress, both corrected with own dispatches.
     `hit_tokens` is the prompt prefix that its cache is believed to hold.
+    Without `has_room` it takes no new prompt, but may decode for another.
+    `pace_ms` is the time between tokens lately measured, 0 if unknown.
     """
 
     runner: str
@@ -63,8 +66,14 @@
     hit_tokens: int = 0
     adapter_loaded: bool = True
     draining: bool = False
+    has_room: bool = True
+    pace_ms: float = 0.0
     free_pieces: int | None = None
-    speed: speeds.EngineSpeed = speeds.DEFAULT
+
+    @property
+    def speed(self) -> speeds.EngineSpeed:
+        """Return the speed of an engine in this role."""
+        return speeds.SPEED_BY_ROLE[self.role]
 
 
 @final
@@ -98,9 +107,9 @@
         rng: Source of the choice among near-equal runners; without it the
             cheapest is taken.
     """
-    scored = [(_whole_ms(c, work), c) for c in _usable(candidates, avoid)]
-    near = _pick_near_best(scored, rng)
-    return near[1].runner if near else None
+    usable = _usable(candidates, avoid)
+    best = _choose_whole(usable, work, rng)
+    return best[1].runner if best else None
 
 
 def choose_pair(
@@ -113,13 +122,15 @@
     """Return the cheaper of one runner and a prefill-decode pair.
 
     A pair is taken when it saves a share of the cost after the transfer of
-    the KV pieces, or when no runner of a mixed role is left.
+    the KV pieces, or when no runner of a mixed role has room. None if no
+    runner that may prefill has room.
     """
     usable = _usable(candidates, avoid)
-    single = _pick_near_best([(_whole_ms(c, work), c) for c in usable], rng)
-    if single is None:
-        return None
     pair = _choose_two_parts(usable, work, rng)
+    both = [c for c in usable if c.role is fleet.Role.MIXED]
+    single = _choose_whole(usable if pair is None else both, work, rng)
+    if single is None:
+        return pair
     if pair and pair.cost_ms < single[0] * (1 - PAIR_GAIN_SHARE):
         return pair
     runner = single[1].runner
@@ -186,16 +197,25 @@
     return near[0] if len(near) == 1 else rng.choice(near)
 
 
+def _choose_whole(
+    usable: Sequence[Candidate], work: Work, rng: random.Random | None
+) -> tuple[float, Candidate] | None:
+    return _pick_near_best(
+        [(_whole_ms(c, work), c) for c in _prefillers(usable)], rng
+    )
+
+
+def _prefillers(usable: Sequence[Candidate]) -> list[Candidate]:
+    """Return runners with room whose role reads prompts, if any live."""
+    fitting = [c for c in usable if c.role is not fleet.Role.DECODE]
+    return [c for c in fitting or usable if c.has_room]
+
+
 def _choose_two_parts(
     usable: Sequence[Candidate], work: Work, rng: random.Random | None
 ) -> Placement | None:
     first = _pick_near_best(
-        [
-            (_prefill_ms(c, work), c)
-            for c in usable
-            if c.role is not fleet.Role.DECODE
-        ],
-        rng,
+        [(_prefill_ms(c, work), c) for c in _prefillers(usable)], rng
     )
     if first is None:
         return None
@@ -219,30 +239,27 @@
 
 
 def _whole_ms(candidate: Candidate, work: Work) -> float:
-    cost_ms = _prefill_ms(candidate, work) + _decode_ms(candidate, work)
-    if candidate.role is not fleet.Role.MIXED:
-        cost_ms += WRONG_ROLE_MS
-    return cost_ms
+    return _prefill_ms(candidate, work) + _decode_ms(candidate, work)
 
 
 def _prefill_ms(candidate: Candidate, work: Work) -> float:
     speed = candidate.speed
     own_tokens = max(1, work.prompt_tokens - candidate.hit_tokens)
     tokens = candidate.waiting_tokens + own_tokens
+    steps = -(-tokens // speed.chunk_tokens)
     cost_ms = tokens * speed.prefill_ms
-    if candidate.role is not fleet.Role.PREFILL:
-        steps = -(-tokens // speed.chunk_tokens)
-        cost_ms += steps * speed.decode_step_ms(candidate.streams)
+    cost_ms += steps * speed.decode_step_ms(candidate.streams)
+    cost_ms += own_tokens * speed.prefill_ms * candidate.streams
     return cost_ms + _reach_ms(candidate)
 
 
 def _decode_ms(candidate: Candidate, work: Work) -> float:
     speed = candidate.speed
     streams = candidate.streams + 1
-    step_ms = speed.decode_step_ms(streams)
-    cost_ms = work.output_tokens * step_ms
-    if candidate.role is fleet.Role.MIXED:
-        cost_ms += candidate.waiting_tokens * speed.prefill_ms
+    step_ms = max(candidate.pace_ms, speed.decode_step_ms(streams))
+    slowed_ms = speed.stream_ms * candidate.streams
+    cost_ms = work.output_tokens * (step_ms + slowed_ms)
+    cost_ms += candidate.waiting_tokens * speed.prefill_ms
     excess = streams - speed.max_streams
     if excess > 0:
         cost_ms += cost_ms * excess / speed.max_streams
--- a/src/wisteriawall/policy/speeds.py
+++ b/src/wisteriawall/policy/speeds.py
@@ -3,7 +3,15 @@
 import dataclasses
 from typing import final
 
-__all__ = ["DEFAULT", "PIECE_TOKENS", "EngineSpeed", "pieces"]
+from wisteriawall.wire import fleet
+
+__all__ = [
+    "DEFAULT",
+    "PIECE_TOKENS",
+    "SPEED_BY_ROLE",
+    "EngineSpeed",
+    "pieces",
+]
 
 PIECE_TOKENS = 1_000
 
@@ -40,6 +48,11 @@
 
 
 DEFAULT = EngineSpeed()
+SPEED_BY_ROLE = {
+    fleet.Role.MIXED: DEFAULT,
+    fleet.Role.PREFILL: EngineSpeed(chunk_tokens=2_048, max_streams=8),
+    fleet.Role.DECODE: EngineSpeed(chunk_tokens=128, max_streams=64),
+}
 
 
 def pieces(tokens: int) -> int:
