--- a/src/wisteriawall/agent/gate.py
+++ b/src/wisteriawall/agent/gate.py
@@ -99,6 +99,8 @@
         query = environ.get("QUERY_STRING", "")
         path = environ["PATH_INFO"] + (f"?{query}" if query else "")
         copied = {"Content-Type": environ.get("CONTENT_TYPE", "")}
+        for header in (headers.REQUEST, headers.ATTEMPT):
+            copied[header] = environ[headers.environ_name(header)]
         key = environ.get("HTTP_IDEMPOTENCY_KEY")
         if key:
             copied["Idempotency-Key"] = key
