Resume broken answers byte for byte and cancel those without a caller

Cause: an answer that broke after its first byte was passed on as broken, an unstreamed one could not be resumed, and a caller that left was noticed only at the next write.

Change: the relay forwards whole SSE events as raw bytes, checks each for the request's id and knows the end mark. A stream that ends without it, stalls, breaks or carries foreign events is resumed elsewhere with resume_tokens and resume_text, at most 4 attempts, else the caller's connection is reset. Unstreamed completions are streamed from the runner and assembled. One watch thread per server notices hang-ups and overdue requests. Connections with unread data are never reused; claimed requests take a fresh one. The reducer knows which attempt runs, so late results of older ones change nothing, and a request that may have run is never called not run again. Refusals of cheroot itself are JSON.

The agent's commands.serving takes a stop function that returns a count.

--- a/src/wisteriawall/commands/serving.py
+++ b/src/wisteriawall/commands/serving.py
@@ -16,7 +16,7 @@
 
 
 def run_until_signalled(
-    *, start: Callable[[], None], stop: Callable[[], None], line: str
+    *, start: Callable[[], None], stop: Callable[[], object], line: str
 ) -> None:
     """Start, announce with `line`, wait for a signal, then stop.
 
--- a/src/wisteriawall/entry/events.py
+++ b/src/wisteriawall/entry/events.py
@@ -13,6 +13,7 @@
     "AskClaim",
     "AttemptFailed",
     "CallerGone",
+    "Cancel",
     "ClaimDecided",
     "ClaimFailed",
     "Dispatch",
@@ -24,6 +25,7 @@
     "Refuse",
     "Replay",
     "Settle",
+    "Started",
     "Stopping",
 ]
 
@@ -70,11 +72,21 @@
     now_ms: int
 
 
+@final
+class Started(msgspec.Struct, frozen=True, tag="started"):
+    """The first token of an attempt arrived."""
+
+    request_id: str
+    attempt: int
+    now_ms: int
+
+
 @final
 class Finished(msgspec.Struct, frozen=True, tag="finished"):
     """The whole answer arrived; `answer` is set for claimed requests."""
 
     request_id: str
+    attempt: int
     answer: fleet.KeptAnswer | None
     now_ms: int
 
@@ -115,6 +127,7 @@
     | ClaimDecided
     | ClaimFailed
     | AttemptFailed
+    | Started
     | Finished
     | CallerGone
     | Granted
@@ -172,4 +185,11 @@
     answer: fleet.KeptAnswer | None
 
 
-Effect = Dispatch | AskClaim | Refuse | Replay | Settle
+@final
+class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+    """End a request whose caller is gone; drop its attempt, if any."""
+
+    request_id: str
+
+
+Effect = Dispatch | AskClaim | Refuse | Replay | Settle | Cancel
--- a/src/wisteriawall/entry/parsing.py
+++ b/src/wisteriawall/entry/parsing.py
@@ -1,6 +1,7 @@
 """Parse and check callers' requests."""
 
 import hashlib
+import hmac
 from typing import final
 
 import msgspec
@@ -15,6 +16,14 @@
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 DEFAULT_MAX_TOKENS = 256
 MAX_KEY_CHARS = 255
+MAX_TOKENS = 1_000_000
+NOTHING = msgspec.Raw()
+RESERVED_FIELDS = (
+    "request_id",
+    "resume_tokens",
+    "resume_text",
+    "kv_transfer",
+)
 
 
 @final
@@ -35,6 +44,23 @@
     messages: list["Message"] = []
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
+    n: int = 1
+    logprobs: msgspec.Raw = NOTHING
+    tools: msgspec.Raw = NOTHING
+    request_id: msgspec.Raw = NOTHING
+    resume_tokens: msgspec.Raw = NOTHING
+    resume_text: msgspec.Raw = NOTHING
+    kv_transfer: msgspec.Raw = NOTHING
+
+    @property
+    def is_plain_text(self) -> bool:
+        """Tell whether streamed events add up to the unstreamed answer."""
+        return self.n == 1 and not self.logprobs and not self.tools
+
+    @property
+    def reserved_fields(self) -> list[str]:
+        """Return the fields set here that only an entry may set."""
+        return [name for name in RESERVED_FIELDS if getattr(self, name)]
 
 
 @final
@@ -47,7 +73,11 @@
 
 @final
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A checked request; `path` is what the upstream is asked."""
+    """A checked request; `path` is what the upstream is asked.
+
+    `assembled` means that the caller wants one JSON answer, which the entry
+    builds from a stream so that a broken answer can be resumed.
+    """
 
     account: str
     service: str
@@ -59,7 +89,9 @@
     digest: str
     prefill_tokens: int
     decode_tokens: int
+    is_completion: bool
     stream: bool
+    assembled: bool
 
 
 def parse(
@@ -70,9 +102,12 @@
     Raises:
         Refused: The request is not valid under `config`.
     """
-    account = _account(environ, config)
     path = environ["PATH_INFO"]
-    if path in COMPLETION_PATHS:
+    is_completion = path in COMPLETION_PATHS
+    if is_completion and environ["REQUEST_METHOD"] != "POST":
+        raise Refused(_POST_ONLY)
+    account = _account(environ, config)
+    if is_completion:
         return _parse_completion(environ, config, account)
     if path.startswith(SERVICES_PREFIX):
         return _parse_plain(environ, config, account)
@@ -81,11 +116,14 @@
 
 def _account(environ: server_lib.Environ, config: document.Document) -> str:
     scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
-    digest = hashlib.sha256(token.strip().encode()).hexdigest()
-    # Comparing digests of the token leaks nothing about the token itself.
+    digest = hashlib.sha256(token.strip().encode("latin-1")).hexdigest()
+    found = ""
+    # Every account is compared in full, so that the time tells nothing.
     for name, account in config.accounts.items():
-        if scheme.lower() == "bearer" and account.token_digest == digest:
-            return name
+        if hmac.compare_digest(account.token_digest, digest):
+            found = name
+    if found and scheme.lower() == "bearer":
+        return found
     raise _refused(
         401,
         refusal_lib.Code.UNAUTHENTICATED,
@@ -96,15 +134,8 @@
 def _parse_completion(
     environ: server_lib.Environ, config: document.Document, account: str
 ) -> CallerRequest:
-    if environ["REQUEST_METHOD"] != "POST":
-        raise _refused(405, refusal_lib.Code.BAD_REQUEST, "expected POST")
     body = server_lib.read_body(environ)
-    try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise _refused(
-            400, refusal_lib.Code.BAD_REQUEST, f"body: {error}"
-        ) from error
+    parsed = _decode_completion(body)
     text = parsed.prompt or " ".join(m.content for m in parsed.messages)
     return CallerRequest(
         account=account,
@@ -117,10 +148,34 @@
         digest=_digest(environ, body),
         prefill_tokens=len(text.split()) + 1,
         decode_tokens=parsed.max_tokens,
+        is_completion=True,
         stream=parsed.stream,
+        assembled=not parsed.stream and parsed.is_plain_text,
     )
 
 
+def _decode_completion(body: bytes) -> CompletionBody:
+    try:
+        parsed = msgspec.json.decode(body, type=CompletionBody)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        raise _refused(
+            400, refusal_lib.Code.BAD_REQUEST, f"body: {error}"
+        ) from error
+    if not 1 <= parsed.max_tokens <= MAX_TOKENS:
+        raise _refused(
+            400,
+            refusal_lib.Code.BAD_REQUEST,
+            f"max_tokens: got {parsed.max_tokens}, expected 1 to {MAX_TOKENS}",
+        )
+    if parsed.reserved_fields:
+        raise _refused(
+            400,
+            refusal_lib.Code.BAD_REQUEST,
+            f"body: {', '.join(parsed.reserved_fields)} may not be set",
+        )
+    return parsed
+
+
 def _service_of_model(config: document.Document, model: str) -> str:
     for name, service in config.services.items():
         if service.kind is document.ServiceKind.MODEL and (
@@ -163,7 +218,9 @@
         digest=_digest(environ, body),
         prefill_tokens=1,
         decode_tokens=1,
+        is_completion=False,
         stream=False,
+        assembled=False,
     )
 
 
@@ -184,6 +241,14 @@
     return hashlib.sha256(head.encode() + body).hexdigest()
 
 
+_POST_ONLY = refusal_lib.Refusal(
+    status=405,
+    code=refusal_lib.Code.METHOD_NOT_ALLOWED,
+    message="expected POST",
+    allow="POST",
+)
+
+
 def _refused(status: int, code: refusal_lib.Code, message: str) -> Refused:
     return Refused(
         refusal_lib.Refusal(status=status, code=code, message=message)
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -1,38 +1,59 @@
-"""Entry's shell: callers' HTTP, lease renewal and the reducer's effects."""
+"""Entry's shell: callers' HTTP, lease renewal and planned stop."""
 
-from collections import Counter
-from collections.abc import Callable
-from collections.abc import Generator
-from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import dataclasses
 import functools
 import logging
-import queue
 import threading
 import time
 from typing import final
 import uuid
 
 from wisteriawall.config import document
+from wisteriawall.entry import attempt as attempt_lib
+from wisteriawall.entry import claims as claims_lib
 from wisteriawall.entry import events
 from wisteriawall.entry import parsing
 from wisteriawall.entry import reducer
+from wisteriawall.entry import refusals
 from wisteriawall.entry import relay as relay_lib
+from wisteriawall.entry import run as run_lib
+from wisteriawall.entry import state
+from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_client
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
-from wisteriawall.wire import fleet
 
-__all__ = ["EntryShell"]
+__all__ = ["EntryShell", "Limits"]
 
 _LOG = logging.getLogger("entry")
 
 RENEW_S = 0.3
-DRAIN_POLL_S = 0.05
-HTTP_THREADS = 256
-MAX_KEPT_ANSWER_BYTES = 64 * 1024
+DRAIN_POLL_S = 0.02
+CUT_WAIT_S = 5.0
+SETTLE_WAIT_S = 5.0
+SPARE_THREADS = 32
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Limits:
+    """Bounds of one entry.
+
+    `grace_s` is how long a stopping entry still serves, so that the balancer
+    learns of it; `drain_deadline_s` is when a planned stop cuts what still
+    runs, 0 means never.
+    """
+
+    max_requests: int = 256
+    grace_s: float = 0.0
+    drain_deadline_s: float = 0.0
+    read_deadline_s: float = server_lib.READ_DEADLINE_S
+    timeouts: attempt_lib.Timeouts = dataclasses.field(
+        default_factory=attempt_lib.Timeouts
+    )
 
 
 @final
@@ -47,6 +68,7 @@
         key: Shared cluster key.
         token: Secret that agents expect.
         incarnation: Number that rises with every start of this process.
+        limits: Bounds on requests and time.
     """
 
     def __init__(
@@ -59,60 +81,120 @@
         key: bytes,
         token: str,
         incarnation: int,
+        limits: Limits | None = None,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
-        self._entry = reducer.Entry(zone=zone)
+        self._limits = limits or Limits()
+        self._entry = state.Entry(zone=zone)
         self._lock = threading.Lock()
+        self._leaving = False
         self._stopping = threading.Event()
-        self._effects_by_id: dict[str, queue.SimpleQueue[events.Effect]] = {}
-        self._relay = relay_lib.Relay(token=token)
+        self._active = 0
+        self._run_by_id: dict[str, run_lib.RequestRun] = {}
+        self._relay = relay_lib.Relay(
+            token=token, timeouts=self._limits.timeouts
+        )
         self._control = control_client.ControlClient(
             address_by_replica=control_address_by_replica,
             key=key,
             sender=envelope.Sender(f"entry/{name}", incarnation),
         )
-        self._http = server_lib.HttpServer(
-            address=address, app=self._serve, threads=HTTP_THREADS
+        self._claims = claims_lib.ClaimCalls(
+            name=name,
+            incarnation=incarnation,
+            control=self._control,
+            submit=self._submit,
         )
-        self.address = self._http.address
-        self._demand: Counter[tuple[str, str]] = Counter()
+        self.http = server_lib.HttpServer(
+            address=address,
+            app=self._serve,
+            threads=self._limits.max_requests + SPARE_THREADS,
+            read_deadline_s=self._limits.read_deadline_s,
+        )
+        self.address = self.http.address
         self._renewer = threading.Thread(
             target=self._renew_forever, name=f"renew-{name}", daemon=True
         )
 
     def start(self) -> None:
         """Start the entry."""
-        self._http.start()
+        self.http.start()
         self._renewer.start()
 
-    def stop(self) -> None:
-        """Finish what runs, then stop."""
+    def stop(self) -> int:
+        """Finish what runs, then stop; return how many requests were cut."""
+        self._leaving = True
+        deadline = self._drain_deadline()
+        time.sleep(self._limits.grace_s)
         self._submit(events.Stopping(_now_ms()))
-        while self._effects_by_id:
-            time.sleep(DRAIN_POLL_S)
+        cut = self._await_end(deadline)
+        self._await_settled()
         self._stopping.set()
-        self._http.stop()
+        self.http.stop()
         self._renewer.join(timeout=5.0)
         self._control.close()
+        self._relay.close()
+        _LOG.info("stopped, %d requests cut", cut)
+        return cut
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        entry = self._entry
-        return not entry.stopping and _now_ms() < entry.lease_until_ms
+        return not self._leaving and _now_ms() < self._entry.lease_until_ms
 
     @property
     def config(self) -> document.Document:
         """Return the newest configuration held here."""
         return self._entry.config
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are in progress, in any part."""
+        parts = (
+            self._active,
+            len(self._run_by_id),
+            len(self._entry.in_flight_by_id),
+            self._entry.dispatched_by_runner.total(),
+        )
+        return max(parts)
+
+    def _drain_deadline(self) -> float:
+        if not self._limits.drain_deadline_s:
+            return float("inf")
+        return time.monotonic() + self._limits.drain_deadline_s
+
+    def _await_end(self, deadline: float) -> int:
+        """Wait until nothing runs; return how many were cut at `deadline`."""
+        while self._active:
+            if time.monotonic() >= deadline:
+                return self._cut_all()
+            time.sleep(DRAIN_POLL_S)
+        return 0
+
+    def _cut_all(self) -> int:
+        runs = list(self._run_by_id.values())
+        _LOG.warning("drain deadline: cutting %d requests", len(runs))
+        for run in runs:
+            run.cut()
+        until = time.monotonic() + CUT_WAIT_S
+        while self._active and time.monotonic() < until:
+            time.sleep(DRAIN_POLL_S)
+        return len(runs)
+
+    def _await_settled(self) -> None:
+        until = time.monotonic() + SETTLE_WAIT_S
+        while self._claims.unsettled and time.monotonic() < until:
+            time.sleep(DRAIN_POLL_S)
+        if self._claims.unsettled:
+            _LOG.error("%d claims were not settled", self._claims.unsettled)
+
     def _submit(self, event: events.Event) -> None:
         """Reduce one event and hand each effect to its request's thread."""
         with self._lock:
             for effect in reducer.reduce(self._entry, event):
-                waiting = self._effects_by_id.get(effect.request_id)
-                if waiting is not None:
-                    waiting.put(effect)
+                run = self._run_by_id.get(effect.request_id)
+                if run is not None:
+                    run.deliver(effect)
 
     def _serve(
         self,
@@ -121,158 +203,72 @@
     ) -> server_lib.Response:
         match environ["PATH_INFO"]:
             case "/healthz":
-                return server_lib.respond(
-                    start_response, status=200, body=b"{}"
-                )
+                return _respond_probe(environ, start_response, healthy=True)
             case "/readyz":
-                status = 200 if self.is_ready() else 503
-                return server_lib.respond(
-                    start_response, status=status, body=b"{}"
+                return _respond_probe(
+                    environ, start_response, healthy=self.is_ready()
                 )
+        refusal = self._enter()
+        if refusal is not None:
+            return server_lib.refuse(start_response, refusal)
         try:
             request = parsing.parse(environ, self._entry.config)
+            return self._run(request, environ, start_response)
         except parsing.Refused as refused:
+            self._leave()
             return server_lib.refuse(start_response, refused.refusal)
-        return self._run(request, start_response)
+        except BaseException:
+            self._leave()
+            raise
+
+    def _enter(self) -> refusal_lib.Refusal | None:
+        """Count a request in, or return why it is refused unread."""
+        with self._lock:
+            if self._entry.stopping:
+                return refusals.STOPPING
+            if self._active >= self._limits.max_requests:
+                return refusals.FULL
+            self._active += 1
+        return None
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._active -= 1
 
     def _run(
         self,
         request: parsing.CallerRequest,
+        environ: server_lib.Environ,
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
         request_id = uuid.uuid4().hex
-        waiting: queue.SimpleQueue[events.Effect] = queue.SimpleQueue()
-        self._effects_by_id[request_id] = waiting
-        self._submit(_arrived(request_id, request))
-        return CallerAnswer(
-            answer=self._answer(request_id, request, waiting, start_response),
-            on_close=functools.partial(self._close, request_id),
+        caller = server_lib.caller(environ)
+        run = run_lib.RequestRun(
+            request_id=request_id,
+            request=request,
+            caller=caller,
+            start_response=start_response,
+            submit=self._submit,
+            claims=self._claims,
+            relay=self._relay,
+            on_close=functools.partial(self._forget, request_id),
         )
-
-    def _close(self, request_id: str) -> None:
-        self._submit(events.CallerGone(request_id, _now_ms()))
-        waiting = self._effects_by_id.pop(request_id)
-        with contextlib.suppress(queue.Empty):
-            while True:
-                self._carry_out_settle(waiting.get_nowait())
-
-    def _answer(
-        self,
-        request_id: str,
-        request: parsing.CallerRequest,
-        waiting: queue.SimpleQueue[events.Effect],
-        start_response: server_lib.StartResponse,
-    ) -> Generator[bytes, None, None]:
-        """Yield the answer's bytes while following the reducer's effects."""
-        while True:
-            match waiting.get():
-                case events.AskClaim() as ask:
-                    self._ask_claim(ask)
-                case events.Settle() as settle:
-                    self._carry_out_settle(settle)
-                case events.Refuse(_, refusal):
-                    yield from server_lib.refuse(start_response, refusal)
-                    return
-                case events.Replay(_, answer):
-                    yield from _respond_kept(start_response, answer)
-                    return
-                case events.Dispatch() as dispatch:
-                    ended = yield from self._attempt(
-                        dispatch, request, start_response
-                    )
-                    if ended:
-                        return
-
-    def _attempt(
-        self,
-        dispatch: events.Dispatch,
-        request: parsing.CallerRequest,
-        start_response: server_lib.StartResponse,
-    ) -> Generator[bytes, None, bool]:
-        """Yield one attempt's answer; return whether the request ended."""
-        try:
-            upstream = self._relay.open(dispatch, request)
-        except relay_lib.AttemptRefused as refused:
-            self._submit(
-                events.AttemptFailed(
-                    dispatch.request_id,
-                    dispatch.attempt,
-                    refused.run,
-                    str(refused),
-                    _now_ms(),
-                )
-            )
-            return False
-        with contextlib.closing(upstream):
-            if request.key:
-                yield from self._relay_kept(dispatch, upstream, start_response)
-            else:
-                yield from self._relay_stream(
-                    dispatch, upstream, start_response
-                )
-        return True
-
-    def _relay_stream(
-        self,
-        dispatch: events.Dispatch,
-        upstream: relay_lib.Upstream,
-        start_response: server_lib.StartResponse,
-    ) -> Iterator[bytes]:
-        start_response(
-            server_lib.status_line(upstream.status),
-            [("Content-Type", upstream.content_type)],
+        self._run_by_id[request_id] = run
+        self._submit(_arrived(request_id, request))
+        caller.on_hangup(
+            lambda: self._submit(events.CallerGone(request_id, _now_ms()))
         )
-        yield from upstream.chunks()
-        self._submit(events.Finished(dispatch.request_id, None, _now_ms()))
+        return run
 
-    def _relay_kept(
-        self,
-        dispatch: events.Dispatch,
-        upstream: relay_lib.Upstream,
-        start_response: server_lib.StartResponse,
-    ) -> Iterator[bytes]:
-        """Read the whole answer, have it kept, then send it."""
-        body = b"".join(upstream.chunks())
-        answer = fleet.KeptAnswer(upstream.status, upstream.content_type, body)
-        kept = answer if len(body) <= MAX_KEPT_ANSWER_BYTES else None
-        self._submit(events.Finished(dispatch.request_id, kept, _now_ms()))
-        waiting = self._effects_by_id[dispatch.request_id]
-        with contextlib.suppress(queue.Empty):
-            self._carry_out_settle(waiting.get_nowait())
-        yield from _respond_kept(start_response, answer)
-
-    def _ask_claim(self, ask: events.AskClaim) -> None:
-        message = control_messages.ClaimRequest(
-            ask.account,
-            ask.service,
-            ask.key,
-            ask.digest,
-            ask.request_id,
-            self._name,
-            self._incarnation,
-        )
-        try:
-            reply = self._control.call(message)
-        except control_client.ControlUnavailable:
-            reply = None
-        if isinstance(reply, control_messages.ClaimReply):
-            self._submit(events.ClaimDecided(ask.request_id, reply, _now_ms()))
-        else:
-            self._submit(events.ClaimFailed(ask.request_id, _now_ms()))
-
-    def _carry_out_settle(self, effect: events.Effect) -> None:
-        if not isinstance(effect, events.Settle):
-            return
-        message = control_messages.SettleRequest(
-            effect.claim_id, effect.request_id, effect.released, effect.answer
-        )
-        with contextlib.suppress(control_client.ControlUnavailable):
-            self._control.call(message)
+    def _forget(self, request_id: str) -> None:
+        del self._run_by_id[request_id]
+        self._leave()
 
     def _renew_forever(self) -> None:
         while not self._stopping.is_set():
             with contextlib.suppress(control_client.ControlUnavailable):
                 self._renew_once()
+            self._claims.settle_rest()
             self._stopping.wait(RENEW_S)
 
     def _renew_once(self) -> None:
@@ -288,34 +284,10 @@
         )
         reply = self._control.call(message)
         if isinstance(reply, control_messages.Grant):
-            self._submit_grant(events.Granted(reply, asked_ms))
-
-    def _submit_grant(self, event: events.Granted) -> None:
-        with self._lock:
-            list(reducer.reduce(self._entry, event))
-
-
-@final
-class CallerAnswer:
-    """Body of a caller's response; `close` runs however it ends."""
-
-    def __init__(
-        self,
-        *,
-        answer: Generator[bytes, None, None],
-        on_close: Callable[[], None],
-    ) -> None:
-        self._answer = answer
-        self._on_close = on_close
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Return the answer's chunks."""
-        return self._answer
-
-    def close(self) -> None:
-        """End the request, whether or not its answer was complete."""
-        self._answer.close()
-        self._on_close()
+            with self._lock:
+                list(
+                    reducer.reduce(self._entry, events.Granted(reply, asked_ms))
+                )
 
 
 def _arrived(request_id: str, request: parsing.CallerRequest) -> events.Arrived:
@@ -331,15 +303,16 @@
     )
 
 
-def _respond_kept(
-    start_response: server_lib.StartResponse, answer: fleet.KeptAnswer
+def _respond_probe(
+    environ: server_lib.Environ,
+    start_response: server_lib.StartResponse,
+    *,
+    healthy: bool,
 ) -> server_lib.Response:
-    return server_lib.respond(
-        start_response,
-        status=answer.status,
-        body=answer.body,
-        content_type=answer.content_type,
-    )
+    if environ["REQUEST_METHOD"] not in ("GET", "HEAD"):
+        return server_lib.refuse(start_response, refusals.PROBE_METHOD)
+    status = 200 if healthy else 503
+    return server_lib.respond(start_response, status=status, body=b"{}")
 
 
 def _now_ms() -> int:
--- a/src/wisteriawall/web/refusal.py
+++ b/src/wisteriawall/web/refusal.py
@@ -22,6 +22,7 @@
 class Code(enum.StrEnum):
     """Machine-readable reason of a refusal."""
 
+    ANSWER_NOT_KEPT = "answer_not_kept"
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     CANCELLED = "cancelled"
@@ -31,11 +32,14 @@
     DRAINING = "draining"
     FENCED = "fenced"
     INVALID = "invalid"
+    INTERNAL = "internal"
     KEY_REQUIRED = "idempotency_key_required"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_LEASE = "no_configuration_lease"
     NO_RUNNER = "no_runner"
     NOT_FOUND = "not_found"
     OVERLOADED = "overloaded"
+    REQUEST_TIMEOUT = "request_timeout"
     STALE_CONFIG = "stale_configuration"
     UNAUTHENTICATED = "unauthenticated"
     UNAVAILABLE = "unavailable"
@@ -45,13 +49,17 @@
 
 @final
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
-    """A refusal; `retry_after_ms` is 0 where waiting does not help."""
+    """A refusal; `retry_after_ms` is 0 where waiting does not help.
+
+    `allow` lists the methods of the resource where the method was wrong.
+    """
 
     status: int
     code: Code
     message: str
     run: RunState = RunState.NOT_RUN
     retry_after_ms: int = 0
+    allow: str = ""
 
     @property
     def retry_after_s(self) -> int:
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -2,26 +2,38 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import http
+import logging
+import queue
 import threading
 from typing import Any
 from typing import Protocol
 from typing import TypeAlias
 from typing import final
 
+from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
+from wisteriawall import errors
+from wisteriawall.web import connection as connection_lib
 from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import watch as watch_lib
 
 __all__ = [
+    "BodyRefused",
     "Environ",
     "HttpServer",
     "Response",
     "StartResponse",
+    "caller",
     "read_body",
     "refuse",
     "respond",
+    "status_line",
 ]
 
+_LOG = logging.getLogger("http")
+
 Environ: TypeAlias = dict[str, Any]
 Response: TypeAlias = Iterable[bytes]
 
@@ -31,23 +43,17 @@
 SOCKET_TIMEOUT_S = 30
 BACKLOG = 512
 
-REASON_BY_STATUS = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    412: "Precondition Failed",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    428: "Precondition Required",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
+ACCEPTED_QUEUE = 64
+READ_DEADLINE_S = 10.0
+
+
+@final
+class BodyRefused(errors.WisteriawallError):
+    """The request's body could not be read; `refusal` is its answer."""
+
+    def __init__(self, refusal: refusal_lib.Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
 
 
 class StartResponse(Protocol):
@@ -67,6 +73,7 @@
         address: Host and port; port 0 takes a free one.
         app: WSGI application.
         threads: Requests served at once.
+        read_deadline_s: Time within which head and body must arrive.
     """
 
     def __init__(
@@ -75,16 +82,24 @@
         address: str,
         app: Callable[[Environ, StartResponse], Response],
         threads: int = DEFAULT_THREADS,
+        read_deadline_s: float = READ_DEADLINE_S,
     ) -> None:
         host, _, port = address.rpartition(":")
-        self._server = wsgi.Server(
+        self._app = app
+        self._watch = watch_lib.ConnectionWatch()
+        self._server = _CherootServer(
             (host, int(port)),
-            app,
+            self._serve,
             numthreads=threads,
             max=threads,
             request_queue_size=BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
+            accepted_queue_size=threads + ACCEPTED_QUEUE,
+            accepted_queue_timeout=0,
         )
+        self._server.gateway = connection_lib.Gateway
+        self._server.watch = self._watch
+        self._server.read_deadline_s = read_deadline_s
         self._server.max_request_header_size = MAX_HEAD_BYTES
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.prepare()
@@ -96,17 +111,87 @@
 
     def start(self) -> None:
         """Start serving."""
+        self._watch.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Stop accepting and close idle connections."""
         self._server.stop()
         self._thread.join(timeout=5.0)
+        self._watch.stop()
+
+    @property
+    def busy_threads(self) -> int:
+        """Return how many workers serve a connection now."""
+        pool = self._server.requests
+        return sum(worker.conn is not None for worker in pool._threads)
+
+    @property
+    def watched(self) -> int:
+        """Return how many connections are watched now."""
+        return self._watch.watched
+
+    def _serve(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Response:
+        try:
+            return self._app(environ, start_response)
+        except BodyRefused as refused:
+            return refuse(start_response, refused.refusal)
+
+
+@final
+class _CherootServer(wsgi.Server):
+    """Cheroot's server with this project's connections and log."""
+
+    ConnectionClass = connection_lib.Connection
+    watch: watch_lib.ConnectionWatch
+    read_deadline_s: float
+
+    def process_conn(self, conn: connection_lib.Connection) -> None:
+        """Queue a connection for a worker, or refuse it at once."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            conn.refuse()
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log what cheroot reports."""
+        # Aborted answers end here by design, so they are no errors.
+        _LOG.log(min(level, logging.WARNING), "%s", msg, exc_info=traceback)
+
+
+def caller(environ: Environ) -> connection_lib.Caller:
+    """Return the connection that a request arrived on."""
+    found: connection_lib.Caller = environ[connection_lib.CONNECTION]
+    return found
 
 
 def read_body(environ: Environ) -> bytes:
-    """Return the whole request body."""
-    body: bytes = environ["wsgi.input"].read()
+    """Return the whole request body.
+
+    Raises:
+        BodyRefused: The body was cut, too slow, too large or malformed.
+    """
+    try:
+        body: bytes = environ["wsgi.input"].read()
+    except cheroot_errors.MaxSizeExceeded as error:
+        raise BodyRefused(_TOO_LARGE) from error
+    except TimeoutError as error:
+        raise BodyRefused(_TOO_SLOW) from error
+    except OSError as error:
+        # Cheroot reports a chunk beyond the limit as a plain OSError.
+        raise BodyRefused(_TOO_LARGE) from error
+    except ValueError as error:
+        raise BodyRefused(_bad_body(str(error))) from error
+    expected = int(environ.get("CONTENT_LENGTH") or "0")
+    if not environ["wsgi.input_terminated"] and len(body) < expected:
+        raise BodyRefused(
+            _bad_body(f"got {len(body)} bytes, expected {expected}")
+        )
+    caller(environ).end_reading()
     return body
 
 
@@ -135,6 +220,8 @@
     headers = []
     if refusal.retry_after_ms:
         headers.append(("Retry-After", str(refusal.retry_after_s)))
+    if refusal.allow:
+        headers.append(("Allow", refusal.allow))
     return respond(
         start_response,
         status=refusal.status,
@@ -145,4 +232,27 @@
 
 def status_line(status: int) -> str:
     """Return the status line for a numeric status."""
-    return f"{status} {REASON_BY_STATUS.get(status, 'Status')}"
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+_TOO_LARGE = refusal_lib.Refusal(
+    status=413,
+    code=refusal_lib.Code.BODY_TOO_LARGE,
+    message=f"expected a body of at most {MAX_BODY_BYTES} bytes",
+)
+_TOO_SLOW = refusal_lib.Refusal(
+    status=408,
+    code=refusal_lib.Code.REQUEST_TIMEOUT,
+    message="the body did not arrive in time",
+)
+
+
+def _bad_body(message: str) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=400,
+        code=refusal_lib.Code.BAD_REQUEST,
+        message=f"body: {message}",
+    )
