--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 PYTHON ?= python3
+SEED ?= 1
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test binary check format bench capacity clean
+.PHONY: demo test test-long binary check format bench capacity docs docs-check clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,10 +18,14 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+test-long: $(STAMP)
+	$(BIN)/python -m pytest --hypothesis-profile=long --hypothesis-seed=$(SEED)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/mypy -p tools -p bench
 
 format: $(STAMP)
 	$(BIN)/ruff format .
@@ -29,6 +34,15 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+docs: $(STAMP)
+	$(BIN)/python -m tools.settings_reference
+
+docs-check: $(STAMP)
+	$(BIN)/python -m tools.settings_reference --check
+
+capacity: $(STAMP)
+	$(BIN)/python -m tools.capacity
+
 binary: $(STAMP)
 	mkdir -p dist; rm -rf build
 	$(BIN)/shiv --quiet --console-script wisteriawall \
--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -52,6 +52,13 @@
         ),
     ],
     cluster_key: options.ClusterKey = "",
+    bootstrap: Annotated[
+        bool,
+        typer.Option(
+            envvar="WISTERIAWALL_BOOTSTRAP",
+            help="Found a new cluster of --peers if the data folder is empty.",
+        ),
+    ] = False,
     admin_peers: Annotated[
         str,
         typer.Option(
@@ -78,7 +85,7 @@
         key=cluster_key,
         operators=operators,
     )
-    settings.check()
+    serving.check(settings)
     shell = shell_lib.ControlShell(
         replica=replica,
         peer_address_by_replica=checks.parse_addresses("--peers", peers),
--- a/src/wisteriawall/entry/reducer.py
+++ b/src/wisteriawall/entry/reducer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from wisteriawall.config import delta
 from wisteriawall.entry import events
 from wisteriawall.entry import refusals
 from wisteriawall.entry import state
@@ -282,14 +283,10 @@
 ) -> None:
     if grant.config_number < entry.config.number:
         return
-    if grant.config is not None:
-        entry.config = grant.config
+    entry.config = delta.received(entry.config, grant)
     if grant.config_number != entry.config.number:
         return
-    if (
-        grant.fleet_view is not None
-        and grant.fleet_view.version > entry.fleet_view.version
-    ):
-        entry.fleet_view = grant.fleet_view
+    if grant.fleet_view is not None:
+        entry.fleet_view = fleet.merge_view(entry.fleet_view, grant.fleet_view)
     until_ms = asked_ms - grant.age_ms + LEASE_MS
     entry.lease_until_ms = max(entry.lease_until_ms, until_ms)
