--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -18,6 +18,7 @@
 from wisteriawall.control import state
 from wisteriawall.entry import events as entry_events
 from wisteriawall.entry import reducer as entry_reducer
+from wisteriawall.entry import state as entry_state
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
 
@@ -48,7 +49,7 @@
         self.name = name
         self.offset_ms = offset_ms
         self.incarnation = 1
-        self.entry = entry_reducer.Entry(zone="a")
+        self.entry = entry_state.Entry(zone="a")
         self.fleet_version = 0
         self.floor = fleet.FENCE_ZERO
         self.order: fleet.Order | None = None
