Stop asking for a claim once the entry's lease has run out

Cause: with two of three control replicas dead, a payment waited for three rounds over dead replicas, past the lease within which it could have been dispatched; test_faults saw its caller's 3 s timeout. A given-up request must be answered at once.

--- a/src/wisteriawall/entry/reducer.py
+++ b/src/wisteriawall/entry/reducer.py
@@ -25,8 +25,8 @@
             yield from _on_arrival(entry, event)
         case events.ClaimDecided(request_id, reply, now_ms):
             yield from _on_claim(entry, request_id, reply, now_ms)
-        case events.ClaimFailed(request_id, _):
-            yield from _on_claim_failure(entry, request_id)
+        case events.ClaimFailed(request_id, now_ms):
+            yield from _on_claim_failure(entry, request_id, now_ms)
         case events.AttemptFailed():
             yield from _on_failure(entry, event)
         case events.Finished():
@@ -129,12 +129,13 @@
 
 
 def _on_claim_failure(
-    entry: state.Entry, request_id: str
+    entry: state.Entry, request_id: str, now_ms: int
 ) -> Iterator[events.Effect]:
     in_flight = entry.in_flight_by_id.get(request_id)
     if in_flight is None or in_flight.phase is not state.Phase.CLAIM:
         return
-    if in_flight.claims_asked < MAX_CLAIMS_ASKED:
+    has_lease = now_ms < entry.lease_until_ms
+    if has_lease and in_flight.claims_asked < MAX_CLAIMS_ASKED:
         # A claim that the log did record is granted again to the same id.
         yield _ask_claim(in_flight)
         return
--- a/testing/support/site.py
+++ b/testing/support/site.py
@@ -182,6 +182,7 @@
             body=body,
             headers=headers | {"Authorization": f"Bearer {OPERATOR_TOKEN}"},
             retries=False,
+            timeout=WAIT_S,
         )
 
     def wait_ready(self, entry: str) -> None:
@@ -234,6 +235,7 @@
                 body=msgspec.json.encode(body),
                 headers=headers,
                 retries=False,
+                timeout=WAIT_S,
             )
         return urllib3.HTTPResponse(b"", status=0)
 
