--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -1,6 +1,8 @@
 """`wisteriawall control`: run one control replica."""
 
+import os
 import pathlib
+import signal
 from typing import Annotated
 
 import typer
@@ -59,6 +61,13 @@
             help="Found a new cluster of --peers if the data folder is empty.",
         ),
     ] = False,
+    cluster: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_CLUSTER",
+            help="Name of the cluster that the data folder belongs to.",
+        ),
+    ] = shell_lib.DEFAULT_CLUSTER,
     admin_peers: Annotated[
         str,
         typer.Option(
@@ -93,6 +102,9 @@
         folder=data,
         key=checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key),
         incarnation=serving.incarnation(),
+        bootstrap=bootstrap,
+        cluster=cluster,
+        on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
     )
     app = admin_lib.AdminApp(
         shell=shell,
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -7,6 +7,7 @@
 from wisteriawall.wire import fleet
 
 __all__ = [
+    "ChangeReplica",
     "Command",
     "CompleteOrder",
     "GrantClaim",
@@ -97,8 +98,19 @@
     at_ms: int
 
 
+@final
+class ChangeReplica(msgspec.Struct, frozen=True, tag="replica"):
+    """Record why the membership changes in this entry of the log."""
+
+    change: str
+    replica: str
+    operator: str
+    at_ms: int
+
+
 Command = (
     TakeLead
+    | ChangeReplica
     | PatchConfig
     | GrantClaim
     | SettleClaim
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -19,6 +19,7 @@
     "Answer",
     "AuditReply",
     "AuditRequest",
+    "BatchEnded",
     "Called",
     "ConfigReply",
     "ConfigRequest",
@@ -230,7 +231,14 @@
     wall_ms: int
 
 
-Event = Ticked | PeerMessage | Called
+@final
+class BatchEnded(msgspec.Struct, frozen=True, tag="batch"):
+    """No more events wait: what the batch appended goes out together."""
+
+    now_ms: int
+
+
+Event = Ticked | PeerMessage | Called | BatchEnded
 
 
 @final
@@ -245,6 +253,8 @@
     raft.SaveHardState
     | raft.AppendLog
     | raft.TruncateLog
+    | raft.SaveSnapshot
+    | raft.ResetLog
     | raft.SendPeer
     | Answer
 )
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -177,7 +177,7 @@
 ) -> Outcome:
     """Apply the command at `index` and return what it decided."""
     match command:
-        case commands.TakeLead():
+        case commands.TakeLead() | commands.ChangeReplica():
             outcome: Outcome = Recorded()
         case commands.PatchConfig():
             outcome = _patch_config(ledger, command)
@@ -359,6 +359,10 @@
             return AuditRecord(
                 index, at_ms, "leadership", replica, replica, "elected", "leads"
             )
+        case commands.ChangeReplica(change, replica, operator, at_ms):
+            return AuditRecord(
+                index, at_ms, "replica", operator, replica, change, result
+            )
         case commands.PatchConfig(patch_id, operator, base, _, at_ms):
             subject = f"config {base}"
             return AuditRecord(
--- /dev/null
+++ b/src/wisteriawall/control/raft_election.py
@@ -0,0 +1,160 @@
+"""Elections: prevote, vote, and giving up leadership."""
+
+from collections.abc import Iterator
+
+from wisteriawall.control import raft_replication
+from wisteriawall.control import raft_state
+from wisteriawall.wire import raft_messages
+
+__all__ = ["on_vote_reply", "on_vote_request", "start_prevote"]
+
+
+def start_prevote(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Ask whether an election could be won, without disturbing a leader."""
+    raft_replication.reset_election(raft, now_ms)
+    if raft.replica not in raft.voters or not raft.may_vote():
+        return
+    raft.role = raft_state.RaftRole.PRECANDIDATE
+    raft.leader = ""
+    raft.votes = {raft.replica}
+    if _has_majority(raft):
+        yield from _start_election(raft, now_ms)
+        return
+    yield from _request_votes(raft, term=raft.term + 1, prevote=True)
+
+
+def on_vote_request(
+    raft: raft_state.Raft, message: raft_messages.VoteRequest, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Grant or refuse a vote."""
+    if not raft.accepts(message.candidate, message.identity):
+        return
+    if not raft.may_vote() or _has_leader(raft, now_ms):
+        # A vote now could elect a second leader inside the first one's lease.
+        yield _reply(raft, message, term=raft.term, granted=False)
+        return
+    if message.prevote:
+        granted = message.term > raft.term and _is_up_to_date(raft, message)
+        term = message.term if granted else raft.term
+        yield _reply(raft, message, term=term, granted=granted)
+        return
+    if message.term > raft.term:
+        yield from raft_replication.step_down(raft, message.term, now_ms)
+    granted = (
+        message.term == raft.term
+        and raft.voted_for in ("", message.candidate)
+        and _is_up_to_date(raft, message)
+    )
+    if granted:
+        raft.voted_for = message.candidate
+        raft_replication.reset_election(raft, now_ms)
+        yield raft_state.SaveHardState(raft.term, raft.voted_for)
+    yield _reply(raft, message, term=raft.term, granted=granted)
+
+
+def on_vote_reply(
+    raft: raft_state.Raft, message: raft_messages.VoteReply, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Count a vote; lead once a majority of voters granted theirs."""
+    if not raft.accepts(message.voter, message.identity):
+        return
+    if not message.granted:
+        if message.term > raft.term:
+            yield from raft_replication.step_down(raft, message.term, now_ms)
+        return
+    if message.prevote:
+        wanted = raft_state.RaftRole.PRECANDIDATE
+        current = message.term == raft.term + 1
+    else:
+        wanted = raft_state.RaftRole.CANDIDATE
+        current = message.term == raft.term
+    if raft.role is not wanted or not current:
+        return
+    raft.votes.add(message.voter)
+    if not _has_majority(raft):
+        return
+    if message.prevote:
+        yield from _start_election(raft, now_ms)
+    else:
+        yield from _become_leader(raft, now_ms)
+
+
+def _has_majority(raft: raft_state.Raft) -> bool:
+    granted = sum(name in raft.votes for name in raft.voters)
+    return granted > len(raft.voters) // 2
+
+
+def _has_leader(raft: raft_state.Raft, now_ms: int) -> bool:
+    if raft.role is raft_state.RaftRole.LEADER:
+        return True
+    return now_ms - raft.leader_heard_ms < raft_state.ELECTION_MIN_MS
+
+
+def _is_up_to_date(
+    raft: raft_state.Raft, message: raft_messages.VoteRequest
+) -> bool:
+    newest = (raft.log.last_term, raft.last_index)
+    return (message.last_term, message.last_index) >= newest
+
+
+def _start_election(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    raft.role = raft_state.RaftRole.CANDIDATE
+    raft.term += 1
+    raft.voted_for = raft.replica
+    raft.votes = {raft.replica}
+    yield raft_state.SaveHardState(raft.term, raft.voted_for)
+    if _has_majority(raft):
+        yield from _become_leader(raft, now_ms)
+        return
+    yield from _request_votes(raft, term=raft.term, prevote=False)
+
+
+def _request_votes(
+    raft: raft_state.Raft, *, term: int, prevote: bool
+) -> Iterator[raft_state.Effect]:
+    request = raft_messages.VoteRequest(
+        term=term,
+        candidate=raft.replica,
+        last_index=raft.last_index,
+        last_term=raft.log.last_term,
+        prevote=prevote,
+        identity=raft.identity,
+    )
+    for peer in raft.voters:
+        if peer != raft.replica:
+            yield raft_state.SendPeer(peer, request)
+
+
+def _reply(
+    raft: raft_state.Raft,
+    request: raft_messages.VoteRequest,
+    *,
+    term: int,
+    granted: bool,
+) -> raft_state.SendPeer:
+    reply = raft_messages.VoteReply(
+        term=term,
+        voter=raft.replica,
+        granted=granted,
+        prevote=request.prevote,
+        identity=raft.identity,
+    )
+    return raft_state.SendPeer(request.candidate, reply)
+
+
+def _become_leader(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    raft.role = raft_state.RaftRole.LEADER
+    raft.leader = raft.replica
+    raft.elected_ms = now_ms
+    raft.incoming = None
+    raft.heartbeat_due_ms = now_ms
+    raft.progress_by_peer = {}
+    # Entries of earlier terms commit only under an entry of this term.
+    yield from raft_replication.append(raft, b"")
+    yield from raft_replication.heartbeat(raft, now_ms)
--- /dev/null
+++ b/src/wisteriawall/control/raft_follower.py
@@ -0,0 +1,183 @@
+"""What a follower does with the entries and snapshots of its leader."""
+
+from collections.abc import Iterator
+
+from wisteriawall.control import raft_replication
+from wisteriawall.control import raft_state
+from wisteriawall.wire import raft_messages
+
+__all__ = ["MAX_SNAPSHOT_BYTES", "on_append_request", "on_snapshot_chunk"]
+
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+
+
+def on_append_request(
+    raft: raft_state.Raft, message: raft_messages.AppendRequest, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Store entries that fit the log and apply what is committed."""
+    if message.term < raft.term:
+        yield _append_reply(raft, message, now_ms, success=False, match_index=0)
+        return
+    yield from _follow(raft, message.term, message.leader, now_ms)
+    hint = _mismatch(raft, message)
+    if hint is not None:
+        yield _append_reply(
+            raft, message, now_ms, success=False, match_index=hint
+        )
+        return
+    yield from _store_entries(raft, message.entries)
+    matched = message.previous_index + len(message.entries)
+    commit_index = min(message.commit_index, matched)
+    raft.commit_index = max(raft.commit_index, commit_index)
+    yield from raft_replication.apply_committed(raft)
+    _confirm(raft, message)
+    yield _append_reply(
+        raft,
+        message,
+        now_ms,
+        success=True,
+        match_index=max(matched, raft.commit_index),
+    )
+
+
+def on_snapshot_chunk(
+    raft: raft_state.Raft, message: raft_messages.SnapshotChunk, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Collect a snapshot; adopt it once it is whole."""
+    if message.term < raft.term or message.total_bytes > MAX_SNAPSHOT_BYTES:
+        return
+    yield from _follow(raft, message.term, message.leader, now_ms)
+    snapshot = message.snapshot
+    if snapshot.index > raft.commit_index:
+        incoming = _collect(raft, message)
+        if len(incoming.data) < message.total_bytes:
+            reply = raft_messages.SnapshotReply(
+                _received(raft, message.round_ms, now_ms),
+                snapshot.index,
+                len(incoming.data),
+            )
+            yield raft_state.SendPeer(message.leader, reply)
+            return
+        yield from _install(raft, snapshot, bytes(incoming.data))
+    done = raft_messages.AppendReply(
+        _received(raft, message.round_ms, now_ms),
+        success=True,
+        previous_index=snapshot.index,
+        match_index=raft.commit_index,
+    )
+    yield raft_state.SendPeer(message.leader, done)
+
+
+def _follow(
+    raft: raft_state.Raft, term: int, leader: str, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    yield from raft_replication.step_down(raft, term, now_ms)
+    raft.leader = leader
+    raft.leader_heard_ms = now_ms
+    raft_replication.reset_election(raft, now_ms)
+
+
+def _mismatch(
+    raft: raft_state.Raft, message: raft_messages.AppendRequest
+) -> int | None:
+    """Return where the leader should try next, None if the logs match."""
+    previous = message.previous_index
+    if previous > raft.last_index:
+        return raft.last_index
+    if previous <= raft.commit_index:
+        return None
+    if raft.log.term_at(previous) == message.previous_term:
+        return None
+    return raft.commit_index
+
+
+def _store_entries(
+    raft: raft_state.Raft, entries: list[raft_messages.LogEntry]
+) -> Iterator[raft_state.Effect]:
+    fresh = [entry for entry in entries if entry.index > raft.commit_index]
+    while fresh and fresh[0].index <= raft.last_index:
+        if raft.log.term_at(fresh[0].index) != fresh[0].term:
+            raft.log.truncate(fresh[0].index)
+            yield raft_state.TruncateLog(fresh[0].index)
+            break
+        del fresh[0]
+    if fresh:
+        raft.log.append(fresh)
+        yield raft_state.AppendLog(tuple(fresh))
+
+
+def _confirm(
+    raft: raft_state.Raft, message: raft_messages.AppendRequest
+) -> None:
+    """Bound the age of the applied state by the leader's confirmation."""
+    if message.quorum_age_ms < 0:
+        return
+    if message.echo.incarnation != raft.incarnation:
+        return
+    if raft.applied_index >= message.commit_index:
+        confirmed_ms = message.echo.clock_ms - message.quorum_age_ms
+        raft.confirmed_ms = max(raft.confirmed_ms, confirmed_ms)
+
+
+def _collect(
+    raft: raft_state.Raft, message: raft_messages.SnapshotChunk
+) -> raft_state.IncomingSnapshot:
+    wanted = (message.snapshot.index, message.term)
+    incoming = raft.incoming
+    if incoming is None or (incoming.index, incoming.term) != wanted:
+        incoming = raft_state.IncomingSnapshot(
+            index=message.snapshot.index, term=message.term
+        )
+        raft.incoming = incoming
+    if message.offset == len(incoming.data):
+        incoming.data += message.snapshot.data
+    return incoming
+
+
+def _install(
+    raft: raft_state.Raft, piece: raft_messages.Snapshot, data: bytes
+) -> Iterator[raft_state.Effect]:
+    raft.incoming = None
+    snapshot = raft_messages.Snapshot(
+        piece.index, piece.term, piece.members, data
+    )
+    if raft.log.term_at(snapshot.index) == snapshot.term:
+        raft.log.compact(snapshot, keep_from=snapshot.index + 1)
+        yield raft_state.SaveSnapshot(snapshot, snapshot.index + 1)
+    else:
+        raft.log.reset(snapshot)
+        yield raft_state.SaveSnapshot(snapshot, snapshot.index + 1)
+        yield raft_state.ResetLog(snapshot.index)
+    raft.commit_index = snapshot.index
+    raft.applied_index = snapshot.index
+    yield raft_state.Restore(snapshot)
+
+
+def _append_reply(
+    raft: raft_state.Raft,
+    request: raft_messages.AppendRequest,
+    now_ms: int,
+    *,
+    success: bool,
+    match_index: int,
+) -> raft_state.SendPeer:
+    reply = raft_messages.AppendReply(
+        _received(raft, request.round_ms, now_ms),
+        success=success,
+        previous_index=request.previous_index,
+        match_index=match_index,
+    )
+    return raft_state.SendPeer(request.leader, reply)
+
+
+def _received(
+    raft: raft_state.Raft, round_ms: int, now_ms: int
+) -> raft_messages.Received:
+    return raft_messages.Received(
+        term=raft.term,
+        follower=raft.replica,
+        identity=raft.identity,
+        is_founder=raft.is_founder,
+        round_ms=round_ms,
+        echo=raft_messages.Echo(raft.incarnation, now_ms),
+    )
--- /dev/null
+++ b/src/wisteriawall/control/raft_log.py
@@ -0,0 +1,128 @@
+"""The log of one replica in memory: a snapshot and the entries after it."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import itertools
+from typing import final
+
+from wisteriawall.wire import raft_messages
+
+__all__ = ["EMPTY_SNAPSHOT", "RaftLog"]
+
+EMPTY_SNAPSHOT = raft_messages.Snapshot(0, 0, (), b"")
+ENTRY_OVERHEAD_BYTES = 64
+
+
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RaftLog:
+    """Entries after `start_index`, and the newest snapshot.
+
+    `entries[i]` has the index `start_index + 1 + i`. Some entries before the
+    snapshot stay, so that a follower a little behind needs no snapshot.
+    """
+
+    snapshot: raft_messages.Snapshot = EMPTY_SNAPSHOT
+    start_index: int = 0
+    start_term: int = 0
+    entries: list[raft_messages.LogEntry] = dataclasses.field(
+        default_factory=list
+    )
+    members: tuple[raft_messages.Member, ...] = ()
+    members_index: int = 0
+
+    def __post_init__(self) -> None:
+        """Find the membership that the newest entries set."""
+        if not self.entries and not self.start_index:
+            self.start_index = self.snapshot.index
+            self.start_term = self.snapshot.term
+        self._find_members()
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the newest entry, 0 when there is none."""
+        return self.start_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the newest entry, 0 when there is none."""
+        return self.term_at(self.last_index)
+
+    def term_at(self, index: int) -> int:
+        """Return the term of the entry at `index`, -1 if it is not held."""
+        if index == self.start_index:
+            return self.start_term
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if self.start_index < index <= self.last_index:
+            return self.entries[index - self.start_index - 1].term
+        return -1
+
+    def entry(self, index: int) -> raft_messages.LogEntry:
+        """Return the entry at `index`, which must be held."""
+        return self.entries[index - self.start_index - 1]
+
+    def page(
+        self, *, after: int, max_entries: int, max_bytes: int
+    ) -> list[raft_messages.LogEntry]:
+        """Return the entries after `after`, at least one if there is one."""
+        first = after - self.start_index
+        candidates = self.entries[first : first + max_entries]
+        sizes = itertools.accumulate(
+            len(entry.command) + ENTRY_OVERHEAD_BYTES for entry in candidates
+        )
+        fitting = sum(1 for size in sizes if size <= max_bytes)
+        return candidates[: max(1, fitting)]
+
+    def append(self, entries: Iterable[raft_messages.LogEntry]) -> None:
+        """Append entries that follow the newest one."""
+        for entry in entries:
+            self.entries.append(entry)
+            if entry.members is not None:
+                self.members = entry.members
+                self.members_index = entry.index
+
+    def truncate(self, index: int) -> None:
+        """Remove the entry at `index` and every later one."""
+        del self.entries[index - self.start_index - 1 :]
+        self._find_members()
+
+    def members_at(self, index: int) -> tuple[raft_messages.Member, ...]:
+        """Return the membership that held at `index`, after the snapshot."""
+        held = self.snapshot.members
+        for entry in self._changes():
+            if entry.index <= index and entry.members is not None:
+                held = entry.members
+        return held
+
+    def compact(
+        self, snapshot: raft_messages.Snapshot, *, keep_from: int
+    ) -> None:
+        """Adopt a snapshot of held entries and drop those before it."""
+        start = max(self.start_index, keep_from - 1)
+        self.start_term, kept = self.term_at(start), start - self.start_index
+        del self.entries[:kept]
+        self.start_index = start
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: raft_messages.Snapshot) -> None:
+        """Hold a received snapshot and nothing after it."""
+        self.entries.clear()
+        self.snapshot = snapshot
+        self.start_index, self.start_term = snapshot.index, snapshot.term
+        self._find_members()
+
+    def _changes(self) -> Iterator[raft_messages.LogEntry]:
+        return (
+            entry
+            for entry in self.entries
+            if entry.members is not None and entry.index > self.snapshot.index
+        )
+
+    def _find_members(self) -> None:
+        self.members = self.snapshot.members
+        self.members_index = self.snapshot.index
+        for entry in self._changes():
+            self.members = entry.members or ()
+            self.members_index = entry.index
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -9,6 +9,7 @@
 from wisteriawall.control import events
 from wisteriawall.control import ledger as ledger_lib
 from wisteriawall.control import raft as raft_lib
+from wisteriawall.control import snapshot as snapshot_lib
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
 from wisteriawall.wire import raft_messages
@@ -72,7 +73,14 @@
             )
         case events.Called():
             yield from _on_call(control, event)
+        case events.BatchEnded(now_ms):
+            yield from _follow_raft(
+                control, raft_lib.flush(control.raft, now_ms)
+            )
     yield from _abandon_calls(control)
+    if raft_lib.wants_snapshot(control.raft):
+        data = snapshot_lib.encode(control.ledger)
+        yield from _follow_raft(control, raft_lib.compact(control.raft, data))
 
 
 def _follow_raft(
@@ -82,6 +90,8 @@
         match effect:
             case raft_lib.Apply(entry):
                 yield from _apply(control, entry)
+            case raft_lib.Restore(snapshot):
+                control.ledger = snapshot_lib.decode(snapshot.data)
             case _:
                 yield effect
 
@@ -130,6 +140,8 @@
             return control_messages.SettleReply(claim_id)
         case commands.CompleteOrder(order_id), _:
             return control_messages.OrderReportReply(order_id)
+        case commands.ChangeReplica(), _:
+            return events.ReplicasReply(list(control.raft.members))
         case _:
             return _status(control, 0)
 
@@ -158,8 +170,7 @@
             reply = _read_config(control, event.now_ms)
             yield events.Answer(event.call_id, reply)
         case events.ReplicaAdd() | events.ReplicaRemove():
-            reply = events.Unavailable("membership changes are not served yet")
-            yield events.Answer(event.call_id, reply)
+            yield from _change_members(control, event)
         case events.AuditRequest(after_index, limit):
             records = (r for r in control.ledger.audit if r.index > after_index)
             page = [r for r, _ in zip(records, range(limit), strict=False)]
@@ -181,6 +192,45 @@
     yield from _submit(control, command, event.now_ms)
 
 
+def _change_members(
+    control: Control, event: events.Called
+) -> Iterator[events.Effect]:
+    """Add or remove a replica, unless that is so already."""
+    raft = control.raft
+    request = event.request
+    if not isinstance(request, events.ReplicaAdd | events.ReplicaRemove):
+        raise TypeError(f"not a membership change: {request!r}")
+    if not raft.holds_lease(event.now_ms):
+        reply: events.Reply = control_messages.NotLeader(raft.leader)
+        yield events.Answer(event.call_id, reply)
+        return
+    adds = isinstance(request, events.ReplicaAdd)
+    is_member = any(m.replica == request.replica for m in raft.members)
+    refusal = raft_lib.membership_refusal(raft, request.replica)
+    if refusal or adds is is_member:
+        reply = events.ReplicasReply(list(raft.members), refusal)
+        yield events.Answer(event.call_id, reply)
+        return
+    control.waiting_by_index[raft.last_index + 1] = Waiting(
+        call_id=event.call_id, term=raft.term
+    )
+    command = commands.encode(
+        commands.ChangeReplica(
+            "added" if adds else "removed",
+            request.replica,
+            request.operator,
+            event.wall_ms,
+        )
+    )
+    match request:
+        case events.ReplicaAdd(_, replica, peer, rpc, admin):
+            member = raft_messages.Member(replica, peer, rpc, admin)
+            effects = raft_lib.add_member(raft, member, command)
+        case events.ReplicaRemove(_, replica):
+            effects = raft_lib.remove_member(raft, replica, command)
+    yield from _follow_raft(control, effects)
+
+
 def _submit(
     control: Control, command: commands.Command, now_ms: int
 ) -> Iterator[events.Effect]:
@@ -301,6 +351,7 @@
         fleet_version=control.ledger.fleet_version,
         processes=processes,
         runners=runners,
+        members=list(raft.members),
     )
 
 
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -4,11 +4,13 @@
 the log once for the whole batch, and only then sends and answers.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from concurrent import futures
 import contextlib
+import dataclasses
 import itertools
 import logging
 import pathlib
@@ -20,7 +22,11 @@
 
 from wisteriawall.control import events
 from wisteriawall.control import raft
+from wisteriawall.control import raft_log
 from wisteriawall.control import reducer
+from wisteriawall.control import snapshot
+from wisteriawall.storage import data_folder
+from wisteriawall.storage import durable
 from wisteriawall.storage import replica_log
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
@@ -34,6 +40,17 @@
 TICK_S = 0.02
 CALL_TIMEOUT_S = 5.0
 MAX_BATCH_EVENTS = 512
+MAX_QUEUED_EVENTS = 8_192
+DEFAULT_CLUSTER = "wisteriawall"
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Call:
+    """A request that waits for the reducer."""
+
+    call_id: int
+    request: events.Request
 
 
 @final
@@ -47,6 +64,16 @@
         folder: Data folder, owned by this replica alone.
         key: Shared cluster key.
         incarnation: Number that rises with every start of this process.
+        bootstrap: Whether an empty folder founds a cluster of all the
+            replicas in `peer_address_by_replica`; otherwise it waits until
+            it is added.
+        cluster: Name of the cluster that the folder belongs to.
+        on_failure: Called once when the disk fails and the replica stops
+            acknowledging.
+
+    Raises:
+        data_folder.FolderRefused: The folder is not this replica's to use.
+        records.LogDamaged: The folder holds damaged files.
     """
 
     def __init__(
@@ -58,6 +85,9 @@
         folder: pathlib.Path,
         key: bytes,
         incarnation: int,
+        bootstrap: bool = True,
+        cluster: str = DEFAULT_CLUSTER,
+        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         sender = envelope.Sender(replica, incarnation)
         self._raft_codec: envelope.Codec[raft_messages.RaftMessage] = (
@@ -68,21 +98,36 @@
         self._rpc_codec: envelope.Codec[object] = envelope.Codec(
             message_type=control_messages.ControlRequest, key=key, sender=sender
         )
-        self._log = replica_log.ReplicaLog(folder)
-        peers = tuple(sorted(set(peer_address_by_replica) - {replica}))
+        founders = tuple(
+            raft_messages.Member(name, address)
+            for name, address in sorted(peer_address_by_replica.items())
+        )
+        owned = data_folder.DataFolder(
+            folder,
+            cluster=cluster,
+            replica=replica,
+            founders=founders if bootstrap else (),
+        )
+        self._log = replica_log.ReplicaLog(owned)
         self._control = reducer.Control(
-            raft=self._recovered_raft(replica, peers, incarnation)
+            raft=self._recovered_raft(owned.identity, incarnation),
+            ledger=snapshot.decode(self._log.recovered.snapshot.data),
+        )
+        self._on_failure = on_failure
+        self._failure = ""
+        self._queue: queue.Queue[raft_messages.RaftMessage | _Call] = (
+            queue.Queue(MAX_QUEUED_EVENTS)
         )
-        self._queue: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
         self._future_by_call: dict[int, futures.Future[events.Reply]] = {}
         self._call_ids = itertools.count(1)
         self._stopping = threading.Event()
         self._peers = transport.PeerServer(
             address=peer_address_by_replica[replica], receive=self._on_peer
         )
-        self._links = transport.PeerLinks(
-            address_by_peer={p: peer_address_by_replica[p] for p in peers}
-        )
+        self._configured_peers = dict(peer_address_by_replica)
+        self._linked_members: tuple[raft_messages.Member, ...] = ()
+        self._links = transport.PeerLinks(address_by_peer={})
+        self._follow_members()
         self._rpc = transport.RpcServer(
             address=rpc_address, handler=self._on_rpc
         )
@@ -108,12 +153,13 @@
 
     def call(self, request: events.Request) -> events.Reply:
         """Return the reply to `request`; safe from any thread."""
+        if self._failure:
+            return events.Unavailable(self._failure)
         call_id = next(self._call_ids)
         future: futures.Future[events.Reply] = futures.Future()
         self._future_by_call[call_id] = future
-        self._queue.put(
-            events.Called(call_id, request, _monotonic_ms(), _wall_ms())
-        )
+        with contextlib.suppress(queue.Full):
+            self._queue.put(_Call(call_id, request), timeout=CALL_TIMEOUT_S)
         try:
             return future.result(timeout=CALL_TIMEOUT_S)
         except futures.TimeoutError:
@@ -122,16 +168,23 @@
             self._future_by_call.pop(call_id, None)
 
     def _recovered_raft(
-        self, replica: str, peers: tuple[str, ...], seed: int
+        self, identity: data_folder.Identity, incarnation: int
     ) -> raft.Raft:
         recovered = self._log.recovered
         return raft.Raft(
-            replica=replica,
-            peers=peers,
-            random=random.Random(f"{replica}/{seed}"),
+            replica=identity.replica,
+            identity=identity.folder_id,
+            is_founder=bool(identity.founders),
+            incarnation=incarnation,
+            random=random.Random(f"{identity.folder_id}/{incarnation}"),
             term=recovered.term,
             voted_for=recovered.voted_for,
-            log=recovered.entries,
+            log=raft_log.RaftLog(
+                snapshot=recovered.snapshot,
+                start_index=recovered.start_index,
+                start_term=recovered.start_term,
+                entries=recovered.entries,
+            ),
         )
 
     def _on_peer(self, data: bytes) -> None:
@@ -140,9 +193,8 @@
         except envelope.MessageRejected as error:
             _LOG.warning("control: dropped a peer message: %s", error)
             return
-        self._queue.put(
-            events.PeerMessage(message, _monotonic_ms(), _wall_ms())
-        )
+        # A full queue pushes back on the sender's connection.
+        self._queue.put(message)
 
     def _on_rpc(self, data: bytes) -> bytes | None:
         try:
@@ -156,25 +208,79 @@
         return self._rpc_codec.encode(reply)
 
     def _run(self) -> None:
+        try:
+            self._run_batches()
+        except durable.StorageFailed as failure:
+            self._fail(str(failure))
+
+    def _run_batches(self) -> None:
         next_tick = time.monotonic()
         while not self._stopping.is_set():
             batch = list(self._take_batch(next_tick))
-            if time.monotonic() >= next_tick:
+            is_due = time.monotonic() >= next_tick
+            if is_due:
                 next_tick = time.monotonic() + TICK_S
-                batch.append(events.Ticked(_monotonic_ms(), _wall_ms()))
             effects = (
                 effect
-                for event in batch
+                for event in self._stamped(batch, is_due=is_due)
                 for effect in reducer.reduce(self._control, event)
             )
             self._carry_out(effects)
+            self._follow_members()
 
-    def _take_batch(self, until: float) -> Iterator[events.Event]:
+    def _fail(self, reason: str) -> None:
+        """Stop for good: nothing more is acknowledged."""
+        _LOG.error("control: replica stopped: %s", reason)
+        self._failure = reason
+        for future in list(self._future_by_call.values()):
+            if not future.done():
+                future.set_result(events.Unavailable(reason))
+        self._on_failure()
+
+    def _take_batch(
+        self, until: float
+    ) -> Iterator[raft_messages.RaftMessage | _Call]:
         with contextlib.suppress(queue.Empty):
             yield self._queue.get(timeout=max(0.0, until - time.monotonic()))
             for _ in range(MAX_BATCH_EVENTS):
                 yield self._queue.get_nowait()
 
+    def _stamped(
+        self,
+        batch: Iterable[raft_messages.RaftMessage | _Call],
+        *,
+        is_due: bool,
+    ) -> Iterator[events.Event]:
+        """Yield events, each with the time at which it is reduced.
+
+        A time from when the event arrived could be from before a pause, and
+        would let a leader act on a lease that ran out meanwhile.
+        """
+        if is_due:
+            yield events.Ticked(_monotonic_ms(), _wall_ms())
+        for arrived in batch:
+            match arrived:
+                case _Call(call_id, request):
+                    yield events.Called(
+                        call_id, request, _monotonic_ms(), _wall_ms()
+                    )
+                case message:
+                    yield events.PeerMessage(
+                        message, _monotonic_ms(), _wall_ms()
+                    )
+        yield events.BatchEnded(_monotonic_ms())
+
+    def _follow_members(self) -> None:
+        """Connect to the replicas of the newest membership."""
+        members = self._control.raft.members
+        if members is self._linked_members and members:
+            return
+        self._linked_members = members
+        agreed = {m.replica: m.peer_address for m in members if m.peer_address}
+        addresses = agreed or self._configured_peers
+        own = self._control.raft.replica
+        self._links.follow({p: a for p, a in addresses.items() if p != own})
+
     def _carry_out(self, effects: Iterable[events.Effect]) -> None:
         """Write and sync first; send and answer only what is durable."""
         deferred: list[raft.SendPeer | events.Answer] = []
@@ -190,6 +296,11 @@
                 case raft.TruncateLog(index):
                     self._log.truncate(index)
                     written = True
+                case raft.ResetLog(index):
+                    self._log.reset(index)
+                    written = True
+                case raft.SaveSnapshot(saved, keep_from):
+                    self._log.save_snapshot(saved, keep_from=keep_from)
                 case _:
                     deferred.append(effect)
         if written:
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -156,10 +156,20 @@
     """Push one-way messages to named peers."""
 
     def __init__(self, *, address_by_peer: Mapping[str, str]) -> None:
-        self._socket_by_peer = {
-            peer: self._connect(address)
-            for peer, address in address_by_peer.items()
-        }
+        self._socket_by_peer: dict[str, pynng.Push0] = {}
+        self._address_by_peer: dict[str, str] = {}
+        self.follow(address_by_peer)
+
+    def follow(self, address_by_peer: Mapping[str, str]) -> None:
+        """Connect to exactly these peers; unchanged ones stay connected."""
+        for peer, address in list(self._address_by_peer.items()):
+            if address_by_peer.get(peer) != address:
+                self._socket_by_peer.pop(peer).close()
+                del self._address_by_peer[peer]
+        for peer, address in address_by_peer.items():
+            if peer not in self._address_by_peer:
+                self._socket_by_peer[peer] = self._connect(address)
+                self._address_by_peer[peer] = address
 
     def send(self, *, peer: str, message: bytes) -> None:
         """Send `message`, or drop it when the peer cannot take it now."""
--- /dev/null
+++ b/testing/control/raft_cluster.py
@@ -0,0 +1,384 @@
+"""Replicas with a fake network, fake disks and shared virtual time.
+
+Every invariant of agreement is checked after each batch of events.
+"""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Iterator
+import copy
+import dataclasses
+import pathlib
+import random
+
+import msgspec
+
+from wisteriawall.control import raft
+from wisteriawall.control import raft_log
+from wisteriawall.storage import recovery
+from wisteriawall.wire import raft_messages
+
+TICK_MS = 20
+STEP_MS = 5
+NEVER = -1
+DURABLE = (
+    raft.SaveHardState,
+    raft.AppendLog,
+    raft.TruncateLog,
+    raft.SaveSnapshot,
+    raft.ResetLog,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Disk:
+    """What one replica has written; a crash keeps a prefix of a batch."""
+
+    identity: str
+    is_founder: bool
+    term: int = 0
+    voted_for: str = ""
+    snapshot: raft_messages.Snapshot = raft_log.EMPTY_SNAPSHOT
+    entries: list[raft_messages.LogEntry] = dataclasses.field(
+        default_factory=list
+    )
+
+    def write(self, effect: raft.Effect) -> None:
+        """Carry out one durable effect."""
+        match effect:
+            case raft.SaveHardState(term, voted_for):
+                self.term, self.voted_for = term, voted_for
+            case raft.AppendLog(entries):
+                self.entries.extend(entries)
+            case raft.TruncateLog(index):
+                first = self.entries[0].index if self.entries else 0
+                del self.entries[max(0, index - first) :]
+            case raft.ResetLog():
+                self.entries.clear()
+            case raft.SaveSnapshot(snapshot, keep_from):
+                self.snapshot = snapshot
+                kept = [e for e in self.entries if e.index >= keep_from]
+                if kept and kept[0].index == keep_from:
+                    self.entries = kept
+
+    def recover(self) -> raft_log.RaftLog:
+        """Return the log as the storage recovers it."""
+        recovered = recovery.Recovered(
+            snapshot=self.snapshot, entries=list(self.entries)
+        )
+        recovery.fit_to_snapshot(recovered, pathlib.Path("fake"))
+        if recovered.needs_reset:
+            self.entries.clear()
+        return raft_log.RaftLog(
+            snapshot=recovered.snapshot,
+            start_index=recovered.start_index,
+            start_term=recovered.start_term,
+            entries=recovered.entries,
+        )
+
+
+@dataclasses.dataclass(kw_only=True)
+class Node:
+    """One replica; `offset_ms` sets its clock apart from the others'."""
+
+    disk: Disk
+    raft: raft.Raft
+    offset_ms: int
+    applied: list[raft_messages.LogEntry] = dataclasses.field(
+        default_factory=list
+    )
+    is_up: bool = True
+    is_paused: bool = False
+    is_late: bool = False
+    crash_after: int = NEVER
+    newest_commit: int = 0
+
+
+@dataclasses.dataclass(order=True)
+class Travelling:
+    """A message on its way."""
+
+    due_ms: int
+    number: int
+    source: str = dataclasses.field(compare=False)
+    target: str = dataclasses.field(compare=False)
+    message: raft_messages.RaftMessage = dataclasses.field(compare=False)
+
+
+class Cluster:
+    """Replicas, their network and the history that they agreed on."""
+
+    def __init__(
+        self,
+        names: Iterable[str] = ("a", "b", "c"),
+        *,
+        seed: int = 0,
+        snapshot_every: int = 10,
+    ) -> None:
+        """Start every named replica with an empty disk."""
+        self.now_ms = 10_000
+        self.random = random.Random(seed)
+        self.snapshot_every = snapshot_every
+        self.loss = self.duplication = 0.0
+        self.delay_ms = 2
+        self.groups: list[set[str]] = []
+        self.travelling: list[Travelling] = []
+        self.sent = 0
+        self.sent_bytes = 0
+        self.messages: list[raft_messages.RaftMessage] = []
+        self.records_messages = False
+        self.incarnation = 0
+        self.committed: list[raft_messages.LogEntry] = []
+        self.committed_ms: list[int] = []
+        self.leader_by_term: dict[int, str] = {}
+        self.node_by_name: dict[str, Node] = {}
+        names = tuple(names)
+        founders = tuple(map(raft_messages.Member, sorted(names)))
+        for name in names:
+            self.start(name, founders)
+
+    def start(
+        self, name: str, founders: tuple[raft_messages.Member, ...] = ()
+    ) -> None:
+        """Start a replica with an empty disk."""
+        self.incarnation += 1
+        disk = Disk(
+            identity=f"{name}-{self.incarnation}",
+            is_founder=bool(founders),
+            snapshot=raft_messages.Snapshot(0, 0, founders, b""),
+        )
+        self._boot(name, disk)
+
+    def restart(self, name: str) -> None:
+        """Start a crashed replica from its disk."""
+        self._boot(name, self.node_by_name[name].disk)
+
+    def crash(self, name: str) -> None:
+        """End a replica; its disk stays."""
+        self.node_by_name[name].is_up = False
+
+    def _boot(self, name: str, disk: Disk) -> None:
+        self.incarnation += 1
+        log = disk.recover()
+        state = raft.Raft(
+            replica=name,
+            identity=disk.identity,
+            is_founder=disk.is_founder,
+            incarnation=self.incarnation,
+            random=random.Random(f"{name}/{self.incarnation}"),
+            term=disk.term,
+            voted_for=disk.voted_for,
+            log=log,
+        )
+        self.node_by_name[name] = Node(
+            disk=disk,
+            raft=state,
+            # A reboot sets the monotonic clock back.
+            offset_ms=self.random.randint(-9_000, 1_000_000),
+            applied=_applied_in(log.snapshot),
+        )
+
+    def clock(self, node: Node) -> int:
+        """Return what this replica's monotonic clock says now."""
+        return self.now_ms + node.offset_ms
+
+    def run(self, duration_ms: int) -> None:
+        """Advance virtual time with ticks and messages."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            for name, node in list(self.node_by_name.items()):
+                if node.is_up and not node.is_paused:
+                    self._step(name, node)
+
+    def submit(self, command: bytes) -> int:
+        """Submit at every replica that believes it leads; count them."""
+        leading = [
+            (name, node)
+            for name, node in self.node_by_name.items()
+            if node.is_up
+            and not node.is_paused
+            and node.raft.holds_lease(self.clock(node))
+        ]
+        for name, node in leading:
+            effects = raft.submit(node.raft, command, self.clock(node))
+            self._carry_out(name, node, effects)
+        return len(leading)
+
+    def leader(self) -> Node | None:
+        """Return the replica that holds the lease."""
+        for node in self.node_by_name.values():
+            usable = node.is_up and not node.is_paused
+            if usable and node.raft.holds_lease(self.clock(node)):
+                return node
+        return None
+
+    def await_leader(self, limit_ms: int = 5_000) -> Node:
+        """Run until a replica holds the lease."""
+        end_ms = self.now_ms + limit_ms
+        while (found := self.leader()) is None:
+            assert self.now_ms < end_ms, "no leader"
+            self.run(STEP_MS)
+        return found
+
+    def change(self, name: str, *, adds: bool) -> bool:
+        """Start a membership change; tell whether one was started."""
+        node = self.leader()
+        if node is None or raft.membership_refusal(node.raft, name):
+            return False
+        if adds is any(m.replica == name for m in node.raft.members):
+            return False
+        if adds:
+            member = raft_messages.Member(name)
+            effects = raft.add_member(node.raft, member, b"change")
+        else:
+            effects = raft.remove_member(node.raft, name, b"change")
+        self._carry_out(node.raft.replica, node, effects)
+        return True
+
+    def heal(self) -> None:
+        """End every fault but lost disks."""
+        self.groups, self.loss, self.duplication = [], 0.0, 0.0
+        self.delay_ms = 2
+        for name, node in list(self.node_by_name.items()):
+            node.is_paused = False
+            node.crash_after = NEVER
+            if not node.is_up:
+                self.restart(name)
+
+    def _step(self, name: str, node: Node) -> None:
+        """Give a replica its due messages and perhaps a tick, in a batch."""
+        due = [
+            travelling
+            for travelling in sorted(self.travelling)
+            if travelling.target == name and travelling.due_ms <= self.now_ms
+        ]
+        is_tick = self.now_ms % TICK_MS == 0
+        if due:
+            taken = {travelling.number for travelling in due}
+            self.travelling = [
+                t for t in self.travelling if t.number not in taken
+            ]
+        if due or is_tick:
+            self._carry_out(name, node, self._reduce(node, due, is_tick))
+
+    def _reduce(
+        self, node: Node, due: list[Travelling], is_tick: bool
+    ) -> Iterator[raft.Effect]:
+        now_ms = self.clock(node)
+        if is_tick:
+            yield from raft.tick(node.raft, now_ms)
+        for travelling in due:
+            yield from raft.receive(node.raft, travelling.message, now_ms)
+        yield from raft.flush(node.raft, now_ms)
+
+    def _carry_out(
+        self, name: str, node: Node, effects: Iterator[raft.Effect]
+    ) -> None:
+        """Write and sync, crash if that is armed, then send and apply."""
+        batch = list(effects)
+        for effect in batch:
+            match effect:
+                case raft.Apply(entry):
+                    node.applied.append(entry)
+                case raft.Restore(snapshot):
+                    node.applied = _applied_in(snapshot)
+        batch += self._snapshot(node)
+        for effect in batch:
+            if isinstance(effect, DURABLE):
+                if node.crash_after == 0:
+                    self.crash(name)
+                    return
+                node.crash_after -= node.crash_after > 0
+                node.disk.write(effect)
+        for effect in batch:
+            match effect:
+                case raft.SendPeer(peer, message):
+                    self._send(name, peer, message)
+        self._note_commits(node)
+        self.check(name, node)
+
+    def _snapshot(self, node: Node) -> list[raft.Effect]:
+        covered = node.raft.applied_index - node.raft.log.snapshot.index
+        if covered < self.snapshot_every:
+            return []
+        data = msgspec.msgpack.encode(node.applied)
+        return list(raft.compact(node.raft, data, kept_entries=3))
+
+    def _send(
+        self, source: str, target: str, message: raft_messages.RaftMessage
+    ) -> None:
+        self.sent += 1
+        if self.records_messages:
+            self.messages.append(message)
+        if any((source in g) != (target in g) for g in self.groups):
+            return
+        if self.random.random() < self.loss:
+            return
+        copies = 1 + (self.random.random() < self.duplication)
+        for _ in range(copies):
+            due_ms = self.now_ms + self.random.randint(1, self.delay_ms)
+            self.incarnation += 1
+            self.travelling.append(
+                Travelling(
+                    due_ms,
+                    self.incarnation,
+                    source,
+                    target,
+                    copy.copy(message),
+                )
+            )
+
+    def _note_commits(self, node: Node) -> None:
+        for entry in node.applied[len(self.committed) :]:
+            self.committed.append(entry)
+            self.committed_ms.append(self.now_ms)
+
+    def check(self, name: str, node: Node) -> None:
+        """Check every invariant that this replica's batch could break."""
+        state = node.raft
+        assert node.applied == self.committed[: len(node.applied)]
+        assert len(node.applied) == state.applied_index
+        assert state.commit_index >= node.newest_commit
+        node.newest_commit = state.commit_index
+        if state.role is raft.RaftRole.LEADER:
+            leader = self.leader_by_term.setdefault(state.term, name)
+            assert leader == name, f"two leaders of term {state.term}"
+            if state.term == max(self.leader_by_term):
+                self._check_complete(state)
+        self.check_leases()
+        self._check_staleness(node)
+
+    def check_leases(self) -> None:
+        """Check that no two replicas hold a lease, paused ones included."""
+        holding = [
+            name
+            for name, node in self.node_by_name.items()
+            if node.is_up and node.raft.holds_lease(self.clock(node))
+        ]
+        assert len(holding) <= 1, f"leases at {holding}"
+
+    def _check_complete(self, state: raft.Raft) -> None:
+        """Check that the newest leader has every committed entry."""
+        assert state.last_index >= len(self.committed)
+        held = self.committed[state.log.start_index :]
+        assert state.log.entries[: len(held)] == held
+
+    def _check_staleness(self, node: Node) -> None:
+        """Check that what was committed before `confirmed_ms` is applied."""
+        if node.raft.confirmed_ms < 0:
+            return
+        confirmed_ms = node.raft.confirmed_ms - node.offset_ms
+        assert confirmed_ms <= self.now_ms
+        before = bisect.bisect_left(self.committed_ms, confirmed_ms)
+        assert node.raft.applied_index >= before
+
+
+def _applied_in(
+    snapshot: raft_messages.Snapshot,
+) -> list[raft_messages.LogEntry]:
+    if not snapshot.data:
+        return []
+    return msgspec.msgpack.decode(
+        snapshot.data, type=list[raft_messages.LogEntry]
+    )
--- a/testing/wire/test_envelope.py
+++ b/testing/wire/test_envelope.py
@@ -26,7 +26,7 @@
             entries=[raft_messages.LogEntry(5, 3, b"command")],
             commit_index=4,
             round_ms=10,
-            echo_ms=9,
+            echo=raft_messages.Echo(1, 9),
             quorum_age_ms=1,
         ),
         id="raft",
