--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -18,6 +18,7 @@
 import random
 import threading
 import time
+from typing import TypeAlias
 from typing import final
 
 from wisteriawall.control import events
@@ -30,6 +31,7 @@
 from wisteriawall.storage import replica_log
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
+from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
 from wisteriawall.wire import transport
 
@@ -53,6 +55,9 @@
     request: events.Request
 
 
+_Deferred: TypeAlias = raft.SendPeer | events.SendLiveness | events.Answer
+
+
 @final
 class ControlShell:
     """Run one control replica.
@@ -90,9 +95,9 @@
         on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         sender = envelope.Sender(replica, incarnation)
-        self._raft_codec: envelope.Codec[raft_messages.RaftMessage] = (
+        self._raft_codec: envelope.Codec[peer_messages.PeerMessage] = (
             envelope.Codec(
-                message_type=raft_messages.RaftMessage, key=key, sender=sender
+                message_type=peer_messages.PeerMessage, key=key, sender=sender
             )
         )
         self._rpc_codec: envelope.Codec[object] = envelope.Codec(
@@ -115,7 +120,7 @@
         )
         self._on_failure = on_failure
         self._failure = ""
-        self._queue: queue.Queue[raft_messages.RaftMessage | _Call] = (
+        self._queue: queue.Queue[peer_messages.PeerMessage | _Call] = (
             queue.Queue(MAX_QUEUED_EVENTS)
         )
         self._future_by_call: dict[int, futures.Future[events.Reply]] = {}
@@ -212,6 +217,9 @@
             self._run_batches()
         except durable.StorageFailed as failure:
             self._fail(str(failure))
+        except Exception as fault:
+            _LOG.exception("control: defect")
+            self._fail(f"defect: {fault!r}")
 
     def _run_batches(self) -> None:
         next_tick = time.monotonic()
@@ -239,7 +247,7 @@
 
     def _take_batch(
         self, until: float
-    ) -> Iterator[raft_messages.RaftMessage | _Call]:
+    ) -> Iterator[peer_messages.PeerMessage | _Call]:
         with contextlib.suppress(queue.Empty):
             yield self._queue.get(timeout=max(0.0, until - time.monotonic()))
             for _ in range(MAX_BATCH_EVENTS):
@@ -247,7 +255,7 @@
 
     def _stamped(
         self,
-        batch: Iterable[raft_messages.RaftMessage | _Call],
+        batch: Iterable[peer_messages.PeerMessage | _Call],
         *,
         is_due: bool,
     ) -> Iterator[events.Event]:
@@ -283,7 +291,7 @@
 
     def _carry_out(self, effects: Iterable[events.Effect]) -> None:
         """Write and sync first; send and answer only what is durable."""
-        deferred: list[raft.SendPeer | events.Answer] = []
+        deferred: list[_Deferred] = []
         written = False
         for effect in effects:
             match effect:
@@ -308,9 +316,11 @@
         for effect in deferred:
             self._deliver(effect)
 
-    def _deliver(self, effect: raft.SendPeer | events.Answer) -> None:
+    def _deliver(self, effect: _Deferred) -> None:
         match effect:
-            case raft.SendPeer(peer, message):
+            case raft.SendPeer(peer, message) | events.SendLiveness(
+                peer, message
+            ):
                 data = self._raft_codec.encode(message)
                 self._links.send(peer=peer, message=data)
             case events.Answer(call_id, reply):
--- a/src/wisteriawall/control/snapshot.py
+++ b/src/wisteriawall/control/snapshot.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wisteriawall import errors
-from wisteriawall.control import ledger
+from wisteriawall.control import state
 
 __all__ = ["SnapshotDamaged", "decode", "encode"]
 
@@ -16,19 +16,19 @@
     """A snapshot does not hold a ledger that this version can read."""
 
 
-def encode(book: ledger.Ledger) -> bytes:
+def encode(book: state.Ledger) -> bytes:
     """Return the snapshot form of `book`."""
     return _ENCODER.encode(book)
 
 
-def decode(data: bytes) -> ledger.Ledger:
+def decode(data: bytes) -> state.Ledger:
     """Return the ledger that a snapshot holds, an empty one for no data.
 
     Raises:
         SnapshotDamaged: The data is not a ledger.
     """
     if not data:
-        return ledger.Ledger()
+        return state.Ledger()
     try:
         return _DECODER.decode(data)
     except msgspec.DecodeError as error:
@@ -46,4 +46,4 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(ledger.Ledger, dec_hook=_decode_ordered)
+_DECODER = msgspec.msgpack.Decoder(state.Ledger, dec_hook=_decode_ordered)
