--- a/src/wisteriawall/control/audit.py
+++ b/src/wisteriawall/control/audit.py
@@ -96,6 +96,10 @@
                 patch_id,
                 result,
             )
+        case commands.ChangeReplica(change, replica, operator, at_ms):
+            return state.AuditRecord(
+                index, at_ms, _Kind.REPLICA, operator, replica, change, result
+            )
         case commands.IssueOrder(runner, action, argument, cause, at_ms):
             subject = f"{runner} {action} {argument}"
             return state.AuditRecord(
--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -285,7 +285,10 @@
 
     def _reduce(self, name: str, event: events.Event) -> None:
         control = self.control_by_name[name]
-        for effect in reducer.reduce(control, event):
+        # The shell ends each batch of events, here a batch of one.
+        batch = (event, events.BatchEnded(event.now_ms))
+        reduced = (reducer.reduce(control, part) for part in batch)
+        for effect in itertools.chain.from_iterable(reduced):
             match effect:
                 case raft.SendPeer(peer, message):
                     self.peer_messages.append((name, peer, message))
