Complete the stand-in engine and add stand-ins for weights and VMs

The engine took only role changes, cached nothing and could not fail on purpose. It now keeps a bounded prefix cache with late, gappy events, honours priority, moves KV caches by size, takes every order once for each order id, crashes or stalls in the middle of one when told, and finishes what runs on a planned stop.

Agents report leaving and the engine's own account in their renewals, and the demo configures each runner's feed. The demo's parts stop side by side: cheroot polls every half second, so 19 servers one after another took about 9 s.

--- a/src/wisteriawall/agent/engine_client.py
+++ b/src/wisteriawall/agent/engine_client.py
@@ -42,7 +42,7 @@
     ) -> None:
         self._url = f"http://{address}/admin"
         self._order_timeout_s = order_timeout_s
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = urllib3.PoolManager(retries=False, maxsize=8)
 
     def give_order(self, order: fleet.Order) -> engine_messages.EngineState:
         """Carry out `order` and return the state after it.
--- a/src/wisteriawall/agent/engine_messages.py
+++ b/src/wisteriawall/agent/engine_messages.py
@@ -16,16 +16,15 @@
 
     `busy` means that an order is in progress, `unclear` that the engine does
     not yet know how an interrupted one ended. `done_order_id` is the newest
-    order that took effect.
+    order that took effect, `model` is `model@version`.
     """
 
     role: fleet.Role
     busy: bool = False
     unclear: bool = False
     done_order_id: int = 0
-    models: list[str] = []
+    model: str = ""
     adapters: list[str] = []
-    version: str = "1"
 
     @property
     def is_settled(self) -> bool:
--- a/src/wisteriawall/agent/reducer.py
+++ b/src/wisteriawall/agent/reducer.py
@@ -56,5 +56,7 @@
 
 def _follow_phase(agent: state.Agent, view: fleet.FleetView) -> None:
     phases = [r.phase for r in view.runners if r.runner == agent.runner]
+    if view.base and not phases:
+        return
     taking = (fleet.RunnerPhase.LIVE, fleet.RunnerPhase.CHANGING)
     agent.draining = bool(phases) and phases[0] not in taking
--- a/src/wisteriawall/agent/shell.py
+++ b/src/wisteriawall/agent/shell.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import logging
 import threading
 import time
@@ -30,6 +31,7 @@
 _LOG = logging.getLogger("agent")
 
 RENEW_S = 0.3
+INSPECT_EVERY_RENEWALS = 10
 DRAIN_POLL_S = 0.05
 REPORT_ON_STOP_S = 2.0
 HTTP_THREADS = 64
@@ -84,6 +86,7 @@
         self._options = options or AgentOptions()
         self._agent = state.Agent(runner=runner, incarnation=incarnation)
         self._fleet_version = 0
+        self._engine_view: fleet.EngineView | None = None
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._renew_soon = threading.Event()
@@ -209,8 +212,12 @@
 
     def _renew_forever(self) -> None:
         self._learn_floor()
-        while not self._stopping.is_set():
+        for number in itertools.count():
+            if self._stopping.is_set():
+                return
             self._renew_soon.clear()
+            if number % INSPECT_EVERY_RENEWALS == 0:
+                self._look()
             with contextlib.suppress(control_client.ControlUnavailable):
                 self._renew_once()
             self._renew_soon.wait(RENEW_S)
@@ -224,6 +231,8 @@
             fleet_version=self._fleet_version,
             runner=self._agent.runner,
             demand=[],
+            leaving=self._agent.stopping,
+            engine=self._engine_view,
         )
 
     def _renew_once(self) -> None:
@@ -233,6 +242,17 @@
             self._fleet_version = reply.fleet_version
             self.submit(events.Granted(reply, asked_ms, _now_ms()))
 
+    def _look(self) -> engine_messages.EngineState | None:
+        """Return the engine's account and remember it for renewals."""
+        if self._options.kind is document.ServiceKind.PLAIN:
+            return None
+        try:
+            account = self._engine.inspect()
+        except engine_client.EngineUnclear:
+            return None
+        self._engine_view = _view(account)
+        return account
+
     def _learn_floor(self) -> None:
         while not self._stopping.is_set():
             replies = self._control.call_each(self._renew_message())
@@ -277,6 +297,7 @@
             )
         else:
             outcome, detail, role = events.Outcome.DONE, "", account.role
+            self._engine_view = _view(account)
         return events.OrderAnswered(
             order.fence.order_id, outcome, detail, role, _now_ms()
         )
@@ -284,9 +305,7 @@
     def _inspect(self, effect: events.Inspect) -> None:
         if self._stopping.wait(effect.delay_ms / MS_PER_S):
             return
-        account: engine_messages.EngineState | None = None
-        with contextlib.suppress(engine_client.EngineUnclear):
-            account = self._engine.inspect()
+        account = self._look()
         self.submit(events.Inspected(effect.order_id, account, _now_ms()))
 
     def _report(self, report: events.Report) -> None:
@@ -297,6 +316,7 @@
             succeeded=report.succeeded,
             detail=report.detail,
             role=report.role,
+            engine=self._engine_view,
         )
         while not self._stopping.is_set():
             with contextlib.suppress(control_client.ControlUnavailable):
@@ -306,5 +326,11 @@
             self._stopping.wait(RENEW_S)
 
 
+def _view(account: engine_messages.EngineState) -> fleet.EngineView:
+    return fleet.EngineView(
+        account.role, account.model, account.adapters, account.unclear
+    )
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
--- a/src/wisteriawall/commands/stand_in.py
+++ b/src/wisteriawall/commands/stand_in.py
@@ -1,6 +1,8 @@
-"""`wisteriawall stand-in`: run one stand-in upstream."""
+"""`wisteriawall stand-in`: run one stand-in of the platform."""
 
+import enum
 from typing import Annotated
+from typing import final
 
 import typer
 
@@ -10,14 +12,30 @@
 from wisteriawall.standin import engine as engine_lib
 from wisteriawall.standin import engine_core
 from wisteriawall.standin import plain as plain_lib
+from wisteriawall.standin import vms as vms_lib
+from wisteriawall.standin import weights as weights_lib
 
-__all__ = ["stand_in"]
+__all__ = ["StandInKind", "stand_in"]
+
+BYTES_PER_MB = 1_000_000
+
+
+@final
+class StandInKind(enum.StrEnum):
+    """What a stand-in stands for."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+    WEIGHTS = "weights"
+    VMS = "vms"
 
 
 def stand_in(
     kind: Annotated[
-        document.ServiceKind,
-        typer.Argument(help="A model engine or a plain service."),
+        StandInKind,
+        typer.Argument(
+            help="A model engine, plain service, weight store or VM list."
+        ),
     ],
     listen: options.Listen = "127.0.0.1:8100",
     fencing: Annotated[
@@ -43,20 +61,70 @@
             help="Milliseconds of one batch step.",
         ),
     ] = 5.0,
+    lag_seconds: Annotated[
+        float,
+        typer.Option(
+            envvar="WISTERIAWALL_LAG_SECONDS",
+            min=0.0,
+            help="Seconds by which load reports or the VM list lag.",
+        ),
+    ] = 0.1,
+    model: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_MODEL",
+            help="Model that the engine starts with: MODEL@VERSION.",
+        ),
+    ] = "",
+    weights: Annotated[
+        str,
+        typer.Option(
+            envvar="WISTERIAWALL_WEIGHTS",
+            help="Weight store that the engine loads from: HOST:PORT.",
+        ),
+    ] = "",
+    megabytes_per_second: Annotated[
+        float,
+        typer.Option(
+            envvar="WISTERIAWALL_MEGABYTES_PER_SECOND",
+            min=0.1,
+            help="Rate of the weight store, shared by its readers.",
+        ),
+    ] = 10.0,
 ) -> None:
-    """Run one stand-in upstream for tests and trials."""
-    upstream: engine_lib.StandInEngine | plain_lib.StandInPlain
-    if kind is document.ServiceKind.MODEL:
-        timing = engine_core.EngineTiming(
-            order_s=order_seconds, step_s=step_ms / 1000
-        )
-        upstream = engine_lib.StandInEngine(
-            address=listen, timing=timing, fencing=fencing
-        )
-    else:
-        upstream = plain_lib.StandInPlain(address=listen)
+    """Run one stand-in upstream, store or list for tests and trials."""
+    running: (
+        engine_lib.StandInEngine
+        | plain_lib.StandInPlain
+        | weights_lib.StandInWeights
+        | vms_lib.StandInVms
+    )
+    match kind:
+        case StandInKind.MODEL:
+            timing = engine_core.EngineTiming(
+                order_s=order_seconds,
+                step_s=step_ms / 1000,
+                report_lag_s=lag_seconds,
+            )
+            running = engine_lib.StandInEngine(
+                address=listen,
+                timing=timing,
+                fencing=fencing,
+                model=model,
+                weights=weights,
+            )
+        case StandInKind.PLAIN:
+            running = plain_lib.StandInPlain(address=listen)
+        case StandInKind.WEIGHTS:
+            running = weights_lib.StandInWeights(
+                address=listen,
+                weights_bytes=BYTES_PER_MB,
+                bytes_per_s=int(megabytes_per_second * BYTES_PER_MB),
+            )
+        case StandInKind.VMS:
+            running = vms_lib.StandInVms(address=listen, lag_s=lag_seconds)
     serving.run_until_signalled(
-        start=upstream.start,
-        stop=upstream.stop,
-        line=f"stand-in: {kind} at {upstream.address}",
+        start=running.start,
+        stop=running.stop,
+        line=f"stand-in: {kind} at {running.address}",
     )
--- a/src/wisteriawall/demo/check.py
+++ b/src/wisteriawall/demo/check.py
@@ -116,7 +116,7 @@
     role = ""
     while time.monotonic() < deadline and role != "prefill":
         time.sleep(POLL_S)
-        role = cluster.engines[0].core.role.value
+        role = cluster.engines[0].orders.role.value
     held = role == "prefill" and _settles(cluster, deadline)
     return CheckResult("role change", held, f"briefs-1 is {role}")
 
--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -1,11 +1,14 @@
 """A whole cluster in one process: threads, loopback, temporary folder."""
 
 from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
 import hashlib
 import os
 import pathlib
 import secrets
 import socket
+import threading
 import time
 from typing import final
 
@@ -52,6 +55,15 @@
         return f"{host}:{port}"
 
 
+def _stop_all(stops: Iterable[Callable[[], None]]) -> None:
+    """Stop parts side by side: each HTTP server takes half a second."""
+    threads = [threading.Thread(target=stop, name="stop") for stop in stops]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 @final
 class DemoCluster:
     """Entry, three control replicas, agents and stand-ins.
@@ -105,16 +117,16 @@
         self._await_ready()
 
     def stop(self) -> None:
-        """Stop every part, callers' side first."""
-        self.entry.stop()
-        for agent in self.agents:
-            agent.stop()
-        for standin in self._standins:
-            standin.stop()
-        for http in self._admins:
-            http.stop()
-        for control in self.controls:
-            control.stop()
+        """Stop every part, callers' side first, each group at once."""
+        _stop_all([self.entry.stop])
+        _stop_all([agent.stop for agent in self.agents])
+        _stop_all(
+            [
+                *(standin.stop for standin in self._standins),
+                *(http.stop for http in self._admins),
+            ]
+        )
+        _stop_all([control.stop for control in self.controls])
 
     @property
     def _standins(
@@ -152,10 +164,12 @@
         return servers
 
     def _make_upstreams(self) -> None:
-        for service in MODEL_BY_SERVICE:
+        for service, model in MODEL_BY_SERVICE.items():
             for number in range(ENGINES_PER_SERVICE):
                 standin = engine.StandInEngine(
-                    address="127.0.0.1:0", timing=engine_core.EngineTiming()
+                    address="127.0.0.1:0",
+                    timing=engine_core.EngineTiming(),
+                    model=f"{model}@1",
                 )
                 self.engines.append(standin)
                 self._add_agent(service, number, standin.address)
@@ -176,6 +190,12 @@
             key=self._key,
             token=self._token,
             incarnation=time.time_ns(),
+            options=agent_shell.AgentOptions(
+                feed="127.0.0.1:0",
+                kind=document.ServiceKind.PLAIN
+                if service == PLAIN_SERVICE
+                else document.ServiceKind.MODEL,
+            ),
         )
         self.agents.append(agent)
         self._runners[runner] = document.Runner(
@@ -183,6 +203,7 @@
             address=agent.address,
             zone=ZONES[number % len(ZONES)],
             vm=f"vm-{runner}",
+            feed=agent.feed_address,
         )
 
     def _document(self) -> document.Document:
--- a/src/wisteriawall/standin/engine.py
+++ b/src/wisteriawall/standin/engine.py
@@ -1,44 +1,41 @@
-"""Stand-in engine over HTTP: OpenAI completions, orders and state."""
+"""Stand-in engine over HTTP: OpenAI completions, KV transfer and orders."""
 
-from collections.abc import Iterator
-import threading
+from collections import OrderedDict
+import itertools
+import time
+from typing import TypeVar
 from typing import final
+import urllib.parse
 
 import msgspec
+import urllib3
 
+from wisteriawall import errors
 from wisteriawall.agent import engine_messages
 from wisteriawall.config import document
+from wisteriawall.policy import prefix_index
+from wisteriawall.standin import completion
 from wisteriawall.standin import engine_core
+from wisteriawall.standin import engine_orders
+from wisteriawall.standin import faults as faults_lib
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
-from wisteriawall.wire import fleet
 from wisteriawall.wire import headers
 
 __all__ = ["StandInEngine"]
 
-CHAT_PATH = "/v1/chat/completions"
-COMPLETION_PATHS = (CHAT_PATH, "/v1/completions")
+KV_PATH = "/kv/"
+KV_BYTES_PER_PIECE = 1_024
+MAX_EXPORTS = 256
+KV_TIMEOUT_S = 30.0
+DRAIN_POLL_S = 0.02
 
-
-@final
-class Message(msgspec.Struct, frozen=True):
-    """One chat message."""
-
-    role: str
-    content: str = ""
+MessageT = TypeVar("MessageT")
 
 
 @final
-class CompletionBody(msgspec.Struct, frozen=True):
-    """Completion request; `resume_tokens` continues a broken answer."""
-
-    model: str
-    prompt: str = ""
-    messages: list[Message] = []
-    max_tokens: int = 16
-    stream: bool = False
-    request_id: str = "cmpl"
-    resume_tokens: int = 0
+class BadRequest(errors.WisteriawallError):
+    """A body that is not the expected JSON."""
 
 
 @final
@@ -49,6 +46,8 @@
         address: Host and port; port 0 takes a free one.
         timing: Speed of the engine.
         fencing: Whether orders with an old fencing number are refused.
+        model: Model loaded at the start, as `model@version`.
+        weights: Address of the weight store; empty loads without one.
     """
 
     def __init__(
@@ -57,11 +56,24 @@
         address: str,
         timing: engine_core.EngineTiming,
         fencing: document.Fencing = document.Fencing.ENFORCED,
+        model: str = "",
+        weights: str = "",
     ) -> None:
-        self.core = engine_core.EngineCore(timing=timing)
-        self._fencing = fencing
-        self._fence = fleet.Fence(0, 0)
-        self._order_lock = threading.Lock()
+        self.faults = faults_lib.Faults()
+        self.core = engine_core.EngineCore(timing=timing, faults=self.faults)
+        self.orders = engine_orders.EngineOrders(
+            core=self.core,
+            timing=timing,
+            fencing=fencing,
+            faults=self.faults,
+            model=model,
+            weights=weights,
+        )
+        self._timing = timing
+        self._draining = False
+        self._numbers = itertools.count(1)
+        self._exports: OrderedDict[int, int] = OrderedDict()
+        self._pool = urllib3.PoolManager(retries=False, maxsize=8)
         self._http = server_lib.HttpServer(
             address=address, app=self._serve, threads=96
         )
@@ -73,7 +85,10 @@
         self._http.start()
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Refuse new work, finish what runs, then stop."""
+        self._draining = True
+        while not self.core.is_idle:
+            time.sleep(DRAIN_POLL_S)
         self._http.stop()
         self.core.stop()
 
@@ -83,12 +98,25 @@
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
         path = environ["PATH_INFO"]
-        if path in COMPLETION_PATHS:
-            return self._complete(environ, start_response)
-        if path == "/admin/orders":
-            return self._order(environ, start_response)
-        if path == "/admin/state":
-            return self._respond_state(start_response)
+        try:
+            if path in completion.PATHS:
+                return self._complete(environ, start_response)
+            if path == "/admin/orders":
+                return self._order(environ, start_response)
+            if path == "/admin/faults":
+                self._set_faults(_decode(environ, faults_lib.Faults))
+                return _respond(start_response, self.faults)
+        except BadRequest as error:
+            return server_lib.refuse(start_response, _bad_request(error))
+        if path.startswith(KV_PATH):
+            return self._send_kv(path, start_response)
+        match path:
+            case "/admin/state":
+                return _respond(start_response, self.orders.state())
+            case "/admin/load":
+                return _respond(start_response, self.core.load())
+            case "/admin/cache":
+                return self._send_cache(environ, start_response)
         return server_lib.refuse(start_response, _NOT_FOUND)
 
     def _complete(
@@ -96,85 +124,119 @@
         environ: server_lib.Environ,
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
-        body = msgspec.json.decode(
-            server_lib.read_body(environ), type=CompletionBody
-        )
-        if self.core.busy:
+        body = _decode(environ, completion.CompletionBody)
+        if not 0 <= body.resume_tokens < body.max_tokens:
+            raise BadRequest("expected 0 <= resume_tokens < max_tokens")
+        if self.orders.busy or self._draining:
             return server_lib.refuse(start_response, _BUSY)
-        is_chat = environ["PATH_INFO"] == CHAT_PATH
-        request_id = environ.get(
-            headers.environ_name(headers.REQUEST), body.request_id
-        )
-        prompt = body.prompt or " ".join(m.content for m in body.messages)
+        transfer = body.kv_transfer or completion.KvTransfer("")
         generation = self.core.submit(
-            prompt=prompt,
+            prompt=body.text,
             max_tokens=body.max_tokens,
             first_token=body.resume_tokens,
+            priority=body.priority,
+            prefill_only=transfer.mode == "export",
+            imported=transfer.mode == "import" and self._fetch_kv(transfer),
+        )
+        if generation.prefill_only:
+            return self._export(generation, start_response)
+        answer = completion.Answer(
+            generation=generation,
+            body=body,
+            request_id=environ.get(
+                headers.environ_name(headers.REQUEST), body.request_id
+            ),
+            is_chat=environ["PATH_INFO"] == completion.CHAT_PATH,
+            faults=self.faults,
         )
         if body.stream:
             start_response("200 OK", [("Content-Type", "text/event-stream")])
-            return StreamedAnswer(generation, request_id, body.model, is_chat)
-        text = "".join(iter(generation.tokens.get, None))
-        answer = _completion(request_id, body.model, is_chat, text)
-        return server_lib.respond(start_response, status=200, body=answer)
+            return answer
+        return server_lib.respond(
+            start_response, status=200, body=answer.whole()
+        )
 
-    def _order(
+    def _export(
         self,
-        environ: server_lib.Environ,
+        generation: engine_core.Generation,
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
-        order = msgspec.json.decode(
-            server_lib.read_body(environ), type=engine_messages.OrderBody
-        )
-        fence = fleet.Fence(order.term, order.order_id)
-        with self._order_lock:
-            enforced = self._fencing is document.Fencing.ENFORCED
-            if enforced and fence < self._fence:
-                return server_lib.refuse(start_response, _FENCED)
-            self._fence = max(fence, self._fence)
-            if order.action is fleet.Action.SET_ROLE:
-                self.core.change_role(fleet.Role(order.argument))
-        return self._respond_state(start_response)
-
-    def _respond_state(
-        self, start_response: server_lib.StartResponse
+        generation.tokens.get()
+        if generation.prefill_left > 0:
+            raise ConnectionAbortedError("prefill was cut")
+        size = len(generation.prompt.encode())
+        pieces = -(-size // prefix_index.PIECE_BYTES)
+        number = next(self._numbers)
+        self._exports[number] = pieces
+        while len(self._exports) > MAX_EXPORTS:
+            self._exports.popitem(last=False)
+        kv = {"handle": f"{self.address}/{number}", "pieces": pieces}
+        return _respond(start_response, {"kv": kv})
+
+    def _fetch_kv(self, transfer: completion.KvTransfer) -> bool:
+        """Tell whether the KV cache came; without it the prompt is prefilled.
+
+        The answer is the same either way.
+        """
+        address, _, number = transfer.handle.partition("/")
+        try:
+            response = self._pool.request(
+                "GET",
+                f"http://{address}{KV_PATH}{number}",
+                timeout=KV_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def _send_kv(
+        self, path: str, start_response: server_lib.StartResponse
     ) -> server_lib.Response:
-        state = engine_messages.EngineState(self.core.role, self.core.busy)
+        number = path.removeprefix(KV_PATH)
+        pieces = self._exports.get(int(number) if number.isdecimal() else 0)
+        if pieces is None:
+            return server_lib.refuse(start_response, _NOT_FOUND)
+        time.sleep(pieces * self._timing.kv_piece_s)
         return server_lib.respond(
-            start_response, status=200, body=msgspec.json.encode(state)
+            start_response,
+            status=200,
+            body=bytes(pieces * KV_BYTES_PER_PIECE),
+            content_type="application/octet-stream",
         )
 
+    def _send_cache(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+        text = query.get("after", [""])[0]
+        page = self.core.cache.page(
+            after=int(text) if text.isdecimal() else None,
+            now_s=time.monotonic(),
+        )
+        return _respond(start_response, page)
 
-@final
-class StreamedAnswer:
-    """SSE body of a completion; closing it early cancels the generation."""
-
-    def __init__(
+    def _order(
         self,
-        generation: engine_core.Generation,
-        request_id: str,
-        model: str,
-        is_chat: bool,
-    ) -> None:
-        self._generation = generation
-        self._request_id = request_id
-        self._model = model
-        self._is_chat = is_chat
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield one event for each token, then the end mark."""
-        generation = self._generation
-        for text in iter(generation.tokens.get, None):
-            data = _chunk(self._request_id, self._model, self._is_chat, text)
-            yield b"data: " + data + b"\n\n"
-        left = generation.max_tokens - generation.first_token
-        if generation.produced < left:
-            raise ConnectionAbortedError("generation was cut")
-        yield b"data: [DONE]\n\n"
-
-    def close(self) -> None:
-        """Stop generating."""
-        self._generation.cancelled = True
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        order = _decode(environ, engine_messages.OrderBody)
+        code = refusal_lib.Code
+        try:
+            self.orders.carry_out(order)
+        except engine_orders.OrderFenced as error:
+            return _refuse_order(start_response, 409, code.FENCED, error)
+        except engine_orders.OrderConflict as error:
+            return _refuse_order(start_response, 409, code.DRAINING, error)
+        except engine_orders.OrderCrashed as error:
+            return _refuse_order(start_response, 500, code.UNAVAILABLE, error)
+        return _respond(start_response, self.orders.state())
+
+    def _set_faults(self, wanted: faults_lib.Faults) -> None:
+        for name in wanted.__struct_fields__:
+            setattr(self.faults, name, getattr(wanted, name))
 
 
 _NOT_FOUND = refusal_lib.Refusal(
@@ -183,43 +245,48 @@
 _BUSY = refusal_lib.Refusal(
     status=503,
     code=refusal_lib.Code.DRAINING,
-    message="the engine is carrying out an order",
-)
-_FENCED = refusal_lib.Refusal(
-    status=409,
-    code=refusal_lib.Code.FENCED,
-    message="the order carries an old fencing number",
+    message="the engine takes no new work",
 )
 
 
-def _chunk(request_id: str, model: str, is_chat: bool, text: str) -> bytes:
-    if is_chat:
-        choice: dict[str, object] = {"index": 0, "delta": {"content": text}}
-    else:
-        choice = {"index": 0, "text": text}
-    kind = "chat.completion.chunk" if is_chat else "text_completion"
-    return msgspec.json.encode(
-        {
-            "id": request_id,
-            "object": kind,
-            "model": model,
-            "choices": [choice],
-        }
+def _bad_request(error: BadRequest) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
+    )
+
+
+def _refuse_order(
+    start_response: server_lib.StartResponse,
+    status: int,
+    code: refusal_lib.Code,
+    error: errors.WisteriawallError,
+) -> server_lib.Response:
+    known = status < 500
+    refusal = refusal_lib.Refusal(
+        status=status,
+        code=code,
+        message=str(error),
+        run=refusal_lib.RunState.NOT_RUN
+        if known
+        else refusal_lib.RunState.UNKNOWN,
     )
+    return server_lib.refuse(start_response, refusal)
+
+
+def _decode(
+    environ: server_lib.Environ, message_type: type[MessageT]
+) -> MessageT:
+    try:
+        return msgspec.json.decode(
+            server_lib.read_body(environ), type=message_type
+        )
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        raise BadRequest(f"body: {error}") from error
 
 
-def _completion(request_id: str, model: str, is_chat: bool, text: str) -> bytes:
-    if is_chat:
-        message = {"role": "assistant", "content": text}
-        choice: dict[str, object] = {"index": 0, "message": message}
-    else:
-        choice = {"index": 0, "text": text}
-    kind = "chat.completion" if is_chat else "text_completion"
-    return msgspec.json.encode(
-        {
-            "id": request_id,
-            "object": kind,
-            "model": model,
-            "choices": [choice],
-        }
+def _respond(
+    start_response: server_lib.StartResponse, message: object
+) -> server_lib.Response:
+    return server_lib.respond(
+        start_response, status=200, body=msgspec.json.encode(message)
     )
