--- a/src/wisteriawall/entry/claims.py
+++ b/src/wisteriawall/entry/claims.py
@@ -14,6 +14,7 @@
 
 _LOG = logging.getLogger("entry")
 
+ASK_PAUSE_S = 0.1
 SETTLE_TRIES = 2
 MAX_UNSETTLED = 10_000
 
@@ -41,7 +42,9 @@
         self._incarnation = incarnation
         self._control = control
         self._submit = submit
-        self._unsettled: deque[events.Settle] = deque(maxlen=MAX_UNSETTLED)
+        self._unsettled: deque[events.Settle | events.AskClaim] = deque(
+            maxlen=MAX_UNSETTLED
+        )
 
     @property
     def unsettled(self) -> int:
@@ -50,23 +53,13 @@
 
     def ask(self, ask: events.AskClaim) -> None:
         """Ask for a claim and submit the outcome as an event."""
-        message = control_messages.ClaimRequest(
-            ask.account,
-            ask.service,
-            ask.key,
-            ask.digest,
-            ask.request_id,
-            self._name,
-            self._incarnation,
-        )
-        try:
-            reply = self._control.call(message)
-        except control_client.ControlUnavailable:
-            reply = None
+        message = self._claim_request(ask)
+        reply = self._call(message)
         if isinstance(reply, control_messages.ClaimReply):
             self._submit(events.ClaimDecided(ask.request_id, reply, _now_ms()))
-        else:
-            self._submit(events.ClaimFailed(ask.request_id, _now_ms()))
+            return
+        time.sleep(ASK_PAUSE_S)
+        self._submit(events.ClaimFailed(ask.request_id, _now_ms()))
 
     def settle(self, settle: events.Settle) -> None:
         """Record an outcome; keep it for later if control is away."""
@@ -76,23 +69,61 @@
         _LOG.warning("claim %d not settled yet", settle.claim_id)
         self._unsettled.append(settle)
 
+    def return_later(self, ask: events.AskClaim) -> None:
+        """Release a claim once it is known whether it was recorded."""
+        self._unsettled.append(ask)
+
     def settle_rest(self) -> None:
         """Try once more to record what control has not confirmed."""
         for _ in range(len(self._unsettled)):
-            settle = self._unsettled.popleft()
-            if not self._settle_once(settle):
-                self._unsettled.append(settle)
+            rest = self._unsettled.popleft()
+            if isinstance(rest, events.Settle):
+                done = self._settle_once(rest)
+            else:
+                done = self._return_once(rest)
+            if not done:
+                self._unsettled.append(rest)
                 return
 
+    def _return_once(self, ask: events.AskClaim) -> bool:
+        # The same request id is granted its own claim again, so that the
+        # answer tells which claim to release.
+        reply = self._call(self._claim_request(ask))
+        if not isinstance(reply, control_messages.ClaimReply):
+            return False
+        if reply.verdict is not control_messages.ClaimVerdict.GRANTED:
+            return True
+        return self._settle_once(
+            events.Settle(ask.request_id, reply.claim_id, True, None)
+        )
+
     def _settle_once(self, settle: events.Settle) -> bool:
         message = control_messages.SettleRequest(
             settle.claim_id, settle.request_id, settle.released, settle.answer
         )
+        reply = self._call(message)
+        return isinstance(reply, control_messages.SettleReply)
+
+    def _claim_request(
+        self, ask: events.AskClaim
+    ) -> control_messages.ClaimRequest:
+        return control_messages.ClaimRequest(
+            ask.account,
+            ask.service,
+            ask.key,
+            ask.digest,
+            ask.request_id,
+            self._name,
+            self._incarnation,
+        )
+
+    def _call(
+        self, message: control_messages.ControlRequest
+    ) -> control_messages.ControlReply | None:
         try:
-            reply = self._control.call(message)
+            return self._control.call(message)
         except control_client.ControlUnavailable:
-            return False
-        return isinstance(reply, control_messages.SettleReply)
+            return None
 
 
 def _now_ms() -> int:
--- a/src/wisteriawall/entry/events.py
+++ b/src/wisteriawall/entry/events.py
@@ -24,6 +24,7 @@
     "LoadReported",
     "Refuse",
     "Replay",
+    "ReturnClaim",
     "Settle",
     "Started",
     "Stopping",
@@ -138,7 +139,7 @@
 
 @final
 class Dispatch(msgspec.Struct, frozen=True, tag="dispatch"):
-    """Send one attempt to a runner's agent."""
+    """Send one attempt to a runner's agent, `delay_ms` from now."""
 
     request_id: str
     attempt: int
@@ -146,6 +147,7 @@
     address: str
     config_number: int
     claim_id: int
+    delay_ms: int = 0
 
 
 @final
@@ -159,6 +161,14 @@
     digest: str
 
 
+@final
+class ReturnClaim(msgspec.Struct, frozen=True, tag="return-claim"):
+    """Release, later, a claim that may be recorded but was not used."""
+
+    request_id: str
+    ask: AskClaim
+
+
 @final
 class Refuse(msgspec.Struct, frozen=True, tag="refuse"):
     """End a request with a refusal."""
@@ -192,4 +202,4 @@
     request_id: str
 
 
-Effect = Dispatch | AskClaim | Refuse | Replay | Settle | Cancel
+Effect = Dispatch | AskClaim | ReturnClaim | Refuse | Replay | Settle | Cancel
--- a/src/wisteriawall/entry/reducer.py
+++ b/src/wisteriawall/entry/reducer.py
@@ -15,7 +15,8 @@
 
 LEASE_MS = 2_000
 MAX_ATTEMPTS = 4
-MAX_CLAIMS_ASKED = 3
+RETRY_DELAY_MS = 100
+CLAIM_WAIT_MS = 1_000
 
 
 def reduce(entry: state.Entry, event: events.Event) -> Iterator[events.Effect]:
@@ -25,8 +26,8 @@
             yield from _on_arrival(entry, event)
         case events.ClaimDecided(request_id, reply, now_ms):
             yield from _on_claim(entry, request_id, reply, now_ms)
-        case events.ClaimFailed(request_id, _):
-            yield from _on_claim_failure(entry, request_id)
+        case events.ClaimFailed(request_id, now_ms):
+            yield from _on_claim_failure(entry, request_id, now_ms)
         case events.AttemptFailed():
             yield from _on_failure(entry, event)
         case events.Finished():
@@ -78,7 +79,6 @@
 
 
 def _ask_claim(in_flight: state.InFlight) -> events.AskClaim:
-    in_flight.claims_asked += 1
     arrived = in_flight.arrived
     return events.AskClaim(
         arrived.request_id,
@@ -129,15 +129,17 @@
 
 
 def _on_claim_failure(
-    entry: state.Entry, request_id: str
+    entry: state.Entry, request_id: str, now_ms: int
 ) -> Iterator[events.Effect]:
     in_flight = entry.in_flight_by_id.get(request_id)
     if in_flight is None or in_flight.phase is not state.Phase.CLAIM:
         return
-    if in_flight.claims_asked < MAX_CLAIMS_ASKED:
+    ask = _ask_claim(in_flight)
+    if now_ms - in_flight.arrived.now_ms < CLAIM_WAIT_MS:
         # A claim that the log did record is granted again to the same id.
-        yield _ask_claim(in_flight)
+        yield ask
         return
+    yield events.ReturnClaim(request_id, ask)
     yield from _end(entry, request_id, refusals.CONTROL_LOST)
 
 
@@ -165,9 +167,17 @@
         entry.config.runners[runner].address,
         entry.config.number,
         in_flight.claim_id,
+        _retry_delay_ms(in_flight),
     )
 
 
+def _retry_delay_ms(in_flight: state.InFlight) -> int:
+    """Return the pause before a runner that failed this request gets it."""
+    if in_flight.runner not in in_flight.failed_runners:
+        return 0
+    return RETRY_DELAY_MS << (in_flight.attempt - 2)
+
+
 def _candidates(
     entry: state.Entry, service: str
 ) -> Iterator[routing.Candidate]:
--- a/src/wisteriawall/entry/run.py
+++ b/src/wisteriawall/entry/run.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import queue
+import threading
 import time
 from typing import Protocol
 from typing import final
@@ -42,6 +43,9 @@
     def settle(self, settle: events.Settle) -> None:
         """Record an outcome, now or later."""
 
+    def return_later(self, ask: events.AskClaim) -> None:
+        """Release a claim once it is known whether it was recorded."""
+
 
 @final
 class RequestRun:
@@ -80,7 +84,7 @@
         self._on_close = on_close
         self._effects: queue.SimpleQueue[events.Effect] = queue.SimpleQueue()
         self._attempt: attempt_lib.Attempt | None = None
-        self._cancelled = False
+        self._cancelled = threading.Event()
         self._begun = False
         self._resumable = True
         self._transcript = completion.Transcript()
@@ -94,7 +98,7 @@
 
     def cancel(self) -> None:
         """Break the attempt in progress, if any."""
-        self._cancelled = True
+        self._cancelled.set()
         attempt = self._attempt
         if attempt is not None:
             attempt.cancel()
@@ -120,10 +124,6 @@
         """Yield the answer's bytes while following the effects."""
         while True:
             match self._effects.get():
-                case events.AskClaim() as ask:
-                    self._claims.ask(ask)
-                case events.Settle() as settle:
-                    self._claims.settle(settle)
                 case events.Refuse(_, refusal):
                     yield from self._refuse(refusal)
                     return
@@ -137,12 +137,25 @@
                 case events.Dispatch() as dispatch:
                     if (yield from self._try(dispatch)):
                         return
+                case effect:
+                    self._call_control(effect)
+
+    def _call_control(self, effect: events.Effect) -> None:
+        match effect:
+            case events.AskClaim() as ask:
+                self._claims.ask(ask)
+            case events.Settle() as settle:
+                self._claims.settle(settle)
+            case events.ReturnClaim(_, ask):
+                self._claims.return_later(ask)
+            case _:
+                pass
 
     def _try(self, dispatch: events.Dispatch) -> Generator[bytes, None, bool]:
         """Yield one attempt's answer; return whether the request ended."""
         attempt = self._relay.new_attempt()
         self._attempt = attempt
-        if self._cancelled:
+        if self._cancelled.wait(dispatch.delay_ms / 1000):
             attempt.cancel()
         try:
             with contextlib.closing(attempt):
@@ -308,9 +321,7 @@
     def _settle_rest(self) -> None:
         with contextlib.suppress(queue.Empty):
             while True:
-                effect = self._effects.get_nowait()
-                if isinstance(effect, events.Settle):
-                    self._claims.settle(effect)
+                self._call_control(self._effects.get_nowait())
 
     def _begin(self, status: int, head: list[tuple[str, str]]) -> None:
         self._begun = True
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -91,6 +91,7 @@
         self._leaving = False
         self._stopping = threading.Event()
         self._active = 0
+        self.callers_gone = 0
         self._run_by_id: dict[str, run_lib.RequestRun] = {}
         self._relay = relay_lib.Relay(
             token=token, timeouts=self._limits.timeouts
@@ -255,11 +256,13 @@
         )
         self._run_by_id[request_id] = run
         self._submit(_arrived(request_id, request))
-        caller.on_hangup(
-            lambda: self._submit(events.CallerGone(request_id, _now_ms()))
-        )
+        caller.on_hangup(functools.partial(self._hang_up, request_id))
         return run
 
+    def _hang_up(self, request_id: str) -> None:
+        self._submit(events.CallerGone(request_id, _now_ms()))
+        self.callers_gone += 1
+
     def _forget(self, request_id: str) -> None:
         del self._run_by_id[request_id]
         self._leave()
--- a/src/wisteriawall/entry/state.py
+++ b/src/wisteriawall/entry/state.py
@@ -31,7 +31,6 @@
 
     arrived: events.Arrived
     phase: Phase
-    claims_asked: int = 0
     claim_id: int = 0
     attempt: int = 0
     runner: str = ""
--- a/testing/entry/conftest.py
+++ b/testing/entry/conftest.py
@@ -29,7 +29,10 @@
 
 
 class FakeControl:
-    """Answers leases and claims from memory; `away` drops kinds."""
+    """Answers leases and claims from memory.
+
+    Kinds in `away` are dropped; those in `mute` are carried out unanswered.
+    """
 
     def __init__(self) -> None:
         """Listen on a free port."""
@@ -39,6 +42,7 @@
         self.claims: dict[tuple[str, str, str], list[Any]] = {}
         self.settled: list[messages.SettleRequest] = []
         self.away: set[type] = set()
+        self.mute: set[type] = set()
         self._lock = threading.Lock()
         self._codec: envelope.Codec[Any] = envelope.Codec(
             message_type=messages.ControlRequest,
@@ -56,7 +60,8 @@
         if type(request) in self.away:
             return None
         with self._lock:
-            return self._codec.encode(self._reply(request))
+            reply = self._codec.encode(self._reply(request))
+        return None if type(request) in self.mute else reply
 
     def _reply(self, request: object) -> object:
         match request:
@@ -295,6 +300,7 @@
         for runner in (*self.runners, *self.plains):
             runner.release.set()
         self.control.away.clear()
+        self.control.mute.clear()
         for entry in self.entries:
             entry.stop()
         for runner in (*self.runners, *self.plains):
