--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -8,11 +8,16 @@
 import wisteriawall
 from wisteriawall import errors
 from wisteriawall.commands import agent as agent_command
+from wisteriawall.commands import audit as audit_command
 from wisteriawall.commands import check_settings as check_settings_command
+from wisteriawall.commands import config as config_command
 from wisteriawall.commands import control as control_command
 from wisteriawall.commands import demo as demo_command
+from wisteriawall.commands import drain as drain_command
 from wisteriawall.commands import entry as entry_command
+from wisteriawall.commands import replica as replica_command
 from wisteriawall.commands import stand_in as stand_in_command
+from wisteriawall.commands import status as status_command
 from wisteriawall.observability import logs
 from wisteriawall.settings import checks
 
@@ -69,6 +74,11 @@
 app.command()(control_command.control)
 app.command()(demo_command.demo)
 app.command()(entry_command.entry)
+app.command()(audit_command.audit)
+app.command()(drain_command.drain)
+app.command()(status_command.status)
+app.add_typer(config_command.app, name="config")
+app.add_typer(replica_command.app, name="replica")
 app.command(name="stand-in")(stand_in_command.stand_in)
 
 
--- /dev/null
+++ b/src/wisteriawall/commands/replica.py
@@ -0,0 +1,63 @@
+"""`wisteriawall replica`: add and remove control replicas."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from wisteriawall.control import events
+from wisteriawall.operator import client as client_lib
+from wisteriawall.operator import options
+from wisteriawall.operator import tables
+
+__all__ = ["app"]
+
+app = typer.Typer(help="Add and remove control replicas.", no_args_is_help=True)
+
+Name = Annotated[str, typer.Argument(help="Name of the replica.")]
+
+
+@app.command()
+def add(
+    replica: Name,
+    peer: Annotated[str, typer.Option(help="Its peer address: HOST:PORT.")],
+    rpc: Annotated[str, typer.Option(help="Its RPC address: HOST:PORT.")],
+    admin: Annotated[
+        str, typer.Option(help="Its address for operators: HOST:PORT.")
+    ],
+    control: options.Address = options.DEFAULT_ADDRESS,
+    token: options.Token = "",
+    as_json: options.Json = False,
+) -> None:
+    """Add a replica; it votes once it has caught up."""
+    body = {"replica": replica, "peer": peer, "rpc": rpc, "admin": admin}
+    answer = options.connect(control, token).call(
+        "POST", "/v1/replicas", body=msgspec.json.encode(body)
+    )
+    _show(answer, as_json)
+
+
+@app.command()
+def remove(
+    replica: Name,
+    control: options.Address = options.DEFAULT_ADDRESS,
+    token: options.Token = "",
+    as_json: options.Json = False,
+) -> None:
+    """Remove a replica."""
+    answer = options.connect(control, token).call(
+        "DELETE", "/v1/replicas", query={"replica": replica}
+    )
+    _show(answer, as_json)
+
+
+def _show(answer: client_lib.Answer, as_json: bool) -> None:
+    if as_json:
+        typer.echo(answer.body)
+        return
+    members = answer.decode(events.ReplicasReply).members
+    rows = [
+        (m.replica, m.peer_address, "yes" if m.voting else "catching up")
+        for m in members
+    ]
+    typer.echo(tables.render(("REPLICA", "PEER", "VOTES"), rows))
--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -3,15 +3,12 @@
 from collections.abc import Mapping
 import hashlib
 import hmac
-from typing import Annotated
-from typing import Literal
-from typing import TypeVar
 from typing import final
-from urllib import parse
 
 import msgspec
 import urllib3
 
+from wisteriawall.control import admin_requests
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import shell as shell_lib
@@ -22,12 +19,10 @@
 
 __all__ = ["AdminApp"]
 
-AUDIT_PAGE_RECORDS = 500
 FORWARD_TIMEOUT_S = 6.0
 FORWARDED = "Wisteriawall-Forwarded"
 FORWARDED_ENVIRON = headers_lib.environ_name(FORWARDED)
 
-QueryT = TypeVar("QueryT", bound=msgspec.Struct)
 COPIED_HEADERS = ("Authorization", "If-Match", "Idempotency-Key")
 
 
@@ -62,8 +57,10 @@
         operator = self._operator(environ)
         if operator is None:
             return server_lib.refuse(start_response, _UNAUTHENTICATED)
-        environ["wisteriawall.body"] = server_lib.read_body(environ)
-        request = self._request(environ, operator)
+        environ[admin_requests.BODY] = server_lib.read_body(environ)
+        request = admin_requests.parse_request(
+            environ, operator, forwarded=FORWARDED_ENVIRON in environ
+        )
         if isinstance(request, refusal_lib.Refusal):
             return server_lib.refuse(start_response, request)
         reply = self._shell.call(request)
@@ -78,25 +75,6 @@
                 found = operator
         return found if scheme.lower() == "bearer" else None
 
-    def _request(
-        self, environ: server_lib.Environ, operator: str
-    ) -> events.Request | refusal_lib.Refusal:
-        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
-            case "GET", "/v1/config":
-                return _config_request(environ)
-            case "GET", "/v1/config/history":
-                return _history_request(environ)
-            case "PATCH", "/v1/config":
-                return _patch_request(environ, operator)
-            case "GET", "/v1/status":
-                return events.StatusRequest(whole=not _is_forwarded(environ))
-            case "GET", "/v1/audit":
-                return _audit_request(environ)
-            case "POST", "/v1/drain":
-                return _drain_request(environ, operator)
-            case _:
-                return _NOT_FOUND
-
     def _respond(
         self,
         environ: server_lib.Environ,
@@ -114,6 +92,8 @@
                 reason
             ):
                 return server_lib.refuse(start_response, _not_found(reason))
+            case events.ReplicasReply(_, refusal) if refusal:
+                return server_lib.refuse(start_response, _conflict(refusal))
             case events.ConfigReply(document):
                 etag = ("ETag", f'"{document.number}"')
                 return server_lib.respond(
@@ -137,7 +117,7 @@
         address = self._address_by_replica.get(leader)
         if address is None or FORWARDED_ENVIRON in environ:
             return server_lib.refuse(start_response, _unavailable("no leader"))
-        body = environ["wisteriawall.body"]
+        body = environ[admin_requests.BODY]
         try:
             response = self._pool.request(
                 environ["REQUEST_METHOD"],
@@ -167,16 +147,6 @@
     code=refusal_lib.Code.UNAUTHENTICATED,
     message="expected `Authorization: Bearer` with an operator's token",
 )
-_NOT_FOUND = refusal_lib.Refusal(
-    status=404,
-    code=refusal_lib.Code.NOT_FOUND,
-    message="no such operator resource",
-)
-_NO_NUMBER = refusal_lib.Refusal(
-    status=428,
-    code=refusal_lib.Code.INVALID,
-    message='expected `If-Match: "<number>"`',
-)
 
 
 def _unavailable(reason: str) -> refusal_lib.Refusal:
@@ -195,8 +165,10 @@
     )
 
 
-def _is_forwarded(environ: server_lib.Environ) -> bool:
-    return FORWARDED_ENVIRON in environ
+def _conflict(reason: str) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=409, code=refusal_lib.Code.INVALID, message=reason
+    )
 
 
 def _path(environ: server_lib.Environ) -> str:
@@ -205,78 +177,6 @@
     return f"{path}?{query}" if query else path
 
 
-def _config_request(
-    environ: server_lib.Environ,
-) -> events.Request | refusal_lib.Refusal:
-    query = _query(environ, _ConfigQuery)
-    if isinstance(query, refusal_lib.Refusal):
-        return query
-    return events.ConfigRequest(query.number)
-
-
-def _history_request(
-    environ: server_lib.Environ,
-) -> events.Request | refusal_lib.Refusal:
-    query = _query(environ, _HistoryQuery)
-    if isinstance(query, refusal_lib.Refusal):
-        return query
-    return events.HistoryRequest(query.limit)
-
-
-def _audit_request(
-    environ: server_lib.Environ,
-) -> events.Request | refusal_lib.Refusal:
-    query = _query(environ, _AuditQuery)
-    if isinstance(query, refusal_lib.Refusal):
-        return query
-    return events.AuditRequest(
-        query.after, query.limit, query.kind, query.subject
-    )
-
-
-def _query(
-    environ: server_lib.Environ, wanted: type[QueryT]
-) -> QueryT | refusal_lib.Refusal:
-    """Return the typed query string, or the refusal that names its fault."""
-    pairs = parse.parse_qsl(environ.get("QUERY_STRING", ""))
-    try:
-        return msgspec.convert(dict(pairs), wanted, strict=False)
-    except msgspec.ValidationError as error:
-        return refusal_lib.Refusal(
-            status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
-        )
-
-
-_Limit = Annotated[int, msgspec.Meta(ge=1, le=AUDIT_PAGE_RECORDS)]
-
-
-@final
-class _ConfigQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    number: int | None = None
-
-
-@final
-class _HistoryQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    limit: _Limit = 50
-
-
-@final
-class _AuditQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    after: int = 0
-    kind: Literal[
-        "",
-        "patch",
-        "order",
-        "order-result",
-        "membership",
-        "drain",
-        "leadership",
-        "replica",
-    ] = ""
-    subject: str = ""
-    limit: _Limit = AUDIT_PAGE_RECORDS
-
-
 def _forwarded_headers(environ: server_lib.Environ) -> dict[str, str]:
     named = {
         name: environ[headers_lib.environ_name(name)]
@@ -287,40 +187,6 @@
     return named
 
 
-def _patch_request(
-    environ: server_lib.Environ, operator: str
-) -> events.PatchRequest | refusal_lib.Refusal:
-    number = environ.get("HTTP_IF_MATCH", "").strip().strip('"')
-    if not number.isdecimal():
-        return _NO_NUMBER
-    return events.PatchRequest(
-        patch_id=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
-        operator=operator,
-        base_number=int(number),
-        change=environ["wisteriawall.body"],
-    )
-
-
-def _drain_request(
-    environ: server_lib.Environ, operator: str
-) -> events.Request | refusal_lib.Refusal:
-    try:
-        body = msgspec.json.decode(
-            environ["wisteriawall.body"], type=_DrainBody
-        )
-    except msgspec.DecodeError as error:
-        return refusal_lib.Refusal(
-            status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
-        )
-    return events.DrainRequest(operator, body.runner, body.undo)
-
-
-@final
-class _DrainBody(msgspec.Struct, frozen=True):
-    runner: str
-    undo: bool = False
-
-
 @final
 class _PatchBody(msgspec.Struct, frozen=True):
     number: int
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -185,6 +185,7 @@
     phase: fleet.RunnerPhase
     role: fleet.Role
     pending: str
+    model: str = ""
 
 
 @final
--- a/src/wisteriawall/control/status.py
+++ b/src/wisteriawall/control/status.py
@@ -55,4 +55,5 @@
             runner.phase,
             runner.role,
             f"{pending.action} {pending.argument}" if pending else "",
+            runner.model,
         )
--- /dev/null
+++ b/testing/operator/test_commands.py
@@ -0,0 +1,155 @@
+"""Tests of the operators' commands against a whole demo cluster."""
+
+from collections.abc import Iterator
+import pathlib
+
+import msgspec
+import pytest
+from typer import testing as typer_testing
+
+from wisteriawall import cli
+from wisteriawall import errors
+from wisteriawall.demo import cluster as cluster_lib
+from wisteriawall.operator import client as client_lib
+
+
+@pytest.fixture(scope="module")
+def cluster(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[cluster_lib.DemoCluster]:
+    """Yield a running cluster."""
+    cluster = cluster_lib.DemoCluster(
+        folder=tmp_path_factory.mktemp("demo"),
+        entry_address="127.0.0.1:0",
+        admin_address="127.0.0.1:0",
+    )
+    cluster.start()
+    yield cluster
+    cluster.stop()
+
+
+def run(
+    cluster: cluster_lib.DemoCluster,
+    *arguments: str,
+    token: str = cluster_lib.OPERATOR_TOKEN,
+    replica: int = 1,
+) -> typer_testing.Result:
+    """Run a command through the last replica's address."""
+    return typer_testing.CliRunner().invoke(
+        cli.app,
+        list(arguments),
+        env={
+            "WISTERIAWALL_OPERATOR_CONTROL": cluster.admin_addresses[replica],
+            "WISTERIAWALL_OPERATOR_TOKEN": token,
+        },
+    )
+
+
+def number(cluster: cluster_lib.DemoCluster) -> int:
+    """Return the newest configuration number."""
+    config = msgspec.json.decode(run(cluster, "config", "get").stdout)
+    found: int = config["number"]
+    return found
+
+
+def write(folder: pathlib.Path, change: object) -> str:
+    """Return the name of a file with a patch."""
+    path = folder / "patch.json"
+    path.write_bytes(msgspec.json.encode(change))
+    return str(path)
+
+
+def test_patch_is_shown_by_history_diff_audit_and_status(
+    cluster: cluster_lib.DemoCluster, tmp_path: pathlib.Path
+) -> None:
+    base = number(cluster)
+    change = {"services": {"briefs": {"deadline_ms": 41_000}}}
+    result = run(
+        cluster,
+        *("config", "patch", write(tmp_path, change)),
+        *("--number", str(base), "--id", "change-1"),
+    )
+    assert result.exit_code == 0, result.output
+    assert result.stdout.startswith(f"configuration {base + 1}; held by ")
+    diff = run(cluster, "config", "diff", str(base), str(base + 1))
+    assert msgspec.json.decode(diff.stdout) == change | {"number": base + 1}
+    assert "change-1" in run(cluster, "config", "history").stdout
+    audit = run(cluster, "audit", "--kind", "patch", "--json").stdout
+    last = msgspec.json.decode(audit.splitlines()[-1])
+    assert (last["actor"], last["cause"]) == ("demo", "change-1")
+    status = run(cluster, "status").stdout
+    assert f"configuration {base + 1}, leader control-" in status
+    assert "entry/entry-1" in status
+
+
+@pytest.mark.parametrize(
+    ("change", "offset", "token", "error", "exit_code"),
+    [
+        pytest.param(
+            {"capacity_pieces": 8},
+            -1,
+            cluster_lib.OPERATOR_TOKEN,
+            "stale_configuration",
+            errors.ExitCode.CONFLICT,
+            id="stale",
+        ),
+        pytest.param(
+            {"capacity_pieces": "x", "odd": 1},
+            0,
+            cluster_lib.OPERATOR_TOKEN,
+            "odd: unknown field",
+            errors.ExitCode.USAGE,
+            id="invalid",
+        ),
+        pytest.param(
+            {},
+            0,
+            "forged",
+            "unauthenticated",
+            errors.ExitCode.USAGE,
+            id="unauthenticated",
+        ),
+    ],
+)
+def test_refused_patch_exits_with_a_code(
+    cluster: cluster_lib.DemoCluster,
+    tmp_path: pathlib.Path,
+    change: object,
+    offset: int,
+    token: str,
+    error: str,
+    exit_code: errors.ExitCode,
+) -> None:
+    before = number(cluster)
+    result = run(
+        cluster,
+        *("config", "patch", write(tmp_path, change)),
+        *("--number", str(before + offset)),
+        token=token,
+    )
+    assert isinstance(result.exception, errors.WisteriawallError)
+    assert error in str(result.exception)
+    assert result.exception.exit_code is exit_code
+    assert number(cluster) == before
+
+
+def test_drain_and_undo_show_in_status(
+    cluster: cluster_lib.DemoCluster,
+) -> None:
+    for arguments, phase in (((), "draining"), (("--undo",), "live")):
+        assert run(cluster, "drain", "orders-1", *arguments).exit_code == 0
+        status = msgspec.json.decode(run(cluster, "status", "--json").stdout)
+        phases = {r["name"]: r["phase"] for r in status["runners"]}
+        assert phases["orders-1"] == phase
+
+
+def test_unknown_runner_and_unreachable_control_are_told_apart(
+    cluster: cluster_lib.DemoCluster,
+) -> None:
+    unknown = run(cluster, "drain", "nobody")
+    assert "no such runner" in str(unknown.exception)
+    gone = client_lib.OperatorClient(
+        addresses=(cluster_lib.free_address(),), token="t"
+    )
+    with pytest.raises(client_lib.Unavailable):
+        gone.call("GET", "/v1/status")
