Hold work back from full decoders, learn run times, plan by how long a shift lasts

Change: dispatch waits for room to decode; admission scales run time by what answers of the service took of late; engines take what waits by deadline; a shift is expected to last as long again as it has lasted; changes under way count in the role that they lead to; the way back to mixed needs no such proof.

--- a/src/wisteriawall/benchmark/controls.py
+++ b/src/wisteriawall/benchmark/controls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 from typing import final
@@ -51,6 +52,7 @@
         now_ms: float,
         *,
         queued_tokens: int,
+        target_by_runner: Mapping[str, fleet.Role],
     ) -> Iterator[roles.RoleChange]:
         """Yield the changes to carry out now.
 
@@ -59,10 +61,13 @@
             demands: What each entry took in since the last call.
             now_ms: Now.
             queued_tokens: Work that waits at the entries, for the baseline.
+            target_by_runner: Roles that changes under way will give.
         """
         match self.variant.roles:
             case variants.Roles.PLANNED:
-                yield from self._plan(engines, demands, now_ms)
+                yield from self._plan(
+                    engines, demands, now_ms, target_by_runner
+                )
             case variants.Roles.REACTIVE:
                 yield from self._react(engines, now_ms, queued_tokens)
             case _:
@@ -73,6 +78,7 @@
         engines: Sequence[engine_lib.Engine],
         demands: Sequence[fleet.ServiceDemand],
         now_ms: float,
+        target_by_runner: Mapping[str, fleet.Role],
     ) -> Iterator[roles.RoleChange]:
         for demand in demands:
             roles.observe(self.planner, demand, now_ms=int(now_ms))
@@ -83,6 +89,7 @@
                 role=e.role,
                 phase=e.phase,
                 streams=self._streams(e),
+                target=target_by_runner.get(e.runner),
             )
             for e in engines
         ]
@@ -117,10 +124,10 @@
         most = writers[0].speed.max_streams * REACTIVE_STREAMS_SHARE
         wants_prefill = waiting > REACTIVE_WAITING_TOKENS
         wants_decode = streams > most
-        if wants_prefill == wants_decode:
+        if not wants_prefill and not wants_decode:
             return
-        role = fleet.Role.PREFILL if wants_prefill else fleet.Role.DECODE
-        source = writers if wants_prefill else readers
+        role = fleet.Role.DECODE if wants_decode else fleet.Role.PREFILL
+        source = readers if wants_decode else writers
         if len(source) < 2:
             return
         self.changed_ms = now_ms
--- a/src/wisteriawall/benchmark/front.py
+++ b/src/wisteriawall/benchmark/front.py
@@ -52,6 +52,7 @@
         self.budget = retries.RetryBudget()
         self.queue = limits.AdmissionQueue()
         self.estimates = estimates.Estimates()
+        self.run_times = estimates.RunTimes()
         self.demand_prefill = 0
         self.demand_decode = 0
         self._variant = variant
@@ -85,7 +86,7 @@
             deadline_ms, run_ms = 10**9, 0
         else:
             deadline_ms = int(request.deadline_ms)
-            run_ms = round(_run_ms(work))
+            run_ms = round(self.run_times.run_ms(request.kind, _run_ms(work)))
         refused = limits.offer(
             self.queue,
             limits.Waiting(
@@ -183,7 +184,12 @@
         )
 
     def finished(
-        self, request: workload.Request, runner: str, gap_ms: float
+        self,
+        request: workload.Request,
+        runner: str,
+        *,
+        gap_ms: float,
+        run_ms: float,
     ) -> None:
         """Record a whole answer and settle its tokens.
 
@@ -191,7 +197,18 @@
             request: The request.
             runner: The runner that decoded.
             gap_ms: Mean time between its tokens.
+            run_ms: Time from its dispatch to its end.
         """
+        self.run_times.observe(
+            request.kind,
+            measured_ms=run_ms,
+            expected_ms=_run_ms(
+                routing.Work(
+                    prompt_tokens=request.prompt_tokens,
+                    output_tokens=request.output_tokens,
+                )
+            ),
+        )
         before = self._pace_ms_by_runner.get(runner, gap_ms)
         self._pace_ms_by_runner[runner] = before + PACE_SMOOTHING * (
             gap_ms - before
@@ -234,9 +251,17 @@
         return Dispatch(request=request, placement=placement)
 
     def _has_opening(self, engines: list[engine_lib.Engine]) -> bool:
-        """Tell whether a runner that may prefill has room."""
-        fitting = [e for e in engines if e.role is not fleet.Role.DECODE]
-        return any(self._has_room(e) for e in fitting or engines)
+        """Tell whether one runner may prefill and one may decode."""
+        readers = [e for e in engines if e.role is not fleet.Role.DECODE]
+        writers = [e for e in engines if e.role is not fleet.Role.PREFILL]
+        return any(self._has_room(e) for e in readers or engines) and any(
+            self._can_decode(e) for e in writers or engines
+        )
+
+    def _can_decode(self, engine: engine_lib.Engine) -> bool:
+        if self._variant.admission is variants.Admission.NONE:
+            return True
+        return self.view.streams(engine.runner) < engine.speed.max_streams
 
     def _has_room(self, engine: engine_lib.Engine) -> bool:
         if self._variant.admission is variants.Admission.NONE:
@@ -256,6 +281,7 @@
             role=engine.role,
             hit_tokens=hit * speeds.PIECE_TOKENS,
             has_room=self._has_room(engine),
+            can_decode=self._can_decode(engine),
             pace_ms=self._pace_ms_by_runner.get(engine.runner, 0.0),
             free_pieces=self.view.free_pieces(engine.runner),
         )
@@ -274,7 +300,8 @@
         role_by_runner = {c.runner: c.role for c in candidates}
         second = first
         if role_by_runner[first] is not mixed:
-            second = self._choose(writers or candidates) or first
+            fitting = [c for c in writers or candidates if c.can_decode]
+            second = self._choose(fitting or writers) or first
         return routing.Placement(prefill=first, decode=second, cost_ms=0.0)
 
     def _choose(self, candidates: list[routing.Candidate]) -> str | None:
--- a/src/wisteriawall/benchmark/simulation.py
+++ b/src/wisteriawall/benchmark/simulation.py
@@ -36,6 +36,7 @@
 
     request: workload.Request
     attempts: int = 0
+    sent_ms: float = 0.0
     first_ms: float = math.inf
     ended_ms: float = math.inf
     is_refused: bool = False
@@ -171,6 +172,7 @@
         request, placement = effect.request, effect.placement
         answer = self._answer_by_id[request.request_id]
         answer.attempts += 1
+        answer.sent_ms = now_ms
         answer.decode_runner = placement.decode
         whole = engine_lib.Part.WHOLE
         part = engine_lib.Part.PREFILL if placement.is_pair else whole
@@ -249,7 +251,12 @@
                 answer.ended_ms = now_ms
                 gaps = max(1, request.output_tokens - 1)
                 gap_ms = (now_ms - answer.first_ms) / gaps
-                front.finished(request, engine.runner, gap_ms)
+                front.finished(
+                    request,
+                    engine.runner,
+                    gap_ms=gap_ms,
+                    run_ms=now_ms - answer.sent_ms,
+                )
                 self._pump(front, now_ms)
 
     def _hand_over(
@@ -380,6 +387,7 @@
                 demands,
                 now_ms,
                 queued_tokens=sum(f.queued_tokens for f in self._fronts),
+                target_by_runner=self._role_by_runner,
             )
         )
         for change in changes:
@@ -400,7 +408,7 @@
         engine.phase = fleet.RunnerPhase.CHANGING
 
         def done(then_ms: float) -> None:
-            engine.set_role(self._role_by_runner[engine.runner])
+            engine.set_role(self._role_by_runner.pop(engine.runner))
             left_ms = self._left_ms_by_runner[engine.runner]
             self._lost_ms += then_ms - left_ms
             for front in self._fronts:
--- a/src/wisteriawall/benchmark/traces.py
+++ b/src/wisteriawall/benchmark/traces.py
@@ -24,6 +24,7 @@
 TRACE_NAMES = (
     "steady",
     "swing",
+    "long-shift",
     "monday-backlog",
     "deadline-night",
     "prefix-heavy",
@@ -37,6 +38,7 @@
 LENGTH_SIGMA = 0.4
 MAX_PROMPT_TOKENS = 32_000
 MAX_OUTPUT_TOKENS = 4_000
+_LOAD_BY_NAME = {"steady": 0.65, "withdrawn": 0.8, "overload-2x": 2.0}
 
 _BRIEF = workload.Kind(
     name="brief",
@@ -133,14 +135,19 @@
         long_prompt, long_output, short = _CATALOGUE, _CRITIQUE, _STANDINGS
     usual = ((long_output, 0.6), (long_prompt, 0.2), (short, 0.2))
     match name:
-        case "steady":
-            yield _Phase(share=1.0, load=0.65, share_by_kind=usual)
+        case "steady" | "withdrawn" | "overload-2x":
+            load = _LOAD_BY_NAME[name]
+            yield _Phase(share=1.0, load=load, share_by_kind=usual)
         case "swing" | "lag-100ms" | "lag-2s" | "lag-10s":
             reading = ((long_prompt, 0.8), (long_output, 0.1), (short, 0.1))
             writing = ((long_output, 0.9), (short, 0.1))
             for _ in range(2):
                 yield _Phase(share=0.25, load=0.85, share_by_kind=reading)
                 yield _Phase(share=0.25, load=0.85, share_by_kind=writing)
+        case "long-shift":
+            reading = ((long_prompt, 0.8), (long_output, 0.1), (short, 0.1))
+            yield _Phase(share=0.1, load=0.65, share_by_kind=usual)
+            yield _Phase(share=0.9, load=0.85, share_by_kind=reading)
         case "monday-backlog":
             monday = ((_WEEKEND, 0.6), (long_output, 0.3), (short, 0.1))
             yield _Phase(share=0.2, load=0.5, share_by_kind=usual)
@@ -156,10 +163,6 @@
         case "prefix-heavy":
             guided = ((_LONG_GUIDE, 0.8), (short, 0.2))
             yield _Phase(share=1.0, load=0.8, share_by_kind=guided)
-        case "withdrawn":
-            yield _Phase(share=1.0, load=0.8, share_by_kind=usual)
-        case "overload-2x":
-            yield _Phase(share=1.0, load=2.0, share_by_kind=usual)
         case _:
             raise ValueError(f"trace {name!r}: expected one of {TRACE_NAMES}")
 
--- a/src/wisteriawall/benchmark/variants.py
+++ b/src/wisteriawall/benchmark/variants.py
@@ -78,18 +78,23 @@
         return " ".join(parts)
 
 
-OURS = Variant(roles=Roles.PLANNED, routing=Routing.COST)
+OURS = Variant(roles=Roles.PLANNED, routing=Routing.COST, order=Order.DEADLINE)
 BASELINES = (
-    Variant(roles=Roles.STATIC, routing=Routing.LEAST),
+    *(
+        Variant(roles=Roles.STATIC, routing=Routing.LEAST, prefill_share=share)
+        for share in (0.2, 0.4, 0.6, 0.8)
+    ),
     Variant(roles=Roles.MIXED, routing=Routing.LEAST),
     Variant(roles=Roles.REACTIVE, routing=Routing.LEAST),
     Variant(roles=Roles.MIXED, routing=Routing.RANDOM),
     Variant(roles=Roles.MIXED, routing=Routing.TWO),
 )
 ABLATIONS = (
-    Variant(roles=Roles.STATIC, routing=Routing.COST),
-    Variant(roles=Roles.MIXED, routing=Routing.COST),
-    Variant(roles=Roles.REACTIVE, routing=Routing.COST),
+    dataclasses.replace(OURS, roles=Roles.MIXED),
+    dataclasses.replace(OURS, roles=Roles.STATIC),
+    dataclasses.replace(OURS, roles=Roles.REACTIVE),
+    dataclasses.replace(OURS, order=Order.ARRIVAL),
+    dataclasses.replace(OURS, order=Order.ELAPSED),
 )
 PLAIN = (
     Variant(
--- a/src/wisteriawall/policy/estimates.py
+++ b/src/wisteriawall/policy/estimates.py
@@ -6,13 +6,16 @@
 import dataclasses
 from typing import final
 
-__all__ = ["DEFAULT_TOKENS", "Estimates", "Mean"]
+__all__ = ["DEFAULT_TOKENS", "Estimates", "Mean", "RunTimes"]
 
 DEFAULT_TOKENS = 256
 MAX_ACCOUNTS = 4_096
 MAX_SERVICES = 256
 MEMORY_ANSWERS = 64
 TRUST_ANSWERS = 8
+RUN_SMOOTHING = 0.05
+MIN_RUN_RATIO = 0.5
+MAX_RUN_RATIO = 8.0
 
 
 @final
@@ -75,3 +78,28 @@
                 del self.mean_by_service[next(iter(self.mean_by_service))]
         self.mean_by_service[service] = mean
         return mean
+
+
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunTimes:
+    """How much longer answers took of late than the engines' speed says."""
+
+    ratio_by_service: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def observe(
+        self, service: str, *, measured_ms: float, expected_ms: float
+    ) -> None:
+        """Learn from the run time of one whole answer."""
+        ratio = measured_ms / max(1.0, expected_ms)
+        ratio = max(MIN_RUN_RATIO, min(MAX_RUN_RATIO, ratio))
+        before = self.ratio_by_service.pop(service, 1.0)
+        if len(self.ratio_by_service) >= MAX_SERVICES:
+            del self.ratio_by_service[next(iter(self.ratio_by_service))]
+        self.ratio_by_service[service] = before + RUN_SMOOTHING * (
+            ratio - before
+        )
+
+    def run_ms(self, service: str, expected_ms: float) -> float:
+        """Return the run time to expect now."""
+        return expected_ms * self.ratio_by_service.get(service, 1.0)
--- a/src/wisteriawall/policy/roles.py
+++ b/src/wisteriawall/policy/roles.py
@@ -28,15 +28,16 @@
 
 FAST_S = 5.0
 SLOW_S = 20.0
-HORIZON_S = 60.0
+MAX_HORIZON_S = 300.0
 RUNNER_COOL_DOWN_MS = 30_000
 ZONE_SPACING_MS = 15_000
 SERVICE_SPACING_MS = 5_000
 MAX_CHANGES = 2
-HEADROOM = 1.1
+HEADROOM = 1.0
 MIXED_PREFILL_SHARE = 0.7
-MIXED_DECODE_SHARE = 0.95
+MIXED_DECODE_SHARE = 1.0
 BUFFER_GAIN_SHARE = 0.9
+MIXED_HORIZON_S = 60.0
 STREAM_DRAIN_S = 0.2
 
 
@@ -46,7 +47,8 @@
     """A runner as the leader knows it.
 
     `is_clear` is False while what the engine does is not known: it then
-    counts as lost. `streams` must end before it can change.
+    counts as lost. `streams` must end before it can change. `target` is the
+    role that an order under way gives it.
     """
 
     runner: str
@@ -55,6 +57,7 @@
     phase: fleet.RunnerPhase
     is_clear: bool = True
     streams: int = 0
+    target: fleet.Role | None = None
 
 
 @final
@@ -137,6 +140,7 @@
     slow_prefill: float = 0.0
     slow_decode: float = 0.0
     changed_ms: int = -SERVICE_SPACING_MS
+    short_since_ms: int | None = None
 
 
 @final
@@ -207,10 +211,14 @@
     if now_ms - demand.changed_ms < SERVICE_SPACING_MS:
         return
     open_ones = [r for r in working if _may_change(planner, r, now_ms)]
-    split = _split_of(working)
+    split = _split_of(service.runners)
     options = _options(open_ones, split, _needs(service, demand))
     best = max(options, key=lambda option: option.rank, default=None)
-    if best is None or best.gain * HORIZON_S <= _price_s(service, best.runner):
+    if best is None:
+        return
+    horizon_s = _horizon_s(demand, best, now_ms)
+    saved_s, price_s = best.gain * horizon_s, _price_s(service, best.runner)
+    if saved_s <= price_s:
         return
     demand.changed_ms = now_ms
     planner.changed_ms_by_runner[best.runner.runner] = now_ms
@@ -220,30 +228,50 @@
         runner=best.runner.runner,
         role=best.role,
         cause=(
-            f"saves {best.gain * HORIZON_S:.0f} engine-seconds in "
-            f"{HORIZON_S:.0f} s, must save "
-            f"{_price_s(service, best.runner):.0f}"
+            f"saves {saved_s:.0f} engine-seconds in {horizon_s:.0f} s, "
+            f"must save {price_s:.0f}"
         ),
     )
 
 
+def _horizon_s(demand: _Demand, best: _Option, now_ms: int) -> float:
+    """Return how long the best change is expected to go on paying.
+
+    A shift is expected to last as long again as it has lasted, so that a
+    brief swing moves no engine. A way back to the mixed role needs no such
+    proof.
+    """
+    if best.gain <= 0:
+        demand.short_since_ms = None
+        return 0.0
+    if demand.short_since_ms is None:
+        demand.short_since_ms = now_ms
+    if best.role is fleet.Role.MIXED:
+        return MIXED_HORIZON_S
+    age_s = (now_ms - demand.short_since_ms) / 1_000
+    return min(MAX_HORIZON_S, age_s)
+
+
 def _options(
     runners: Sequence[Runner], split: Split, needs: Sequence[Need]
 ) -> Iterator[_Option]:
     """Yield each change that leaves every needed role a runner.
 
-    Its gain is the least over the quick and the slow estimate of demand, so
-    that neither a burst nor a fading past moves an engine.
+    The gain of a dedicated role is the lesser by the quick and the slow
+    estimate of demand, so that no burst dedicates an engine. Back to the
+    mixed role the quick one counts, as a wrong dedicated role costs most.
     """
     for runner in runners:
         for role in fleet.Role:
             after = _after(split, runner.role, role)
             if role is runner.role or not _covers_roles(after):
                 continue
-            gain = min(
+            gains = [
                 lost_engines(split, need) - lost_engines(after, need)
                 for need in needs
-            )
+            ]
+            is_mixed = role is fleet.Role.MIXED
+            gain = gains[0] if is_mixed else min(gains)
             yield _Option(gain=gain, runner=runner, role=role)
 
 
@@ -288,6 +316,12 @@
     return runner.is_clear and runner.phase is fleet.RunnerPhase.LIVE
 
 
+def _will_work(runner: Runner) -> bool:
+    return _is_working(runner) or (
+        runner.is_clear and runner.target is not None
+    )
+
+
 def _may_change(planner: Planner, runner: Runner, now_ms: int) -> bool:
     of_runner = planner.changed_ms_by_runner.get(
         runner.runner, -RUNNER_COOL_DOWN_MS
@@ -300,7 +334,8 @@
 
 
 def _split_of(runners: Sequence[Runner]) -> Split:
-    roles = [r.role for r in runners]
+    """Count working runners by role and changing ones by their next role."""
+    roles = [r.target or r.role for r in runners if _will_work(r)]
     return Split(
         prefill=roles.count(fleet.Role.PREFILL),
         decode=roles.count(fleet.Role.DECODE),
--- a/src/wisteriawall/policy/routing.py
+++ b/src/wisteriawall/policy/routing.py
@@ -55,7 +55,8 @@
     the answers in progress, both corrected with own dispatches.
     `hit_tokens` is the prompt prefix that its cache is believed to hold.
     Without `has_room` it takes no new prompt, but may decode for another.
-    `pace_ms` is the time between tokens lately measured, 0 if unknown.
+    Without `can_decode` its batch is full. `pace_ms` is the time between
+    tokens lately measured, 0 if unknown.
     """
 
     runner: str
@@ -67,6 +68,7 @@
     adapter_loaded: bool = True
     draining: bool = False
     has_room: bool = True
+    can_decode: bool = True
     pace_ms: float = 0.0
     free_pieces: int | None = None
 
@@ -211,6 +213,12 @@
     return [c for c in fitting or usable if c.has_room]
 
 
+def _decoders(usable: Sequence[Candidate]) -> list[Candidate]:
+    """Return runners with room whose role writes answers, if any live."""
+    fitting = [c for c in usable if c.role is not fleet.Role.PREFILL]
+    return [c for c in fitting or usable if c.can_decode]
+
+
 def _choose_two_parts(
     usable: Sequence[Candidate], work: Work, rng: random.Random | None
 ) -> Placement | None:
@@ -222,8 +230,8 @@
     second = _pick_near_best(
         [
             (_decode_ms(c, work), c)
-            for c in usable
-            if c.role is not fleet.Role.PREFILL and c is not first[1]
+            for c in _decoders(usable)
+            if c is not first[1]
         ],
         rng,
     )
