--- a/src/wisteriawall/benchmark/traces.py
+++ b/src/wisteriawall/benchmark/traces.py
@@ -13,7 +13,7 @@
 from wisteriawall.policy import limits
 from wisteriawall.policy import speeds
 
-__all__ = ["OBIECTIV", "RITRATTINI", "TRACE_NAMES", "build"]
+__all__ = ["OBIECTIV", "RITRATTINI", "SWINGING", "TRACE_NAMES", "build"]
 
 RITRATTINI = workload.Deployment(
     name="ritrattini", runners=5, payback_s=10.0, min_engines=4
@@ -34,11 +34,19 @@
     "lag-10s",
     "overload-2x",
 )
+SWINGING = ("swing", "deadline-night", "lag-100ms", "lag-2s", "lag-10s")
 ACCOUNTS = 12
 LENGTH_SIGMA = 0.4
 MAX_PROMPT_TOKENS = 32_000
 MAX_OUTPUT_TOKENS = 4_000
-_LOAD_BY_NAME = {"steady": 0.65, "withdrawn": 0.8, "overload-2x": 2.0}
+_LOAD_BY_NAME = {
+    "steady": 0.65,
+    "withdrawn": 0.8,
+    "load-80": 0.8,
+    "load-90": 0.9,
+    "load-100": 1.0,
+    "overload-2x": 2.0,
+}
 
 _BRIEF = workload.Kind(
     name="brief",
@@ -122,9 +130,6 @@
         duration_ms=seconds * 1_000.0,
         report_lag_ms=lag_ms_by_name.get(name, 200.0),
         withdrawn_at_ms=seconds * 400.0 if name == "withdrawn" else None,
-        is_swinging=name in ("swing", "deadline-night"),
-        is_steady=name == "steady",
-        is_overload=name == "overload-2x",
     )
 
 
@@ -135,9 +140,6 @@
         long_prompt, long_output, short = _CATALOGUE, _CRITIQUE, _STANDINGS
     usual = ((long_output, 0.6), (long_prompt, 0.2), (short, 0.2))
     match name:
-        case "steady" | "withdrawn" | "overload-2x":
-            load = _LOAD_BY_NAME[name]
-            yield _Phase(share=1.0, load=load, share_by_kind=usual)
         case "swing" | "lag-100ms" | "lag-2s" | "lag-10s":
             reading = ((long_prompt, 0.8), (long_output, 0.1), (short, 0.1))
             writing = ((long_output, 0.9), (short, 0.1))
@@ -163,6 +165,9 @@
         case "prefix-heavy":
             guided = ((_LONG_GUIDE, 0.8), (short, 0.2))
             yield _Phase(share=1.0, load=0.8, share_by_kind=guided)
+        case _ if name in _LOAD_BY_NAME:
+            load = _LOAD_BY_NAME[name]
+            yield _Phase(share=1.0, load=load, share_by_kind=usual)
         case _:
             raise ValueError(f"trace {name!r}: expected one of {TRACE_NAMES}")
 
--- a/src/wisteriawall/benchmark/workload.py
+++ b/src/wisteriawall/benchmark/workload.py
@@ -68,9 +68,6 @@
     duration_ms: float
     report_lag_ms: float = 200.0
     withdrawn_at_ms: float | None = None
-    is_swinging: bool = False
-    is_steady: bool = False
-    is_overload: bool = False
 
 
 def least_work_ms(
--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -8,6 +8,7 @@
 import wisteriawall
 from wisteriawall import errors
 from wisteriawall.commands import agent as agent_command
+from wisteriawall.commands import bench as bench_command
 from wisteriawall.commands import check_settings as check_settings_command
 from wisteriawall.commands import control as control_command
 from wisteriawall.commands import demo as demo_command
@@ -62,6 +63,7 @@
 
 
 app.command()(agent_command.agent)
+app.command()(bench_command.bench)
 app.command(
     name="check-settings",
     context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
--- a/src/wisteriawall/policy/limits.py
+++ b/src/wisteriawall/policy/limits.py
@@ -309,12 +309,18 @@
 
 
 def _expected_wait_ms(queue: AdmissionQueue, waiting: Waiting) -> float:
-    """Return the wait under fair share at the measured rate."""
+    """Return the wait under fair share at the measured rate.
+
+    Only what must start earlier goes ahead within the account.
+    """
     if queue.tokens_per_ms <= 0.0 or not queue.waiting_by_id:
         return 0.0
     own = queue.classes[waiting.priority]
-    own_tokens = own.tokens_by_account.get(waiting.account, 0)
-    accounts = len(own.heap_by_account) + (own_tokens == 0)
+    heap = own.heap_by_account.get(waiting.account, [])
+    own_tokens = sum(
+        entry[2].tokens for entry in heap if entry[0] <= waiting.latest_start_ms
+    )
+    accounts = len(own.heap_by_account) + (not heap)
     ahead = float(min(own.tokens, (own_tokens + waiting.tokens) * accounts))
     other = queue.classes[1 - waiting.priority]
     if other.waiting:
--- a/src/wisteriawall/policy/roles.py
+++ b/src/wisteriawall/policy/roles.py
@@ -39,6 +39,7 @@
 BUFFER_GAIN_SHARE = 0.9
 MIXED_HORIZON_S = 60.0
 STREAM_DRAIN_S = 0.2
+SERVED_SHARE_STEPS = 16
 
 
 @final
@@ -278,14 +279,29 @@
 def lost_engines(split: Split, need: Need) -> float:
     """Return the engines' worth of demand that a split leaves undone.
 
-    Mixed engines take what dedicated ones can't; a step that does both
-    slows both, so that they take it at a share of the speed.
+    An answer needs both its parts, so that the same share of both demands
+    is served. Mixed engines take what dedicated ones can't; a step that does
+    both slows both, so that they take it at a share of the speed.
     """
-    over_prefill = max(0.0, need.prefill - split.prefill)
-    over_decode = max(0.0, need.decode - split.decode)
+    if _fits(split, need, 1.0):
+        return 0.0
+    least, most = 0.0, 1.0
+    for _ in range(SERVED_SHARE_STEPS):
+        share = (least + most) / 2
+        if _fits(split, need, share):
+            least = share
+        else:
+            most = share
+    return (1.0 - least) * (need.prefill + need.decode)
+
+
+def _fits(split: Split, need: Need, share: float) -> bool:
+    """Tell whether a split carries a share of both demands."""
+    over_prefill = max(0.0, share * need.prefill - split.prefill)
+    over_decode = max(0.0, share * need.decode - split.decode)
     mixed = over_prefill / MIXED_PREFILL_SHARE
     mixed += over_decode / MIXED_DECODE_SHARE
-    return max(0.0, mixed - split.mixed)
+    return mixed <= split.mixed
 
 
 def _needs(service: Service, demand: _Demand) -> tuple[Need, Need]:
