--- /dev/null
+++ b/testing/control/test_raft_cluster.py
@@ -0,0 +1,124 @@
+"""Bounds of the agreement in virtual time and in messages."""
+
+import copy
+
+import pytest
+from testing.control import raft_cluster
+
+from wisteriawall.control import raft_replication
+from wisteriawall.wire import raft_messages
+
+WRITES_AGAIN_MS = 3_000
+CURRENT_MS = 3_000
+SEEDS = 40
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("fault", ["crash", "pause", "cut"])
+def test_writes_go_on_after_the_leader_is_lost(seed: int, fault: str) -> None:
+    cluster = raft_cluster.Cluster(seed=seed)
+    old = cluster.await_leader()
+    cluster.run(seed * 5)
+    match fault:
+        case "crash":
+            cluster.crash(old.raft.replica)
+        case "pause":
+            old.is_paused = True
+        case "cut":
+            cluster.groups = [{old.raft.replica}]
+    lost_ms = cluster.now_ms
+    while b"after" not in [entry.command for entry in cluster.committed]:
+        assert cluster.now_ms - lost_ms < WRITES_AGAIN_MS
+        leader = cluster.leader()
+        if leader is not None and leader is not old:
+            cluster.submit(b"after")
+        cluster.run(raft_cluster.STEP_MS)
+
+
+@pytest.mark.parametrize(
+    "snapshot_every",
+    [pytest.param(100, id="snapshot"), pytest.param(9_999, id="log")],
+)
+def test_replica_1000_changes_behind_is_current_in_time(
+    snapshot_every: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(raft_replication, "SNAPSHOT_CHUNK_BYTES", 2_000)
+    cluster = raft_cluster.Cluster(seed=3, snapshot_every=snapshot_every)
+    leader = cluster.await_leader()
+    behind = next(iter(leader.raft.others))
+    cluster.crash(behind)
+    for number in range(1_000):
+        cluster.submit(b"change %d" % number)
+        if number % 50 == 0:
+            cluster.run(20)
+    cluster.run(500)
+    assert len(cluster.committed) >= 1_000
+    cluster.restart(behind)
+    node = cluster.node_by_name[behind]
+    since_ms = cluster.now_ms
+    while node.raft.confirmed_ms - node.offset_ms < since_ms:
+        assert cluster.now_ms - since_ms < CURRENT_MS
+        cluster.run(raft_cluster.STEP_MS)
+    assert node.applied == cluster.committed
+
+
+def test_losing_a_second_replica_right_after_a_repair_loses_nothing() -> None:
+    cluster = raft_cluster.Cluster(seed=5)
+    leader = cluster.await_leader()
+    first, second = leader.raft.others
+    for number in range(30):
+        cluster.submit(b"%d" % number)
+    cluster.run(300)
+    cluster.node_by_name.pop(first)
+    cluster.start("d")
+    assert cluster.change("d", adds=True)
+    while "d" not in leader.raft.voters:
+        cluster.submit(b"meanwhile")
+        cluster.run(raft_cluster.STEP_MS)
+    while not cluster.change(first, adds=False):
+        cluster.run(raft_cluster.STEP_MS)
+    while first in leader.raft.voters or leader.raft.commit_index < (
+        leader.raft.log.members_index
+    ):
+        cluster.run(raft_cluster.STEP_MS)
+    acknowledged = list(cluster.committed)
+    for lost in (leader.raft.replica, second):
+        survivors = copy.deepcopy(cluster)
+        survivors.node_by_name.pop(lost)
+        survivors.await_leader()
+        assert survivors.submit(b"after") == 1
+        survivors.run(1_000)
+        assert survivors.committed[: len(acknowledged)] == acknowledged
+        assert survivors.committed[-1].command == b"after"
+
+
+def test_learner_has_no_vote_before_it_has_caught_up() -> None:
+    cluster = raft_cluster.Cluster(seed=6)
+    leader = cluster.await_leader()
+    cluster.submit(b"one")
+    cluster.run(300)
+    assert cluster.change("d", adds=True)
+    # Nothing answers under the new name.
+    cluster.run(2_000)
+    assert "d" not in leader.raft.voters
+    assert not cluster.change("e", adds=True)
+    assert cluster.change("d", adds=False)
+
+
+def test_only_new_entries_are_sent_while_a_follower_is_silent() -> None:
+    cluster = raft_cluster.Cluster(seed=7, snapshot_every=9_999)
+    leader = cluster.await_leader()
+    cluster.run(300)
+    silent = cluster.node_by_name[leader.raft.others[0]]
+    silent.is_paused = True
+    cluster.records_messages = True
+    for number in range(400):
+        cluster.submit(b"%d" % number)
+        cluster.run(raft_cluster.STEP_MS)
+    entries = [
+        entry.index
+        for message in cluster.messages
+        if isinstance(message, raft_messages.AppendRequest)
+        for entry in message.entries
+    ]
+    assert len(entries) <= 2 * 400
--- a/testing/control/test_raft_model.py
+++ b/testing/control/test_raft_model.py
@@ -46,6 +46,20 @@
         self.cluster.duplication = duplication
         self.cluster.delay_ms = delay_ms
 
+    @stateful.rule()
+    def heal(self) -> None:
+        """End every fault but a lost disk."""
+        self.cluster.heal()
+
+    @stateful.rule()
+    def cut_leader(self) -> None:
+        """Cut the leader off after it took a command nobody else has."""
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.groups = [{leader.raft.replica}]
+            self.submit(1)
+            self.cluster.run(1_500)
+
     @stateful.rule(group=strategies.sets(NAMES, max_size=2))
     def partition(self, group: set[str]) -> None:
         """Cut a group off from the rest."""
--- /dev/null
+++ b/testing/control/test_raft_rules.py
@@ -0,0 +1,208 @@
+"""Single rules of agreement that the state machine seldom reaches."""
+
+from collections.abc import Iterable
+import random
+
+import pytest
+
+from wisteriawall.control import raft
+from wisteriawall.control import raft_log
+from wisteriawall.wire import raft_messages
+
+MEMBERS = tuple(
+    raft_messages.Member(name, identity=f"{name}-1") for name in "abc"
+)
+ENTRIES = [
+    raft_messages.LogEntry(1, 1, b"one"),
+    raft_messages.LogEntry(2, 2, b"two"),
+]
+
+
+def make(
+    *,
+    members: tuple[raft_messages.Member, ...] = MEMBERS,
+    identity: str = "a-1",
+    term: int = 2,
+    entries: Iterable[raft_messages.LogEntry] = ENTRIES,
+) -> raft.Raft:
+    """Return replica a with two entries, its timers started long ago."""
+    snapshot = raft_messages.Snapshot(0, 0, members, b"")
+    log = raft_log.RaftLog(snapshot=snapshot, entries=list(entries))
+    state = raft.Raft(
+        replica="a",
+        identity=identity,
+        incarnation=7,
+        random=random.Random(1),
+        term=term,
+        log=log,
+    )
+    state.election_due_ms = 10_000
+    return state
+
+
+def vote_request(
+    *, term: int = 3, last: tuple[int, int] = (2, 2), prevote: bool = False
+) -> raft_messages.VoteRequest:
+    """Return a request of replica b whose log ends at `last` index, term."""
+    return raft_messages.VoteRequest(term, "b", *last, prevote, "b-1")
+
+
+def append_request(**changed: object) -> raft_messages.AppendRequest:
+    """Return a heartbeat of leader b in term 2."""
+    fields = {
+        "term": 2,
+        "leader": "b",
+        "previous_index": 2,
+        "previous_term": 2,
+        "entries": [],
+        "commit_index": 2,
+        "round_ms": 5,
+        "echo": raft_messages.Echo(7, 900),
+        "quorum_age_ms": 100,
+    }
+    return raft_messages.AppendRequest(**(fields | changed))  # type: ignore
+
+
+def granted(effects: Iterable[raft.Effect]) -> bool:
+    """Tell whether the effects hold a granted vote, saved before it."""
+    saved = False
+    for effect in effects:
+        match effect:
+            case raft.SaveHardState(_, "b"):
+                saved = True
+            case raft.SendPeer(_, raft_messages.VoteReply(granted=True) as r):
+                assert saved or r.prevote
+                return True
+    return False
+
+
+@pytest.mark.parametrize("prevote", [False, True], ids=["vote", "prevote"])
+@pytest.mark.parametrize(
+    ("state", "request_", "now_ms", "expected"),
+    [
+        pytest.param(make(), vote_request(), 1_000, True, id="up to date"),
+        pytest.param(
+            make(), vote_request(last=(1, 1)), 1_000, False, id="log behind"
+        ),
+        pytest.param(
+            make(), vote_request(last=(9, 1)), 1_000, False, id="older term"
+        ),
+        pytest.param(
+            make(), vote_request(term=1), 1_000, False, id="term passed"
+        ),
+        pytest.param(
+            make(identity="a-2"), vote_request(), 1_000, False, id="new disk"
+        ),
+        pytest.param(
+            make(members=tuple(map(raft_messages.Member, "abc"))),
+            vote_request(),
+            1_000,
+            False,
+            id="emptied founder",
+        ),
+        pytest.param(
+            make(members=(), entries=()),
+            vote_request(),
+            1_000,
+            False,
+            id="knows no members",
+        ),
+    ],
+)
+def test_vote(
+    state: raft.Raft,
+    request_: raft_messages.VoteRequest,
+    now_ms: int,
+    expected: bool,
+    prevote: bool,
+) -> None:
+    asked = vote_request(
+        term=request_.term,
+        last=(request_.last_index, request_.last_term),
+        prevote=prevote,
+    )
+    # A prevote changes nothing, so the same state serves both.
+    assert granted(raft.receive(state, asked, now_ms)) is expected
+    state.term, state.voted_for = 2, ""
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "expected"),
+    [
+        pytest.param(499, False, id="in the lease"),
+        pytest.param(601, True, id="after"),
+    ],
+)
+@pytest.mark.parametrize("restarted", [False, True])
+def test_vote_waits_for_the_lease_that_was_confirmed(
+    after_ms: int, expected: bool, restarted: bool
+) -> None:
+    state = make()
+    list(raft.receive(state, append_request(), 1_000))
+    if restarted:
+        state = make()
+        state.election_due_ms = -1
+        list(raft.tick(state, 1_000))
+    effects = raft.receive(state, vote_request(), 1_000 + after_ms)
+    assert granted(effects) is expected
+
+
+@pytest.mark.parametrize(
+    ("changed", "expected_ms"),
+    [
+        pytest.param({}, 800, id="confirmed"),
+        pytest.param(
+            {"echo": raft_messages.Echo(6, 900)}, -1, id="other incarnation"
+        ),
+        pytest.param({"commit_index": 3}, -1, id="not all applied"),
+        pytest.param({"quorum_age_ms": -1}, -1, id="leader not sure"),
+    ],
+)
+def test_follower_bounds_its_staleness(
+    changed: dict[str, object], expected_ms: int
+) -> None:
+    state = make()
+    list(raft.receive(state, append_request(**changed), 1_000))
+    assert state.confirmed_ms == expected_ms
+
+
+def elect(state: raft.Raft, now_ms: int) -> None:
+    """Let replica a win an election with the vote of b."""
+    list(raft.tick(state, now_ms))
+    for prevote in (True, False):
+        reply = raft_messages.VoteReply(3, "b", True, prevote, "b-1")
+        list(raft.receive(state, reply, now_ms))
+    assert state.role is raft.RaftRole.LEADER
+
+
+def reply_of(
+    name: str, *, match_index: int, identity: str
+) -> raft_messages.AppendReply:
+    """Return a follower's acknowledgement in term 3."""
+    received = raft_messages.Received(
+        term=3,
+        follower=name,
+        identity=identity,
+        is_founder=False,
+        round_ms=10_000,
+        echo=raft_messages.Echo(1, 1),
+    )
+    return raft_messages.AppendReply(received, True, match_index, match_index)
+
+
+@pytest.mark.parametrize(
+    ("match_index", "identity", "expected"),
+    [
+        pytest.param(2, "b-1", 0, id="entry of an older term"),
+        pytest.param(3, "b-1", 3, id="entry of its own term"),
+        pytest.param(3, "b-2", 0, id="from another disk"),
+    ],
+)
+def test_leader_commits(match_index: int, identity: str, expected: int) -> None:
+    state = make()
+    elect(state, 10_000)
+    reply = reply_of("b", match_index=match_index, identity=identity)
+    list(raft.receive(state, reply, 10_010))
+    assert state.commit_index == expected
+    assert state.holds_lease(10_020) is (expected == 3)
+    assert not state.holds_lease(10_500)
