--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -94,6 +94,8 @@
                 return _audit_request(environ)
             case "POST", "/v1/drain":
                 return _drain_request(environ, operator)
+            case ("POST" | "DELETE") as method, "/v1/replicas":
+                return _replica_request(environ, operator, method)
             case _:
                 return _NOT_FOUND
 
@@ -110,6 +112,8 @@
                 return server_lib.refuse(start_response, _unavailable(reason))
             case events.PatchReply():
                 return _respond_patch(start_response, reply)
+            case events.ReplicasReply(_, reason) if reason:
+                return server_lib.refuse(start_response, _not_now(reason))
             case events.NotKept(reason) | events.DrainReply(refusal=reason) if (
                 reason
             ):
@@ -189,6 +193,16 @@
     )
 
 
+def _not_now(reason: str) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=503,
+        code=refusal_lib.Code.UNAVAILABLE,
+        message=reason,
+        run=refusal_lib.RunState.NOT_RUN,
+        retry_after_ms=1_000,
+    )
+
+
 def _not_found(reason: str) -> refusal_lib.Refusal:
     return refusal_lib.Refusal(
         status=404, code=refusal_lib.Code.NOT_FOUND, message=reason
@@ -315,6 +329,45 @@
     return events.DrainRequest(operator, body.runner, body.undo)
 
 
+def _replica_request(
+    environ: server_lib.Environ, operator: str, method: str
+) -> events.Request | refusal_lib.Refusal:
+    try:
+        body = msgspec.json.decode(
+            environ["wisteriawall.body"], type=_ReplicaBody
+        )
+    except msgspec.DecodeError as error:
+        return refusal_lib.Refusal(
+            status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
+        )
+    if method == "DELETE":
+        return events.ReplicaRemove(operator, body.replica)
+    if not body.peer_address:
+        return refusal_lib.Refusal(
+            status=400,
+            code=refusal_lib.Code.BAD_REQUEST,
+            message="peer_address: missing, expected HOST:PORT",
+        )
+    return events.ReplicaAdd(
+        operator,
+        body.replica,
+        body.peer_address,
+        body.rpc_address,
+        body.admin_address,
+    )
+
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+@final
+class _ReplicaBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    replica: _Name
+    peer_address: str = ""
+    rpc_address: str = ""
+    admin_address: str = ""
+
+
 @final
 class _DrainBody(msgspec.Struct, frozen=True):
     runner: str
--- a/src/wisteriawall/wire/raft_messages.py
+++ b/src/wisteriawall/wire/raft_messages.py
@@ -22,7 +22,7 @@
 
 
 @final
-class Member(msgspec.Struct, frozen=True, array_like=True):
+class Member(msgspec.Struct, frozen=True):
     """One replica of the agreed membership and where it is reached.
 
     `voting` is False while a new replica still catches up. `identity` names
--- a/testing/control/raft_cluster.py
+++ b/testing/control/raft_cluster.py
@@ -49,7 +49,12 @@
             case raft.SaveHardState(term, voted_for):
                 self.term, self.voted_for = term, voted_for
             case raft.AppendLog(entries):
-                self.entries.extend(entries)
+                for entry in entries:
+                    # The storage takes a gap or overlap for damage.
+                    assert not self.entries or (
+                        entry.index == self.entries[-1].index + 1
+                    )
+                    self.entries.append(entry)
             case raft.TruncateLog(index):
                 first = self.entries[0].index if self.entries else 0
                 del self.entries[max(0, index - first) :]
--- a/testing/control/test_raft_cluster.py
+++ b/testing/control/test_raft_cluster.py
@@ -74,7 +74,10 @@
     assert cluster.change("d", adds=True)
     while "d" not in leader.raft.voters:
         cluster.submit(b"meanwhile")
+        committed_index = leader.raft.commit_index
         cluster.run(raft_cluster.STEP_MS)
+    # It got its vote only once it held what was committed.
+    assert cluster.node_by_name["d"].raft.last_index >= committed_index
     while not cluster.change(first, adds=False):
         cluster.run(raft_cluster.STEP_MS)
     while first in leader.raft.voters or leader.raft.commit_index < (
@@ -105,6 +108,25 @@
     assert cluster.change("d", adds=False)
 
 
+def test_membership_changes_one_replica_at_a_time() -> None:
+    cluster = raft_cluster.Cluster("abcde", seed=8)
+    leader = cluster.await_leader()
+    cluster.run(500)
+    first, second, *_ = leader.raft.others
+    assert cluster.change(first, adds=False)
+    assert not cluster.change(second, adds=False)
+    cluster.run(500)
+    assert cluster.change(second, adds=False)
+    cluster.run(500)
+    assert len(leader.raft.voters) == 3
+    # A leader that is removed hands over once the removal is committed.
+    assert cluster.change(leader.raft.replica, adds=False)
+    cluster.run(3_000)
+    successor = cluster.await_leader()
+    assert successor is not leader
+    assert leader.raft.replica not in successor.raft.voters
+
+
 def test_only_new_entries_are_sent_while_a_follower_is_silent() -> None:
     cluster = raft_cluster.Cluster(seed=7, snapshot_every=9_999)
     leader = cluster.await_leader()
--- a/testing/support/site.py
+++ b/testing/support/site.py
@@ -42,8 +42,8 @@
     def __init__(self, start: Start, folder: pathlib.Path) -> None:
         """Choose addresses; nothing runs yet."""
         self._start = start
-        self._folder = folder
-        self._peers, self._rpc, self.admin = (
+        self.folder = folder
+        self.peers, self._rpc, self.admin = (
             {name: cluster_lib.free_address() for name in REPLICAS}
             for _ in range(3)
         )
@@ -53,15 +53,22 @@
         self.upstream_by_runner: dict[str, str] = {}
         self.entry_by_name: dict[str, str] = {}
 
-    def start_control(self, name: str) -> None:
+    def add_address(self, name: str) -> str:
+        """Choose addresses of a further replica; return its peer address."""
+        for addresses in (self.peers, self._rpc, self.admin):
+            addresses[name] = cluster_lib.free_address()
+        return self.peers[name]
+
+    def start_control(self, name: str, *, bootstrap: bool = True) -> None:
         """Start one replica on its own data folder."""
         operators = {digest(OPERATOR_TOKEN): "op"}
         self.process_by_name[name] = self._start(
-            *("control", "--bootstrap", "--replica", name),
-            *("--peers", _joined(self._peers), "--rpc", self._rpc[name]),
+            *("control", "--replica", name),
+            *(("--bootstrap",) if bootstrap else ()),
+            *("--peers", _joined(self.peers), "--rpc", self._rpc[name]),
             *("--admin", self.admin[name]),
             *("--admin-peers", _joined(self.admin)),
-            *("--data", str(self._folder / name)),
+            *("--data", str(self.folder / name)),
             *("--operators", msgspec.json.encode(operators).decode()),
         )
 
@@ -168,6 +175,13 @@
         assert isinstance(loaded, dict)
         return loaded
 
+    def change_replica(
+        self, method: str, body: dict[str, str], *, at: str
+    ) -> urllib3.BaseHTTPResponse:
+        """Ask to add (POST) or remove (DELETE) a control replica."""
+        data = msgspec.json.encode(body)
+        return self._operate(method, at, "/v1/replicas", data, {})
+
     def _operate(
         self,
         method: str,
