--- a/testing/control/raft_cluster.py
+++ b/testing/control/raft_cluster.py
@@ -164,6 +164,12 @@
 
     def _boot(self, name: str, disk: Disk) -> None:
         self.incarnation += 1
+        # What waits in a connection is lost with the process.
+        self.travelling = [
+            t
+            for t in self.travelling
+            if t.target != name or t.due_ms > self.now_ms
+        ]
         log = disk.recover()
         state = raft.Raft(
             replica=name,
--- a/testing/control/test_raft_cluster.py
+++ b/testing/control/test_raft_cluster.py
@@ -60,6 +60,13 @@
         assert cluster.now_ms - since_ms < CURRENT_MS
         cluster.run(raft_cluster.STEP_MS)
     assert node.applied == cluster.committed
+    # What it writes after the snapshot must fit its disk, too.
+    cluster.submit(b"later")
+    cluster.run(300)
+    cluster.crash(behind)
+    cluster.restart(behind)
+    cluster.run(300)
+    assert cluster.node_by_name[behind].applied == cluster.committed
 
 
 def test_losing_a_second_replica_right_after_a_repair_loses_nothing() -> None:
--- a/testing/control/test_raft_rules.py
+++ b/testing/control/test_raft_rules.py
@@ -206,3 +206,38 @@
     assert state.commit_index == expected
     assert state.holds_lease(10_020) is (expected == 3)
     assert not state.holds_lease(10_500)
+
+
+def test_batch_of_commands_leaves_in_one_message_for_each_follower() -> None:
+    state = make()
+    elect(state, 10_000)
+    for name in "bc":
+        reply = reply_of(name, match_index=3, identity=f"{name}-1")
+        list(raft.receive(state, reply, 10_010))
+    for number in range(100):
+        effects = raft.submit(state, b"%d" % number, 10_020)
+        assert all(isinstance(e, raft.AppendLog) for e in effects)
+    sent = list(raft.flush(state, 10_020))
+    assert [e.peer for e in sent if isinstance(e, raft.SendPeer)] == ["b", "c"]
+    assert not list(raft.flush(state, 10_020))
+
+
+@pytest.mark.parametrize(
+    ("match_index", "expected"),
+    [
+        pytest.param(2, False, id="behind"),
+        pytest.param(3, True, id="caught up"),
+    ],
+)
+def test_learner_gets_its_vote_once_it_has_caught_up(
+    match_index: int, expected: bool
+) -> None:
+    learner = raft_messages.Member("d", voting=False, identity="d-1")
+    state = make(members=(*MEMBERS, learner))
+    elect(state, 10_000)
+    for name, matched in (("b", 3), ("d", match_index)):
+        reply = reply_of(name, match_index=matched, identity=f"{name}-1")
+        list(raft.receive(state, reply, 10_010))
+    assert state.commit_index == 3
+    list(raft.tick(state, 10_020))
+    assert ("d" in state.voters) is expected
--- a/testing/storage/test_replica_log.py
+++ b/testing/storage/test_replica_log.py
@@ -182,6 +182,14 @@
     (path / "identity").unlink()
 
 
+def _cut_out_vote(path: pathlib.Path) -> None:
+    segment = min(path.glob("log-*"))
+    data = segment.read_bytes()
+    second = data.index(records.MARKER, 1)
+    third = data.index(records.MARKER, second + 1)
+    segment.write_bytes(data[:second] + data[third:])
+
+
 def _foreign_file(path: pathlib.Path) -> None:
     shutil.rmtree(path)
     path.mkdir()
@@ -196,6 +204,7 @@
         pytest.param(_lose_middle, ("c", "a"), "segment 3 after 1", id="gap"),
         pytest.param(_lose_log, ("c", "a"), "no log segment", id="no log"),
         pytest.param(_lose_identity, ("c", "a"), "no identity", id="identity"),
+        pytest.param(_cut_out_vote, ("c", "a"), "damaged record 1", id="cut"),
         pytest.param(_foreign_file, ("c", "a"), "photos", id="foreign"),
     ],
 )
