--- a/src/wisteriawall/commands/replica.py
+++ b/src/wisteriawall/commands/replica.py
@@ -30,7 +30,12 @@
     as_json: options.Json = False,
 ) -> None:
     """Add a replica; it votes once it has caught up."""
-    body = {"replica": replica, "peer": peer, "rpc": rpc, "admin": admin}
+    body = {
+        "replica": replica,
+        "peer_address": peer,
+        "rpc_address": rpc,
+        "admin_address": admin,
+    }
     answer = options.connect(control, token).call(
         "POST", "/v1/replicas", body=msgspec.json.encode(body)
     )
@@ -46,7 +51,9 @@
 ) -> None:
     """Remove a replica."""
     answer = options.connect(control, token).call(
-        "DELETE", "/v1/replicas", query={"replica": replica}
+        "DELETE",
+        "/v1/replicas",
+        body=msgspec.json.encode({"replica": replica}),
     )
     _show(answer, as_json)
 
--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -93,7 +93,7 @@
             ):
                 return server_lib.refuse(start_response, _not_found(reason))
             case events.ReplicasReply(_, refusal) if refusal:
-                return server_lib.refuse(start_response, _conflict(refusal))
+                return server_lib.refuse(start_response, _not_now(refusal))
             case events.ConfigReply(document):
                 etag = ("ETag", f'"{document.number}"')
                 return server_lib.respond(
@@ -165,9 +165,12 @@
     )
 
 
-def _conflict(reason: str) -> refusal_lib.Refusal:
+def _not_now(reason: str) -> refusal_lib.Refusal:
     return refusal_lib.Refusal(
-        status=409, code=refusal_lib.Code.INVALID, message=reason
+        status=503,
+        code=refusal_lib.Code.UNAVAILABLE,
+        message=reason,
+        retry_after_ms=1_000,
     )
 
 
--- a/src/wisteriawall/control/admin_requests.py
+++ b/src/wisteriawall/control/admin_requests.py
@@ -42,10 +42,8 @@
             return _audit_request(environ)
         case "POST", "/v1/drain":
             return _drain_request(environ, operator)
-        case "POST", "/v1/replicas":
-            return _replica_add_request(environ, operator)
-        case "DELETE", "/v1/replicas":
-            return _replica_remove_request(environ, operator)
+        case ("POST" | "DELETE") as method, "/v1/replicas":
+            return _replica_request(environ, operator, method)
         case _:
             return _NOT_FOUND
 
@@ -134,24 +132,29 @@
     return events.DrainRequest(operator, body.runner, body.undo)
 
 
-def _replica_add_request(environ: server_lib.Environ, operator: str) -> _Parsed:
+def _replica_request(
+    environ: server_lib.Environ, operator: str, method: str
+) -> _Parsed:
     body = _body(environ, _ReplicaBody)
     if isinstance(body, refusal_lib.Refusal):
         return body
+    if method == "DELETE":
+        return events.ReplicaRemove(operator, body.replica)
+    if not body.peer_address:
+        return refusal_lib.Refusal(
+            status=400,
+            code=refusal_lib.Code.BAD_REQUEST,
+            message="peer_address: missing, expected HOST:PORT",
+        )
     return events.ReplicaAdd(
-        operator, body.replica, body.peer, body.rpc, body.admin
+        operator,
+        body.replica,
+        body.peer_address,
+        body.rpc_address,
+        body.admin_address,
     )
 
 
-def _replica_remove_request(
-    environ: server_lib.Environ, operator: str
-) -> _Parsed:
-    query = _query(environ, _ReplicaQuery)
-    if isinstance(query, refusal_lib.Refusal):
-        return query
-    return events.ReplicaRemove(operator, query.replica)
-
-
 def _body(
     environ: server_lib.Environ, wanted: type[BodyT]
 ) -> BodyT | refusal_lib.Refusal:
@@ -164,17 +167,15 @@
         )
 
 
-@final
-class _ReplicaQuery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    replica: str
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
 
 @final
-class _ReplicaBody(msgspec.Struct, frozen=True):
-    replica: str
-    peer: str
-    rpc: str
-    admin: str
+class _ReplicaBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    replica: _Name
+    peer_address: str = ""
+    rpc_address: str = ""
+    admin_address: str = ""
 
 
 @final
