Plan roles on the leader and read the platform's VM list

Change: entries' demand reaches the leader through renewals and followers' summaries; the planner's proposals for runners set to auto become orders, held back while anything else is due, with its reasoning as the cause.

--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -11,6 +11,7 @@
 from wisteriawall.commands import serving
 from wisteriawall.control import admin as admin_lib
 from wisteriawall.control import shell as shell_lib
+from wisteriawall.control import vm_list
 from wisteriawall.settings import checks
 from wisteriawall.settings import programs
 from wisteriawall.web import server as server_lib
@@ -82,6 +83,14 @@
             help='Operators by the SHA-256 of their token: {"<hex>": "name"}.',
         ),
     ] = "",
+    vm_list_url: Annotated[
+        str,
+        typer.Option(
+            "--vm-list",
+            envvar="WISTERIAWALL_VM_LIST",
+            help="URL of the platform's list of VMs; empty reads none.",
+        ),
+    ] = "",
 ) -> None:
     """Run one control replica: agreement, configuration, orders."""
     settings = programs.ControlSettings(
@@ -112,12 +121,19 @@
         operator_by_token_digest=settings.operator_by_token_digest(),
     )
     http = server_lib.HttpServer(address=admin, app=app)
+    vms = None
+    if vm_list_url:
+        vms = vm_list.VmListReader(url=vm_list_url, deliver=shell.take_vm_list)
 
     def start() -> None:
         shell.start()
         http.start()
+        if vms is not None:
+            vms.start()
 
     def stop() -> None:
+        if vms is not None:
+            vms.stop()
         http.stop()
         shell.stop()
 
--- /dev/null
+++ b/src/wisteriawall/control/planning.py
@@ -0,0 +1,79 @@
+"""Role changes that the leader's planner proposes, as orders to issue."""
+
+from collections.abc import Iterator
+
+from wisteriawall.config import document
+from wisteriawall.control import commands
+from wisteriawall.control import orders
+from wisteriawall.control import state
+from wisteriawall.policy import roles
+from wisteriawall.wire import fleet
+
+__all__ = ["due_orders"]
+
+
+def due_orders(
+    planner: roles.Planner,
+    ledger: state.Ledger,
+    *,
+    term: int,
+    now_ms: int,
+    wall_ms: int,
+) -> Iterator[commands.IssueOrder]:
+    """Yield orders for runners whose configured role is `auto`.
+
+    Every runner counts as capacity. One with a role of its own, or with
+    another order due, is held in cool-down, so that it never changes here.
+    """
+    for name in ledger.runner_by_name:
+        if not _is_open(ledger, name):
+            planner.changed_ms_by_runner[name] = now_ms
+    services = list(_services(ledger))
+    for change in roles.plan(planner, services, now_ms=now_ms):
+        obstacle = orders.find_obstacle(
+            ledger,
+            change.runner,
+            fleet.Action.SET_ROLE,
+            at_ms=wall_ms,
+            planned=True,
+        )
+        if obstacle:
+            continue
+        yield commands.IssueOrder(
+            change.runner,
+            fleet.Action.SET_ROLE,
+            change.role.value,
+            f"planner: {change.cause}",
+            wall_ms,
+            term,
+            planned=True,
+        )
+
+
+def _is_open(ledger: state.Ledger, name: str) -> bool:
+    configured = ledger.config.runners[name]
+    is_auto = configured.role is document.AutoRole.AUTO
+    return is_auto and orders.next_step(ledger, name) is None
+
+
+def _services(ledger: state.Ledger) -> Iterator[roles.Service]:
+    runners_by_service: dict[str, list[roles.Runner]] = {}
+    for name in sorted(ledger.runner_by_name):
+        configured = ledger.config.runners[name]
+        runner = ledger.runner_by_name[name]
+        runners_by_service.setdefault(configured.service, []).append(
+            roles.Runner(
+                runner=name,
+                zone=configured.zone,
+                role=runner.role,
+                phase=runner.phase,
+                is_clear=not runner.unclear,
+            )
+        )
+    for name, service in sorted(ledger.config.services.items()):
+        if service.kind is document.ServiceKind.MODEL:
+            yield roles.Service(
+                service=name,
+                runners=runners_by_service.get(name, []),
+                payback_s=service.payback_s,
+            )
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -14,6 +14,7 @@
 from wisteriawall.control import liveness
 from wisteriawall.control import membership
 from wisteriawall.control import outcomes
+from wisteriawall.control import planning
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import renewal
 from wisteriawall.control import replicas
@@ -21,6 +22,7 @@
 from wisteriawall.control import state
 from wisteriawall.control import status
 from wisteriawall.control import writes
+from wisteriawall.policy import roles
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
@@ -73,6 +75,7 @@
     document_size: renewal.DocumentSize = dataclasses.field(
         default_factory=renewal.DocumentSize
     )
+    planner: roles.Planner = dataclasses.field(default_factory=roles.Planner)
     led_term: int = 0
     led_ms: int = 0
     lead_due_ms: int = 0
@@ -331,6 +334,7 @@
     if control.led_term != raft.term:
         control.led_term = raft.term
         control.led_ms = now_ms
+        control.planner = roles.Planner()
         control.lead_index = 0
         yield from _submit(
             control, commands.TakeLead(raft.replica, wall_ms), now_ms
@@ -340,6 +344,18 @@
         return
     control.lead_due_ms = now_ms + LEAD_MS
     liveness.forget_old(control.processes, now_ms)
+    for command in list(_due_commands(control, now_ms, wall_ms)):
+        yield from _submit(control, command, now_ms)
+        control.lead_index = raft.last_index
+
+
+def _due_commands(
+    control: Control, now_ms: int, wall_ms: int
+) -> Iterator[commands.Command]:
+    """Yield what is due; the planner waits until nothing else is."""
+    raft = control.raft
+    for demand in liveness.drain_demand(control.processes):
+        roles.observe(control.planner, demand, now_ms=now_ms)
     situation = leading.Situation(
         ledger=control.ledger,
         processes=control.processes,
@@ -349,9 +365,16 @@
         now_ms=now_ms,
         wall_ms=wall_ms,
     )
-    for command in list(leading.due_commands(situation)):
-        yield from _submit(control, command, now_ms)
-        control.lead_index = raft.last_index
+    due = list(leading.due_commands(situation))
+    yield from due
+    if not due:
+        yield from planning.due_orders(
+            control.planner,
+            control.ledger,
+            term=raft.term,
+            now_ms=now_ms,
+            wall_ms=wall_ms,
+        )
 
 
 def _report_liveness(
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -22,6 +22,7 @@
 from typing import final
 
 from wisteriawall.control import events
+from wisteriawall.control import membership
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
 from wisteriawall.control import reducer
@@ -55,6 +56,15 @@
     request: events.Request
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class _VmList:
+    """A VM list that was read."""
+
+    vm_by_name: dict[str, membership.VmState]
+
+
+_Arrival: TypeAlias = peer_messages.PeerMessage | _Call | _VmList
 _Deferred: TypeAlias = raft.SendPeer | events.SendLiveness | events.Answer
 
 
@@ -120,9 +130,7 @@
         )
         self._on_failure = on_failure
         self._failure = ""
-        self._queue: queue.Queue[peer_messages.PeerMessage | _Call] = (
-            queue.Queue(MAX_QUEUED_EVENTS)
-        )
+        self._queue: queue.Queue[_Arrival] = queue.Queue(MAX_QUEUED_EVENTS)
         self._future_by_call: dict[int, futures.Future[events.Reply]] = {}
         self._call_ids = itertools.count(1)
         self._stopping = threading.Event()
@@ -156,6 +164,10 @@
         self._links.close()
         self._log.close()
 
+    def take_vm_list(self, vm_by_name: dict[str, membership.VmState]) -> None:
+        """Take a newly read VM list; safe from any thread."""
+        self._queue.put(_VmList(vm_by_name))
+
     def call(self, request: events.Request) -> events.Reply:
         """Return the reply to `request`; safe from any thread."""
         if self._failure:
@@ -245,9 +257,7 @@
                 future.set_result(events.Unavailable(reason))
         self._on_failure()
 
-    def _take_batch(
-        self, until: float
-    ) -> Iterator[peer_messages.PeerMessage | _Call]:
+    def _take_batch(self, until: float) -> Iterator[_Arrival]:
         with contextlib.suppress(queue.Empty):
             yield self._queue.get(timeout=max(0.0, until - time.monotonic()))
             for _ in range(MAX_BATCH_EVENTS):
@@ -255,7 +265,7 @@
 
     def _stamped(
         self,
-        batch: Iterable[peer_messages.PeerMessage | _Call],
+        batch: Iterable[_Arrival],
         *,
         is_due: bool,
     ) -> Iterator[events.Event]:
@@ -272,6 +282,8 @@
                     yield events.Called(
                         call_id, request, _monotonic_ms(), _wall_ms()
                     )
+                case _VmList(vm_by_name):
+                    yield events.VmListRead(vm_by_name, _monotonic_ms())
                 case message:
                     yield events.PeerMessage(
                         message, _monotonic_ms(), _wall_ms()
--- /dev/null
+++ b/src/wisteriawall/control/vm_list.py
@@ -0,0 +1,78 @@
+"""Poll the platform's list of live and leaving VMs."""
+
+from collections.abc import Callable
+import logging
+import threading
+from typing import TypeAlias
+from typing import final
+
+import msgspec
+import urllib3
+
+from wisteriawall.control import membership
+
+__all__ = ["VmListReader", "parse"]
+
+_LOG = logging.getLogger("control")
+
+POLL_S = 1.0
+TIMEOUT_S = 2.0
+
+VmStates: TypeAlias = dict[str, membership.VmState]
+
+
+@final
+class _ListedVm(msgspec.Struct, frozen=True):
+    vm: str
+    state: membership.VmState
+
+
+def parse(body: bytes) -> VmStates:
+    """Return the state of each listed VM.
+
+    Raises:
+        msgspec.DecodeError: The body is not `[{"vm": ..., "state": ...}]`.
+    """
+    listed = msgspec.json.decode(body, type=list[_ListedVm])
+    return {entry.vm: entry.state for entry in listed}
+
+
+@final
+class VmListReader:
+    """Read the list every second; a failed read leaves the last one.
+
+    Args:
+        url: Where the platform serves the list.
+        deliver: Takes each list that was read.
+    """
+
+    def __init__(
+        self, *, url: str, deliver: Callable[[VmStates], None]
+    ) -> None:
+        self._url = url
+        self._deliver = deliver
+        self._pool = urllib3.PoolManager(retries=False)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="vm-list", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start polling."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+        self._thread.join(timeout=TIMEOUT_S)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                response = self._pool.request(
+                    "GET", self._url, timeout=TIMEOUT_S
+                )
+                self._deliver(parse(response.data))
+            except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+                _LOG.warning("control: VM list not read: %s", error)
+            self._stopping.wait(POLL_S)
