--- a/src/wisteriawall/control/raft.py
+++ b/src/wisteriawall/control/raft.py
@@ -16,6 +16,7 @@
 from wisteriawall.wire import raft_messages
 
 __all__ = [
+    "MAX_COMMAND_BYTES",
     "AppendLog",
     "Apply",
     "Effect",
@@ -52,6 +53,8 @@
 
 SNAPSHOT_EVERY_ENTRIES = 4_096
 KEPT_ENTRIES = 2_048
+TYPICAL_ENTRY_BYTES = 256
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
 membership_refusal = raft_members.refusal
 add_member = raft_members.add
@@ -105,7 +108,10 @@
 def wants_snapshot(raft: Raft) -> bool:
     """Tell whether the log is long enough for a new snapshot."""
     covered = raft.applied_index - raft.log.snapshot.index
-    return covered >= SNAPSHOT_EVERY_ENTRIES
+    # A large state is written less often, so that writing it stays a fixed
+    # part of the work.
+    by_size = len(raft.log.snapshot.data) // TYPICAL_ENTRY_BYTES
+    return covered >= max(SNAPSHOT_EVERY_ENTRIES, by_size)
 
 
 def compact(
--- a/src/wisteriawall/control/raft_follower.py
+++ b/src/wisteriawall/control/raft_follower.py
@@ -8,7 +8,7 @@
 
 __all__ = ["MAX_SNAPSHOT_BYTES", "on_append_request", "on_snapshot_chunk"]
 
-MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+MAX_SNAPSHOT_BYTES = 512 * 1024 * 1024
 
 
 def on_append_request(
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -230,6 +230,14 @@
         yield events.Answer(event.call_id, reply)
         return
     command = writes.command_for(event.request, event.wall_ms)
+    size = len(commands.encode(command))
+    if size > raft_lib.MAX_COMMAND_BYTES:
+        reason = (
+            f"command of {size} bytes, expected at most "
+            f"{raft_lib.MAX_COMMAND_BYTES}"
+        )
+        yield events.Answer(event.call_id, events.Unavailable(reason))
+        return
     index = control.raft.last_index + 1
     control.waiting_by_index[index] = Waiting(
         call_id=event.call_id, term=control.raft.term
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -90,7 +90,7 @@
         folder: pathlib.Path,
         key: bytes,
         incarnation: int,
-        bootstrap: bool = True,
+        bootstrap: bool = False,
         cluster: str = DEFAULT_CLUSTER,
         on_failure: Callable[[], None] = lambda: None,
     ) -> None:
--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -131,6 +131,7 @@
             rpc_address=self._rpc[name],
             folder=folder,
             key=self._key,
+            bootstrap=True,
             incarnation=time.time_ns(),
         )
 
--- a/src/wisteriawall/storage/data_folder.py
+++ b/src/wisteriawall/storage/data_folder.py
@@ -45,6 +45,9 @@
     founders: tuple[raft_messages.Member, ...] = ()
 
 
+_DECODER = msgspec.msgpack.Decoder(Identity)
+
+
 @final
 class DataFolder:
     """Take a data folder for one replica and this process alone.
@@ -120,7 +123,7 @@
         )
         if len(payloads) != 1:
             raise records.LogDamaged(path, "no identity", "one record")
-        return msgspec.msgpack.decode(payloads[0], type=Identity)
+        return records.decode(_DECODER, payloads[0], path)
 
     def _check_empty(self) -> None:
         """Refuse a folder in use; allow one whose making was cut short."""
--- a/src/wisteriawall/storage/records.py
+++ b/src/wisteriawall/storage/records.py
@@ -7,18 +7,22 @@
 
 import pathlib
 import struct
+from typing import TypeVar
 from typing import final
 
+import msgspec
 import xxhash
 
 from wisteriawall import errors
 
-__all__ = ["LogDamaged", "frame", "scan"]
+__all__ = ["LogDamaged", "decode", "frame", "scan"]
 
 MARKER = b"\x9eWRc"
 HEADER = struct.Struct("<4sIQQ")
 CHECKED = struct.Struct("<IQ")
 
+RecordT = TypeVar("RecordT")
+
 
 @final
 class LogDamaged(errors.WisteriawallError):
@@ -65,6 +69,24 @@
     return payloads, offset
 
 
+def decode(
+    decoder: msgspec.msgpack.Decoder[RecordT],
+    payload: bytes,
+    path: pathlib.Path,
+) -> RecordT:
+    """Return the record that an intact payload holds.
+
+    Raises:
+        LogDamaged: This version does not know the payload's form.
+    """
+    try:
+        return decoder.decode(payload)
+    except msgspec.DecodeError as error:
+        raise LogDamaged(
+            path, f"unknown record ({error})", "a record of this version"
+        ) from error
+
+
 def _read(data: bytes, offset: int, sequence: int | None) -> bytes | None:
     """Return the payload at `offset`, None unless the record is intact."""
     start = offset + HEADER.size
--- a/src/wisteriawall/storage/recovery.py
+++ b/src/wisteriawall/storage/recovery.py
@@ -66,7 +66,7 @@
     SegmentRecord | HardStateRecord | EntryRecord | TruncateRecord | ResetRecord
 )
 
-_DECODER = msgspec.msgpack.Decoder(Record)
+_DECODER: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
 
 @final
@@ -105,7 +105,7 @@
     """
     newest = 0
     for payload in payloads:
-        match _DECODER.decode(payload):
+        match records.decode(_DECODER, payload, path):
             case SegmentRecord(_, _, term, voted_for) | HardStateRecord(
                 term, voted_for
             ):
--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -22,6 +22,8 @@
 SEGMENT_BYTES = 4 * 1024 * 1024
 PATTERN = "log-*.segment"
 
+_SEGMENT_DECODER = msgspec.msgpack.Decoder(recovery.SegmentRecord)
+
 
 @final
 class ReplicaLog:
@@ -233,7 +235,7 @@
     def _check_segment(
         self, path: pathlib.Path, payload: bytes, previous: int
     ) -> recovery.SegmentRecord:
-        record = msgspec.msgpack.decode(payload, type=recovery.SegmentRecord)
+        record = records.decode(_SEGMENT_DECODER, payload, path)
         identity = self._folder.identity
         follows = not previous or record.number == previous + 1
         if not follows or path != self._segment_path(record.number):
--- a/src/wisteriawall/storage/snapshot_file.py
+++ b/src/wisteriawall/storage/snapshot_file.py
@@ -12,6 +12,8 @@
 
 PATTERN = "snapshot-*.snapshot"
 
+_DECODER = msgspec.msgpack.Decoder(raft_messages.Snapshot)
+
 
 def load(folder: pathlib.Path) -> raft_messages.Snapshot | None:
     """Return the newest snapshot of `folder`, None if there is none.
@@ -26,7 +28,7 @@
     payloads, _ = records.scan(path.read_bytes(), path=path, is_newest=False)
     if len(payloads) != 1:
         raise records.LogDamaged(path, "no snapshot", "one record")
-    snapshot = msgspec.msgpack.decode(payloads[0], type=raft_messages.Snapshot)
+    snapshot = records.decode(_DECODER, payloads[0], path)
     if path != _path(folder, snapshot.index):
         raise records.LogDamaged(
             path, f"holds snapshot {snapshot.index}", "the index in its name"
--- /dev/null
+++ b/testing/control/test_shell.py
@@ -0,0 +1,108 @@
+"""Tests of `wisteriawall.control.shell`: one replica with a real disk."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import errno
+import os
+import pathlib
+import time
+
+import pytest
+
+from wisteriawall.control import events
+from wisteriawall.control import outcomes
+from wisteriawall.control import raft
+from wisteriawall.control import shell as shell_lib
+from wisteriawall.demo import cluster as cluster_lib
+
+KEY = b"k" * 32
+WAIT_S = 10.0
+
+Open = Callable[[], shell_lib.ControlShell]
+
+
+@pytest.fixture
+def open_shell(tmp_path: pathlib.Path) -> Iterator[Open]:
+    """Yield a starter of a cluster of one on the same folder."""
+    opened: list[shell_lib.ControlShell] = []
+
+    def open_one() -> shell_lib.ControlShell:
+        for shell in opened:
+            shell.stop()
+        opened.clear()
+        shell = shell_lib.ControlShell(
+            replica="a",
+            peer_address_by_replica={"a": cluster_lib.free_address()},
+            rpc_address=cluster_lib.free_address(),
+            folder=tmp_path / "data",
+            key=KEY,
+            incarnation=time.time_ns(),
+            bootstrap=True,
+        )
+        opened.append(shell)
+        shell.start()
+        return shell
+
+    yield open_one
+    for shell in opened:
+        shell.stop()
+
+
+def patch(shell: shell_lib.ControlShell, number: int) -> events.Reply:
+    """Send a patch until this replica leads."""
+    request = events.PatchRequest(
+        f"p{number}", "op", number, b'{"capacity_pieces": %d}' % number
+    )
+    deadline = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline:
+        reply = shell.call(request)
+        if isinstance(reply, events.PatchReply | events.Unavailable):
+            return reply
+        time.sleep(0.02)
+    raise AssertionError("no leader")
+
+
+def test_state_comes_back_from_snapshot_and_log(
+    open_shell: Open, monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    monkeypatch.setattr(raft, "SNAPSHOT_EVERY_ENTRIES", 2)
+    shell = open_shell()
+    for number in range(2):
+        reply = patch(shell, number)
+        assert isinstance(reply, events.PatchReply)
+    assert list((tmp_path / "data").glob("snapshot-*"))
+    shell = open_shell()
+    reply = patch(shell, 1)
+    assert isinstance(reply, events.PatchReply)
+    assert reply.outcome == outcomes.ConfigChanged(2)
+
+
+def test_full_disk_ends_every_acknowledgement(
+    open_shell: Open, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    shell = open_shell()
+    assert isinstance(patch(shell, 0), events.PatchReply)
+
+    def refuse(_: int) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fdatasync", refuse)
+        reply = patch(shell, 1)
+        assert isinstance(reply, events.Unavailable)
+        assert "free space" in reply.reason
+    # The disk takes writes again, yet what it holds is not known.
+    assert isinstance(patch(shell, 2), events.Unavailable)
+    shell = open_shell()
+    reply = shell.call(events.StatusRequest(whole=False))
+    assert isinstance(reply, events.StatusReply)
+
+
+def test_command_too_large_for_a_message_is_refused(open_shell: Open) -> None:
+    shell = open_shell()
+    assert isinstance(patch(shell, 0), events.PatchReply)
+    change = b'{"x": "%s"}' % (b"y" * raft.MAX_COMMAND_BYTES)
+    reply = shell.call(events.PatchRequest("big", "op", 1, change))
+    assert isinstance(reply, events.Unavailable)
+    assert "expected at most" in reply.reason
+    assert isinstance(patch(shell, 1), events.PatchReply)
