--- a/src/wisteriawall/standin/vms.py
+++ b/src/wisteriawall/standin/vms.py
@@ -10,7 +10,7 @@
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 
-__all__ = ["StandInVms", "VmEntry", "VmState"]
+__all__ = ["LaggingList", "StandInVms", "VmEntry", "VmState"]
 
 
 @final
@@ -29,6 +29,32 @@
     state: VmState
 
 
+@final
+class LaggingList:
+    """List whose changes show only after a lag.
+
+    Args:
+        lag_s: Seconds before a change shows.
+    """
+
+    def __init__(self, *, lag_s: float) -> None:
+        self._lag_s = lag_s
+        self._lock = threading.Lock()
+        self._changes: list[tuple[float, list[VmEntry]]] = [(0.0, [])]
+
+    def set(self, entries: list[VmEntry], *, now_s: float) -> None:
+        """Replace the list."""
+        with self._lock:
+            self._changes.append((now_s + self._lag_s, entries))
+
+    def read(self, *, now_s: float) -> list[VmEntry]:
+        """Return the newest list that the lag lets through."""
+        with self._lock:
+            while len(self._changes) > 1 and self._changes[1][0] <= now_s:
+                del self._changes[0]
+            return self._changes[0][1]
+
+
 @final
 class StandInVms:
     """Serve the list: GET reads it with its lag, POST changes it.
@@ -39,9 +65,7 @@
     """
 
     def __init__(self, *, address: str, lag_s: float) -> None:
-        self._lag_s = lag_s
-        self._lock = threading.Lock()
-        self._changes: list[tuple[float, list[VmEntry]]] = [(0.0, [])]
+        self._list = LaggingList(lag_s=lag_s)
         self._http = server_lib.HttpServer(address=address, app=self._serve)
         self.address = self._http.address
 
@@ -53,19 +77,6 @@
         """Stop serving."""
         self._http.stop()
 
-    def set(self, entries: list[VmEntry]) -> None:
-        """Replace the list; readers see it after the lag."""
-        with self._lock:
-            self._changes.append((time.monotonic() + self._lag_s, entries))
-
-    def read(self) -> list[VmEntry]:
-        """Return the newest list that the lag lets through."""
-        now_s = time.monotonic()
-        with self._lock:
-            while len(self._changes) > 1 and self._changes[1][0] <= now_s:
-                del self._changes[0]
-            return self._changes[0][1]
-
     def _serve(
         self,
         environ: server_lib.Environ,
@@ -78,9 +89,10 @@
                 )
             except msgspec.DecodeError as error:
                 return server_lib.refuse(start_response, _bad_list(error))
-            self.set(entries)
+            self._list.set(entries, now_s=time.monotonic())
+        listed = self._list.read(now_s=time.monotonic())
         return server_lib.respond(
-            start_response, status=200, body=msgspec.json.encode(self.read())
+            start_response, status=200, body=msgspec.json.encode(listed)
         )
 
 
--- a/src/wisteriawall/standin/weights.py
+++ b/src/wisteriawall/standin/weights.py
@@ -6,11 +6,32 @@
 
 from wisteriawall.web import server as server_lib
 
-__all__ = ["StandInWeights"]
+__all__ = ["SharedRate", "StandInWeights"]
 
 CHUNK_BYTES = 65_536
 
 
+@final
+class SharedRate:
+    """Rate that readers share.
+
+    Args:
+        bytes_per_s: Bytes that all readers together get in a second.
+    """
+
+    def __init__(self, *, bytes_per_s: int) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._lock = threading.Lock()
+        self._free_at_s = 0.0
+
+    def reserve(self, size: int, *, now_s: float) -> float:
+        """Return the seconds to wait before sending `size` bytes."""
+        with self._lock:
+            self._free_at_s = max(self._free_at_s, now_s)
+            self._free_at_s += size / self._bytes_per_s
+            return self._free_at_s - now_s
+
+
 @final
 class StandInWeights:
     """Serve `GET /weights/<name>` to any number of readers.
@@ -25,9 +46,8 @@
         self, *, address: str, weights_bytes: int, bytes_per_s: int
     ) -> None:
         self._weights_bytes = weights_bytes
-        self._bytes_per_s = bytes_per_s
+        self._rate = SharedRate(bytes_per_s=bytes_per_s)
         self._lock = threading.Lock()
-        self._free_at_s = 0.0
         self.fetches = 0
         self._http = server_lib.HttpServer(address=address, app=self._serve)
         self.address = self._http.address
@@ -60,14 +80,6 @@
         left = self._weights_bytes
         while left > 0:
             size = min(left, CHUNK_BYTES)
-            time.sleep(self._reserve(size))
+            time.sleep(self._rate.reserve(size, now_s=time.monotonic()))
             yield bytes(size)
             left -= size
-
-    def _reserve(self, size: int) -> float:
-        """Return the seconds to wait before sending `size` bytes."""
-        with self._lock:
-            now_s = time.monotonic()
-            self._free_at_s = max(self._free_at_s, now_s)
-            self._free_at_s += size / self._bytes_per_s
-            return self._free_at_s - now_s
--- /dev/null
+++ b/testing/standin/test_platform.py
@@ -0,0 +1,102 @@
+"""Tests of the prefix cache, weight store, VM list and plain service."""
+
+import msgspec
+import pytest
+import urllib3
+
+from wisteriawall.standin import faults as faults_lib
+from wisteriawall.standin import plain
+from wisteriawall.standin import prefix_cache
+from wisteriawall.standin import vms
+from wisteriawall.standin import weights
+
+
+def _cache(*, gap_every: int = 0) -> prefix_cache.PrefixCache:
+    return prefix_cache.PrefixCache(
+        pieces=3, delay_s=1.0, faults=faults_lib.Faults(gap_every=gap_every)
+    )
+
+
+def test_cache_is_bounded_and_its_events_are_late() -> None:
+    cache = _cache()
+    cache.store((1, 2, 3, 4), now_s=0.0)
+    assert len(cache) == 3
+    assert cache.hits((1, 2)) == 0
+    assert cache.page(after=1, now_s=0.5).changes == []
+    late = cache.page(after=1, now_s=1.0)
+    assert [(c.prefix, c.stored) for c in late.changes] == [
+        (1, True),
+        (2, True),
+        (3, True),
+        (4, True),
+        (1, False),
+    ]
+    assert (late.first, late.next) == (1, 6)
+
+
+def test_gap_shows_in_the_first_number_of_the_next_page() -> None:
+    cache = _cache(gap_every=2)
+    cache.store((1, 2, 3), now_s=0.0)
+    page = cache.page(after=1, now_s=2.0)
+    assert (page.first, page.next) == (1, 2)
+    assert cache.page(after=2, now_s=2.0).first == 3
+    whole = cache.page(after=None, now_s=2.0)
+    assert whole.complete
+    assert {c.prefix for c in whole.changes} == {1, 2, 3}
+
+
+@pytest.mark.parametrize(
+    ("now_s", "waits_s"),
+    [
+        pytest.param([0.0, 0.0, 0.0], [0.1, 0.2, 0.3], id="at-once"),
+        pytest.param([0.0, 0.05, 0.4], [0.1, 0.15, 0.1], id="spread"),
+    ],
+)
+def test_readers_share_the_weight_store_rate(
+    now_s: list[float], waits_s: list[float]
+) -> None:
+    rate = weights.SharedRate(bytes_per_s=1_000)
+    waited = [rate.reserve(100, now_s=now) for now in now_s]
+    assert waited == pytest.approx(waits_s)
+
+
+def test_weight_store_sends_every_byte() -> None:
+    store = weights.StandInWeights(
+        address="127.0.0.1:0", weights_bytes=100_000, bytes_per_s=10**8
+    )
+    store.start()
+    response = urllib3.request("GET", f"http://{store.address}/weights/m")
+    assert (len(response.data), store.fetches) == (100_000, 1)
+    store.stop()
+
+
+def test_vm_list_lags() -> None:
+    listed = vms.LaggingList(lag_s=5.0)
+    entries = [vms.VmEntry("v1", vms.VmState.LEAVING)]
+    listed.set(entries, now_s=10.0)
+    assert [listed.read(now_s=now) for now in (10.0, 14.9, 15.0)] == [
+        [],
+        [],
+        entries,
+    ]
+
+
+def test_vm_list_refuses_what_is_no_list() -> None:
+    listed = vms.StandInVms(address="127.0.0.1:0", lag_s=0.0)
+    listed.start()
+    url = f"http://{listed.address}/vms"
+    wanted = [{"vm": "v1", "state": "leaving"}]
+    assert urllib3.request("POST", url, body=b'{"vm": 1}').status == 400
+    urllib3.request("POST", url, body=msgspec.json.encode(wanted))
+    assert msgspec.json.decode(urllib3.request("GET", url).data) == wanted
+    listed.stop()
+
+
+def test_plain_service_counts_runs_of_each_key() -> None:
+    service = plain.StandInPlain(address="127.0.0.1:0")
+    service.start()
+    url = f"http://{service.address}/payments"
+    for key in ("a", "b", "a"):
+        urllib3.request("POST", url, headers={"Idempotency-Key": key})
+    assert service.runs_by_key == {"a": 2, "b": 1}
+    service.stop()
