--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -8,6 +8,7 @@
 from wisteriawall.wire import fleet
 
 __all__ = [
+    "ChangeReplica",
     "Command",
     "CompleteOrder",
     "ForgetEntry",
@@ -139,8 +140,19 @@
     at_ms: int
 
 
+@final
+class ChangeReplica(msgspec.Struct, frozen=True, tag="replica"):
+    """Record why the membership changes in this entry of the log."""
+
+    change: str
+    replica: str
+    operator: str
+    at_ms: int
+
+
 Command = (
     TakeLead
+    | ChangeReplica
     | PatchConfig
     | GrantClaim
     | SettleClaim
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -22,6 +22,7 @@
     "Answer",
     "AuditReply",
     "AuditRequest",
+    "BatchEnded",
     "Called",
     "ConfigReply",
     "ConfigRequest",
@@ -293,7 +294,14 @@
     now_ms: int
 
 
-Event = Ticked | PeerMessage | Called | VmListRead
+@final
+class BatchEnded(msgspec.Struct, frozen=True, tag="batch"):
+    """No more events wait: what the batch appended goes out together."""
+
+    now_ms: int
+
+
+Event = Ticked | PeerMessage | Called | VmListRead | BatchEnded
 
 
 @final
@@ -316,6 +324,8 @@
     raft.SaveHardState
     | raft.AppendLog
     | raft.TruncateLog
+    | raft.SaveSnapshot
+    | raft.ResetLog
     | raft.SendPeer
     | SendLiveness
     | Answer
--- a/src/wisteriawall/control/status.py
+++ b/src/wisteriawall/control/status.py
@@ -28,6 +28,7 @@
         fleet_version=ledger.fleet_version,
         processes=list(_processes(processes, now_ms)),
         runners=list(_runners(ledger)),
+        members=list(raft.members),
     )
 
 
--- a/tools/capacity/slopes.py
+++ b/tools/capacity/slopes.py
@@ -22,6 +22,7 @@
 from wisteriawall.demo import cluster
 from wisteriawall.entry import events as entry_events
 from wisteriawall.entry import reducer as entry_reducer
+from wisteriawall.entry import state as entry_state
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
 from wisteriawall.wire import fleet
@@ -130,7 +131,7 @@
     codec = _codec(fleet.LoadReport)
     report = fleet.LoadReport("runner-1000", SENDER.incarnation, 9, 7, 5, 3)
     data = codec.encode(report)
-    entry = entry_reducer.Entry(zone="zone-1")
+    entry = entry_state.Entry(zone="zone-1")
 
     def hear() -> None:
         _, message = codec.decode(data)
@@ -212,7 +213,7 @@
         for name, runner in config.runners.items()
         if runner.service == "service-1"
     ][:SUBSET_RUNNERS]
-    entry = entry_reducer.Entry(zone="zone-1")
+    entry = entry_state.Entry(zone="zone-1")
     grant = control_messages.Grant(
         age_ms=0,
         config_number=config.number,
@@ -246,7 +247,7 @@
         assert isinstance(effect, entry_events.Dispatch)
         list(
             entry_reducer.reduce(
-                entry, entry_events.Finished("r", None, NOW_MS)
+                entry, entry_events.Finished("r", 1, None, NOW_MS)
             )
         )
 
@@ -269,7 +270,7 @@
         entries=[],
         commit_index=1_000_000,
         round_ms=10_000_000,
-        echo_ms=10_000_000,
+        echo=raft_messages.Echo(1, 10_000_000),
         quorum_age_ms=100,
     )
     data = codec.encode(heartbeat)
