--- a/src/wisteriawall/benchmark/figures.py
+++ b/src/wisteriawall/benchmark/figures.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from wisteriawall.benchmark import simulation
+from wisteriawall.benchmark import answers as answers_lib
 from wisteriawall.benchmark import workload
 
 __all__ = ["Figures", "bound_goodput", "jain_index", "measure", "percentile"]
@@ -37,7 +37,7 @@
     amplification: float
 
 
-def measure(run: simulation.Run, *, duration_ms: float) -> Figures:
+def measure(run: answers_lib.Run, *, duration_ms: float) -> Figures:
     """Return the figures of a run."""
     good = [a for a in run.answers if a.is_good]
     tried = [a for a in run.answers if a.attempts]
@@ -105,6 +105,9 @@
                 if arrival_ms >= start_ms and deadline_ms <= end_ms
             ]
             room_ms = (end_ms - start_ms) * deployment.runners
+            if trace.withdrawn_at_ms is not None:
+                gone_ms = max(start_ms, trace.withdrawn_at_ms)
+                room_ms -= max(0.0, end_ms - gone_ms)
             lost_by_window[first, last] = _lost(works, room_ms)
     most = [0] * len(edges)
     for last in range(1, len(edges)):
@@ -138,7 +141,7 @@
 
 
 def _served_share_by_account(
-    answers: Sequence[simulation.Answer],
+    answers: Sequence[answers_lib.Answer],
 ) -> dict[str, float]:
     offered: Counter[str] = Counter()
     good: Counter[str] = Counter()
--- /dev/null
+++ b/testing/policy/test_limits.py
@@ -0,0 +1,177 @@
+"""Admission: bounds, fair share, deadlines."""
+
+from collections import Counter
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from wisteriawall.policy import limits
+
+BACKLOG = limits.Priority.BACKLOG
+INTERACTIVE = limits.Priority.INTERACTIVE
+
+
+def _waiting(number, **fields):
+    defaults = {
+        "request_id": f"r{number}",
+        "account": "shop",
+        "tokens": 100,
+        "run_ms": 100,
+        "deadline_ms": 1_000_000,
+        "arrival_ms": 0,
+    }
+    return limits.Waiting(**(defaults | fields))
+
+
+def _offer(queue, waiting, now_ms=0):
+    rng = random.Random(1)
+    return limits.offer(queue, waiting, now_ms=now_ms, rng=rng)
+
+
+def _take_accounts(queue, count):
+    taken = [limits.take(queue, now_ms=0) for _ in range(count)]
+    return Counter(w.account for w in taken if w is not None)
+
+
+@pytest.mark.parametrize(
+    ("bounds", "reason"),
+    [
+        pytest.param(
+            limits.Bounds(max_waiting=2), limits.Reason.QUEUE_FULL, id="queue"
+        ),
+        pytest.param(
+            limits.Bounds(max_waiting_by_account=2),
+            limits.Reason.ACCOUNT_FULL,
+            id="account",
+        ),
+    ],
+)
+def test_bounds_refuse_with_a_time_to_come_back(bounds, reason):
+    queue = limits.AdmissionQueue(bounds=bounds)
+    answers = [_offer(queue, _waiting(i)) for i in range(3)]
+    assert answers[:2] == [None, None]
+    assert answers[2] is not None
+    assert answers[2].reason is reason
+    assert answers[2].retry_after_ms >= limits.MIN_RETRY_AFTER_MS
+
+
+def test_what_would_miss_its_deadline_is_refused_at_arrival():
+    queue = limits.AdmissionQueue(tokens_per_ms=1.0)
+    ahead = _waiting(0, tokens=50_000, deadline_ms=15_000)
+    assert _offer(queue, ahead) is None
+    urgent = _waiting(1, deadline_ms=3_000, run_ms=1_000)
+    assert _offer(queue, urgent) is None, "it must start earlier"
+    refused = _offer(queue, _waiting(2, deadline_ms=20_000))
+    assert refused is not None
+    assert refused.reason is limits.Reason.DEADLINE
+
+
+def test_late_requests_are_refused_at_once_and_never_taken():
+    queue = limits.AdmissionQueue()
+    _offer(queue, _waiting(0, deadline_ms=1_000))
+    _offer(queue, _waiting(1, deadline_ms=9_000))
+    rng = random.Random(1)
+    refused = list(limits.expire(queue, now_ms=901, rng=rng))
+    assert [r.waiting.request_id for r in refused] == ["r0"]
+    taken = limits.take(queue, now_ms=901)
+    assert taken is not None
+    assert taken.request_id == "r1"
+
+
+def test_an_estimate_alone_never_refuses():
+    queue = limits.AdmissionQueue()
+    endless = _waiting(0, run_ms=10**9, deadline_ms=3_000)
+    assert _offer(queue, endless) is None
+
+
+def test_accounts_share_tokens_by_weight():
+    queue = limits.AdmissionQueue()
+    for i in range(100):
+        _offer(queue, _waiting(f"a{i}", account="a", weight=2.0))
+        _offer(queue, _waiting(f"b{i}", account="b"))
+        _offer(queue, _waiting(f"c{i}", account="c", tokens=200))
+    taken = _take_accounts(queue, 80)
+    assert taken["a"] == pytest.approx(2 * taken["b"], abs=2)
+    assert taken["b"] == pytest.approx(2 * taken["c"], abs=2)
+
+
+def test_settling_charges_the_actual_tokens():
+    queue = limits.AdmissionQueue()
+    for i in range(60):
+        _offer(queue, _waiting(f"a{i}", account="a"))
+        _offer(queue, _waiting(f"b{i}", account="b"))
+    first = limits.take(queue, now_ms=0)
+    assert first is not None
+    limits.settle(queue, first.request_id, actual_tokens=2_100)
+    later = _take_accounts(queue, 20)
+    assert first.account not in later
+
+
+def test_interactive_goes_ahead_without_starving_the_backlog():
+    queue = limits.AdmissionQueue()
+    for i in range(200):
+        _offer(queue, _waiting(f"b{i}", account="b", priority=BACKLOG))
+        _offer(queue, _waiting(f"i{i}", account="i", priority=INTERACTIVE))
+    taken = _take_accounts(queue, 100)
+    assert 9 <= taken["b"] <= 11
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "take", "expire", "cancel", "settle"]),
+        st.integers(0, 30),
+        st.sampled_from("ab"),
+        st.sampled_from(limits.Priority),
+    ),
+    max_size=80,
+)
+
+
+@hypothesis.given(OPERATIONS)
+def test_bounds_hold_and_every_request_has_one_outcome(operations):
+    bounds = limits.Bounds(max_waiting=6, max_waiting_by_account=3)
+    queue = limits.AdmissionQueue(bounds=bounds)
+    outcomes: Counter[str] = Counter()
+    offered: set[str] = set()
+    for now_ms, operation in enumerate(operations):
+        outcomes.update(_apply(queue, operation, now_ms, offered))
+        assert len(queue.waiting_by_id) <= 6
+        for own in queue.classes:
+            assert all(len(h) <= 3 for h in own.heap_by_account.values())
+    while (taken := limits.take(queue, now_ms=10**6)) is not None:
+        outcomes[taken.request_id] += 1
+    assert outcomes == Counter(offered)
+
+
+def _apply(queue, operation, now_ms, offered):
+    """Carry out one operation; return the requests whose outcome it is."""
+    kind, number, account, priority = operation
+    request_id = f"r{number}"
+    match kind:
+        case "offer" if request_id not in offered:
+            offered.add(request_id)
+            waiting = _waiting(
+                number,
+                account=account,
+                priority=priority,
+                deadline_ms=now_ms + 10 + number,
+                run_ms=5,
+                arrival_ms=now_ms,
+            )
+            return [request_id] if _offer(queue, waiting, now_ms) else []
+        case "take":
+            had_any = bool(queue.waiting_by_id)
+            taken = limits.take(queue, now_ms=now_ms)
+            assert (taken is not None) == had_any, "work conserving"
+            return [taken.request_id] if taken else []
+        case "expire":
+            rng = random.Random(1)
+            late = limits.expire(queue, now_ms=now_ms, rng=rng)
+            return [refused.waiting.request_id for refused in late]
+        case "cancel":
+            return [request_id] * limits.cancel(queue, request_id)
+        case "settle":
+            limits.settle(queue, request_id, actual_tokens=number)
+    return []
--- /dev/null
+++ b/testing/policy/test_routing.py
@@ -0,0 +1,119 @@
+"""Choice of runners."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from wisteriawall.policy import routing
+from wisteriawall.wire import fleet
+
+WORK = routing.Work(prompt_tokens=4_000, output_tokens=400)
+NOBODY: frozenset[str] = frozenset()
+
+
+def _candidate(runner, **fields):
+    defaults = {"waiting_tokens": 0, "streams": 0, "same_zone": True}
+    return routing.Candidate(runner=runner, **(defaults | fields))
+
+
+@pytest.mark.parametrize(
+    ("better", "worse"),
+    [
+        pytest.param({}, {"waiting_tokens": 9_000}, id="less prompt work"),
+        pytest.param({}, {"streams": 40}, id="fewer streams"),
+        pytest.param({"hit_tokens": 3_000}, {}, id="cached prefix"),
+        pytest.param({}, {"adapter_loaded": False}, id="adapter loaded"),
+        pytest.param({}, {"draining": True}, id="not draining"),
+        pytest.param({}, {"has_room": False}, id="room"),
+        pytest.param({}, {"role": fleet.Role.DECODE}, id="role reads prompts"),
+        pytest.param({}, {"pace_ms": 90.0}, id="measured pace"),
+        pytest.param(
+            {"hit_tokens": 3_000},
+            {"waiting_tokens": 100},
+            id="affinity over a little load",
+        ),
+        pytest.param(
+            {},
+            {"hit_tokens": 3_000, "waiting_tokens": 50_000},
+            id="load over affinity",
+        ),
+    ],
+)
+def test_choose_prefers(better, worse):
+    rng = random.Random(1)
+    two = [_candidate("worse", **worse), _candidate("better", **better)]
+    for candidates in (two, two[::-1]):
+        chosen = routing.choose(candidates, work=WORK, avoid=NOBODY, rng=rng)
+        assert chosen == "better"
+
+
+def test_equal_runners_share_the_choice():
+    rng = random.Random(1)
+    candidates = [_candidate(name) for name in "abcd"]
+    chosen = {
+        routing.choose(candidates, work=WORK, avoid=NOBODY, rng=rng)
+        for _ in range(100)
+    }
+    assert chosen == set("abcd")
+
+
+def test_same_zone_decides_between_equal_runners():
+    candidates = [_candidate("far", same_zone=False), _candidate("near")]
+    assert routing.choose(candidates, avoid=NOBODY) == "near"
+
+
+def test_pair_keeps_prompts_away_from_streams():
+    candidates = [
+        _candidate("reader", role=fleet.Role.PREFILL),
+        _candidate("writer", role=fleet.Role.DECODE, streams=20),
+        _candidate("both", streams=40, waiting_tokens=8_000),
+    ]
+    placed = routing.choose_pair(
+        candidates, work=WORK, avoid=NOBODY, rng=random.Random(1)
+    )
+    assert placed is not None
+    assert (placed.prefill, placed.decode) == ("reader", "writer")
+
+
+def test_one_idle_mixed_runner_needs_no_transfer():
+    candidates = [_candidate("a"), _candidate("b")]
+    placed = routing.choose_pair(
+        candidates, work=WORK, avoid=NOBODY, rng=random.Random(1)
+    )
+    assert placed is not None
+    assert not placed.is_pair
+
+
+CANDIDATES = st.lists(
+    st.builds(
+        _candidate,
+        st.sampled_from("abcdefgh"),
+        waiting_tokens=st.integers(0, 50_000),
+        streams=st.integers(0, 80),
+        role=st.sampled_from(fleet.Role),
+        draining=st.booleans(),
+        has_room=st.booleans(),
+        can_decode=st.booleans(),
+    ),
+    max_size=8,
+    unique_by=lambda c: c.runner,
+)
+
+
+@hypothesis.given(CANDIDATES, st.sets(st.sampled_from("abcdefgh")))
+def test_a_placement_uses_only_open_runners(candidates, avoid):
+    by_runner = {c.runner: c for c in candidates}
+    placed = routing.choose_pair(
+        candidates, work=WORK, avoid=frozenset(avoid), rng=random.Random(1)
+    )
+    if placed is None:
+        return
+    first, second = by_runner[placed.prefill], by_runner[placed.decode]
+    assert first.has_room
+    assert not first.draining
+    assert not second.draining
+    assert second.can_decode or not placed.is_pair
+    others = {c.runner for c in candidates if not c.draining} - avoid
+    assert not others or {placed.prefill, placed.decode} <= others
