Let the agreement machine attack the lease; name a replaced data folder

The machine swaps which replica is cut off, also with a restart between, so that a vote within a lease becomes two leases.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -287,6 +287,12 @@
         agreed = {m.replica: m.peer_address for m in members if m.peer_address}
         addresses = agreed or self._configured_peers
         own = self._control.raft.replica
+        if not self._control.raft.accepts(own, self._control.raft.identity):
+            _LOG.error(
+                "control: data folder of %s is not the one that the cluster "
+                "knows, expected a replica added under a new name",
+                own,
+            )
         self._links.follow({p: a for p, a in addresses.items() if p != own})
 
     def _carry_out(self, effects: Iterable[events.Effect]) -> None:
--- a/testing/control/test_raft_model.py
+++ b/testing/control/test_raft_model.py
@@ -66,6 +66,26 @@
             self.submit(1, 0)
             self.cluster.run(1_500)
 
+    @stateful.rule(restarts=strategies.booleans())
+    def swap_cut(self, restarts: bool) -> None:
+        """Cut off a follower, then the leader in its place.
+
+        The follower stands for election at once, while the leader still has
+        the lease that the third replica confirmed, perhaps before a restart.
+        """
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        first, *rest = leader.raft.others
+        self.cluster.groups = [{first}]
+        self.cluster.run(1_500)
+        self.cluster.groups = [{leader.raft.replica}]
+        for name in rest if restarts else ():
+            if name in self.cluster.node_by_name:
+                self.cluster.restart(name)
+        self.cluster.run(600)
+        self.cluster.groups = []
+
     @stateful.rule(
         group=strategies.sets(NAMES, max_size=2), duration_ms=DURATIONS
     )
