--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -30,7 +30,8 @@
 __all__ = ["Control", "reduce"]
 
 MAX_CONFIRMED_AGE_MS = 1_000
-LEAD_MS = 250
+LEAD_MS = 500
+PLAN_MS = 1_000
 PATCH_WAIT_MS = 2_400
 
 
@@ -79,6 +80,7 @@
     led_term: int = 0
     led_ms: int = 0
     lead_due_ms: int = 0
+    plan_due_ms: int = 0
     lead_index: int = 0
     now_ms: int = 0
 
@@ -367,7 +369,8 @@
     )
     due = list(leading.due_commands(situation))
     yield from due
-    if not due:
+    if not due and now_ms >= control.plan_due_ms:
+        control.plan_due_ms = now_ms + PLAN_MS
         yield from planning.due_orders(
             control.planner,
             control.ledger,
--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -11,6 +11,9 @@
 import msgspec
 import pytest
 
+from wisteriawall.agent import events as agent_events
+from wisteriawall.agent import reducer as agent_reducer
+from wisteriawall.agent import state as agent_state
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
@@ -39,9 +42,10 @@
 
 
 class Process:
-    """An entry with the real reducer, or an agent that follows the rules.
+    """An entry or agent whose real reducer takes the leases.
 
-    The agent has no disk: a restart forgets all but what its engine does.
+    Orders are taken by their rules alone. The agent has no disk: a restart
+    forgets all but what its engine does.
     """
 
     def __init__(self, name: str, offset_ms: int) -> None:
@@ -50,6 +54,7 @@
         self.offset_ms = offset_ms
         self.incarnation = 1
         self.entry = entry_state.Entry(zone="a")
+        self.agent = agent_state.Agent(runner=self.runner, incarnation=1)
         self.fleet_version = 0
         self.floor = fleet.FENCE_ZERO
         self.order: fleet.Order | None = None
@@ -66,14 +71,24 @@
     @property
     def number(self) -> int:
         """Return the configuration number that it would act on."""
+        if self.runner:
+            return self.agent.config_number
         return self.entry.config.number
 
+    @property
+    def lease_until_ms(self) -> int:
+        """Return until when it may act on its number."""
+        if self.runner:
+            return self.agent.lease_until_ms
+        return self.entry.lease_until_ms
+
     def renew(self) -> control_messages.Renew:
-        """Return its next renewal; both kinds ask for the document."""
+        """Return its next renewal."""
+        kinds = control_messages.ProcessKind
         return control_messages.Renew(
             process=self.name,
             incarnation=self.incarnation,
-            kind=control_messages.ProcessKind.ENTRY,
+            kind=kinds.AGENT if self.runner else kinds.ENTRY,
             config_number=self.number,
             fleet_version=self.fleet_version,
             runner=self.runner,
@@ -84,8 +99,14 @@
         self, grant: control_messages.Grant, asked_ms: int, now_ms: int
     ) -> None:
         """Take a grant; an agent starts the order that it brings."""
-        event = entry_events.Granted(grant, asked_ms)
-        list(entry_reducer.reduce(self.entry, event))
+        if self.runner:
+            taken = agent_events.Granted(
+                grant, asked_ms, now_ms + self.offset_ms
+            )
+            list(agent_reducer.reduce(self.agent, taken))
+        else:
+            event = entry_events.Granted(grant, asked_ms)
+            list(entry_reducer.reduce(self.entry, event))
         self.fleet_version = max(self.fleet_version, grant.fleet_version)
         self.floor = max(self.floor, grant.floor)
         order = grant.order
@@ -328,7 +349,7 @@
 
     def _check_in_force(self, process: Process) -> None:
         now_ms = self.now_ms + process.offset_ms
-        if now_ms >= process.entry.lease_until_ms:
+        if now_ms >= process.lease_until_ms:
             return
         newer = process.number + 1
         if newer in self.committed_ms:
@@ -456,7 +477,7 @@
     world.run(4_000)
     now_ms = world.now_ms
     for process in world.process_by_name.values():
-        assert process.entry.lease_until_ms <= now_ms + process.offset_ms
+        assert process.lease_until_ms <= now_ms + process.offset_ms
 
 
 def test_claim_of_a_lost_entry_becomes_unknown(world: World) -> None:
