--- a/src/wisteriawall/agent/gate.py
+++ b/src/wisteriawall/agent/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 import functools
 import hmac
 import logging
@@ -45,6 +46,7 @@
         metrics: metrics_lib.Metrics,
     ) -> None:
         self.first_token_ms = 0
+        self._open_bodies: set[RelayedBody] = set()
         self._metrics = metrics
         self._upstream = upstream
         self._token = token.encode()
@@ -100,11 +102,22 @@
         head.append((headers.REQUEST, arrived.request_id))
         head.append((headers.ATTEMPT, str(arrived.attempt)))
         start_response(server_lib.status_line(response.status), head)
-        return RelayedBody(
+        body_out = RelayedBody(
             response=response,
             on_first=functools.partial(self._note_first, arrived),
-            on_close=functools.partial(self._end, arrived, not_run=False),
+            on_close=functools.partial(self._close, arrived),
         )
+        self._open_bodies.add(body_out)
+        return body_out
+
+    def cut_all(self) -> None:
+        """Break every answer in progress, as the end of the process would."""
+        for body in list(self._open_bodies):
+            body.cut()
+
+    def _close(self, arrived: events.Arrived, body: "RelayedBody") -> None:
+        self._open_bodies.discard(body)
+        self._end(arrived, not_run=False)
 
     def _note_first(self, arrived: events.Arrived) -> None:
         self.first_token_ms = _now_ms() - arrived.now_ms
@@ -156,10 +169,11 @@
         *,
         response: urllib3.BaseHTTPResponse,
         on_first: Callable[[], None],
-        on_close: Callable[[], None],
+        on_close: Callable[["RelayedBody"], None],
     ) -> None:
         self._response = response
         self._on_first = on_first
+        self._is_cut = False
         self._on_close = on_close
 
     def __iter__(self) -> Iterator[bytes]:
@@ -168,14 +182,25 @@
         first = next(chunks, b"")
         self._on_first()
         yield first
-        yield from chunks
+        for chunk in chunks:
+            if self._is_cut:
+                break
+            yield chunk
+        if self._is_cut:
+            raise ConnectionAbortedError("the answer was cut")
         self._response.release_conn()
 
     def close(self) -> None:
         """Release the upstream's connection and report the end."""
         # A fully read response has returned its connection to the pool.
         self._response.close()
-        self._on_close()
+        self._on_close(self)
+
+    def cut(self) -> None:
+        """Break the answer from another thread."""
+        self._is_cut = True
+        with contextlib.suppress(OSError, ValueError, RuntimeError):
+            self._response.shutdown()
 
 
 _UNAUTHENTICATED = refusal_lib.Refusal(
--- a/src/wisteriawall/agent/shell.py
+++ b/src/wisteriawall/agent/shell.py
@@ -134,6 +134,7 @@
         """Stop at once, as a crash would."""
         self._stopping.set()
         self._renew_soon.set()
+        self._gate.cut_all()
         if self._feed:
             self._feed.stop()
         self._http.stop()
--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -55,7 +55,7 @@
         return f"{host}:{port}"
 
 
-def _stop_all(stops: Iterable[Callable[[], None]]) -> None:
+def _stop_all(stops: Iterable[Callable[[], object]]) -> None:
     """Stop parts side by side: each HTTP server takes half a second."""
     threads = [threading.Thread(target=stop, name="stop") for stop in stops]
     for thread in threads:
