--- a/src/wisteriawall/agent/gate.py
+++ b/src/wisteriawall/agent/gate.py
@@ -108,6 +108,8 @@
             on_close=functools.partial(self._close, arrived),
         )
         self._open_bodies.add(body_out)
+        # An entry that has gone frees its place on the upstream at once.
+        server_lib.caller(environ).on_hangup(body_out.cut)
         return body_out
 
     def cut_all(self) -> None:
--- a/src/wisteriawall/standin/plain.py
+++ b/src/wisteriawall/standin/plain.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 import threading
+import time
 from typing import final
 
 import msgspec
@@ -18,11 +19,17 @@
     Args:
         address: Host and port; port 0 takes a free one.
         runs_by_key: Counts shared by upstreams of one service.
+        answer_s: Seconds between a run and its answer.
     """
 
     def __init__(
-        self, *, address: str, runs_by_key: Counter[str] | None = None
+        self,
+        *,
+        address: str,
+        runs_by_key: Counter[str] | None = None,
+        answer_s: float = 0.0,
     ) -> None:
+        self._answer_s = answer_s
         self.runs_by_key = Counter() if runs_by_key is None else runs_by_key
         self._lock = threading.Lock()
         self._http = server_lib.HttpServer(address=address, app=self._serve)
@@ -46,6 +53,7 @@
         if environ["REQUEST_METHOD"] == "POST":
             with self._lock:
                 self.runs_by_key[key] += 1
+            time.sleep(self._answer_s)
         answer = msgspec.json.encode(
             {
                 "path": environ["PATH_INFO"],
--- a/testing/agent/test_shell.py
+++ b/testing/agent/test_shell.py
@@ -9,12 +9,14 @@
 import pytest
 import urllib3
 
+from wisteriawall.agent import feed
 from wisteriawall.agent import shell as shell_lib
 from wisteriawall.config import document
 from wisteriawall.demo import cluster
 from wisteriawall.standin import engine as engine_lib
 from wisteriawall.standin import engine_core
 from wisteriawall.standin import faults as faults_lib
+from wisteriawall.standin import plain
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
 from wisteriawall.wire import fleet
@@ -94,13 +96,13 @@
         self.incarnation = 0
         self.start_agent()
 
-    def start_agent(self) -> None:
+    def start_agent(self, *, upstream: str = "") -> None:
         """Start the agent's next incarnation."""
         self.incarnation += 1
         self.agent = shell_lib.AgentShell(
             runner="r1",
             address="127.0.0.1:0",
-            upstream=self.engine.address,
+            upstream=upstream or self.engine.address,
             control_address_by_replica={"c1": self.address},
             key=KEY,
             token="token",
@@ -157,7 +159,7 @@
 
     def start(
         fencing: document.Fencing = document.Fencing.ENFORCED,
-        **changed: float,
+        **changed: object,
     ) -> Site:
         options = shell_lib.AgentOptions(feed="127.0.0.1:0", **changed)
         sites.append(Site(cluster.free_address(), fencing, options))
@@ -297,9 +299,48 @@
         assert msgspec.json.decode(data)["run"] == run
 
 
-def test_feed_lists_the_cache_again_after_a_gap(
+def test_payment_whose_agent_died_is_never_run_again(
+    start_site: Callable[..., Site],
+) -> None:
+    site = start_site(kind=document.ServiceKind.PLAIN)
+    service = plain.StandInPlain(address="127.0.0.1:0", answer_s=0.5)
+    service.start()
+    site.agent.kill()
+    site.start_agent(upstream=service.address)
+    _wait(lambda: site.agent._agent.lease_until_ms > 0)
+    head = {
+        "Idempotency-Key": "order-7",
+        "Wisteriawall-Claim": "9",
+        "Wisteriawall-Agent": str(site.incarnation),
+    }
+    first = threading.Thread(target=site.complete, kwargs=head)
+    first.start()
+    _wait(lambda: service.runs_by_key["order-7"])
+    site.agent.kill()
+    first.join()
+    site.start_agent(upstream=service.address)
+    _wait(lambda: site.agent._agent.lease_until_ms > 0)
+    again = site.complete(**{**head, "Wisteriawall-Attempt": "2"})
+    assert again.status == 409
+    assert msgspec.json.decode(again.data)["run"] == "unknown"
+    assert service.runs_by_key == {"order-7": 1}
+    service.stop()
+
+
+def test_vanished_entry_frees_its_place_on_the_engine(
     start_site: Callable[..., Site],
 ) -> None:
+    site = start_site()
+    answer = site.await_answer(max_tokens=10**7)
+    next(answer.stream(1))
+    answer.close()
+    _wait(lambda: site.engine.core.is_idle and not site.agent._agent.running)
+
+
+def test_feed_lists_the_cache_again_after_a_gap(
+    start_site: Callable[..., Site], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(feed, "COMPLETE_EVERY_REPORTS", 10**9)
     site = start_site()
     codec = envelope.Codec(
         message_type=load_messages.FeedMessage,
