Test that a restarted agent waits for a majority before any order

A lagging replica alone offers an order of an older term to a restarted agent; nothing reaches the engine until a second replica names the floor, and then only the newer order does.

--- a/testing/agent/test_shell.py
+++ b/testing/agent/test_shell.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 import threading
 import time
 
@@ -96,14 +97,16 @@
         self.incarnation = 0
         self.start_agent()
 
-    def start_agent(self, *, upstream: str = "") -> None:
+    def start_agent(
+        self, *, upstream: str = "", replicas: dict[str, str] | None = None
+    ) -> None:
         """Start the agent's next incarnation."""
         self.incarnation += 1
         self.agent = shell_lib.AgentShell(
             runner="r1",
             address="127.0.0.1:0",
             upstream=upstream or self.engine.address,
-            control_address_by_replica={"c1": self.address},
+            control_address_by_replica=replicas or {"c1": self.address},
             key=KEY,
             token="token",
             incarnation=self.incarnation,
@@ -299,6 +302,31 @@
         assert msgspec.json.decode(data)["run"] == run
 
 
+def test_restarted_agent_takes_no_order_before_a_majority_names_the_floor(
+    start_site: Callable[..., Site],
+) -> None:
+    site = start_site()
+    site.agent.kill()
+    site.replica.issue(1, 4)
+    second = cluster.free_address()
+    site.start_agent(replicas={"c1": site.address, "c2": second})
+    heard = len(site.replica.renewals)
+    _wait(lambda: len(site.replica.renewals) >= heard + 2)
+    assert site.engine.orders.effects == []
+    newer = Replica(second)
+    newer.issue(2, 9)
+    newer.order = None
+    with contextlib.closing(newer.server):
+        newer.server.start()
+        _wait(lambda: site.agent._agent.floor)
+        heard = len(site.replica.renewals)
+        _wait(lambda: len(site.replica.renewals) >= heard + 3)
+        assert site.engine.orders.effects == []
+        site.replica.issue(2, 9)
+        _wait(lambda: site.replica.reports)
+        assert site.engine.orders.effects == [9]
+
+
 def test_payment_whose_agent_died_is_never_run_again(
     start_site: Callable[..., Site],
 ) -> None:
