--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -16,6 +16,8 @@
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import renewal
+from wisteriawall.control import replicas
+from wisteriawall.control import snapshot as snapshot_lib
 from wisteriawall.control import state
 from wisteriawall.control import status
 from wisteriawall.control import writes
@@ -94,8 +96,15 @@
             yield from _on_call(control, event)
         case events.VmListRead(vm_by_name, _):
             control.vm_by_name = vm_by_name
+        case events.BatchEnded(now_ms):
+            yield from _follow_raft(
+                control, raft_lib.flush(control.raft, now_ms)
+            )
     yield from _abandon_calls(control)
     yield from _answer_patches(control)
+    if raft_lib.wants_snapshot(control.raft):
+        data = snapshot_lib.encode(control.ledger)
+        yield from _follow_raft(control, raft_lib.compact(control.raft, data))
 
 
 def _on_peer(
@@ -117,6 +126,8 @@
         match effect:
             case raft_lib.Apply(entry):
                 yield from _apply(control, entry)
+            case raft_lib.Restore(snapshot):
+                control.ledger = snapshot_lib.decode(snapshot.data)
             case _:
                 yield effect
 
@@ -143,6 +154,9 @@
                 call_id=waiting.call_id, outcome=outcome, until_ms=until_ms
             )
         )
+    elif isinstance(command, commands.ChangeReplica):
+        members = list(control.raft.members)
+        yield events.Answer(waiting.call_id, events.ReplicasReply(members))
     else:
         yield events.Answer(waiting.call_id, writes.reply_for(command, outcome))
 
@@ -194,7 +208,8 @@
                 control.ledger.history[: -limit - 1 : -1]
             )
         case events.ReplicaAdd() | events.ReplicaRemove():
-            reply = events.Unavailable("membership changes are not served yet")
+            yield from _change_members(control, event.request, event)
+            return
         case events.AuditRequest(after_index, limit, kind, subject):
             records = audit.select(
                 control.ledger,
@@ -222,6 +237,27 @@
     yield from _submit(control, command, event.now_ms)
 
 
+def _change_members(
+    control: Control,
+    request: events.ReplicaAdd | events.ReplicaRemove,
+    event: events.Called,
+) -> Iterator[events.Effect]:
+    raft = control.raft
+    if not raft.holds_lease(event.now_ms):
+        reply: events.Reply = control_messages.NotLeader(raft.leader)
+        yield events.Answer(event.call_id, reply)
+        return
+    index = raft.last_index + 1
+    effects = replicas.change(raft, request, event.wall_ms)
+    if isinstance(effects, events.ReplicasReply):
+        yield events.Answer(event.call_id, effects)
+        return
+    control.waiting_by_index[index] = Waiting(
+        call_id=event.call_id, term=raft.term
+    )
+    yield from _follow_raft(control, effects)
+
+
 def _submit(
     control: Control, command: commands.Command, now_ms: int
 ) -> Iterator[events.Effect]:
--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -18,6 +18,7 @@
 from wisteriawall.control import state
 from wisteriawall.entry import events as entry_events
 from wisteriawall.entry import reducer as entry_reducer
+from wisteriawall.entry import state as entry_state
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
 
@@ -48,7 +49,7 @@
         self.name = name
         self.offset_ms = offset_ms
         self.incarnation = 1
-        self.entry = entry_reducer.Entry(zone="a")
+        self.entry = entry_state.Entry(zone="a")
         self.fleet_version = 0
         self.floor = fleet.FENCE_ZERO
         self.order: fleet.Order | None = None
@@ -284,7 +285,10 @@
 
     def _reduce(self, name: str, event: events.Event) -> None:
         control = self.control_by_name[name]
-        for effect in reducer.reduce(control, event):
+        # The shell ends each batch of events, here a batch of one.
+        batch = (event, events.BatchEnded(event.now_ms))
+        reduced = (reducer.reduce(control, part) for part in batch)
+        for effect in itertools.chain.from_iterable(reduced):
             match effect:
                 case raft.SendPeer(peer, message):
                     self.peer_messages.append((name, peer, message))
