Never return the same free address twice

Ruled out: outgoing connections (another address), processes left over. Change: a returned port is remembered; a regression test over 2,000. Conclusion: the remaining cause of that failure is gone.

--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -40,19 +40,25 @@
 OPERATOR_TOKEN = "demo-operator-token"
 
 
+_returned_ports: set[int] = set()
+
+
 def free_address() -> str:
     """Return a loopback address whose port the kernel just had free.
 
     Outgoing connections leave from 127.0.0.1 and could take a port of that
     address before it is listened on. So the address is one of this process
-    alone.
+    alone, and none is returned twice, though the kernel may offer it again.
     """
     pid = os.getpid()
     host = f"127.{1 + pid // 200 % 200}.{pid % 200}.1"
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return f"{host}:{port}"
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            port: int = probe.getsockname()[1]
+        if port not in _returned_ports:
+            _returned_ports.add(port)
+            return f"{host}:{port}"
 
 
 def _stop_all(stops: Iterable[Callable[[], object]]) -> None:
--- a/testing/demo/test_cluster.py
+++ b/testing/demo/test_cluster.py
@@ -12,3 +12,8 @@
         socket.create_connection(server.getsockname()) as client,
     ):
         assert client.getsockname()[0] != host
+
+
+def test_regression_same_free_address_returned_twice() -> None:
+    addresses = [cluster.free_address() for _ in range(2_000)]
+    assert len(set(addresses)) == len(addresses)
