--- a/src/wisteriawall/control/renewal.py
+++ b/src/wisteriawall/control/renewal.py
@@ -43,7 +43,10 @@
     if renew.config_number > ledger.config.number:
         return None
     is_agent = renew.kind is control_messages.ProcessKind.AGENT
-    runner = ledger.runner_by_name.get(renew.runner)
+    # An agent whose runner was removed still finishes its pending order.
+    runner = ledger.runner_by_name.get(
+        renew.runner
+    ) or ledger.retired_by_name.get(renew.runner)
     changes = [] if is_agent else _changes(ledger, renew, size)
     lacks = not is_agent and renew.config_number < ledger.config.number
     return control_messages.Grant(
--- a/testing/control/test_ledger.py
+++ b/testing/control/test_ledger.py
@@ -174,6 +174,9 @@
     floor = book.ledger.runner_by_name["a1"].floor
     removed = book.ledger.config.runners["a1"]
     book.patch({"runners": {"a1": None}})
+    grant = _grant(book, 2, runner="a1")
+    assert grant is not None
+    assert grant.floor == floor
     book.patch({"runners": {"a1": msgspec.to_builtins(removed)}})
     assert book.ledger.runner_by_name["a1"].floor == floor
     assert book.ledger.runner_by_name["a1"].pending is not None
@@ -202,10 +205,12 @@
     assert _grant(book, 2) is None
 
 
-def _grant(book: Book, number: int) -> control_messages.Grant | None:
-    renew = control_messages.Renew(
-        "entry/e", 1, control_messages.ProcessKind.ENTRY, number, 0, "", []
-    )
+def _grant(
+    book: Book, number: int, *, runner: str = ""
+) -> control_messages.Grant | None:
+    kinds = control_messages.ProcessKind
+    kind = kinds.AGENT if runner else kinds.ENTRY
+    renew = control_messages.Renew("p", 1, kind, number, 0, runner, [])
     return renewal.grant(
         book.ledger,
         renew,
