--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -599,7 +599,7 @@
 
 
 Promises.TestCase.settings = hypothesis.settings(
-    max_examples=25, stateful_step_count=16
+    max_examples=40, stateful_step_count=16
 )
 TestPromises = Promises.TestCase
 
