--- a/src/wisteriawall/control/planning.py
+++ b/src/wisteriawall/control/planning.py
@@ -56,6 +56,14 @@
     return is_auto and orders.next_step(ledger, name) is None
 
 
+def _target(runner: state.RunnerState) -> fleet.Role | None:
+    """Return the role that a pending order gives the engine."""
+    pending = runner.pending
+    if pending is None or pending.action is not fleet.Action.SET_ROLE:
+        return None
+    return fleet.Role(pending.argument)
+
+
 def _services(ledger: state.Ledger) -> Iterator[roles.Service]:
     runners_by_service: dict[str, list[roles.Runner]] = {}
     for name in sorted(ledger.runner_by_name):
@@ -68,6 +76,7 @@
                 role=runner.role,
                 phase=runner.phase,
                 is_clear=not runner.unclear,
+                target=_target(runner),
             )
         )
     for name, service in sorted(ledger.config.services.items()):
