--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -12,6 +12,7 @@
 import msgspec
 import urllib3
 
+from wisteriawall.control import admin_replicas
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import shell as shell_lib
@@ -95,7 +96,9 @@
             case "POST", "/v1/drain":
                 return _drain_request(environ, operator)
             case ("POST" | "DELETE") as method, "/v1/replicas":
-                return _replica_request(environ, operator, method)
+                return admin_replicas.read_request(
+                    environ["wisteriawall.body"], operator, method
+                )
             case _:
                 return _NOT_FOUND
 
@@ -329,45 +332,6 @@
     return events.DrainRequest(operator, body.runner, body.undo)
 
 
-def _replica_request(
-    environ: server_lib.Environ, operator: str, method: str
-) -> events.Request | refusal_lib.Refusal:
-    try:
-        body = msgspec.json.decode(
-            environ["wisteriawall.body"], type=_ReplicaBody
-        )
-    except msgspec.DecodeError as error:
-        return refusal_lib.Refusal(
-            status=400, code=refusal_lib.Code.BAD_REQUEST, message=str(error)
-        )
-    if method == "DELETE":
-        return events.ReplicaRemove(operator, body.replica)
-    if not body.peer_address:
-        return refusal_lib.Refusal(
-            status=400,
-            code=refusal_lib.Code.BAD_REQUEST,
-            message="peer_address: missing, expected HOST:PORT",
-        )
-    return events.ReplicaAdd(
-        operator,
-        body.replica,
-        body.peer_address,
-        body.rpc_address,
-        body.admin_address,
-    )
-
-
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-
-
-@final
-class _ReplicaBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    replica: _Name
-    peer_address: str = ""
-    rpc_address: str = ""
-    admin_address: str = ""
-
-
 @final
 class _DrainBody(msgspec.Struct, frozen=True):
     runner: str
