--- a/src/wisteriawall/benchmark/simulation.py
+++ b/src/wisteriawall/benchmark/simulation.py
@@ -1,13 +1,13 @@
 """One run of a policy on a trace in virtual time."""
 
 from collections.abc import Callable
-import dataclasses
 import heapq
 import itertools
 import math
 import random
 from typing import final
 
+from wisteriawall.benchmark import answers
 from wisteriawall.benchmark import controls as controls_lib
 from wisteriawall.benchmark import engine as engine_lib
 from wisteriawall.benchmark import front as front_lib
@@ -19,7 +19,7 @@
 from wisteriawall.wire import fleet
 from wisteriawall.wire import load_messages
 
-__all__ = ["Answer", "Run", "run"]
+__all__ = ["run"]
 
 REPORT_EVERY_MS = 100.0
 TICK_MS = 100.0
@@ -29,42 +29,13 @@
 LOST_AFTER_MS = 50.0
 
 
-@final
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Answer:
-    """What became of one request."""
-
-    request: workload.Request
-    attempts: int = 0
-    first_ms: float = math.inf
-    ended_ms: float = math.inf
-    is_refused: bool = False
-    decode_runner: str = ""
-
-    @property
-    def is_good(self) -> bool:
-        """Tell whether the whole answer came within the deadline."""
-        return self.ended_ms <= self.request.deadline_ms
-
-
-@final
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Run:
-    """Everything measured in one run."""
-
-    answers: list[Answer]
-    tokens_by_gap_ms: dict[float, int]
-    role_changes: int
-    lost_engine_s: float
-
-
 def run(
     trace: workload.Trace,
     deployment: workload.Deployment,
     variant: variants.Variant,
     *,
     seed: int,
-) -> Run:
+) -> answers.Run:
     """Run one policy on one trace; the same arguments give the same run."""
     simulation = _Simulation(trace, deployment, variant, seed)
     return simulation.run()
@@ -106,7 +77,7 @@
             variant=variant, deployment=deployment
         )
         self._answer_by_id = {
-            r.request_id: Answer(request=r) for r in trace.requests
+            r.request_id: answers.Answer(request=r) for r in trace.requests
         }
         self._due_by_runner = {e.runner: math.inf for e in self._engines}
         self._sequence_by_runner = {e.runner: 0 for e in self._engines}
@@ -117,7 +88,7 @@
         self._lost_ms = 0.0
         self._end_ms = trace.duration_ms + TAIL_MS
 
-    def run(self) -> Run:
+    def run(self) -> answers.Run:
         for request in self._trace.requests:
             self._at(request.arrival_ms, self._arrival(request))
         self._at(0.0, self._report)
@@ -132,13 +103,13 @@
             act(now_ms)
         return self._result()
 
-    def _result(self) -> Run:
+    def _result(self) -> answers.Run:
         tokens_by_gap_ms: dict[float, int] = {}
         for engine in self._engines:
             for gap_ms, tokens in engine.tokens_by_gap_ms.items():
                 before = tokens_by_gap_ms.get(gap_ms, 0)
                 tokens_by_gap_ms[gap_ms] = before + tokens
-        return Run(
+        return answers.Run(
             answers=list(self._answer_by_id.values()),
             tokens_by_gap_ms=tokens_by_gap_ms,
             role_changes=self._role_changes,
@@ -171,6 +142,7 @@
         request, placement = effect.request, effect.placement
         answer = self._answer_by_id[request.request_id]
         answer.attempts += 1
+        answer.sent_ms = now_ms
         answer.decode_runner = placement.decode
         whole = engine_lib.Part.WHOLE
         part = engine_lib.Part.PREFILL if placement.is_pair else whole
@@ -181,7 +153,7 @@
         runner: str,
         request: workload.Request,
         part: engine_lib.Part,
-        answer: Answer,
+        answer: answers.Answer,
         now_ms: float,
     ) -> None:
         engine = self._engine_by_runner[runner]
@@ -249,14 +221,19 @@
                 answer.ended_ms = now_ms
                 gaps = max(1, request.output_tokens - 1)
                 gap_ms = (now_ms - answer.first_ms) / gaps
-                front.finished(request, engine.runner, gap_ms)
+                front.finished(
+                    request,
+                    engine.runner,
+                    gap_ms=gap_ms,
+                    run_ms=now_ms - answer.sent_ms,
+                )
                 self._pump(front, now_ms)
 
     def _hand_over(
         self,
         engine: engine_lib.Engine,
         request: workload.Request,
-        answer: Answer,
+        answer: answers.Answer,
         now_ms: float,
     ) -> None:
         """Move the KV pieces to the runner that decodes."""
@@ -380,6 +357,7 @@
                 demands,
                 now_ms,
                 queued_tokens=sum(f.queued_tokens for f in self._fronts),
+                target_by_runner=self._role_by_runner,
             )
         )
         for change in changes:
@@ -400,7 +378,7 @@
         engine.phase = fleet.RunnerPhase.CHANGING
 
         def done(then_ms: float) -> None:
-            engine.set_role(self._role_by_runner[engine.runner])
+            engine.set_role(self._role_by_runner.pop(engine.runner))
             left_ms = self._left_ms_by_runner[engine.runner]
             self._lost_ms += then_ms - left_ms
             for front in self._fronts:
