Bound what callers may send and stop an entry without a cut

Cause: a slow head or body held a thread for as long as bytes trickled in, a full entry queued callers in silence, cheroot's own refusals were plain text, and a stopping entry refused at once, before its balancer knew.

Change: head and body must arrive within 10 s (408), a full entry refuses unread with Retry-After, chunked and HEAD requests work, and a planned stop has a grace and an optional drain deadline; both are settings, with the idle timeout and the number of requests.

Shown: testing/entry/test_shell.py, with threads and connections counted after each case. Failed once each: limit taken out (full entry), read deadline taken out (slow body), wait for answers taken out (planned stop).

--- a/src/wisteriawall/commands/entry.py
+++ b/src/wisteriawall/commands/entry.py
@@ -6,12 +6,15 @@
 
 from wisteriawall.commands import options
 from wisteriawall.commands import serving
+from wisteriawall.entry import attempt as attempt_lib
 from wisteriawall.entry import shell as shell_lib
 from wisteriawall.settings import checks
 from wisteriawall.settings import programs
 
 __all__ = ["entry"]
 
+MS_PER_S = 1_000
+
 
 def entry(
     name: Annotated[
@@ -27,10 +30,55 @@
     control: options.Control,
     cluster_key: options.ClusterKey = "",
     listen: options.Listen = "127.0.0.1:8080",
+    max_requests: Annotated[
+        int,
+        typer.Option(
+            envvar="WISTERIAWALL_MAX_REQUESTS",
+            help="Requests served at once; more are refused as not run.",
+        ),
+    ] = 256,
+    grace_ms: Annotated[
+        int,
+        typer.Option(
+            envvar="WISTERIAWALL_GRACE_MS",
+            help=(
+                "Milliseconds that a stopping entry still takes requests, "
+                "until the balancer has seen /readyz fail."
+            ),
+        ),
+    ] = 0,
+    drain_deadline_ms: Annotated[
+        int,
+        typer.Option(
+            envvar="WISTERIAWALL_DRAIN_DEADLINE_MS",
+            help=(
+                "Milliseconds after which a planned stop cuts what still "
+                "runs; 0 waits for every answer."
+            ),
+        ),
+    ] = 0,
+    idle_timeout_ms: Annotated[
+        int,
+        typer.Option(
+            envvar="WISTERIAWALL_IDLE_TIMEOUT_MS",
+            help=(
+                "Milliseconds between events after which a streamed answer "
+                "is resumed on another runner."
+            ),
+        ),
+    ] = 10_000,
 ) -> None:
     """Run one entry: callers' HTTP, routing, retries and relay."""
     settings = programs.EntrySettings(
-        name=name, listen=listen, zone=zone, control=control, key=cluster_key
+        name=name,
+        listen=listen,
+        zone=zone,
+        control=control,
+        key=cluster_key,
+        max_requests=max_requests,
+        grace_ms=grace_ms,
+        drain_deadline_ms=drain_deadline_ms,
+        idle_timeout_ms=idle_timeout_ms,
     )
     serving.check(settings)
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
@@ -42,6 +90,12 @@
         key=key,
         token=programs.derive_token(key),
         incarnation=serving.incarnation(),
+        limits=shell_lib.Limits(
+            max_requests=max_requests,
+            grace_s=grace_ms / MS_PER_S,
+            drain_deadline_s=drain_deadline_ms / MS_PER_S,
+            timeouts=attempt_lib.Timeouts(idle_s=idle_timeout_ms / MS_PER_S),
+        ),
     )
     serving.run_until_signalled(
         start=shell.start,
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -143,6 +143,11 @@
         """Tell whether callers should be sent here."""
         return not self._leaving and _now_ms() < self._entry.lease_until_ms
 
+    @property
+    def is_refusing(self) -> bool:
+        """Tell whether new requests are refused because of a stop."""
+        return self._entry.stopping
+
     @property
     def config(self) -> document.Document:
         """Return the newest configuration held here."""
--- a/src/wisteriawall/settings/checks.py
+++ b/src/wisteriawall/settings/checks.py
@@ -19,6 +19,7 @@
     "parse_key",
     "parse_name",
     "parse_optional_address",
+    "parse_range",
 ]
 
 MIN_KEY_BYTES = 16
@@ -115,3 +116,10 @@
     if path.exists() and not path.is_dir():
         raise SettingError(setting, str(path), "a folder")
     return path
+
+
+def parse_range(setting: str, value: int, *, least: int, most: int) -> int:
+    """Return `value` if it lies between `least` and `most`."""
+    if not least <= value <= most:
+        raise SettingError(setting, str(value), f"{least} to {most}")
+    return value
--- a/src/wisteriawall/settings/programs.py
+++ b/src/wisteriawall/settings/programs.py
@@ -17,6 +17,8 @@
 ]
 
 TOKEN_BYTES = 16
+MAX_REQUESTS = 4_096
+MAX_WAIT_MS = 24 * 3_600 * 1_000
 
 
 def derive_token(key: bytes) -> str:
@@ -90,6 +92,10 @@
     zone: str
     control: str
     key: str
+    max_requests: int = 256
+    grace_ms: int = 0
+    drain_deadline_ms: int = 0
+    idle_timeout_ms: int = 10_000
 
     def check(self) -> None:
         """Raise `SettingErrors` unless every setting is valid."""
@@ -106,6 +112,27 @@
                 functools.partial(
                     checks.parse_key, "WISTERIAWALL_CLUSTER_KEY", self.key
                 ),
+                functools.partial(
+                    checks.parse_range,
+                    "--max-requests",
+                    self.max_requests,
+                    least=1,
+                    most=MAX_REQUESTS,
+                ),
+                *(
+                    functools.partial(
+                        checks.parse_range,
+                        setting,
+                        value,
+                        least=least,
+                        most=MAX_WAIT_MS,
+                    )
+                    for setting, value, least in (
+                        ("--grace-ms", self.grace_ms, 0),
+                        ("--drain-deadline-ms", self.drain_deadline_ms, 0),
+                        ("--idle-timeout-ms", self.idle_timeout_ms, 1),
+                    )
+                ),
             ]
         )
 
--- a/src/wisteriawall/web/connection.py
+++ b/src/wisteriawall/web/connection.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import struct
+import time
 from typing import Any
 from typing import final
 
@@ -40,13 +41,21 @@
         self._socket = connection
         self._watch = watch
         self.aborted = False
+        self._read_until = float("inf")
+
+    @property
+    def expired(self) -> bool:
+        """Tell whether the request took too long to arrive."""
+        return time.monotonic() >= self._read_until
 
     def begin_reading(self, *, seconds: float) -> None:
         """Bound the time that head and body may take to arrive."""
+        self._read_until = time.monotonic() + seconds
         self._watch.set_deadline(self._socket, seconds=seconds)
 
     def end_reading(self) -> None:
         """Note that the whole request has been read."""
+        self._read_until = float("inf")
         self._watch.clear_deadline(self._socket)
 
     def on_hangup(self, callback: Callable[[], None]) -> None:
@@ -94,6 +103,8 @@
         """Answer and close; the caller may still be sending."""
         self.close_connection = True
         text = msg.decode("latin-1") if isinstance(msg, bytes) else str(msg)
+        if self.conn.caller.expired:
+            status, text = "408 Request Timeout", "the request came too slowly"
         data = error_response(self.server.protocol, str(status), text)
         try:
             self.conn.wfile.write(data)
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -188,6 +188,8 @@
         raise BodyRefused(_bad_body(str(error))) from error
     expected = int(environ.get("CONTENT_LENGTH") or "0")
     if not environ["wsgi.input_terminated"] and len(body) < expected:
+        if caller(environ).expired:
+            raise BodyRefused(_TOO_SLOW)
         raise BodyRefused(
             _bad_body(f"got {len(body)} bytes, expected {expected}")
         )
