--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -29,11 +29,21 @@
 
 @final
 class AttemptRefused(errors.WisteriawallError):
-    """The attempt ended before an answer began."""
+    """The attempt ended before an answer began.
 
-    def __init__(self, run: refusal_lib.RunState, message: str) -> None:
+    `by_agent` means that the agent itself refused it.
+    """
+
+    def __init__(
+        self,
+        run: refusal_lib.RunState,
+        message: str,
+        *,
+        by_agent: bool = False,
+    ) -> None:
         super().__init__(message)
         self.run = run
+        self.by_agent = by_agent
 
 
 @final
@@ -224,7 +234,10 @@
         if answered is None:
             # Agents mark relayed answers, so this refusal is the agent's own.
             run = self._read_refusal()
-        raise AttemptRefused(run, f"agent answered {self.status}")
+        by_agent = run is refusal_lib.RunState.NOT_RUN and self.status != 502
+        raise AttemptRefused(
+            run, f"agent answered {self.status}", by_agent=by_agent
+        )
 
     def _read_refusal(self) -> refusal_lib.RunState:
         try:
--- a/src/wisteriawall/entry/events.py
+++ b/src/wisteriawall/entry/events.py
@@ -7,11 +7,13 @@
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
+from wisteriawall.wire import load_messages
 
 __all__ = [
     "Arrived",
     "AskClaim",
     "AttemptFailed",
+    "CacheChanged",
     "CallerGone",
     "Cancel",
     "ClaimDecided",
@@ -43,6 +45,7 @@
     prefill_tokens: int
     decode_tokens: int
     now_ms: int
+    prefix_hashes: list[int] = []
 
 
 @final
@@ -64,13 +67,18 @@
 
 @final
 class AttemptFailed(msgspec.Struct, frozen=True, tag="attempt-failed"):
-    """An attempt ended without a whole answer."""
+    """An attempt ended without a whole answer.
+
+    `refused` means that the agent itself refused it, as a runner does that
+    drains; it says nothing against the runner.
+    """
 
     request_id: str
     attempt: int
     run: refusal_lib.RunState
     message: str
     now_ms: int
+    refused: bool = False
 
 
 @final
@@ -90,6 +98,7 @@
     attempt: int
     answer: fleet.KeptAnswer | None
     now_ms: int
+    output_tokens: int = 0
 
 
 @final
@@ -116,6 +125,13 @@
     now_ms: int
 
 
+@final
+class CacheChanged(msgspec.Struct, frozen=True, tag="cache-changed"):
+    """Changes of a runner's prefix cache arrived."""
+
+    changes: load_messages.CacheEvents
+
+
 @final
 class Stopping(msgspec.Struct, frozen=True, tag="stopping"):
     """A planned stop began: finish what runs, refuse what arrives."""
@@ -133,6 +149,7 @@
     | CallerGone
     | Granted
     | LoadReported
+    | CacheChanged
     | Stopping
 )
 
--- a/src/wisteriawall/entry/parsing.py
+++ b/src/wisteriawall/entry/parsing.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wisteriawall.config import document
+from wisteriawall.policy import prefix_index
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 
@@ -89,6 +90,7 @@
     digest: str
     prefill_tokens: int
     decode_tokens: int
+    prefix_hashes: tuple[int, ...]
     is_completion: bool
     stream: bool
     assembled: bool
@@ -148,6 +150,7 @@
         digest=_digest(environ, body),
         prefill_tokens=len(text.split()) + 1,
         decode_tokens=parsed.max_tokens,
+        prefix_hashes=prefix_index.piece_hashes(text.encode()),
         is_completion=True,
         stream=parsed.stream,
         assembled=not parsed.stream and parsed.is_plain_text,
@@ -218,6 +221,7 @@
         digest=_digest(environ, body),
         prefill_tokens=1,
         decode_tokens=1,
+        prefix_hashes=(),
         is_completion=False,
         stream=False,
         assembled=False,
--- a/src/wisteriawall/entry/reducer.py
+++ b/src/wisteriawall/entry/reducer.py
@@ -4,9 +4,10 @@
 
 from wisteriawall.config import delta
 from wisteriawall.entry import events
+from wisteriawall.entry import placing
 from wisteriawall.entry import refusals
 from wisteriawall.entry import state
-from wisteriawall.policy import routing
+from wisteriawall.entry import subset
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
@@ -39,7 +40,11 @@
 
 
 _Observation = (
-    events.Granted | events.LoadReported | events.Started | events.Stopping
+    events.Granted
+    | events.LoadReported
+    | events.CacheChanged
+    | events.Started
+    | events.Stopping
 )
 
 
@@ -48,10 +53,15 @@
     match event:
         case events.Granted(grant, asked_ms):
             _take_lease(entry, grant, asked_ms)
-        case events.LoadReported(report, _):
-            entry.report_by_runner[report.runner] = report
-        case events.Started():
-            pass
+        case events.LoadReported(report, now_ms):
+            _take_report(entry, report, now_ms)
+        case events.CacheChanged(changes):
+            entry.prefixes.apply(changes)
+        case events.Started(request_id, attempt, _):
+            in_flight = _find_attempt(entry, request_id, attempt)
+            if in_flight is not None:
+                in_flight.started = True
+                placing.started(entry, in_flight)
         case events.Stopping():
             entry.stopping = True
 
@@ -72,6 +82,7 @@
         phase=state.Phase.CLAIM if event.key else state.Phase.ANSWER,
     )
     entry.in_flight_by_id[event.request_id] = in_flight
+    placing.admitted(entry, event)
     if event.key:
         yield _ask_claim(in_flight)
     else:
@@ -151,16 +162,14 @@
         yield from _give_up(entry, in_flight, refusals.NO_LEASE)
         return
     service = in_flight.arrived.service
-    runner = routing.choose(
-        _candidates(entry, service),
-        avoid=frozenset(in_flight.failed_runners),
-    )
+    runner = placing.choose(entry, in_flight, now_ms=now_ms)
     if runner is None:
         yield from _give_up(entry, in_flight, refusals.no_runner(service))
         return
     in_flight.attempt += 1
     in_flight.runner = runner
-    entry.dispatched_by_runner[runner] += 1
+    in_flight.sent_ms = now_ms
+    placing.dispatched(entry, in_flight, now_ms=now_ms)
     yield events.Dispatch(
         in_flight.arrived.request_id,
         in_flight.attempt,
@@ -179,38 +188,24 @@
     return RETRY_DELAY_MS << (in_flight.attempt - 2)
 
 
-def _candidates(
-    entry: state.Entry, service: str
-) -> Iterator[routing.Candidate]:
-    for view in entry.fleet_view.runners:
-        runner = entry.config.runners.get(view.runner)
-        if runner is None or runner.service != service:
-            continue
-        if view.phase is not fleet.RunnerPhase.LIVE:
-            continue
-        report = entry.report_by_runner.get(view.runner)
-        yield routing.Candidate(
-            runner=view.runner,
-            waiting_tokens=report.waiting_prefill_tokens if report else 0,
-            streams=entry.dispatched_by_runner[view.runner],
-            same_zone=runner.zone == entry.zone,
-        )
-
-
 def _on_failure(
     entry: state.Entry, event: events.AttemptFailed
 ) -> Iterator[events.Effect]:
     in_flight = _find_attempt(entry, event.request_id, event.attempt)
     if in_flight is None:
         return
-    _release_runner(entry, in_flight)
+    placing.failed(entry, in_flight, event)
     in_flight.failed_runners.add(in_flight.runner)
     in_flight.runner = ""
     if event.run is not refusal_lib.RunState.NOT_RUN:
         in_flight.may_have_run = True
     repeatable = not in_flight.arrived.key
     may_retry = repeatable or not in_flight.may_have_run
-    if may_retry and in_flight.attempt < MAX_ATTEMPTS:
+    if (
+        may_retry
+        and in_flight.attempt < MAX_ATTEMPTS
+        and placing.may_retry(entry, in_flight, event)
+    ):
         yield from _dispatch(entry, in_flight, event.now_ms)
         return
     refusal = refusals.failed(event.message, run=event.run)
@@ -258,7 +253,7 @@
     if in_flight is None:
         return
     del entry.in_flight_by_id[event.request_id]
-    _release_runner(entry, in_flight)
+    placing.finished(entry, in_flight, output_tokens=event.output_tokens)
     if in_flight.claim_id:
         yield events.Settle(
             event.request_id, in_flight.claim_id, False, event.answer
@@ -277,16 +272,19 @@
         in_flight.caller_gone = True
         return
     del entry.in_flight_by_id[request_id]
-    _release_runner(entry, in_flight)
+    placing.abandoned(entry, in_flight)
     yield events.Cancel(request_id)
 
 
-def _release_runner(entry: state.Entry, in_flight: state.InFlight) -> None:
-    if not in_flight.runner:
+def _take_report(
+    entry: state.Entry, report: fleet.LoadReport, now_ms: int
+) -> None:
+    if not entry.load.report(report, now_ms=now_ms):
         return
-    entry.dispatched_by_runner[in_flight.runner] -= 1
-    if not entry.dispatched_by_runner[in_flight.runner]:
-        del entry.dispatched_by_runner[in_flight.runner]
+    if report.leaving:
+        entry.leaving.add(report.runner)
+    else:
+        entry.leaving.discard(report.runner)
 
 
 def _take_lease(
@@ -294,10 +292,16 @@
 ) -> None:
     if grant.config_number < entry.config.number:
         return
+    held = (entry.config.number, entry.fleet_view.version)
     entry.config = delta.received(entry.config, grant)
     if grant.config_number != entry.config.number:
         return
     if grant.fleet_view is not None:
         entry.fleet_view = fleet.merge_view(entry.fleet_view, grant.fleet_view)
+    if held != (entry.config.number, entry.fleet_view.version):
+        entry.chosen_by_service = subset.choose(
+            entry.config, entry.fleet_view, entry=entry.name
+        )
+        placing.forget_gone(entry)
     until_ms = asked_ms - grant.age_ms + LEASE_MS
     entry.lease_until_ms = max(entry.lease_until_ms, until_ms)
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import logging
+import random
 import threading
 import time
 from typing import final
@@ -15,16 +16,21 @@
 from wisteriawall.entry import claims as claims_lib
 from wisteriawall.entry import events
 from wisteriawall.entry import parsing
+from wisteriawall.entry import placing
 from wisteriawall.entry import reducer
 from wisteriawall.entry import refusals
 from wisteriawall.entry import relay as relay_lib
 from wisteriawall.entry import run as run_lib
 from wisteriawall.entry import state
+from wisteriawall.entry import subset
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_client
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
+from wisteriawall.wire import fleet
+from wisteriawall.wire import load_messages
+from wisteriawall.wire import transport
 
 __all__ = ["EntryShell", "Limits"]
 
@@ -86,7 +92,9 @@
         self._name = name
         self._incarnation = incarnation
         self._limits = limits or Limits()
-        self._entry = state.Entry(zone=zone)
+        self._entry = state.Entry(
+            zone=zone, name=name, rng=random.Random(f"{name}/{incarnation}")
+        )
         self._lock = threading.Lock()
         self._leaving = False
         self._stopping = threading.Event()
@@ -101,6 +109,14 @@
             key=key,
             sender=envelope.Sender(f"entry/{name}", incarnation),
         )
+        self._feed_codec: envelope.Codec[load_messages.FeedMessage] = (
+            envelope.Codec(
+                message_type=load_messages.FeedMessage,
+                key=key,
+                sender=envelope.Sender(f"entry/{name}", incarnation),
+            )
+        )
+        self._feed = transport.Subscriber(receive=self._hear)
         self._claims = claims_lib.ClaimCalls(
             name=name,
             incarnation=incarnation,
@@ -121,6 +137,7 @@
     def start(self) -> None:
         """Start the entry."""
         self.http.start()
+        self._feed.start()
         self._renewer.start()
 
     def stop(self) -> int:
@@ -134,6 +151,7 @@
         self._stopping.set()
         self.http.stop()
         self._renewer.join(timeout=5.0)
+        self._feed.close()
         self._control.close()
         self._relay.close()
         _LOG.info("stopped, %d requests cut", cut)
@@ -160,7 +178,7 @@
             self._active,
             len(self._run_by_id),
             len(self._entry.in_flight_by_id),
-            self._entry.dispatched_by_runner.total(),
+            len(self._entry.load.sent_by_id),
         )
         return max(parts)
 
@@ -279,7 +297,31 @@
             self._claims.settle_rest()
             self._stopping.wait(RENEW_S)
 
+    def _hear(self, data: bytes) -> None:
+        """Reduce one message of a runner's feed; drop what is not valid."""
+        try:
+            _, message = self._feed_codec.decode(data)
+        except envelope.MessageRejected as error:
+            _LOG.debug("feed message dropped: %s", error)
+            return
+        if isinstance(message, load_messages.CacheEvents):
+            self._submit(events.CacheChanged(message))
+        else:
+            self._submit(events.LoadReported(message, _now_ms()))
+
     def _renew_once(self) -> None:
+        with self._lock:
+            demand = placing.take_demand(self._entry)
+        try:
+            self._renew_with(demand)
+        except control_client.ControlUnavailable:
+            with self._lock:
+                placing.give_back_demand(self._entry, demand)
+            raise
+        chosen = self._entry.chosen_by_service
+        self._feed.follow(subset.feeds(self._entry.config, chosen))
+
+    def _renew_with(self, demand: list[fleet.ServiceDemand]) -> None:
         asked_ms = _now_ms()
         message = control_messages.Renew(
             process=f"entry/{self._name}",
@@ -288,7 +330,8 @@
             config_number=self._entry.config.number,
             fleet_version=self._entry.fleet_view.version,
             runner="",
-            demand=[],
+            demand=demand,
+            leaving=self._leaving,
         )
         reply = self._control.call(message)
         if isinstance(reply, control_messages.Grant):
@@ -307,6 +350,7 @@
         digest=request.digest,
         prefill_tokens=request.prefill_tokens,
         decode_tokens=request.decode_tokens,
+        prefix_hashes=list(request.prefix_hashes),
         now_ms=_now_ms(),
     )
 
--- a/src/wisteriawall/entry/state.py
+++ b/src/wisteriawall/entry/state.py
@@ -1,12 +1,17 @@
 """State of one entry, as its reducer keeps it."""
 
-from collections import Counter
 import dataclasses
 import enum
+import random
 from typing import final
 
 from wisteriawall.config import document
 from wisteriawall.entry import events
+from wisteriawall.policy import estimates as estimates_lib
+from wisteriawall.policy import health
+from wisteriawall.policy import load_view
+from wisteriawall.policy import prefix_index
+from wisteriawall.policy import retries
 from wisteriawall.wire import fleet
 
 __all__ = ["Entry", "InFlight", "Phase"]
@@ -34,6 +39,8 @@
     claim_id: int = 0
     attempt: int = 0
     runner: str = ""
+    sent_ms: int = 0
+    started: bool = False
     may_have_run: bool = False
     caller_gone: bool = False
     failed_runners: set[str] = dataclasses.field(default_factory=set)
@@ -42,9 +49,15 @@
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Entry:
-    """State of one entry."""
+    """State of one entry.
+
+    `chosen_by_service` are the live runners that it uses, `leaving` those
+    whose agents said since that they leave. Demand is prefill and decode
+    tokens that arrived since control was last told.
+    """
 
     zone: str
+    name: str = "entry"
     config: document.Document = dataclasses.field(
         default_factory=document.empty
     )
@@ -56,9 +69,28 @@
     in_flight_by_id: dict[str, InFlight] = dataclasses.field(
         default_factory=dict
     )
-    report_by_runner: dict[str, fleet.LoadReport] = dataclasses.field(
+    chosen_by_service: dict[str, list[fleet.RunnerView]] = dataclasses.field(
+        default_factory=dict
+    )
+    leaving: set[str] = dataclasses.field(default_factory=set)
+    load: load_view.LoadView = dataclasses.field(
+        default_factory=load_view.LoadView
+    )
+    prefixes: prefix_index.PrefixIndex = dataclasses.field(
+        default_factory=prefix_index.PrefixIndex
+    )
+    estimates: estimates_lib.Estimates = dataclasses.field(
+        default_factory=estimates_lib.Estimates
+    )
+    health_by_service: dict[str, health.Health] = dataclasses.field(
+        default_factory=dict
+    )
+    budget_by_service: dict[str, retries.RetryBudget] = dataclasses.field(
+        default_factory=dict
+    )
+    demand_by_service: dict[str, tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )
-    dispatched_by_runner: Counter[str] = dataclasses.field(
-        default_factory=Counter
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(0)
     )
