Announce an agent's stop before it takes no more; retry what was proved not run

Cause: one of four rolling restarts refused callers with 502 NewConnectionError, not run: a stopping agent closed its port before the entries had heard that it leaves, and each refused connection drew on the retry budget. Ruled out: lost answers (none), too few runners. Change: an agent refuses new work as not run for 1.5 s after its announcement; attempts proved not run don't draw on the budget, since they cost no engine work; attempts a request stay bounded.

--- a/src/wisteriawall/agent/shell.py
+++ b/src/wisteriawall/agent/shell.py
@@ -31,6 +31,7 @@
 _LOG = logging.getLogger("agent")
 
 RENEW_S = 0.3
+LEAVING_NOTICE_S = 1.5
 INSPECT_EVERY_RENEWALS = 10
 DRAIN_POLL_S = 0.05
 REPORT_ON_STOP_S = 2.0
@@ -122,10 +123,16 @@
         if self._feed:
             self._feed.start()
 
-    def stop(self) -> None:
-        """Announce the stop, finish what runs, then stop."""
+    def stop(self, *, notice_s: float = LEAVING_NOTICE_S) -> None:
+        """Announce the stop, finish what runs, then stop.
+
+        Args:
+            notice_s: Seconds for which new work is refused as not run, until
+                the entries have heard that this upstream is leaving.
+        """
         self.submit(events.Stopping(_now_ms()))
         self._renew_soon.set()
+        time.sleep(notice_s)
         self._await_running()
         self._await_order()
         self.kill()
--- a/src/wisteriawall/demo/cluster.py
+++ b/src/wisteriawall/demo/cluster.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import hashlib
 import os
 import pathlib
@@ -125,7 +126,9 @@
     def stop(self) -> None:
         """Stop every part, callers' side first, each group at once."""
         _stop_all([self.entry.stop])
-        _stop_all([agent.stop for agent in self.agents])
+        _stop_all(
+            [functools.partial(agent.stop, notice_s=0) for agent in self.agents]
+        )
         _stop_all(
             [
                 *(standin.stop for standin in self._standins),
--- a/src/wisteriawall/entry/placing.py
+++ b/src/wisteriawall/entry/placing.py
@@ -7,6 +7,7 @@
 from wisteriawall.policy import health as health_lib
 from wisteriawall.policy import retries
 from wisteriawall.policy import routing
+from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import fleet
 
 __all__ = [
@@ -123,10 +124,11 @@
 ) -> bool:
     """Tell whether the retry budget lets a request try again.
 
-    Free are an agent's refusals, which cost no engine work, and answers
+    Free are attempts proved not run, which cost no engine work, and answers
     that have begun, whose tokens so far are not generated again.
     """
-    if event.refused or in_flight.started:
+    not_run = event.run is refusal_lib.RunState.NOT_RUN
+    if event.refused or not_run or in_flight.started:
         return True
     return _budget(entry, in_flight.arrived.service).take_retry()
 
