Split the control reducer's state and reads from its decisions

Change: replica_state holds the state, reads the answers that need no log entry. Conclusion: no behaviour changes.

--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -1,91 +1,37 @@
 """The control replica's reducer: every decision, no I/O."""
 
 from collections.abc import Iterator
-import dataclasses
 import itertools
-from typing import final
 
 from wisteriawall.control import audit
 from wisteriawall.control import commands
-from wisteriawall.control import configuration
 from wisteriawall.control import events
 from wisteriawall.control import leading
 from wisteriawall.control import ledger as ledger_lib
 from wisteriawall.control import liveness
-from wisteriawall.control import membership
 from wisteriawall.control import outcomes
 from wisteriawall.control import planning
 from wisteriawall.control import raft as raft_lib
-from wisteriawall.control import renewal
+from wisteriawall.control import reads
+from wisteriawall.control import replica_state
 from wisteriawall.control import replicas
 from wisteriawall.control import snapshot as snapshot_lib
-from wisteriawall.control import state
-from wisteriawall.control import status
 from wisteriawall.control import writes
 from wisteriawall.policy import roles
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
 
-__all__ = ["Control", "reduce"]
+__all__ = ["reduce"]
 
-MAX_CONFIRMED_AGE_MS = 1_000
 LEAD_MS = 500
 PLAN_MS = 1_000
 PATCH_WAIT_MS = 2_400
 
 
-@final
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Waiting:
-    """A call whose answer depends on a log entry."""
-
-    call_id: int
-    term: int
-
-
-@final
-@dataclasses.dataclass(slots=True, kw_only=True)
-class PatchWait:
-    """A committed patch whose answer waits for processes to hold it."""
-
-    call_id: int
-    outcome: outcomes.ConfigChanged
-    until_ms: int
-
-
-@final
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Control:
-    """State of one control replica.
-
-    `led_term` is the newest term that this replica led, since
-    `led_ms`; `lead_index` is its newest log entry of its own accord.
-    """
-
-    raft: raft_lib.Raft
-    ledger: state.Ledger = dataclasses.field(default_factory=state.Ledger)
-    processes: liveness.Processes = dataclasses.field(
-        default_factory=liveness.Processes
-    )
-    vm_by_name: dict[str, membership.VmState] | None = None
-    waiting_by_index: dict[int, Waiting] = dataclasses.field(
-        default_factory=dict
-    )
-    patch_waits: list[PatchWait] = dataclasses.field(default_factory=list)
-    document_size: renewal.DocumentSize = dataclasses.field(
-        default_factory=renewal.DocumentSize
-    )
-    planner: roles.Planner = dataclasses.field(default_factory=roles.Planner)
-    led_term: int = 0
-    led_ms: int = 0
-    lead_due_ms: int = 0
-    plan_due_ms: int = 0
-    lead_index: int = 0
-    now_ms: int = 0
-
-
-def reduce(control: Control, event: events.Event) -> Iterator[events.Effect]:
+def reduce(
+    control: replica_state.Control, event: events.Event
+) -> Iterator[events.Effect]:
     """Yield the effects of one event, in the order to carry them out."""
     control.now_ms = max(control.now_ms, event.now_ms)
     match event:
@@ -113,7 +59,7 @@
 
 
 def _on_peer(
-    control: Control, event: events.PeerMessage
+    control: replica_state.Control, event: events.PeerMessage
 ) -> Iterator[events.Effect]:
     match event.message:
         case peer_messages.Liveness() as summary:
@@ -125,7 +71,7 @@
 
 
 def _follow_raft(
-    control: Control, effects: Iterator[raft_lib.Effect]
+    control: replica_state.Control, effects: Iterator[raft_lib.Effect]
 ) -> Iterator[events.Effect]:
     for effect in effects:
         match effect:
@@ -138,7 +84,7 @@
 
 
 def _apply(
-    control: Control, entry: raft_messages.LogEntry
+    control: replica_state.Control, entry: raft_messages.LogEntry
 ) -> Iterator[events.Effect]:
     if not entry.command:
         return
@@ -155,7 +101,7 @@
     elif isinstance(outcome, outcomes.ConfigChanged):
         until_ms = control.now_ms + PATCH_WAIT_MS
         control.patch_waits.append(
-            PatchWait(
+            replica_state.PatchWait(
                 call_id=waiting.call_id, outcome=outcome, until_ms=until_ms
             )
         )
@@ -166,7 +112,7 @@
         yield events.Answer(waiting.call_id, writes.reply_for(command, outcome))
 
 
-def _abandon_calls(control: Control) -> Iterator[events.Effect]:
+def _abandon_calls(control: replica_state.Control) -> Iterator[events.Effect]:
     """Answer the calls that this replica can no longer see committed."""
     if control.raft.role is raft_lib.RaftRole.LEADER:
         return
@@ -179,7 +125,7 @@
         wait.until_ms = control.now_ms
 
 
-def _answer_patches(control: Control) -> Iterator[events.Effect]:
+def _answer_patches(control: replica_state.Control) -> Iterator[events.Effect]:
     """Answer committed patches that every live process holds, or late ones."""
     if not control.patch_waits:
         return
@@ -200,14 +146,16 @@
             )
 
 
-def _on_call(control: Control, event: events.Called) -> Iterator[events.Effect]:
+def _on_call(
+    control: replica_state.Control, event: events.Called
+) -> Iterator[events.Effect]:
     match event.request:
         case control_messages.Renew() as renew:
-            reply = _renew(control, renew, event.now_ms)
+            reply = reads.renew(control, renew, event.now_ms)
         case events.StatusRequest(whole):
-            reply = _status(control, whole, event.now_ms)
+            reply = reads.status(control, whole, event.now_ms)
         case events.ConfigRequest(number):
-            reply = _read_config(control, number, event.now_ms)
+            reply = reads.read_config(control, number, event.now_ms)
         case events.HistoryRequest(limit):
             reply = events.HistoryReply(
                 control.ledger.history[: -limit - 1 : -1]
@@ -229,7 +177,9 @@
     yield events.Answer(event.call_id, reply)
 
 
-def _write(control: Control, event: events.Called) -> Iterator[events.Effect]:
+def _write(
+    control: replica_state.Control, event: events.Called
+) -> Iterator[events.Effect]:
     if not control.raft.holds_lease(event.now_ms):
         reply = control_messages.NotLeader(control.raft.leader)
         yield events.Answer(event.call_id, reply)
@@ -244,14 +194,14 @@
         yield events.Answer(event.call_id, events.Unavailable(reason))
         return
     index = control.raft.last_index + 1
-    control.waiting_by_index[index] = Waiting(
+    control.waiting_by_index[index] = replica_state.Waiting(
         call_id=event.call_id, term=control.raft.term
     )
     yield from _submit(control, command, event.now_ms)
 
 
 def _change_members(
-    control: Control,
+    control: replica_state.Control,
     request: events.ReplicaAdd | events.ReplicaRemove,
     event: events.Called,
 ) -> Iterator[events.Effect]:
@@ -265,14 +215,14 @@
     if isinstance(effects, events.ReplicasReply):
         yield events.Answer(event.call_id, effects)
         return
-    control.waiting_by_index[index] = Waiting(
+    control.waiting_by_index[index] = replica_state.Waiting(
         call_id=event.call_id, term=raft.term
     )
     yield from _follow_raft(control, effects)
 
 
 def _submit(
-    control: Control, command: commands.Command, now_ms: int
+    control: replica_state.Control, command: commands.Command, now_ms: int
 ) -> Iterator[events.Effect]:
     data = commands.encode(command)
     yield from _follow_raft(
@@ -280,62 +230,8 @@
     )
 
 
-def _is_current(control: Control, now_ms: int) -> bool:
-    """Tell whether the applied state was current a moment ago."""
-    confirmed_ms = control.raft.confirmed_ms
-    return confirmed_ms >= 0 and now_ms - confirmed_ms <= MAX_CONFIRMED_AGE_MS
-
-
-def _renew(
-    control: Control, renew: control_messages.Renew, now_ms: int
-) -> events.Reply:
-    not_leader = control_messages.NotLeader(control.raft.leader)
-    if not _is_current(control, now_ms):
-        return not_leader
-    liveness.hear(
-        control.processes, renew, replica=control.raft.replica, now_ms=now_ms
-    )
-    grant = renewal.grant(
-        control.ledger,
-        renew,
-        size=control.document_size,
-        age_ms=now_ms - control.raft.confirmed_ms,
-        leader=control.raft.leader,
-    )
-    return grant or not_leader
-
-
-def _read_config(
-    control: Control, number: int | None, now_ms: int
-) -> events.Reply:
-    if not _is_current(control, now_ms):
-        return control_messages.NotLeader(control.raft.leader)
-    if number is None:
-        return events.ConfigReply(control.ledger.config)
-    found = configuration.document_at(control.ledger, number)
-    if found is None:
-        newest = control.ledger.config.number
-        oldest = newest - len(control.ledger.history)
-        return events.NotKept(
-            f"configuration {number}, expected {oldest} to {newest}"
-        )
-    return events.ConfigReply(found)
-
-
-def _status(control: Control, whole: bool, now_ms: int) -> events.Reply:
-    leader = control.raft.leader
-    if whole and leader not in ("", control.raft.replica):
-        return control_messages.NotLeader(leader)
-    return status.build(
-        raft=control.raft,
-        ledger=control.ledger,
-        processes=control.processes,
-        now_ms=now_ms,
-    )
-
-
 def _lead(
-    control: Control, now_ms: int, wall_ms: int
+    control: replica_state.Control, now_ms: int, wall_ms: int
 ) -> Iterator[events.Effect]:
     """Submit what the leader owes: its audit line and due commands."""
     raft = control.raft
@@ -360,7 +256,7 @@
 
 
 def _due_commands(
-    control: Control, now_ms: int, wall_ms: int
+    control: replica_state.Control, now_ms: int, wall_ms: int
 ) -> Iterator[commands.Command]:
     """Yield what is due; the planner waits until nothing else is."""
     raft = control.raft
@@ -389,7 +285,7 @@
 
 
 def _report_liveness(
-    control: Control, now_ms: int
+    control: replica_state.Control, now_ms: int
 ) -> Iterator[events.SendLiveness]:
     raft = control.raft
     if not raft.leader or raft.role is not raft_lib.RaftRole.FOLLOWER:
@@ -398,7 +294,7 @@
         control.processes,
         replica=raft.replica,
         leader_term=raft.term,
-        connected=_is_current(control, now_ms),
+        connected=reads.is_current(control, now_ms),
         now_ms=now_ms,
     ):
         yield events.SendLiveness(raft.leader, summary)
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -26,6 +26,7 @@
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
 from wisteriawall.control import reducer
+from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot
 from wisteriawall.storage import data_folder
 from wisteriawall.storage import durable
@@ -124,7 +125,7 @@
             founders=founders if bootstrap else (),
         )
         self._log = replica_log.ReplicaLog(owned)
-        self._control = reducer.Control(
+        self._control = replica_state.Control(
             raft=self._recovered_raft(owned.identity, incarnation),
             ledger=snapshot.decode(self._log.recovered.snapshot.data),
         )
--- a/testing/control/test_promises.py
+++ b/testing/control/test_promises.py
@@ -18,6 +18,7 @@
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
 from wisteriawall.control import reducer
+from wisteriawall.control import replica_state
 from wisteriawall.control import state
 from wisteriawall.entry import events as entry_events
 from wisteriawall.entry import reducer as entry_reducer
@@ -150,7 +151,8 @@
         self.ends: list[tuple[int, set[str], str]] = []
         self.paused: set[str] = set()
         self.control_by_name = {
-            name: reducer.Control(raft=self._raft(name)) for name in REPLICAS
+            name: replica_state.Control(raft=self._raft(name))
+            for name in REPLICAS
         }
         self.offset_by_name = {n: i * 7_919 for i, n in enumerate(REPLICAS)}
         names = ["entry/e1", "entry/e2", *(f"agent/{r}" for r in RUNNERS)]
@@ -183,7 +185,7 @@
         new = self._raft(name)
         new.term, new.voted_for = old.term, old.voted_for
         new.log = copy.deepcopy(old.log)
-        self.control_by_name[name] = reducer.Control(raft=new)
+        self.control_by_name[name] = replica_state.Control(raft=new)
 
     def local_ms(self, name: str) -> int:
         """Return the clock reading of a replica."""
@@ -356,7 +358,7 @@
             age_ms = self.now_ms - self.committed_ms[newer]
             assert age_ms <= IN_FORCE_MS, (process.name, newer, age_ms)
 
-    def _check_ledger(self, control: reducer.Control) -> None:
+    def _check_ledger(self, control: replica_state.Control) -> None:
         """Replicas that applied the same log hold the same ledger."""
         index = control.raft.applied_index
         ledger = control.ledger
--- a/tools/capacity/fixtures.py
+++ b/tools/capacity/fixtures.py
@@ -9,6 +9,7 @@
 from wisteriawall.control import events
 from wisteriawall.control import raft
 from wisteriawall.control import reducer
+from wisteriawall.control import replica_state
 
 __all__ = ["configured_control", "make_document", "single_replica"]
 
@@ -53,9 +54,9 @@
     )
 
 
-def single_replica() -> reducer.Control:
+def single_replica() -> replica_state.Control:
     """Return a lone replica that leads."""
-    control = reducer.Control(
+    control = replica_state.Control(
         raft=raft.Raft(replica="c1", peers=(), random=random.Random(1))
     )
     for now_ms in range(START_MS, ELECTED_MS, STEP_MS):
@@ -63,7 +64,7 @@
     return control
 
 
-def configured_control(config: document.Document) -> reducer.Control:
+def configured_control(config: document.Document) -> replica_state.Control:
     """Return a lone replica that leads and holds `config`."""
     control = single_replica()
     request = events.PatchRequest(
--- a/tools/capacity/slopes.py
+++ b/tools/capacity/slopes.py
@@ -19,6 +19,7 @@
 from wisteriawall.control import events
 from wisteriawall.control import raft
 from wisteriawall.control import reducer
+from wisteriawall.control import replica_state
 from wisteriawall.demo import cluster
 from wisteriawall.entry import events as entry_events
 from wisteriawall.entry import reducer as entry_reducer
@@ -98,7 +99,7 @@
     )
 
 
-def _measure_renewal(control: reducer.Control) -> Iterator[Slope]:
+def _measure_renewal(control: replica_state.Control) -> Iterator[Slope]:
     requests = _codec(control_messages.ControlRequest)
     replies = _codec(control_messages.ControlReply)
     book = control.ledger
