--- a/src/wisteriawall/benchmark/suite.py
+++ b/src/wisteriawall/benchmark/suite.py
@@ -23,7 +23,7 @@
 MAX_AMPLIFICATION = 1.1
 FULL_SECONDS = 300
 QUICK_SECONDS = 80
-QUICK_TRACES = ("steady", "swing", "overload-2x")
+QUICK_TRACES = ("steady", "swing", "withdrawn", "overload-2x")
 CAPACITY_TRACES = ("load-80", "load-90", "load-100")
 
 
