--- a/src/wisteriawall/commands/entry.py
+++ b/src/wisteriawall/commands/entry.py
@@ -46,7 +46,7 @@
                 "until the balancer has seen /readyz fail."
             ),
         ),
-    ] = 0,
+    ] = 1_000,
     drain_deadline_ms: Annotated[
         int,
         typer.Option(
--- a/testing/support/site.py
+++ b/testing/support/site.py
@@ -96,7 +96,7 @@
         )
         self.process_by_name[f"agent/{runner}"] = self._start(
             *("agent", "--runner", runner, "--listen", gate),
-            *("--feed", feed),
+            *("--feed", feed, "--kind", runner.partition("-")[0]),
             *("--upstream", self.upstream_by_runner[runner]),
             *("--control", _joined(self._rpc)),
         )
