--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -12,6 +12,7 @@
 from wisteriawall.control import admin as admin_lib
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.control import vm_list
+from wisteriawall.observability import metrics
 from wisteriawall.settings import checks
 from wisteriawall.settings import programs
 from wisteriawall.web import server as server_lib
@@ -69,6 +70,7 @@
             help="Name of the cluster that the data folder belongs to.",
         ),
     ] = shell_lib.DEFAULT_CLUSTER,
+    statsd: options.Statsd = "",
     admin_peers: Annotated[
         str,
         typer.Option(
@@ -101,6 +103,7 @@
         admin_peers=admin_peers,
         data=data,
         key=cluster_key,
+        statsd=statsd,
         operators=operators,
     )
     serving.check(settings)
@@ -111,6 +114,7 @@
         folder=data,
         key=checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key),
         incarnation=serving.incarnation(),
+        metrics=metrics.make(address=statsd, part=f"control.{replica}"),
         bootstrap=bootstrap,
         cluster=cluster,
         on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
--- a/src/wisteriawall/commands/entry.py
+++ b/src/wisteriawall/commands/entry.py
@@ -8,6 +8,7 @@
 from wisteriawall.commands import serving
 from wisteriawall.entry import attempt as attempt_lib
 from wisteriawall.entry import shell as shell_lib
+from wisteriawall.observability import metrics
 from wisteriawall.settings import checks
 from wisteriawall.settings import programs
 
@@ -47,6 +48,7 @@
             ),
         ),
     ] = 1_000,
+    statsd: options.Statsd = "",
     drain_deadline_ms: Annotated[
         int,
         typer.Option(
@@ -75,6 +77,7 @@
         zone=zone,
         control=control,
         key=cluster_key,
+        statsd=statsd,
         max_requests=max_requests,
         grace_ms=grace_ms,
         drain_deadline_ms=drain_deadline_ms,
@@ -90,6 +93,7 @@
         key=key,
         token=programs.derive_token(key),
         incarnation=serving.incarnation(),
+        metrics=metrics.make(address=statsd, part=f"entry.{name}"),
         limits=shell_lib.Limits(
             max_requests=max_requests,
             grace_s=grace_ms / MS_PER_S,
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -28,6 +28,7 @@
 from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot
+from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.storage import data_folder
 from wisteriawall.storage import durable
 from wisteriawall.storage import replica_log
@@ -86,6 +87,7 @@
         cluster: Name of the cluster that the folder belongs to.
         on_failure: Called once when the disk fails and the replica stops
             acknowledging.
+        metrics: Where answers are counted by kind.
 
     Raises:
         data_folder.FolderRefused: The folder is not this replica's to use.
@@ -104,7 +106,9 @@
         bootstrap: bool = False,
         cluster: str = DEFAULT_CLUSTER,
         on_failure: Callable[[], None] = lambda: None,
+        metrics: metrics_lib.Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or metrics_lib.NoMetrics()
         sender = envelope.Sender(replica, incarnation)
         self._raft_codec: envelope.Codec[peer_messages.PeerMessage] = (
             envelope.Codec(
@@ -343,6 +347,7 @@
                 data = self._raft_codec.encode(message)
                 self._links.send(peer=peer, message=data)
             case events.Answer(call_id, reply):
+                self._metrics.count(f"answered.{type(reply).__name__}")
                 future = self._future_by_call.get(call_id)
                 if future is not None and not future.done():
                     future.set_result(reply)
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -23,6 +23,7 @@
 from wisteriawall.entry import run as run_lib
 from wisteriawall.entry import state
 from wisteriawall.entry import subset
+from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_client
@@ -75,6 +76,7 @@
         token: Secret that agents expect.
         incarnation: Number that rises with every start of this process.
         limits: Bounds on requests and time.
+        metrics: Where dispatches, answers and refusals are counted.
     """
 
     def __init__(
@@ -88,7 +90,9 @@
         token: str,
         incarnation: int,
         limits: Limits | None = None,
+        metrics: metrics_lib.Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or metrics_lib.NoMetrics()
         self._name = name
         self._incarnation = incarnation
         self._limits = limits or Limits()
@@ -214,12 +218,26 @@
 
     def _submit(self, event: events.Event) -> None:
         """Reduce one event and hand each effect to its request's thread."""
+        if isinstance(event, events.Finished):
+            self._metrics.count("finished")
         with self._lock:
             for effect in reducer.reduce(self._entry, event):
+                self._count(effect)
                 run = self._run_by_id.get(effect.request_id)
                 if run is not None:
                     run.deliver(effect)
 
+    def _count(self, effect: events.Effect) -> None:
+        match effect:
+            case events.Dispatch(attempt=attempt):
+                self._metrics.count("dispatched" if attempt == 1 else "retried")
+            case events.Refuse(refusal=refusal):
+                self._metrics.count(f"refused.{refusal.code}")
+            case events.Replay():
+                self._metrics.count("replayed")
+            case _:
+                pass
+
     def _serve(
         self,
         environ: server_lib.Environ,
--- a/src/wisteriawall/settings/programs.py
+++ b/src/wisteriawall/settings/programs.py
@@ -42,6 +42,7 @@
     data: pathlib.Path
     key: str
     operators: str
+    statsd: str = ""
 
     def check(self) -> None:
         """Raise `SettingErrors` unless every setting is valid."""
@@ -57,6 +58,9 @@
                 functools.partial(
                     checks.parse_key, "WISTERIAWALL_CLUSTER_KEY", self.key
                 ),
+                functools.partial(
+                    checks.parse_optional_address, "--statsd", self.statsd
+                ),
                 self._check_membership,
                 self.operator_by_token_digest,
             ]
@@ -96,6 +100,7 @@
     grace_ms: int = 0
     drain_deadline_ms: int = 0
     idle_timeout_ms: int = 10_000
+    statsd: str = ""
 
     def check(self) -> None:
         """Raise `SettingErrors` unless every setting is valid."""
@@ -112,6 +117,9 @@
                 functools.partial(
                     checks.parse_key, "WISTERIAWALL_CLUSTER_KEY", self.key
                 ),
+                functools.partial(
+                    checks.parse_optional_address, "--statsd", self.statsd
+                ),
                 functools.partial(
                     checks.parse_range,
                     "--max-requests",
--- a/testing/processes/test_whole_path.py
+++ b/testing/processes/test_whole_path.py
@@ -4,6 +4,7 @@
 import hashlib
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 
@@ -45,14 +46,21 @@
         *("agent", "--runner", "r1", "--upstream", upstream),
         *("--listen", gate, "--control", joined[1]),
     )
+    collector = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    collector.bind(("127.0.0.1", 0))
+    collector.settimeout(READY_S)
+    statsd = f"127.0.0.1:{collector.getsockname()[1]}"
     front = start(
         *("entry", "--name", "e1", "--zone", "a", "--listen", entry),
-        *("--control", joined[1]),
+        *("--control", joined[1], "--statsd", statsd),
     )
     _configure(admin["c2"], gate)
     data = _complete(entry)
     assert data.count(b"data: ") == 11
     assert data.endswith(b"data: [DONE]\n\n")
+    with collector:
+        counted = iter(lambda: collector.recv(512), b"")
+        assert any(d == b"wisteriawall.entry.e1.finished:1|c" for d in counted)
     front.send_signal(signal.SIGTERM)
     assert front.wait(timeout=READY_S) == 0
 
