--- a/src/wisteriawall/entry/claims.py
+++ b/src/wisteriawall/entry/claims.py
@@ -66,7 +66,7 @@
         for _ in range(SETTLE_TRIES):
             if self._settle_once(settle):
                 return
-        _LOG.warning("claim %d not settled yet", settle.claim_id)
+        _LOG.warning("entry: claim %d not settled yet", settle.claim_id)
         self._unsettled.append(settle)
 
     def return_later(self, ask: events.AskClaim) -> None:
--- a/src/wisteriawall/entry/run.py
+++ b/src/wisteriawall/entry/run.py
@@ -188,7 +188,7 @@
         refused: bool = False,
     ) -> None:
         _LOG.info(
-            "attempt %d of %s on %s failed: %s",
+            "entry: attempt %d of %s on %s failed: %s",
             dispatch.attempt,
             dispatch.request_id,
             dispatch.runner,
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -158,7 +158,7 @@
         self._feed.close()
         self._control.close()
         self._relay.close()
-        _LOG.info("stopped, %d requests cut", cut)
+        _LOG.info("entry: stopped, %d requests cut", cut)
         return cut
 
     def is_ready(self) -> bool:
@@ -201,7 +201,7 @@
 
     def _cut_all(self) -> int:
         runs = list(self._run_by_id.values())
-        _LOG.warning("drain deadline: cutting %d requests", len(runs))
+        _LOG.warning("entry: drain deadline: cutting %d requests", len(runs))
         for run in runs:
             run.cut()
         until = time.monotonic() + CUT_WAIT_S
@@ -214,7 +214,9 @@
         while self._claims.unsettled and time.monotonic() < until:
             time.sleep(DRAIN_POLL_S)
         if self._claims.unsettled:
-            _LOG.error("%d claims were not settled", self._claims.unsettled)
+            _LOG.error(
+                "entry: %d claims were not settled", self._claims.unsettled
+            )
 
     def _submit(self, event: events.Event) -> None:
         """Reduce one event and hand each effect to its request's thread."""
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -160,7 +160,9 @@
     ) -> None:
         """Log what cheroot reports."""
         # Aborted answers end here by design, so they are no errors.
-        _LOG.log(min(level, logging.WARNING), "%s", msg, exc_info=traceback)
+        _LOG.log(
+            min(level, logging.WARNING), "http: %s", msg, exc_info=traceback
+        )
 
 
 def caller(environ: Environ) -> connection_lib.Caller:
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
-import logging
 import threading
 from typing import final
 
@@ -26,7 +25,6 @@
     "Subscriber",
 ]
 
-_LOG = logging.getLogger("wire")
 
 RPC_TIMEOUT_MS = 1_000
 RPC_THREADS = 8
