Pass the engine's step time to engines alone in benchmark sites

Change: only a stand-in engine gets the option; a program that prints no line fails at once, by name. entry_path also prints the share of offered events. Conclusion: the fault was the benchmark's own.

--- a/bench/entry_path.py
+++ b/bench/entry_path.py
@@ -20,6 +20,7 @@
 STEP_MS = 20
 FIRST_TOKEN_CALLS = 30
 READ_BYTES = 65_536
+OFFERED_EVENTS_PER_S = STREAMS * 1_000 / STEP_MS
 DEADLINE_S = 60.0
 TARGET_EVENTS_PER_S = 8_500
 EVENT = b"data: "
@@ -119,7 +120,9 @@
     )
     print(
         f"{STREAMS} streams: {whole} whole, {events} events, "
-        f"{events / spent_s:,.0f} events a second "
+        f"{events / spent_s:,.0f} events a second, "
+        f"{events / spent_s / OFFERED_EVENTS_PER_S:.2f} of what the engines "
+        f"offer "
         f"(letter: {TARGET_EVENTS_PER_S:,} a node), "
         f"{cpu_s / events * 1e6:.0f} us of the entry's processor an event, "
         f"gap p95 {gaps_ms[len(gaps_ms) * 95 // 100]:.0f} ms "
--- a/testing/support/site.py
+++ b/testing/support/site.py
@@ -306,7 +306,8 @@
     running: list[subprocess.Popen[str]] = []
 
     def start(*arguments: str) -> subprocess.Popen[str]:
-        extra = ("--step-ms", str(step_ms)) if "model" in arguments else ()
+        is_engine = arguments[:2] == ("stand-in", "model")
+        extra = ("--step-ms", str(step_ms)) if is_engine else ()
         process = subprocess.Popen(
             [sys.executable, "-m", "wisteriawall", *arguments, *extra],
             env={**os.environ, "WISTERIAWALL_CLUSTER_KEY": CLUSTER_KEY},
@@ -315,7 +316,7 @@
         )
         running.append(process)
         assert process.stdout is not None
-        process.stdout.readline()
+        assert process.stdout.readline(), f"did not start: {arguments}"
         return process
 
     with tempfile.TemporaryDirectory() as folder:
