--- a/src/wisteriawall/agent/gate.py
+++ b/src/wisteriawall/agent/gate.py
@@ -6,11 +6,11 @@
 import functools
 import hmac
 import logging
-import time
 from typing import final
 
 import urllib3
 
+from wisteriawall import clock
 from wisteriawall.agent import events
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.web import refusal as refusal_lib
@@ -122,7 +122,7 @@
         self._end(arrived, not_run=False)
 
     def _note_first(self, arrived: events.Arrived) -> None:
-        self.first_token_ms = _now_ms() - arrived.now_ms
+        self.first_token_ms = clock.steady_ms() - arrived.now_ms
         self._metrics.time_ms("first_token", self.first_token_ms)
 
     def _open(
@@ -155,7 +155,7 @@
             events.Ended(
                 arrived.request_id,
                 arrived.attempt,
-                _now_ms(),
+                clock.steady_ms(),
                 arrived.claim_id,
                 not_run,
             )
@@ -239,12 +239,8 @@
             attempt=int(read(headers.ATTEMPT)),
             config_number=int(read(headers.NUMBER)),
             claim_id=int(read(headers.CLAIM) or "0"),
-            now_ms=_now_ms(),
+            now_ms=clock.steady_ms(),
             agent_incarnation=int(read(headers.AGENT) or "0"),
         )
     except ValueError:
         return None
-
-
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
--- a/src/wisteriawall/agent/shell.py
+++ b/src/wisteriawall/agent/shell.py
@@ -11,6 +11,7 @@
 import time
 from typing import final
 
+from wisteriawall import clock
 from wisteriawall.agent import engine_client
 from wisteriawall.agent import engine_messages
 from wisteriawall.agent import events
@@ -130,7 +131,7 @@
             notice_s: Seconds for which new work is refused as not run, until
                 the entries have heard that this upstream is leaving.
         """
-        self.submit(events.Stopping(_now_ms()))
+        self.submit(events.Stopping(clock.steady_ms()))
         self._renew_soon.set()
         time.sleep(notice_s)
         self._await_running()
@@ -244,11 +245,11 @@
         )
 
     def _renew_once(self) -> None:
-        asked_ms = _now_ms()
+        asked_ms = clock.steady_ms()
         reply = self._control.call(self._renew_message())
         if isinstance(reply, control_messages.Grant):
             self._fleet_version = reply.fleet_version
-            self.submit(events.Granted(reply, asked_ms, _now_ms()))
+            self.submit(events.Granted(reply, asked_ms, clock.steady_ms()))
 
     def _look(self) -> engine_messages.EngineState | None:
         """Return the engine's account and remember it for renewals."""
@@ -270,7 +271,7 @@
                 if isinstance(reply, control_messages.Grant)
             ]
             if len(floors) >= self._control.majority:
-                self.submit(events.FloorLearned(max(floors), _now_ms()))
+                self.submit(events.FloorLearned(max(floors), clock.steady_ms()))
                 return
             self._stopping.wait(RENEW_S)
 
@@ -307,14 +308,16 @@
             outcome, detail, role = events.Outcome.DONE, "", account.role
             self._engine_view = _view(account)
         return events.OrderAnswered(
-            order.fence.order_id, outcome, detail, role, _now_ms()
+            order.fence.order_id, outcome, detail, role, clock.steady_ms()
         )
 
     def _inspect(self, effect: events.Inspect) -> None:
         if self._stopping.wait(effect.delay_ms / MS_PER_S):
             return
         account = self._look()
-        self.submit(events.Inspected(effect.order_id, account, _now_ms()))
+        self.submit(
+            events.Inspected(effect.order_id, account, clock.steady_ms())
+        )
 
     def _report(self, report: events.Report) -> None:
         message = control_messages.OrderReport(
@@ -329,7 +332,9 @@
         while not self._stopping.is_set():
             with contextlib.suppress(control_client.ControlUnavailable):
                 self._control.call(message)
-                self.submit(events.OrderReported(report.order_id, _now_ms()))
+                self.submit(
+                    events.OrderReported(report.order_id, clock.steady_ms())
+                )
                 return
             self._stopping.wait(RENEW_S)
 
@@ -338,7 +343,3 @@
     return fleet.EngineView(
         account.role, account.model, account.adapters, account.unclear
     )
-
-
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -20,6 +20,7 @@
 from wisteriawall.commands import stand_in as stand_in_command
 from wisteriawall.commands import status as status_command
 from wisteriawall.observability import logs
+from wisteriawall.platform import commands as platform_commands
 from wisteriawall.settings import checks
 
 __all__ = ["app", "main"]
@@ -80,6 +81,7 @@
 app.command()(drain_command.drain)
 app.command()(status_command.status)
 app.add_typer(config_command.app, name="config")
+app.add_typer(platform_commands.app, name="platform")
 app.add_typer(replica_command.app, name="replica")
 app.command(name="stand-in")(stand_in_command.stand_in)
 
--- a/src/wisteriawall/commands/serving.py
+++ b/src/wisteriawall/commands/serving.py
@@ -17,6 +17,9 @@
     "run_until_signalled",
 ]
 
+# How soon after SIGHUP the settings are read again.
+RELOAD_POLL_S = 0.5
+
 checking_only: contextvars.ContextVar[bool] = contextvars.ContextVar(
     "checking_only", default=False
 )
@@ -48,17 +51,28 @@
 
 
 def run_until_signalled(
-    *, start: Callable[[], None], stop: Callable[[], object], line: str
+    *,
+    start: Callable[[], None],
+    stop: Callable[[], object],
+    line: str,
+    reload: Callable[[], None] | None = None,
 ) -> None:
     """Start, announce with `line`, wait for a signal, then stop.
 
     SIGTERM and SIGINT ask for a planned stop; further ones are ignored, so
-    that no answer in progress is cut.
+    that no answer in progress is cut. SIGHUP asks to read settings again.
     """
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
+    reloading = threading.Event()
+    if reload is not None:
+        signal.signal(signal.SIGHUP, lambda *_: reloading.set())
     start()
-    typer.echo(line)
-    stopping.wait()
+    if line:
+        typer.echo(line)
+    while not stopping.wait(RELOAD_POLL_S if reload is not None else None):
+        if reload is not None and reloading.is_set():
+            reloading.clear()
+            reload()
     stop()
--- a/src/wisteriawall/control/audit.py
+++ b/src/wisteriawall/control/audit.py
@@ -60,6 +60,11 @@
             return f"stale: current is {current}"
         case outcomes.ConfigInvalid(faults):
             return f"invalid: {'; '.join(faults)}"
+        case outcomes.TableHeld(number, changed):
+            done = "in force" if changed else "unchanged"
+            return f"table {number} {done}"
+        case outcomes.TableConflict(number):
+            return f"refused: another table has number {number}"
         case outcomes.PatchIdReused():
             return "refused: the patch id was used for another patch"
         case outcomes.OrderIssued(order):
@@ -96,6 +101,16 @@
                 patch_id,
                 result,
             )
+        case commands.PublishTable(table, _, operator, at_ms):
+            return state.AuditRecord(
+                index,
+                at_ms,
+                _Kind.TABLE,
+                operator,
+                f"table/{table.number}",
+                "published",
+                result,
+            )
         case commands.ChangeReplica(change, replica, operator, at_ms):
             return state.AuditRecord(
                 index, at_ms, _Kind.REPLICA, operator, replica, change, result
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from wisteriawall.config import route_table
 from wisteriawall.control import state
 from wisteriawall.wire import fleet
 
@@ -15,6 +16,7 @@
     "GrantClaim",
     "IssueOrder",
     "PatchConfig",
+    "PublishTable",
     "RecordEngine",
     "SetDrain",
     "SetPresence",
@@ -44,6 +46,16 @@
     at_ms: int
 
 
+@final
+class PublishTable(msgspec.Struct, frozen=True, tag="table"):
+    """Publish a whole routing table; `source` is the text that was sent."""
+
+    table: route_table.RouteTable
+    source: bytes
+    operator: str
+    at_ms: int
+
+
 @final
 class GrantClaim(msgspec.Struct, frozen=True, tag="claim"):
     """Claim the only run of a non-repeatable request."""
@@ -154,6 +166,7 @@
     TakeLead
     | ChangeReplica
     | PatchConfig
+    | PublishTable
     | GrantClaim
     | SettleClaim
     | IssueOrder
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wisteriawall.config import document
+from wisteriawall.config import route_table
 from wisteriawall.control import membership
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
@@ -17,6 +18,7 @@
 from wisteriawall.wire import fleet
 from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
+from wisteriawall.wire import site_messages
 
 __all__ = [
     "Answer",
@@ -37,6 +39,8 @@
     "PatchRequest",
     "PeerMessage",
     "ProcessStatus",
+    "PublishReply",
+    "PublishRequest",
     "ReplicaAdd",
     "ReplicaRemove",
     "ReplicasReply",
@@ -46,8 +50,11 @@
     "SendLiveness",
     "StatusReply",
     "StatusRequest",
+    "TableReply",
+    "TableRequest",
     "Ticked",
     "Unavailable",
+    "UpstreamsRead",
     "VmListRead",
 ]
 
@@ -85,6 +92,35 @@
     document: document.Document
 
 
+@final
+class PublishRequest(msgspec.Struct, frozen=True, tag="publish"):
+    """An operator's whole routing table; `source` is the text it sent."""
+
+    operator: str
+    table: route_table.RouteTable
+    source: bytes
+
+
+@final
+class PublishReply(msgspec.Struct, frozen=True, tag="published"):
+    """What the log decided about a routing table."""
+
+    outcome: outcomes.TableHeld | outcomes.TableConflict
+
+
+@final
+class TableRequest(msgspec.Struct, frozen=True, tag="table"):
+    """Read the newest routing table."""
+
+
+@final
+class TableReply(msgspec.Struct, frozen=True, tag="table-is"):
+    """The newest table's text, empty when none was published."""
+
+    number: int
+    source: bytes
+
+
 @final
 class HistoryRequest(msgspec.Struct, frozen=True, tag="history"):
     """Read how the newest configuration numbers came about."""
@@ -237,7 +273,11 @@
     | control_messages.ClaimRequest
     | control_messages.SettleRequest
     | control_messages.OrderReport
+    | site_messages.Follow
+    | site_messages.JoinReplicas
     | PatchRequest
+    | PublishRequest
+    | TableRequest
     | ConfigRequest
     | HistoryRequest
     | DrainRequest
@@ -249,6 +289,8 @@
 Reply = (
     control_messages.ControlReply
     | PatchReply
+    | PublishReply
+    | TableReply
     | ConfigReply
     | HistoryReply
     | NotKept
@@ -295,6 +337,14 @@
     now_ms: int
 
 
+@final
+class UpstreamsRead(msgspec.Struct, frozen=True, tag="upstreams"):
+    """This leader read the platform's list of runners."""
+
+    upstreams: list[site_messages.Upstream]
+    now_ms: int
+
+
 @final
 class BatchEnded(msgspec.Struct, frozen=True, tag="batch"):
     """No more events wait: what the batch appended goes out together."""
@@ -302,7 +352,7 @@
     now_ms: int
 
 
-Event = Ticked | PeerMessage | Called | VmListRead | BatchEnded
+Event = Ticked | PeerMessage | Called | VmListRead | UpstreamsRead | BatchEnded
 
 
 @final
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -12,6 +12,7 @@
 from wisteriawall.control import orders
 from wisteriawall.control import outcomes
 from wisteriawall.control import state
+from wisteriawall.control import tables
 from wisteriawall.wire import fleet
 
 __all__ = ["Ledger", "apply"]
@@ -44,6 +45,8 @@
     match command:
         case commands.PatchConfig():
             return configuration.apply_patch(ledger, command)
+        case commands.PublishTable():
+            return tables.publish(ledger, command)
         case commands.GrantClaim():
             return claims.grant(ledger, index, command)
         case commands.SettleClaim():
--- a/src/wisteriawall/control/outcomes.py
+++ b/src/wisteriawall/control/outcomes.py
@@ -19,6 +19,8 @@
     "PatchIdReused",
     "PatchOutcome",
     "Recorded",
+    "TableConflict",
+    "TableHeld",
 ]
 
 
@@ -86,11 +88,28 @@
     reason: str
 
 
+@final
+class TableHeld(msgspec.Struct, frozen=True, tag="table-held"):
+    """A table was published, or one at least as new was already held."""
+
+    number: int
+    changed: bool
+
+
+@final
+class TableConflict(msgspec.Struct, frozen=True, tag="table-conflict"):
+    """Another table was published under the same number."""
+
+    number: int
+
+
 PatchOutcome = ConfigChanged | ConfigStale | ConfigInvalid | PatchIdReused
 Outcome = (
     PatchOutcome
     | ClaimOutcome
     | OrderIssued
+    | TableHeld
+    | TableConflict
     | OrderRefused
     | Recorded
     | Dropped
--- a/src/wisteriawall/control/reads.py
+++ b/src/wisteriawall/control/reads.py
@@ -8,7 +8,7 @@
 from wisteriawall.control import status as status_lib
 from wisteriawall.wire import control_messages
 
-__all__ = ["is_current", "read_config", "renew", "status"]
+__all__ = ["is_current", "read_config", "read_table", "renew", "status"]
 
 MAX_CONFIRMED_AGE_MS = 1_000
 
@@ -57,6 +57,16 @@
     return events.ConfigReply(found)
 
 
+def read_table(control: replica_state.Control, now_ms: int) -> events.Reply:
+    """Return the newest routing table, if this replica is sure of it."""
+    if not is_current(control, now_ms):
+        return events.Unavailable("not sure which table is the newest")
+    published = control.ledger.published
+    if published is None:
+        return events.TableReply(0, b"")
+    return events.TableReply(published.table.number, published.source)
+
+
 def status(
     control: replica_state.Control, whole: bool, now_ms: int
 ) -> events.Reply:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -15,12 +15,14 @@
 from wisteriawall.control import reads
 from wisteriawall.control import replica_state
 from wisteriawall.control import replicas
+from wisteriawall.control import site as site_lib
 from wisteriawall.control import snapshot as snapshot_lib
 from wisteriawall.control import writes
 from wisteriawall.policy import roles
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
+from wisteriawall.wire import site_messages
 
 __all__ = ["reduce"]
 
@@ -47,6 +49,8 @@
             yield from _on_call(control, event)
         case events.VmListRead(vm_by_name, _):
             control.vm_by_name = vm_by_name
+        case events.UpstreamsRead(upstreams, _):
+            site_lib.take_upstreams(control.site, upstreams, control.raft.term)
         case events.BatchEnded(now_ms):
             yield from _follow_raft(
                 control, raft_lib.flush(control.raft, now_ms)
@@ -160,6 +164,15 @@
             reply = events.HistoryReply(
                 control.ledger.history[: -limit - 1 : -1]
             )
+        case site_messages.Follow() as follow:
+            reply = site_lib.follow(
+                control.site, control.raft, control.ledger, follow, event.now_ms
+            )
+        case events.TableRequest():
+            reply = reads.read_table(control, event.now_ms)
+        case site_messages.JoinReplicas() as join:
+            yield from _join(control, join, event)
+            return
         case events.ReplicaAdd() | events.ReplicaRemove():
             yield from _change_members(control, event.request, event)
             return
@@ -221,6 +234,30 @@
     yield from _follow_raft(control, effects)
 
 
+def _join(
+    control: replica_state.Control,
+    join: site_messages.JoinReplicas,
+    event: events.Called,
+) -> Iterator[events.Effect]:
+    """Start the next membership change that a joining replica needs."""
+    raft = control.raft
+    if not raft.holds_lease(event.now_ms):
+        reply: events.Reply = control_messages.NotLeader(raft.leader)
+        yield events.Answer(event.call_id, reply)
+        return
+    request = replicas.next_change(raft, join)
+    if request is None:
+        yield events.Answer(event.call_id, site_messages.JoinReply(True))
+        return
+    effects = replicas.change(raft, request, event.wall_ms)
+    if isinstance(effects, events.ReplicasReply):
+        reply = site_messages.JoinReply(False, effects.refusal)
+    else:
+        yield from _follow_raft(control, effects)
+        reply = site_messages.JoinReply(False, "a change is under way")
+    yield events.Answer(event.call_id, reply)
+
+
 def _submit(
     control: replica_state.Control, command: commands.Command, now_ms: int
 ) -> Iterator[events.Effect]:
@@ -249,12 +286,25 @@
         # What is not applied yet would be decided a second time.
         return
     control.lead_due_ms = now_ms + LEAD_MS
+    yield from _remove_lost_replica(control, now_ms, wall_ms)
     liveness.forget_old(control.processes, now_ms)
     for command in list(_due_commands(control, now_ms, wall_ms)):
         yield from _submit(control, command, now_ms)
         control.lead_index = raft.last_index
 
 
+def _remove_lost_replica(
+    control: replica_state.Control, now_ms: int, wall_ms: int
+) -> Iterator[events.Effect]:
+    lost = replicas.lost(control.raft, now_ms)
+    if lost is None:
+        return
+    request = events.ReplicaRemove("leader", lost)
+    effects = replicas.change(control.raft, request, wall_ms)
+    if not isinstance(effects, events.ReplicasReply):
+        yield from _follow_raft(control, effects)
+
+
 def _due_commands(
     control: replica_state.Control, now_ms: int, wall_ms: int
 ) -> Iterator[commands.Command]:
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -8,6 +8,7 @@
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import renewal
+from wisteriawall.control import site as site_lib
 from wisteriawall.control import state
 from wisteriawall.policy import roles
 
@@ -56,6 +57,7 @@
         default_factory=renewal.DocumentSize
     )
     planner: roles.Planner = dataclasses.field(default_factory=roles.Planner)
+    site: site_lib.Site = dataclasses.field(default_factory=site_lib.Site)
     led_term: int = 0
     led_ms: int = 0
     lead_due_ms: int = 0
--- a/src/wisteriawall/control/replicas.py
+++ b/src/wisteriawall/control/replicas.py
@@ -6,8 +6,15 @@
 from wisteriawall.control import events
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.wire import raft_messages
+from wisteriawall.wire import site_messages
 
-__all__ = ["change"]
+# A replica cut off or restarting is back within seconds; one that stays
+# silent this long after a replacement has joined is not coming back.
+LOST_MS = 10_000
+# Fewer voters than this would not bear the loss of one.
+MIN_VOTERS = 3
+
+__all__ = ["change", "lost", "next_change"]
 
 
 def change(
@@ -37,3 +44,42 @@
             return raft_lib.add_member(raft, member, command)
         case events.ReplicaRemove(_, replica):
             return raft_lib.remove_member(raft, replica, command)
+
+
+def next_change(
+    raft: raft_lib.Raft, join: site_messages.JoinReplicas
+) -> events.ReplicaAdd | events.ReplicaRemove | None:
+    """Return the next step that makes a joining replica a member."""
+    if any(m.replica == join.replica for m in raft.members):
+        return None
+    for member in raft.members:
+        if _host(member.peer_address) == _host(join.peer_address):
+            return events.ReplicaRemove("leader", member.replica)
+    return events.ReplicaAdd(
+        "leader",
+        join.replica,
+        join.peer_address,
+        join.rpc_address,
+        join.admin_address,
+    )
+
+
+def lost(raft: raft_lib.Raft, now_ms: int) -> str | None:
+    """Return a member to remove: silent while enough others answer."""
+    if len(raft.voters) <= MIN_VOTERS:
+        return None
+    silent = [name for name in raft.others if _is_silent(raft, name, now_ms)]
+    heard = [name for name in raft.voters if name not in silent]
+    if not silent or len(heard) <= len(raft.voters) // 2:
+        return None
+    return silent[0]
+
+
+def _is_silent(raft: raft_lib.Raft, replica: str, now_ms: int) -> bool:
+    progress = raft.progress_by_peer.get(replica)
+    heard_ms = max(progress.heard_ms if progress else -1, raft.elected_ms)
+    return now_ms - heard_ms > LOST_MS
+
+
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -21,6 +21,7 @@
 from typing import TypeAlias
 from typing import final
 
+from wisteriawall import clock
 from wisteriawall.control import events
 from wisteriawall.control import membership
 from wisteriawall.control import raft
@@ -36,6 +37,7 @@
 from wisteriawall.wire import envelope
 from wisteriawall.wire import peer_messages
 from wisteriawall.wire import raft_messages
+from wisteriawall.wire import site_messages
 from wisteriawall.wire import transport
 
 __all__ = ["ControlShell"]
@@ -66,7 +68,15 @@
     vm_by_name: dict[str, membership.VmState]
 
 
-_Arrival: TypeAlias = peer_messages.PeerMessage | _Call | _VmList
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Upstreams:
+    """A list of runners that was read."""
+
+    upstreams: list[site_messages.Upstream]
+
+
+_Arrival: TypeAlias = peer_messages.PeerMessage | _Call | _VmList | _Upstreams
 _Deferred: TypeAlias = raft.SendPeer | events.SendLiveness | events.Answer
 
 
@@ -88,6 +98,8 @@
         on_failure: Called once when the disk fails and the replica stops
             acknowledging.
         metrics: Where answers are counted by kind.
+        founders: Members of the cluster that an empty folder founds, in place
+            of those in `peer_address_by_replica`.
 
     Raises:
         data_folder.FolderRefused: The folder is not this replica's to use.
@@ -107,6 +119,7 @@
         cluster: str = DEFAULT_CLUSTER,
         on_failure: Callable[[], None] = lambda: None,
         metrics: metrics_lib.Metrics | None = None,
+        founders: tuple[raft_messages.Member, ...] = (),
     ) -> None:
         self._metrics = metrics or metrics_lib.NoMetrics()
         sender = envelope.Sender(replica, incarnation)
@@ -118,7 +131,7 @@
         self._rpc_codec: envelope.Codec[object] = envelope.Codec(
             message_type=control_messages.ControlRequest, key=key, sender=sender
         )
-        founders = tuple(
+        founders = founders or tuple(
             raft_messages.Member(name, address)
             for name, address in sorted(peer_address_by_replica.items())
         )
@@ -173,6 +186,36 @@
         """Take a newly read VM list; safe from any thread."""
         self._queue.put(_VmList(vm_by_name))
 
+    def take_upstreams(self, upstreams: list[site_messages.Upstream]) -> None:
+        """Take a newly read list of runners; safe from any thread."""
+        self._queue.put(_Upstreams(upstreams))
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this replica holds the leader's lease now."""
+        return self._control.raft.holds_lease(clock.steady_ms())
+
+    @property
+    def replica(self) -> str:
+        """Return the name of this replica."""
+        return self._control.raft.replica
+
+    def admin_address(self, replica: str) -> str:
+        """Return where operators reach a member, empty if it is unknown."""
+        for member in self._control.raft.members:
+            if member.replica == replica:
+                return member.admin_address
+        return ""
+
+    def is_settled(self, *, silence_ms: int) -> bool:
+        """Tell whether this member heard a leader within `silence_ms`."""
+        replica = self._control.raft
+        if all(m.replica != replica.replica for m in replica.members):
+            return False
+        if replica.role is raft.RaftRole.LEADER:
+            return True
+        return clock.steady_ms() - replica.leader_heard_ms <= silence_ms
+
     def call(self, request: events.Request) -> events.Reply:
         """Return the reply to `request`; safe from any thread."""
         if self._failure:
@@ -280,20 +323,22 @@
         would let a leader act on a lease that ran out meanwhile.
         """
         if is_due:
-            yield events.Ticked(_monotonic_ms(), _wall_ms())
+            yield events.Ticked(clock.steady_ms(), clock.wall_ms())
         for arrived in batch:
             match arrived:
                 case _Call(call_id, request):
                     yield events.Called(
-                        call_id, request, _monotonic_ms(), _wall_ms()
+                        call_id, request, clock.steady_ms(), clock.wall_ms()
                     )
+                case _Upstreams(upstreams):
+                    yield events.UpstreamsRead(upstreams, clock.steady_ms())
                 case _VmList(vm_by_name):
-                    yield events.VmListRead(vm_by_name, _monotonic_ms())
+                    yield events.VmListRead(vm_by_name, clock.steady_ms())
                 case message:
                     yield events.PeerMessage(
-                        message, _monotonic_ms(), _wall_ms()
+                        message, clock.steady_ms(), clock.wall_ms()
                     )
-        yield events.BatchEnded(_monotonic_ms())
+        yield events.BatchEnded(clock.steady_ms())
 
     def _follow_members(self) -> None:
         """Connect to the replicas of the newest membership."""
@@ -351,11 +396,3 @@
                 future = self._future_by_call.get(call_id)
                 if future is not None and not future.done():
                     future.set_result(reply)
-
-
-def _monotonic_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/wisteriawall/control/state.py
+++ b/src/wisteriawall/control/state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wisteriawall.config import document
+from wisteriawall.config import route_table
 from wisteriawall.control import outcomes
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import fleet
@@ -23,6 +24,7 @@
     "KeptPatch",
     "Ledger",
     "Presence",
+    "PublishedTable",
     "RunnerState",
     "view_of",
 ]
@@ -41,6 +43,7 @@
     DRAIN = "drain"
     LEADERSHIP = "leadership"
     REPLICA = "replica"
+    TABLE = "table"
 
 
 @final
@@ -74,6 +77,19 @@
     undo: bytes
 
 
+@final
+class PublishedTable(msgspec.Struct, frozen=True):
+    """The routing table in force and the text that its operator sent.
+
+    `digest` tells a repeated publication from another table under the same
+    number.
+    """
+
+    table: route_table.RouteTable
+    source: bytes
+    digest: bytes
+
+
 @final
 class KeptPatch(msgspec.Struct, frozen=True):
     """First outcome of a patch id, and the digest of what was asked."""
@@ -175,6 +191,7 @@
     )
     running_claim_ids: set[int] = dataclasses.field(default_factory=set)
     kept_answer_bytes: int = 0
+    published: PublishedTable | None = None
     audit: list[AuditRecord] = dataclasses.field(default_factory=list)
 
     def fleet_view(self, held_version: int = 0) -> fleet.FleetView:
--- a/src/wisteriawall/control/writes.py
+++ b/src/wisteriawall/control/writes.py
@@ -15,6 +15,8 @@
             return commands.PatchConfig(
                 patch_id, operator, base_number, change, wall_ms
             )
+        case events.PublishRequest(operator, table, source):
+            return commands.PublishTable(table, source, operator, wall_ms)
         case events.DrainRequest(operator, runner, undo):
             return commands.SetDrain(runner, not undo, operator, wall_ms)
         case control_messages.ClaimRequest():
@@ -62,6 +64,10 @@
             | outcomes.PatchIdReused()
         ):
             return events.PatchReply(outcome, 0, 0)
+        case commands.PublishTable(), (
+            outcomes.TableHeld() | outcomes.TableConflict()
+        ):
+            return events.PublishReply(outcome)
         case commands.GrantClaim(), outcomes.ClaimOutcome(
             verdict, claim_id, answer
         ):
--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -12,10 +12,10 @@
 import urllib3.connection
 
 from wisteriawall import errors
-from wisteriawall.entry import connections
 from wisteriawall.entry import events
 from wisteriawall.entry import parsing
 from wisteriawall.entry import sse
+from wisteriawall.web import connections
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import headers
 
--- a/src/wisteriawall/entry/claims.py
+++ b/src/wisteriawall/entry/claims.py
@@ -6,6 +6,7 @@
 import time
 from typing import final
 
+from wisteriawall import clock
 from wisteriawall.entry import events
 from wisteriawall.wire import control_client
 from wisteriawall.wire import control_messages
@@ -56,10 +57,12 @@
         message = self._claim_request(ask)
         reply = self._call(message)
         if isinstance(reply, control_messages.ClaimReply):
-            self._submit(events.ClaimDecided(ask.request_id, reply, _now_ms()))
+            self._submit(
+                events.ClaimDecided(ask.request_id, reply, clock.steady_ms())
+            )
             return
         time.sleep(ASK_PAUSE_S)
-        self._submit(events.ClaimFailed(ask.request_id, _now_ms()))
+        self._submit(events.ClaimFailed(ask.request_id, clock.steady_ms()))
 
     def settle(self, settle: events.Settle) -> None:
         """Record an outcome; keep it for later if control is away."""
@@ -124,7 +127,3 @@
             return self._control.call(message)
         except control_client.ControlUnavailable:
             return None
-
-
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
--- a/src/wisteriawall/entry/relay.py
+++ b/src/wisteriawall/entry/relay.py
@@ -3,9 +3,9 @@
 from typing import final
 
 from wisteriawall.entry import attempt as attempt_lib
-from wisteriawall.entry import connections
 from wisteriawall.entry import events
 from wisteriawall.entry import parsing
+from wisteriawall.web import connections
 from wisteriawall.wire import headers
 
 __all__ = ["Relay"]
--- a/src/wisteriawall/entry/run.py
+++ b/src/wisteriawall/entry/run.py
@@ -7,10 +7,10 @@
 import logging
 import queue
 import threading
-import time
 from typing import Protocol
 from typing import final
 
+from wisteriawall import clock
 from wisteriawall.entry import attempt as attempt_lib
 from wisteriawall.entry import completion
 from wisteriawall.entry import events
@@ -116,7 +116,7 @@
     def close(self) -> None:
         """End the request, whether or not its answer was complete."""
         self._answer.close()
-        self._submit(events.CallerGone(self._request_id, _now_ms()))
+        self._submit(events.CallerGone(self._request_id, clock.steady_ms()))
         self._settle_rest()
         self._on_close()
 
@@ -200,7 +200,7 @@
                 dispatch.attempt,
                 run,
                 message,
-                _now_ms(),
+                clock.steady_ms(),
                 refused,
             )
         )
@@ -237,7 +237,7 @@
                 started = True
                 self._submit(
                     events.Started(
-                        self._request_id, dispatch.attempt, _now_ms()
+                        self._request_id, dispatch.attempt, clock.steady_ms()
                     )
                 )
             self._transcript.add(event)
@@ -326,7 +326,7 @@
                 dispatch.request_id,
                 dispatch.attempt,
                 answer,
-                _now_ms(),
+                clock.steady_ms(),
                 len(self._transcript.events),
             )
         )
@@ -378,7 +378,3 @@
     return fleet.KeptAnswer(
         409, "application/json", refusal_lib.to_json(refusal)
     )
-
-
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
--- a/src/wisteriawall/entry/shell.py
+++ b/src/wisteriawall/entry/shell.py
@@ -11,6 +11,7 @@
 from typing import final
 import uuid
 
+from wisteriawall import clock
 from wisteriawall.config import document
 from wisteriawall.entry import attempt as attempt_lib
 from wisteriawall.entry import claims as claims_lib
@@ -149,7 +150,7 @@
         self._leaving = True
         deadline = self._drain_deadline()
         time.sleep(self._limits.grace_s)
-        self._submit(events.Stopping(_now_ms()))
+        self._submit(events.Stopping(clock.steady_ms()))
         cut = self._await_end(deadline)
         self._await_settled()
         self._stopping.set()
@@ -163,7 +164,9 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        return not self._leaving and _now_ms() < self._entry.lease_until_ms
+        return (
+            not self._leaving and clock.steady_ms() < self._entry.lease_until_ms
+        )
 
     @property
     def is_refusing(self) -> bool:
@@ -303,7 +306,7 @@
         return run
 
     def _hang_up(self, request_id: str) -> None:
-        self._submit(events.CallerGone(request_id, _now_ms()))
+        self._submit(events.CallerGone(request_id, clock.steady_ms()))
         self.callers_gone += 1
 
     def _forget(self, request_id: str) -> None:
@@ -327,7 +330,7 @@
         if isinstance(message, load_messages.CacheEvents):
             self._submit(events.CacheChanged(message))
         else:
-            self._submit(events.LoadReported(message, _now_ms()))
+            self._submit(events.LoadReported(message, clock.steady_ms()))
 
     def _renew_once(self) -> None:
         with self._lock:
@@ -342,7 +345,7 @@
         self._feed.follow(subset.feeds(self._entry.config, chosen))
 
     def _renew_with(self, demand: list[fleet.ServiceDemand]) -> None:
-        asked_ms = _now_ms()
+        asked_ms = clock.steady_ms()
         message = control_messages.Renew(
             process=f"entry/{self._name}",
             incarnation=self._incarnation,
@@ -371,7 +374,7 @@
         prefill_tokens=request.prefill_tokens,
         decode_tokens=request.decode_tokens,
         prefix_hashes=list(request.prefix_hashes),
-        now_ms=_now_ms(),
+        now_ms=clock.steady_ms(),
     )
 
 
@@ -385,7 +388,3 @@
         return server_lib.refuse(start_response, refusals.PROBE_METHOD)
     status = 200 if healthy else 503
     return server_lib.respond(start_response, status=status, body=b"{}")
-
-
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
--- /dev/null
+++ b/src/wisteriawall/platform/operators.py
@@ -0,0 +1,272 @@
+"""The operators' calls on the platform, answered by a control replica."""
+
+import logging
+from typing import Literal
+from typing import final
+
+import msgspec
+
+from wisteriawall.config import route_table
+from wisteriawall.control import events
+from wisteriawall.control import outcomes
+from wisteriawall.control import shell as shell_lib
+from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import server as server_lib
+from wisteriawall.wire import control_messages
+
+__all__ = ["OperatorApp", "TableInvalid", "decode_table"]
+
+_LOG = logging.getLogger("operators")
+
+PUBLISH_PATH = "/Configuration.Put"
+READ_PATH = "/Configuration.Get"
+OPERATOR = "platform"
+BITS_PER_MS_IN_MBPS = 1_000
+
+_KIND_BY_TYPE = {
+    "read_only": route_table.RequestKind.READ_ONLY,
+    "non_idempotent": route_table.RequestKind.AT_MOST_ONCE,
+    "streaming": route_table.RequestKind.STREAM,
+}
+
+
+class TableInvalid(ValueError):
+    """A document is not a valid routing table."""
+
+
+@final
+class _Weighted(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+@final
+class _Route(msgspec.Struct, frozen=True):
+    """A route; `type` says what of its requests may be repeated."""
+
+    name: str
+    host: str
+    path_prefix: str
+    type: Literal["read_only", "non_idempotent", "streaming"]
+    timeout_ms: int
+    target_latency_ms: int
+    service: str | None = None
+    weighted_services: list[_Weighted] | None = None
+    # Lower is more urgent.
+    priority: int = 0
+    max_attempts: int = 1
+    # Its requests carry prompts whose parts are worth keeping together.
+    sticky_sessions: bool = False
+    resumable: bool = False
+    # Longest pause between two events of an answer that is in time.
+    target_gap_ms: int = 0
+
+
+@final
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int
+    kv_cache_tokens: int
+    kv_token_bytes: int
+    link_mbps: float
+
+
+@final
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = "/health"
+    connection_limit: int = 100
+    engine: _Engine | None = None
+
+
+@final
+class _Limits(msgspec.Struct, frozen=True):
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_ms: int = 3_000
+    idle_ms: int = 15_000
+
+
+@final
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+def decode_table(body: bytes) -> route_table.RouteTable:
+    """Return the routing table that an operator sent.
+
+    Raises:
+        TableInvalid: It can't be read in full, or breaks a rule.
+    """
+    try:
+        document = msgspec.json.decode(body, type=_Document)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise TableInvalid(str(error)) from error
+    table = route_table.RouteTable(
+        number=document.version,
+        routes=[_route(route) for route in document.routes],
+        services=[_service(service) for service in document.services],
+        limits=route_table.CallerLimits(
+            head_bytes=document.limits.header_bytes,
+            body_bytes=document.limits.body_bytes,
+            head_ms=document.limits.header_ms,
+            idle_ms=document.limits.idle_ms,
+        ),
+    )
+    faults = route_table.faults(table)
+    if faults:
+        raise TableInvalid("; ".join(faults))
+    return table
+
+
+def _route(route: _Route) -> route_table.Route:
+    shares = [
+        route_table.Share(weighted.service, weighted.weight)
+        for weighted in route.weighted_services or ()
+    ]
+    if not shares and route.service is not None:
+        shares = [route_table.Share(route.service, 1)]
+    return route_table.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=_KIND_BY_TYPE[route.type],
+        timeout_ms=route.timeout_ms,
+        goal_ms=route.target_latency_ms,
+        pause_goal_ms=route.target_gap_ms,
+        rank=route.priority,
+        shares=shares,
+        max_attempts=max(1, route.max_attempts),
+        has_prompt=route.sticky_sessions,
+        resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> route_table.RoutedService:
+    engine = service.engine
+    traits = None
+    if engine is not None:
+        traits = route_table.EngineTraits(
+            slots=engine.slots,
+            memory_tokens=engine.kv_cache_tokens,
+            token_bytes=engine.kv_token_bytes,
+            link_bits_per_ms=engine.link_mbps * BITS_PER_MS_IN_MBPS,
+        )
+    return route_table.RoutedService(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.connection_limit,
+        engine=traits,
+    )
+
+
+@final
+class OperatorApp:
+    """WSGI application for publishing and reading the routing table.
+
+    The platform's operators bring no token, so whoever reaches the listener
+    may publish; the platform keeps others away from it.
+
+    Args:
+        shell: Replica that answers.
+    """
+
+    def __init__(self, *, shell: shell_lib.ControlShell) -> None:
+        self._shell = shell
+
+    def __call__(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        """Serve one request."""
+        body = server_lib.read_body(environ)
+        request: events.Request
+        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
+            case "POST", "/Configuration.Put":
+                try:
+                    table = decode_table(body)
+                except TableInvalid as error:
+                    _LOG.info("operators: refused a table: %s", error)
+                    return server_lib.refuse(start_response, _invalid(error))
+                request = events.PublishRequest(OPERATOR, table, body)
+            case "GET", "/Configuration.Get":
+                request = events.TableRequest()
+            case _:
+                return server_lib.refuse(start_response, _NOT_FOUND)
+        reply = self._shell.call(request)
+        _LOG.info(
+            "operators: %s answered %s",
+            environ["PATH_INFO"],
+            type(reply).__name__,
+        )
+        return self._respond(environ, start_response, reply)
+
+    def _respond(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+        reply: events.Reply,
+    ) -> server_lib.Response:
+        match reply:
+            case events.PublishReply(outcomes.TableHeld(number)):
+                return server_lib.respond(
+                    start_response,
+                    status=200,
+                    body=msgspec.json.encode({"version": number}),
+                )
+            case events.PublishReply(outcomes.TableConflict(number)):
+                return server_lib.refuse(start_response, _conflict(number))
+            case events.TableReply(number, source) if number:
+                return server_lib.respond(
+                    start_response, status=200, body=source
+                )
+            case control_messages.NotLeader(leader):
+                return self._redirect(environ, start_response, leader)
+            case _:
+                return server_lib.refuse(start_response, _UNAVAILABLE)
+
+    def _redirect(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+        leader: str,
+    ) -> server_lib.Response:
+        address = self._shell.admin_address(leader)
+        if not address:
+            return server_lib.refuse(start_response, _UNAVAILABLE)
+        return server_lib.respond(
+            start_response,
+            status=307,
+            body=b"{}",
+            headers=[("Location", f"http://{address}{environ['PATH_INFO']}")],
+        )
+
+
+_NOT_FOUND = refusal_lib.Refusal(
+    status=404,
+    code=refusal_lib.Code.NOT_FOUND,
+    message="no such operator call",
+)
+_UNAVAILABLE = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.UNAVAILABLE,
+    message="this replica can't tell now; ask another one",
+    run=refusal_lib.RunState.UNKNOWN,
+)
+
+
+def _invalid(error: TableInvalid) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=400, code=refusal_lib.Code.INVALID, message=str(error)
+    )
+
+
+def _conflict(number: int) -> refusal_lib.Refusal:
+    return refusal_lib.Refusal(
+        status=409,
+        code=refusal_lib.Code.STALE_CONFIG,
+        message=f"another table was published under number {number}",
+    )
--- a/src/wisteriawall/storage/data_folder.py
+++ b/src/wisteriawall/storage/data_folder.py
@@ -17,7 +17,7 @@
 from wisteriawall.storage import records
 from wisteriawall.wire import raft_messages
 
-__all__ = ["DataFolder", "FolderRefused", "Identity"]
+__all__ = ["DataFolder", "FolderRefused", "Identity", "owner"]
 
 FORMAT_VERSION = 1
 IDENTITY_NAME = "identity"
@@ -146,6 +146,21 @@
             )
 
 
+def owner(path: pathlib.Path) -> str:
+    """Return the replica that a folder belongs to, empty for a new one.
+
+    Raises:
+        records.LogDamaged: The folder's identity can't be read.
+    """
+    file = path / IDENTITY_NAME
+    if not file.exists():
+        return ""
+    payloads, _ = records.scan(file.read_bytes(), path=file, is_newest=False)
+    if len(payloads) != 1:
+        raise records.LogDamaged(file, "no identity", "one record")
+    return records.decode(_DECODER, payloads[0], file).replica
+
+
 def _has_no_entry(path: pathlib.Path) -> bool:
     payloads, _ = records.scan(path.read_bytes(), path=path, is_newest=True)
     return len(payloads) <= 1
--- a/src/wisteriawall/web/connection.py
+++ b/src/wisteriawall/web/connection.py
@@ -16,9 +16,17 @@
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import watch as watch_lib
 
-__all__ = ["CONNECTION", "Caller", "Connection", "Gateway", "error_response"]
+__all__ = [
+    "CONNECTION",
+    "RAW_HEADERS",
+    "Caller",
+    "Connection",
+    "Gateway",
+    "error_response",
+]
 
 CONNECTION = "wisteriawall.connection"
+RAW_HEADERS = "wisteriawall.headers"
 RESET = struct.pack("ii", 1, 0)
 CODE_BY_STATUS = {
     408: refusal_lib.Code.REQUEST_TIMEOUT,
@@ -158,8 +166,15 @@
         """Return the request's environ."""
         environ: dict[str, Any] = super().get_environ()  # type: ignore
         environ[CONNECTION] = self.req.conn.caller
+        environ[RAW_HEADERS] = self.req.inheaders
         return environ
 
+    def respond(self) -> None:
+        """Serve the request; the last one of a stopping server closes."""
+        if self.req.server.closing:
+            self.req.close_connection = True
+        super().respond()
+
     def write(self, chunk: bytes) -> None:
         """Send a chunk, or only the head in answer to HEAD."""
         if self.req.method == b"HEAD":
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -26,6 +26,7 @@
     "Response",
     "StartResponse",
     "caller",
+    "raw_headers",
     "read_body",
     "refuse",
     "respond",
@@ -120,6 +121,10 @@
         self._thread.join(timeout=5.0)
         self._watch.stop()
 
+    def close_after_answers(self) -> None:
+        """Have every answer from now on close its connection."""
+        self._server.closing = True
+
     @property
     def busy_threads(self) -> int:
         """Return how many workers serve a connection now."""
@@ -147,6 +152,7 @@
     ConnectionClass = connection_lib.Connection
     watch: watch_lib.ConnectionWatch
     read_deadline_s: float
+    closing = False
 
     def process_conn(self, conn: connection_lib.Connection) -> None:
         """Queue a connection for a worker, or refuse it at once."""
@@ -171,6 +177,15 @@
     return found
 
 
+def raw_headers(environ: Environ) -> dict[str, str]:
+    """Return the headers as they arrived, by their name in title case."""
+    found = environ[connection_lib.RAW_HEADERS]
+    return {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in found.items()
+    }
+
+
 def read_body(environ: Environ) -> bytes:
     """Return the whole request body.
 
@@ -218,12 +233,22 @@
 
 
 def refuse(
-    start_response: StartResponse, refusal: refusal_lib.Refusal
+    start_response: StartResponse,
+    refusal: refusal_lib.Refusal,
+    *,
+    exact_retry: bool = False,
 ) -> Response:
-    """Send a refusal as JSON."""
+    """Send a refusal as JSON.
+
+    With `exact_retry`, `Retry-After` has a fraction where it needs one; only
+    some callers read it.
+    """
     headers = []
     if refusal.retry_after_ms:
-        headers.append(("Retry-After", str(refusal.retry_after_s)))
+        after = str(refusal.retry_after_s)
+        if exact_retry:
+            after = f"{refusal.retry_after_ms / 1000:.3f}"
+        headers.append(("Retry-After", after))
     if refusal.allow:
         headers.append(("Allow", refusal.allow))
     return respond(
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -38,12 +38,24 @@
         self._codec: envelope.Codec[object] = envelope.Codec(
             message_type=control_messages.ControlReply, key=key, sender=sender
         )
-        self._client_by_replica = {
-            replica: transport.RpcClient(address=address)
-            for replica, address in address_by_replica.items()
-        }
-        self._preferred = next(iter(self._client_by_replica))
         self._lock = threading.Lock()
+        self._address_by_replica: dict[str, str] = {}
+        self._client_by_replica: dict[str, transport.RpcClient] = {}
+        self._preferred = next(iter(address_by_replica))
+        self.follow(address_by_replica)
+
+    def follow(self, address_by_replica: Mapping[str, str]) -> None:
+        """Call exactly these replicas; unchanged ones stay connected."""
+        with self._lock:
+            clients = dict(self._client_by_replica)
+            for replica, address in self._address_by_replica.items():
+                if address_by_replica.get(replica) != address:
+                    clients.pop(replica).close()
+            for replica, address in address_by_replica.items():
+                if replica not in clients:
+                    clients[replica] = transport.RpcClient(address=address)
+            self._address_by_replica = dict(address_by_replica)
+            self._client_by_replica = clients
 
     def call(
         self, request: control_messages.ControlRequest
@@ -73,6 +85,11 @@
             if reply is not None:
                 yield reply
 
+    @property
+    def address_by_replica(self) -> dict[str, str]:
+        """Return the RPC address of every replica that is called."""
+        return dict(self._address_by_replica)
+
     @property
     def majority(self) -> int:
         """Return how many replicas form a quorum."""
@@ -86,10 +103,9 @@
     def _candidates(self) -> Iterator[str]:
         """Yield replicas to try: the preferred one, then each of the rest."""
         tried: set[str] = set()
-        while len(tried) < len(self._client_by_replica):
+        while rest := set(self._client_by_replica) - tried:
             preferred = self._preferred
-            if preferred in tried:
-                rest = set(self._client_by_replica) - tried
+            if preferred not in rest:
                 preferred = min(rest)
             tried.add(preferred)
             yield preferred
@@ -102,10 +118,11 @@
     def _call_one(
         self, replica: str, request: control_messages.ControlRequest
     ) -> control_messages.ControlReply | None:
+        client = self._client_by_replica.get(replica)
+        if client is None:
+            return None
         try:
-            data = self._client_by_replica[replica].call(
-                self._codec.encode(request)
-            )
+            data = client.call(self._codec.encode(request))
             _, reply = self._codec.decode(data)
         except (transport.RpcTimeout, envelope.MessageRejected):
             return None
--- a/src/wisteriawall/wire/control_messages.py
+++ b/src/wisteriawall/wire/control_messages.py
@@ -7,6 +7,7 @@
 
 from wisteriawall.config import document
 from wisteriawall.wire import fleet
+from wisteriawall.wire import site_messages
 
 __all__ = [
     "ClaimReply",
@@ -162,5 +163,20 @@
     leader: str
 
 
-ControlRequest = Renew | ClaimRequest | SettleRequest | OrderReport
-ControlReply = Grant | ClaimReply | SettleReply | OrderReportReply | NotLeader
+ControlRequest = (
+    Renew
+    | ClaimRequest
+    | SettleRequest
+    | OrderReport
+    | site_messages.Follow
+    | site_messages.JoinReplicas
+)
+ControlReply = (
+    Grant
+    | ClaimReply
+    | SettleReply
+    | OrderReportReply
+    | NotLeader
+    | site_messages.Followed
+    | site_messages.JoinReply
+)
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -94,12 +94,10 @@
     def __init__(
         self, *, address: str, timeout_ms: int = RPC_TIMEOUT_MS
     ) -> None:
-        self._socket = pynng.Req0(
-            recv_timeout=timeout_ms,
-            send_timeout=timeout_ms,
-            resend_time=RESEND_NEVER_MS,
-        )
-        self._socket.dial(f"tcp://{address}", block=False)
+        self._address = address
+        self._timeout_ms = timeout_ms
+        self._lock = threading.Lock()
+        self._socket = self._connect()
 
     def call(self, request: bytes) -> bytes:
         """Return the answer to `request`.
@@ -107,18 +105,36 @@
         Raises:
             RpcTimeout: No answer came within the timeout.
         """
+        socket = self._socket
         try:
-            with self._socket.new_context() as context:
+            with socket.new_context() as context:
                 context.send(request)
                 answer: bytes = context.recv()
                 return answer
         except pynng.NNGException as error:
+            self._replace(socket)
             raise RpcTimeout(f"no answer: {error}") from error
 
     def close(self) -> None:
         """Release the connection."""
         self._socket.close()
 
+    def _connect(self) -> pynng.Req0:
+        socket = pynng.Req0(
+            recv_timeout=self._timeout_ms,
+            send_timeout=self._timeout_ms,
+            resend_time=RESEND_NEVER_MS,
+        )
+        socket.dial(f"tcp://{self._address}", block=False)
+        return socket
+
+    def _replace(self, silent: pynng.Req0) -> None:
+        """Connect anew: a connection may have gone silent without a reset."""
+        with self._lock:
+            if self._socket is silent:
+                self._socket = self._connect()
+                silent.close()
+
 
 @final
 class PeerServer:
