--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -19,7 +19,6 @@
 FIRST_URGENCY = 3
 # A prompt that can't be in time anyway gives way to those that can.
 LATE_URGENCY = 8
-LEAST_URGENT = 9
 BITS_PER_BYTE = 8
 
 
@@ -98,7 +97,7 @@
         request_id=key,
         parts=parts,
         output_tokens=prompt.output_tokens,
-        rank=route.rank,
+        rank=_urgency(route),
     )
 
 
@@ -231,7 +230,7 @@
     placement: placement_lib.Placement,
     now_ms: int,
 ) -> Iterator[events.Effect]:
-    urgency = FIRST_URGENCY + request.route.rank
+    urgency = _urgency(request.route)
     if placement.first_token_ms > request.route.goal_ms:
         urgency = LATE_URGENCY
     match placement:
@@ -243,13 +242,17 @@
         upstream=gateway.upstream_by_id[upstream_id],
         leg=leg,
         attempt=request.arrivals + 1,
-        urgency=min(LEAST_URGENT, urgency),
+        urgency=urgency,
     )
     yield from _send(
         gateway, request, send, now_ms, unread_tokens=placement.unread_tokens
     )
 
 
+def _urgency(route: route_table.Route) -> int:
+    return min(LATE_URGENCY, FIRST_URGENCY + route.rank)
+
+
 def _send(
     gateway: state_lib.Gateway,
     request: state_lib.Request,
@@ -270,9 +273,22 @@
         request.key,
         unread_tokens,
         request.prompt.parts if request.prompt else (),
-        request.route.rank,
+        send.urgency,
     )
     _apply(gateway, step, now_ms)
+    yield events.Decided(
+        decision="sent",
+        key=request.key,
+        inputs={
+            "route": request.route.name,
+            "leg": send.leg.value,
+            "upstream": send.upstream.upstream_id,
+            "attempt": send.attempt,
+            "left_ms": request.until_ms - now_ms,
+            "table": gateway.table_number,
+            "list": gateway.list_position,
+        },
+    )
     yield events.Tell(event=step)
     yield send
 
@@ -288,6 +304,7 @@
     assert isinstance(placement, placement_lib.HandOver)
     reader = request.sent.upstream
     _learn_pace(gateway, request, event.now_ms)
+    yield _reached(request, "prompt-read", event.now_ms)
     yield from _step(
         gateway, request, site_messages.LoadStep.ENDED, event.now_ms
     )
@@ -318,7 +335,7 @@
             if upstream.stage is not site_messages.Stage.PREFILL
         ),
         key=lambda u: gateway.load_by_id[u.upstream_id].wait_ms(
-            speeds, now_ms=now_ms, rank=request.route.rank
+            speeds, now_ms=now_ms, rank=_urgency(request.route)
         ),
         default=None,
     )
@@ -333,11 +350,31 @@
     request.began = True
     if request.sent.leg is calls.Leg.WHOLE:
         _learn_pace(gateway, request, event.now_ms)
+    yield _reached(request, "began", event.now_ms)
     yield from _step(
         gateway, request, site_messages.LoadStep.BEGAN, event.now_ms
     )
 
 
+def _reached(
+    request: state_lib.Request, decision: str, now_ms: int
+) -> events.Decided:
+    """Return the line that compares a leg's progress with its forecast."""
+    assert request.sent is not None
+    inputs: dict[str, object] = {
+        "upstream": request.sent.upstream.upstream_id,
+        "leg": request.sent.leg.value,
+        "leg_ms": now_ms - request.sent_ms,
+        "ms": now_ms - request.arrived_ms,
+    }
+    if request.placement is not None and request.prompt is not None:
+        inputs["forecast_ms"] = round(request.placement.first_token_ms)
+        inputs["forecast_wait_ms"] = round(request.placement.wait_ms)
+        inputs["unread_tokens"] = request.placement.unread_tokens
+        inputs["tokens"] = request.prompt.tokens
+    return events.Decided(decision=decision, key=request.key, inputs=inputs)
+
+
 def _learn_pace(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> None:
@@ -348,11 +385,16 @@
     if load is None or placement is None:
         return
     speeds = gateway.tuning.options.speeds
-    expected_ms = placement.wait_ms + placement.unread_tokens * (
-        load.ms_per_token(speeds)
+    if request.prompt is None or placement.wait_ms > 0:
+        # A forecast of the queue says little about the engine's own pace.
+        return
+    read_ms = load.pace * load.read_ms(
+        speeds,
+        unread=placement.unread_tokens,
+        tokens=request.prompt.tokens,
     )
     took_ms = now_ms - request.sent_ms - speeds.first_ms
-    load.observe(expected_ms=expected_ms, took_ms=max(0.0, took_ms))
+    load.observe(expected_ms=read_ms, took_ms=max(0.0, took_ms))
 
 
 def _fail(
@@ -476,10 +518,15 @@
         return
     match step.step:
         case site_messages.LoadStep.SENT:
+            tokens = sum(tokens for _, tokens in step.parts)
             load.send(
                 step.request_id,
                 step.parts,
-                unread_tokens=step.unread_tokens,
+                read_ms=load.read_ms(
+                    gateway.tuning.options.speeds,
+                    unread=step.unread_tokens,
+                    tokens=tokens,
+                ),
                 rank=step.rank,
                 now_ms=now_ms,
             )
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -34,14 +34,16 @@
 
 # Share of an engine's memory that holds parts no running request needs.
 CACHE_SHARE = 0.85
+# Share of it that running requests may take before the next one waits.
+ROOM_SHARE = 0.9
+# A prompt that waits for memory waits until a long answer ends.
+ROOM_WAIT_MS = 1_000.0
 # Weight of one observation in the learnt pace of an engine.
-PACE_GAIN = 0.1
-MIN_PACE = 0.7
+PACE_GAIN = 0.05
+MIN_PACE = 0.5
 MAX_PACE = 6.0
 # Shorter expectations say more of the network than of the engine.
 MIN_OBSERVED_MS = 30.0
-# A prompt that is overdue by this factor was lost or its engine stands still.
-OVERDUE = 4.0
 
 
 @final
@@ -49,16 +51,21 @@
 class Speeds:
     """How fast engines read prompts, before anything is learnt of them.
 
-    A decode engine reads at half speed between the tokens of its answers.
-    `first_ms` is the time from the end of reading to the first token, and
-    `hand_over_ms` that from one engine's last read token to the other's start
-    beside the transfer itself.
+    A decode engine reads in smaller pieces between the tokens of its answers.
+    Attention makes a token dearer the more tokens stand before it, which
+    `prefill_ms_per_mega_pair` counts by pairs of tokens. `first_ms` is the
+    time from the end of reading to the first token, and `hand_over_ms` that
+    from one engine's last read token to the other's start beside the transfer
+    itself. Each answer in progress delays the others by `answer_ms`.
     """
 
-    prefill_tokens_per_ms: float = 50.0
-    decode_tokens_per_ms: float = 25.0
-    first_ms: float = 25.0
-    hand_over_ms: float = 15.0
+    prefill_tokens_per_ms: float = 36.0
+    decode_tokens_per_ms: float = 14.5
+    prefill_ms_per_mega_pair: float = 0.37
+    decode_ms_per_mega_pair: float = 0.74
+    first_ms: float = 18.0
+    hand_over_ms: float = 25.0
+    answer_ms: float = 2.0
 
 
 @final
@@ -95,8 +102,9 @@
 class _Read:
     """A prompt that was sent and whose first token has not come."""
 
-    unread_tokens: int
+    read_ms: float
     rank: int
+    tokens: int
 
 
 @final
@@ -108,8 +116,8 @@
         "_memory_tokens",
         "_parts_tokens",
         "_read_by_id",
-        "_running_ids",
         "_tokens_by_part",
+        "_tokens_by_running",
         "is_reader",
         "pace",
     )
@@ -119,7 +127,7 @@
         self.pace = 1.0
         self._memory_tokens = memory_tokens
         self._read_by_id: OrderedDict[str, _Read] = OrderedDict()
-        self._running_ids: set[str] = set()
+        self._tokens_by_running: dict[str, int] = {}
         self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
         self._parts_tokens = 0
         self._head_since_ms = 0
@@ -127,7 +135,7 @@
     @property
     def in_flight(self) -> int:
         """Return how many requests the engine has."""
-        return len(self._read_by_id) + len(self._running_ids)
+        return len(self._read_by_id) + len(self._tokens_by_running)
 
     @property
     def waiting(self) -> int:
@@ -147,48 +155,59 @@
 
     def wait_ms(self, speeds: Speeds, *, now_ms: int, rank: int) -> float:
         """Return how long a prompt of `rank` waits before it is read."""
+        del speeds
         total = 0.0
-        per_token = self.ms_per_token(speeds)
         for number, read in enumerate(self._read_by_id.values()):
             if number == 0:
                 took_ms = now_ms - self._head_since_ms
-                head_ms = read.unread_tokens * per_token
-                total += max(0.0, head_ms - took_ms)
+                total += max(0.0, read.read_ms * self.pace - took_ms)
             elif read.rank <= rank:
-                total += read.unread_tokens * per_token
+                total += read.read_ms * self.pace
         return total
 
-    def ms_per_token(self, speeds: Speeds) -> float:
-        """Return the expected time to read one token."""
-        rate = speeds.decode_tokens_per_ms
+    def read_ms(self, speeds: Speeds, *, unread: int, tokens: int) -> float:
+        """Return the time to read the last `unread` tokens of a prompt."""
+        mega_pairs = unread * (tokens - unread / 2) / 1e6
         if self.is_reader:
             rate = speeds.prefill_tokens_per_ms
-        return self.pace / rate
+            pairs_ms = mega_pairs * speeds.prefill_ms_per_mega_pair
+        else:
+            rate = speeds.decode_tokens_per_ms
+            pairs_ms = mega_pairs * speeds.decode_ms_per_mega_pair
+        return unread / rate + pairs_ms
+
+    def lacks_room(self, tokens: int) -> bool:
+        """Tell whether a prompt would have to wait for memory."""
+        held = sum(read.tokens for read in self._read_by_id.values())
+        held += sum(self._tokens_by_running.values())
+        return held + tokens > ROOM_SHARE * self._memory_tokens
 
     def send(
         self,
         request_id: str,
         parts: tuple[tuple[str, int], ...],
         *,
-        unread_tokens: int,
+        read_ms: float,
         rank: int,
         now_ms: int,
     ) -> None:
         """Note a prompt that was sent."""
         if not self._read_by_id:
             self._head_since_ms = now_ms
-        self._read_by_id[request_id] = _Read(unread_tokens, rank)
+        tokens = sum(tokens for _, tokens in parts)
+        self._read_by_id[request_id] = _Read(read_ms, rank, tokens)
         self._remember(parts)
 
     def began(self, request_id: str, *, now_ms: int) -> None:
         """Note the first token: the prompt was read."""
-        if self._read_by_id.pop(request_id, None) is not None:
-            self._running_ids.add(request_id)
+        read = self._read_by_id.pop(request_id, None)
+        if read is not None:
+            self._tokens_by_running[request_id] = read.tokens
             self._head_since_ms = now_ms
 
     def ended(self, request_id: str, *, now_ms: int) -> None:
         """Note that the engine has the request no more."""
-        self._running_ids.discard(request_id)
+        self._tokens_by_running.pop(request_id, None)
         if self._read_by_id.pop(request_id, None) is not None:
             self._head_since_ms = now_ms
 
@@ -278,7 +297,11 @@
         return
     calmest = min(
         answering,
-        key=lambda c: (_wait(c, prompt, now_ms, options), not c.same_zone),
+        key=lambda c: (
+            _wait(c, prompt, now_ms, options)
+            + c.load.in_flight * options.speeds.answer_ms
+            + _zone_cost(c, options)
+        ),
     )
     for reader in candidates:
         if reader.load.is_reader:
@@ -299,9 +322,12 @@
 def _wait(
     candidate: Candidate, prompt: Prompt, now_ms: int, options: Options
 ) -> float:
-    return candidate.load.wait_ms(
+    wait_ms = candidate.load.wait_ms(
         options.speeds, now_ms=now_ms, rank=prompt.rank
     )
+    if candidate.load.lacks_room(prompt.tokens):
+        wait_ms += ROOM_WAIT_MS
+    return wait_ms
 
 
 def _zone_cost(candidate: Candidate, options: Options) -> float:
@@ -313,7 +339,9 @@
 ) -> Direct:
     wait_ms = _wait(candidate, prompt, now_ms, options)
     unread = candidate.load.unread(prompt.parts)
-    read_ms = unread * candidate.load.ms_per_token(options.speeds)
+    read_ms = candidate.load.pace * candidate.load.read_ms(
+        options.speeds, unread=unread, tokens=prompt.tokens
+    )
     first_ms = wait_ms + read_ms + options.speeds.first_ms
     return Direct(
         upstream_id=candidate.upstream_id,
@@ -335,7 +363,9 @@
 ) -> HandOver:
     wait_ms = _wait(reader, prompt, now_ms, options)
     unread = reader.load.unread(prompt.parts)
-    read_ms = unread * reader.load.ms_per_token(options.speeds)
+    read_ms = reader.load.pace * reader.load.read_ms(
+        options.speeds, unread=unread, tokens=prompt.tokens
+    )
     first_ms = (
         wait_ms
         + read_ms
