End kept connections when a gateway stops

The server now stops once the balancer has let go: idle connections close, answers in progress finish. Ruled out: the readiness answer, which was right.

--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -110,6 +110,8 @@
         while not self._closed:
             try:
                 data = self._socket.recv(MAX_DATAGRAM_BYTES)
+                if self._closed:
+                    return
                 _, news = self._codec.decode(data)
             except envelope.MessageRejected as error:
                 _LOG.warning("gateway: dropped a datagram: %s", error)
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -1,6 +1,8 @@
 """The gateway's reducer: every decision about a request, no I/O."""
 
 from collections.abc import Iterator
+import dataclasses
+import functools
 import zlib
 
 from wisteriawall.config import route_table
@@ -181,47 +183,83 @@
         )
         for upstream in upstreams
     ]
-    placement = placement_lib.best(
-        placement_lib.forecasts(
-            prompt,
-            candidates,
-            transfer_ms_per_token=engine.token_bytes
-            * BITS_PER_BYTE
-            / engine.link_bits_per_ms,
-            now_ms=now_ms,
-            options=gateway.tuning.options,
-        )
+    find = functools.partial(
+        _best,
+        candidates=candidates,
+        engine=engine,
+        now_ms=now_ms,
+        options=gateway.tuning.options,
     )
-    if placement is None:
+    in_turn = find(prompt)
+    behind = find(dataclasses.replace(prompt, rank=LATE_URGENCY))
+    if in_turn is None or behind is None:
         yield from _refuse(gateway, request, refusals.no_runner(), "no-runner")
         return
+    route = request.route
+    waited_ms = now_ms - request.arrived_ms
+    patience_ms = turn_away.patience_ms(
+        goal_ms=route.goal_ms, pause_ms=route.pause_goal_ms
+    )
     decision = turn_away.decide(
-        placement,
-        goal_ms=request.route.goal_ms,
-        waited_ms=now_ms - request.arrived_ms,
-        left_ms=request.until_ms - now_ms,
+        in_turn,
+        behind,
+        goal_ms=route.goal_ms,
+        waited_ms=waited_ms,
+        left_ms=min(patience_ms - waited_ms, request.until_ms - now_ms),
         bounds=gateway.tuning.bounds,
     )
-    inputs = {
-        "wait_ms": round(placement.wait_ms),
-        "first_token_ms": round(placement.first_token_ms),
-        "unread_tokens": placement.unread_tokens,
-        "upstream": placement.upstream_id,
-        "list": gateway.list_position,
-    }
     match decision:
         case turn_away.TurnAway(reason=reason, retry_ms=retry_ms):
-            yield events.Decided(
-                decision="turned-away", key=request.key, inputs=inputs
-            )
+            yield _weighed(gateway, request, behind, "turned-away")
             refusal = refusals.overloaded(retry_ms, reason)
             yield from _refuse(gateway, request, refusal, reason)
-        case turn_away.Accept():
+        case turn_away.Accept(placement=placement, in_time=in_time):
             request.placement = placement
-            yield events.Decided(
-                decision="placed", key=request.key, inputs=inputs
+            yield _weighed(gateway, request, placement, "placed")
+            yield from _send_prompt(
+                gateway, request, placement, now_ms, in_time=in_time
             )
-            yield from _send_prompt(gateway, request, placement, now_ms)
+
+
+def _best(
+    prompt: placement_lib.Prompt,
+    *,
+    candidates: list[placement_lib.Candidate],
+    engine: route_table.EngineTraits,
+    now_ms: int,
+    options: placement_lib.Options,
+) -> placement_lib.Placement | None:
+    return placement_lib.best(
+        placement_lib.forecasts(
+            prompt,
+            candidates,
+            transfer_ms_per_token=engine.token_bytes
+            * BITS_PER_BYTE
+            / engine.link_bits_per_ms,
+            now_ms=now_ms,
+            options=options,
+        )
+    )
+
+
+def _weighed(
+    gateway: state_lib.Gateway,
+    request: state_lib.Request,
+    placement: placement_lib.Placement,
+    decision: str,
+) -> events.Decided:
+    return events.Decided(
+        decision=decision,
+        key=request.key,
+        inputs={
+            "route": request.route.name,
+            "wait_ms": round(placement.wait_ms),
+            "first_token_ms": round(placement.first_token_ms),
+            "unread_tokens": placement.unread_tokens,
+            "upstream": placement.upstream_id,
+            "list": gateway.list_position,
+        },
+    )
 
 
 def _send_prompt(
@@ -229,10 +267,10 @@
     request: state_lib.Request,
     placement: placement_lib.Placement,
     now_ms: int,
+    *,
+    in_time: bool,
 ) -> Iterator[events.Effect]:
-    urgency = _urgency(request.route)
-    if placement.first_token_ms > request.route.goal_ms:
-        urgency = LATE_URGENCY
+    urgency = _urgency(request.route) if in_time else LATE_URGENCY
     match placement:
         case placement_lib.Direct(upstream_id=upstream_id):
             leg = calls.Leg.WHOLE
@@ -327,7 +365,6 @@
 def _calmest_answering(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> site_messages.Upstream | None:
-    speeds = gateway.tuning.options.speeds
     return min(
         (
             upstream
@@ -335,7 +372,7 @@
             if upstream.stage is not site_messages.Stage.PREFILL
         ),
         key=lambda u: gateway.load_by_id[u.upstream_id].wait_ms(
-            speeds, now_ms=now_ms, rank=_urgency(request.route)
+            now_ms=now_ms, rank=_urgency(request.route)
         ),
         default=None,
     )
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -34,7 +34,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # The balancer needs two misses at one question a second.
 LEAVE_S = 2.5
-STOP_POLL_S = 0.05
+# Time between the last answer and the end of the process.
+EXIT_MS = 500
 MS_PER_S = 1_000
 CALLER_THREADS = 96
 READY_THREADS = 2
@@ -151,11 +152,16 @@
         self._leaving = True
         self._log.write("stopping", inputs={"in_progress": len(self._runs)})
         self._stopping.wait(LEAVE_S)
-        self._http.close_after_answers()
-        end_ms = began_ms + self._grace_ms * 3 // 4
-        while self._runs and clock.steady_ms() < end_ms:
-            self._stopping.wait(STOP_POLL_S)
+        # Kept connections end too, or their callers would go on sending here.
+        took_ms = clock.steady_ms() - began_ms
+        self._http.stop(
+            answer_s=max(0, self._grace_ms - EXIT_MS - took_ms) / MS_PER_S
+        )
         self._stopping.set()
+        self._ready.stop()
+        self._news.close()
+        self._control.close()
+        self._pool.close()
         self._log.write("stopped", inputs={"cut": len(self._runs)})
         self._log.close()
 
@@ -164,6 +170,16 @@
         self._seeds = dict(control)
         self._log.write("reload", inputs={"control": sorted(control.values())})
 
+    @property
+    def address(self) -> str:
+        """Return where callers are served."""
+        return self._http.address
+
+    @property
+    def known_upstreams(self) -> Mapping[str, site_messages.Upstream]:
+        """Return the runners of the newest list, by id."""
+        return self._gateway.upstream_by_id
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -73,11 +73,14 @@
 class Options:
     """What a placement may use, and what it costs beside time.
 
-    `hand_over_cost_ms` is the time that a hand-over must save.
+    `hand_over_cost_ms` is the time that a hand-over must save. An engine that
+    reads a prompt keeps every later one waiting, which `occupancy_weight`
+    counts by the time it reads.
     """
 
     speeds: Speeds = Speeds()
     hand_over_cost_ms: float = 30.0
+    occupancy_weight: float = 0.5
     other_zone_cost_ms: float = 2.0
 
 
@@ -112,6 +115,7 @@
     """What was sent to one engine, and what it is taken to remember."""
 
     __slots__ = (
+        "_head_id",
         "_head_since_ms",
         "_memory_tokens",
         "_parts_tokens",
@@ -131,6 +135,7 @@
         self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
         self._parts_tokens = 0
         self._head_since_ms = 0
+        self._head_id = ""
 
     @property
     def in_flight(self) -> int:
@@ -153,12 +158,15 @@
                 missing += tokens
         return missing
 
-    def wait_ms(self, speeds: Speeds, *, now_ms: int, rank: int) -> float:
-        """Return how long a prompt of `rank` waits before it is read."""
-        del speeds
+    def wait_ms(self, *, now_ms: int, rank: int) -> float:
+        """Return how long a prompt of `rank` waits before it is read.
+
+        The engine finishes the prompt that it is reading, then takes the most
+        urgent one.
+        """
         total = 0.0
-        for number, read in enumerate(self._read_by_id.values()):
-            if number == 0:
+        for request_id, read in self._read_by_id.items():
+            if request_id == self._head_id:
                 took_ms = now_ms - self._head_since_ms
                 total += max(0.0, read.read_ms * self.pace - took_ms)
             elif read.rank <= rank:
@@ -192,10 +200,9 @@
         now_ms: int,
     ) -> None:
         """Note a prompt that was sent."""
-        if not self._read_by_id:
-            self._head_since_ms = now_ms
         tokens = sum(tokens for _, tokens in parts)
         self._read_by_id[request_id] = _Read(read_ms, rank, tokens)
+        self._find_head(now_ms)
         self._remember(parts)
 
     def began(self, request_id: str, *, now_ms: int) -> None:
@@ -203,13 +210,13 @@
         read = self._read_by_id.pop(request_id, None)
         if read is not None:
             self._tokens_by_running[request_id] = read.tokens
-            self._head_since_ms = now_ms
+            self._next_head(now_ms)
 
     def ended(self, request_id: str, *, now_ms: int) -> None:
         """Note that the engine has the request no more."""
         self._tokens_by_running.pop(request_id, None)
         if self._read_by_id.pop(request_id, None) is not None:
-            self._head_since_ms = now_ms
+            self._next_head(now_ms)
 
     def observe(self, *, expected_ms: float, took_ms: float) -> None:
         """Learn the engine's pace from one first token."""
@@ -224,6 +231,20 @@
         self._tokens_by_part.clear()
         self._parts_tokens = 0
 
+    def _find_head(self, now_ms: int) -> None:
+        """Take the most urgent prompt as the one in progress, if none is."""
+        if self._head_id in self._read_by_id or not self._read_by_id:
+            return
+        self._head_id = min(
+            self._read_by_id, key=lambda name: self._read_by_id[name].rank
+        )
+        self._head_since_ms = now_ms
+
+    def _next_head(self, now_ms: int) -> None:
+        """Note that a prompt is done, so that another one begins now."""
+        self._head_since_ms = now_ms
+        self._find_head(now_ms)
+
     def _remember(self, parts: Iterable[tuple[str, int]]) -> None:
         for part, tokens in parts:
             held = self._tokens_by_part.pop(part, 0)
@@ -322,9 +343,7 @@
 def _wait(
     candidate: Candidate, prompt: Prompt, now_ms: int, options: Options
 ) -> float:
-    wait_ms = candidate.load.wait_ms(
-        options.speeds, now_ms=now_ms, rank=prompt.rank
-    )
+    wait_ms = candidate.load.wait_ms(now_ms=now_ms, rank=prompt.rank)
     if candidate.load.lacks_room(prompt.tokens):
         wait_ms += ROOM_WAIT_MS
     return wait_ms
@@ -348,7 +367,9 @@
         unread_tokens=unread,
         wait_ms=wait_ms,
         first_token_ms=first_ms,
-        cost_ms=first_ms + _zone_cost(candidate, options),
+        cost_ms=first_ms
+        + options.occupancy_weight * read_ms
+        + _zone_cost(candidate, options),
     )
 
 
@@ -366,13 +387,10 @@
     read_ms = reader.load.pace * reader.load.read_ms(
         options.speeds, unread=unread, tokens=prompt.tokens
     )
-    first_ms = (
-        wait_ms
-        + read_ms
-        + options.speeds.hand_over_ms
-        + transfer_ms
-        + options.speeds.first_ms
-    )
+    read_by_ms = wait_ms + read_ms + options.speeds.hand_over_ms + transfer_ms
+    # The answering engine finishes the prompt that it is reading first.
+    answer_wait_ms = _wait(answerer, prompt, now_ms, options)
+    first_ms = max(read_by_ms, answer_wait_ms) + options.speeds.first_ms
     return HandOver(
         reader_id=reader.upstream_id,
         upstream_id=answerer.upstream_id,
@@ -381,6 +399,7 @@
         first_token_ms=first_ms,
         cost_ms=first_ms
         + options.hand_over_cost_ms
+        + options.occupancy_weight * read_ms
         + _zone_cost(reader, options)
         + _zone_cost(answerer, options),
     )
--- a/src/wisteriawall/policy/turn_away.py
+++ b/src/wisteriawall/policy/turn_away.py
@@ -4,8 +4,10 @@
 limit each engine reads prompts whose callers have left, and nobody is served
 in time. A refused caller hears when the queue will be short enough.
 
-Long prompts are not refused for their own length, only for the queue in front
-of them, so that no size of request goes unserved.
+What can't be in time is not refused as long as it can be served while its
+caller still waits: it goes behind everything that can be in time, and costs
+those nothing. So no size of request goes unserved, and few callers come back
+in vain.
 """
 
 import dataclasses
@@ -14,10 +16,17 @@
 
 from wisteriawall.policy import placement as placement_lib
 
-__all__ = ["Accept", "Bounds", "Decision", "TurnAway", "decide"]
+__all__ = ["Accept", "Bounds", "Decision", "TurnAway", "decide", "patience_ms"]
 
 # A caller that comes back sooner finds the queue as it was.
 MIN_RETRY_MS = 300.0
+# Share of the goal by which a caller may return before the queue is empty.
+RETRY_LEAD = 0.25
+# Callers leave a stream after the longest of these without an event; the
+# users' protocol page gives them.
+MIN_PATIENCE_MS = 2_000.0
+GOALS_OF_PATIENCE = 4.0
+PAUSES_OF_PATIENCE = 8.0
 
 
 @final
@@ -25,20 +34,26 @@
 class Bounds:
     """Shares of a request's goal that its forecast may take.
 
-    `in_time` bounds the forecast of the first token. A prompt that would miss
-    it even on an idle engine may wait `long_wait` of its goal.
+    `in_time` bounds a forecast that counts as in time, as a share of the goal.
+    `late` bounds any other, as a share of the time that a caller waits for the
+    first event.
     """
 
-    in_time: float = 0.9
-    long_wait: float = 0.3
+    in_time: float = 0.95
+    late: float = 0.8
+    late_wait: float = 0.3
 
 
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Accept:
-    """Send the request where the placement says."""
+    """Send the request where the placement says.
+
+    `in_time` tells whether its first token is expected within the goal.
+    """
 
     placement: placement_lib.Placement
+    in_time: bool
 
 
 @final
@@ -53,37 +68,38 @@
 Decision: TypeAlias = Accept | TurnAway
 
 
+def patience_ms(*, goal_ms: float, pause_ms: float) -> float:
+    """Return how long a caller waits for the first event of a stream."""
+    return max(
+        MIN_PATIENCE_MS,
+        GOALS_OF_PATIENCE * goal_ms,
+        PAUSES_OF_PATIENCE * pause_ms,
+    )
+
+
 def decide(
-    placement: placement_lib.Placement,
+    in_turn: placement_lib.Placement,
+    behind: placement_lib.Placement,
     *,
     goal_ms: float,
     waited_ms: float,
     left_ms: float,
     bounds: Bounds,
 ) -> Decision:
-    """Accept the placement if it is worth it.
+    """Accept one of two placements, if it is worth it.
 
     Args:
-        placement: The best that was found.
+        in_turn: The best with the urgency of the request's route.
+        behind: The best behind everything that is more urgent.
         goal_ms: Time to the first token that earns full worth.
         waited_ms: How long the request has been waiting here.
-        left_ms: Time until its deadline.
-        bounds: How much of the goal a forecast may take.
+        left_ms: Time that the caller still waits for the first event.
+        bounds: Shares that the forecasts may take.
     """
-    first_ms = waited_ms + placement.first_token_ms
-    own_ms = placement.first_token_ms - placement.wait_ms
-    if first_ms <= bounds.in_time * goal_ms:
-        return Accept(placement=placement)
-    if placement.first_token_ms >= left_ms:
-        return _turn_away("the deadline would pass", placement, goal_ms)
-    is_long = own_ms > bounds.in_time * goal_ms
-    if is_long and placement.wait_ms <= bounds.long_wait * goal_ms:
-        return Accept(placement=placement)
-    return _turn_away("the queue is too long", placement, goal_ms)
-
-
-def _turn_away(
-    reason: str, placement: placement_lib.Placement, goal_ms: float
-) -> TurnAway:
-    retry_ms = max(MIN_RETRY_MS, placement.wait_ms - 0.25 * goal_ms)
-    return TurnAway(reason=reason, retry_ms=retry_ms)
+    if waited_ms + in_turn.first_token_ms <= bounds.in_time * goal_ms:
+        return Accept(placement=in_turn, in_time=True)
+    fits = behind.first_token_ms <= bounds.late * left_ms
+    if fits and behind.wait_ms <= bounds.late_wait * goal_ms:
+        return Accept(placement=behind, in_time=False)
+    retry_ms = max(MIN_RETRY_MS, behind.wait_ms - RETRY_LEAD * goal_ms)
+    return TurnAway(reason="the queue is too long", retry_ms=retry_ms)
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -46,6 +46,7 @@
 
 ACCEPTED_QUEUE = 64
 READ_DEADLINE_S = 10.0
+ANSWER_S = 5.0
 
 
 @final
@@ -115,8 +116,14 @@
         self._watch.start()
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stop accepting and close idle connections."""
+    def stop(self, *, answer_s: float = ANSWER_S) -> None:
+        """Stop accepting, close idle connections, end answers in progress.
+
+        Answers that are not done within `answer_s` get no more of their
+        request's body, and are waited for.
+        """
+        self.close_after_answers()
+        self._server.shutdown_timeout = answer_s
         self._server.stop()
         self._thread.join(timeout=5.0)
         self._watch.stop()
--- /dev/null
+++ b/testing/support/platform_site.py
@@ -0,0 +1,413 @@
+"""A site on loopback that speaks the platform's protocol.
+
+It has stand-ins of the platform's list, runners and operator around one
+control replica and one gateway.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+import contextlib
+import json
+import pathlib
+import socket
+import threading
+import time
+from typing import Any
+
+import urllib3
+
+from wisteriawall.control import shell as control_shell
+from wisteriawall.control import upstream_reader
+from wisteriawall.demo import cluster
+from wisteriawall.gateway import shell as gateway_shell
+from wisteriawall.gateway import state as gateway_state
+from wisteriawall.observability import decisions
+from wisteriawall.platform import headers
+from wisteriawall.platform import operators
+from wisteriawall.platform import runners
+from wisteriawall.web import server as server_lib
+from wisteriawall.wire import raft_messages
+
+KEY = b"k" * 32
+WAIT_S = 15.0
+GRACE_MS = 4_000
+SEAL = "X-Wisteriawall-Response-Seal"
+ATTEMPT_ID = "X-Wisteriawall-Attempt-Id"
+HOST = "app.example"
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Return once `condition` holds; fail the test after a long wait."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, f"still waiting for {what}"
+        time.sleep(0.02)
+
+
+class StandInRunner:
+    """A runner that answers over raw sockets, as its `behave` says.
+
+    `ran` counts the requests that it ran, by attempt id.
+    """
+
+    def __init__(self, name: str, service: str, stage: str = "") -> None:
+        """Listen on a free port."""
+        self.name, self.service, self.stage = name, service, stage
+        self.ran: Counter[str] = Counter()
+        self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.behave = "answer"
+        self.state = "ready"
+        self.finish = threading.Event()
+        self.broke = threading.Event()
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def entry(self) -> dict[str, Any]:
+        """Return the runner's entry in the platform's list."""
+        return {
+            "identifier": self.name,
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 6,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "stage": self.stage,
+        }
+
+    def close(self) -> None:
+        """Release the port and every connection."""
+        self.finish.set()
+        self._socket.close()
+        for connection in self._open:
+            connection.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._socket.accept()
+                self._open.append(connection)
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection:
+            reader = connection.makefile("rb")
+            while self._serve_one(connection, reader):
+                pass
+
+    def _serve_one(self, connection: socket.socket, reader: Any) -> bool:
+        start = reader.readline().decode().split()
+        if not start:
+            self.broke.set()
+            return False
+        named = _read_head(reader)
+        body = reader.read(int(named.get("content-length", "0")))
+        self.seen.append((start[0], start[1], named, body))
+        return self._answer(connection, named, body)
+
+    def _answer(
+        self, connection: socket.socket, named: dict[str, str], body: bytes
+    ) -> bool:
+        attempt = named.get(ATTEMPT_ID.lower(), "")
+        head = f"{ATTEMPT_ID}: {attempt}\r\n{SEAL}: seal-{self.name}\r\n"
+        expected = named.get("x-wisteriawall-expect-instance", self.name)
+        if expected != self.name:
+            _send(connection, "421 Misdirected", "", b"")
+            return True
+        if self.behave == "reject":
+            head = "X-Wisteriawall-Not-Executed: 1\r\n"
+            _send(connection, "503 Service Unavailable", head, b"")
+            return True
+        if named.get("x-wisteriawall-serving-stage") == "prefill":
+            read = json.dumps({"transfer_handle": "h1", "tokens": 9})
+            _send(connection, "200 OK", head, read.encode())
+            return True
+        self.ran[attempt] += 1
+        return self._run(connection, named, head, body)
+
+    def _run(
+        self,
+        connection: socket.socket,
+        named: dict[str, str],
+        head: str,
+        body: bytes,
+    ) -> bool:
+        match self.behave:
+            case "reset":
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                )
+                return False
+            case "fail":
+                _send(connection, "500 Internal Server Error", head, b"bad")
+            case "foreign":
+                other = f"{ATTEMPT_ID}: other\r\n{SEAL}: s\r\n"
+                _send(connection, "200 OK", other, b"of another")
+            case "hang":
+                self._wait_for_close(connection)
+                return False
+            case "stream" | "stream-cut" | "stream-slow":
+                return self._stream(connection, head, named)
+            case _:
+                _send(connection, "200 OK", head, b"answer to " + body)
+        return True
+
+    def _wait_for_close(self, connection: socket.socket) -> None:
+        connection.recv(1)
+        self.broke.set()
+
+    def _stream(
+        self, connection: socket.socket, head: str, named: dict[str, str]
+    ) -> bool:
+        first = int(named.get("last-event-id", "0")) + 1
+        connection.sendall(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"Transfer-Encoding: chunked\r\n{head}\r\n"
+            ).encode()
+        )
+        for number in range(first, 5):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            if self.behave == "stream-cut" and first == 1 and number == 3:
+                _chunk(connection, event[:5])
+                return False
+            _chunk(connection, event)
+            if self.behave == "stream-slow" and number == 2:
+                self.finish.wait(WAIT_S)
+        _chunk(connection, b"")
+        return True
+
+
+def _read_head(reader: Any) -> dict[str, str]:
+    named: dict[str, str] = {}
+    while (line := reader.readline().decode().strip()) != "":
+        name, _, value = line.partition(":")
+        named[name.lower()] = value.strip()
+    return named
+
+
+def _chunk(connection: socket.socket, data: bytes) -> None:
+    connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def _send(
+    connection: socket.socket, status: str, head: str, body: bytes
+) -> None:
+    text = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
+    connection.sendall(text.encode() + body)
+
+
+def route(prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return a route as operators write it."""
+    return {
+        "name": prefix.strip("/") or "root",
+        "host": HOST,
+        "path_prefix": prefix,
+        "type": kind,
+        "timeout_ms": 4_000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def document(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    engine = {
+        "slots": 64,
+        "kv_cache_tokens": 500_000,
+        "kv_token_bytes": 327_680,
+        "link_mbps": 3_200_000.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("/read/", "read_only", "shop"),
+            route("/pay/", "non_idempotent", "shop"),
+            route("/quick/", "read_only", "shop", timeout_ms=300),
+            route("/talk/", "streaming", "model", target_gap_ms=200),
+            route(
+                "/resume/",
+                "streaming",
+                "model",
+                target_gap_ms=200,
+                resumable=True,
+            ),
+        ],
+        "services": [
+            {"name": "shop", "health_path": "/health", "connection_limit": 50},
+            {
+                "name": "model",
+                "health_path": "/health",
+                "connection_limit": 50,
+                "engine": engine,
+            },
+        ],
+        "limits": {
+            "header_bytes": 16_384,
+            "body_bytes": 4_194_304,
+            "header_ms": 3_000,
+            "idle_ms": 15_000,
+        },
+        **more,
+    }
+
+
+class Site:
+    """One control replica, one gateway, and the stand-ins around them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Start everything; no table is published yet."""
+        self.runners: list[StandInRunner] = []
+        self.list_body: bytes | None = None
+        self._list = server_lib.HttpServer(
+            address="127.0.0.1:0", app=self._serve_list, threads=2
+        )
+        self._list.start()
+        peer, rpc, admin = (cluster.free_address() for _ in range(3))
+        self.control = control_shell.ControlShell(
+            replica="c1",
+            peer_address_by_replica={"c1": peer},
+            rpc_address=rpc,
+            folder=folder / "c1",
+            key=KEY,
+            incarnation=1,
+            bootstrap=True,
+            founders=(raft_messages.Member("c1", peer, rpc, admin),),
+        )
+        self._operators = server_lib.HttpServer(
+            address=admin,
+            app=operators.OperatorApp(shell=self.control),
+            threads=4,
+        )
+        self._reader = upstream_reader.UpstreamReader(
+            leader=self.control,
+            read=runners.RunnerList(address=self._list.address).read,
+        )
+        self.log_path = folder / "log"
+        self._log_file = self.log_path.open("wb")
+        self.gateway = gateway_shell.GatewayShell(
+            identity=gateway_shell.Identity(
+                name="g1",
+                zone="z1",
+                incarnation=1,
+                listen="127.0.0.1:0",
+                ready="127.0.0.1:0",
+                news="127.0.0.1:0",
+            ),
+            control={"c1": rpc},
+            key=KEY,
+            dialect=headers.PlatformDialect(),
+            budget=gateway_shell.RetryBudget(
+                window_ms=10_000, ratio=0.2, slack=60
+            ),
+            tuning=gateway_state.Tuning(),
+            log=decisions.DecisionLog(process="g1", stream=self._log_file),
+            grace_ms=GRACE_MS,
+        )
+        self.http = urllib3.PoolManager(retries=False)
+        self.admin = f"http://{admin}"
+        self.control.start()
+        self._operators.start()
+        self._reader.start()
+        self.gateway.start()
+        self.stopped = False
+
+    def close(self) -> None:
+        """Stop everything."""
+        for runner in self.runners:
+            runner.finish.set()
+        if not self.stopped:
+            self.gateway.stop()
+        self._reader.stop()
+        self._operators.stop()
+        self.control.stop()
+        self._list.stop()
+        for runner in self.runners:
+            runner.close()
+        self._log_file.close()
+
+    def add(self, name: str, service: str, stage: str = "") -> StandInRunner:
+        """Add a runner to the platform's list."""
+        runner = StandInRunner(name, service, stage)
+        self.runners.append(runner)
+        return runner
+
+    def publish(self, body: object) -> urllib3.BaseHTTPResponse:
+        """Send a configuration as the operator does."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.http.request(
+            "POST", f"{self.admin}/Configuration.Put", body=data
+        )
+
+    def read(self) -> urllib3.BaseHTTPResponse:
+        """Read the configuration as the operator does."""
+        return self.http.request("GET", f"{self.admin}/Configuration.Get")
+
+    def serve(self) -> None:
+        """Publish the table and wait until the gateway is ready."""
+        wait_until(lambda: self.publish(document(1)).status == 200, "publish")
+        wait_until(lambda: self.gateway.is_ready, "gateway")
+
+    def serve_only_table(self, body: object) -> None:
+        """Publish a table and wait until it is acknowledged."""
+        wait_until(lambda: self.publish(body).status == 200, "publish")
+
+    def call(
+        self,
+        path: str,
+        *,
+        attempt: str,
+        method: str = "POST",
+        body: bytes | None = b"hi",
+        deadline_ms: int = 5_000,
+        **more: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Call through the gateway as a client does."""
+        named = {
+            "Host": HOST,
+            ATTEMPT_ID: attempt,
+            "X-Wisteriawall-Deadline-Remaining": str(deadline_ms),
+            **more,
+        }
+        return self.http.request(
+            method,
+            f"http://{self.gateway.address}{path}",
+            body=body,
+            headers=named,
+            timeout=WAIT_S,
+        )
+
+    def decisions(self, attempt: str) -> list[dict[str, Any]]:
+        """Return the log lines about a request, in order."""
+        wait_until(
+            lambda: any(
+                line["decision"] in ("ended", "refused")
+                for line in self._lines(attempt)
+            ),
+            f"the last line about {attempt}",
+        )
+        return self._lines(attempt)
+
+    def _lines(self, attempt: str) -> list[dict[str, Any]]:
+        text = self.log_path.read_bytes()
+        lines = [json.loads(line) for line in text.splitlines() if line]
+        return [line for line in lines if line.get("request") == attempt]
+
+    def _serve_list(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        body = self.list_body
+        if body is None:
+            entries = [runner.entry() for runner in self.runners]
+            body = json.dumps({"instances": entries, "next": None}).encode()
+        return server_lib.respond(start_response, status=200, body=body)
