Know returning callers by their deadline; spread Retry-After

A caller that returns has less of its deadline left, so it is known without a message; it is served behind a queue of up to one goal, and Retry-After lies 0.9 to 2.1 s ahead, spread. Ruled out: telling gateways of each refusal.

--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -22,6 +22,8 @@
 # A prompt that can't be in time anyway gives way to those that can.
 LATE_URGENCY = 8
 BITS_PER_BYTE = 8
+# A deadline shorter than others by less than this says nothing.
+RETURNED_MS = 200
 
 
 def reduce(
@@ -70,11 +72,27 @@
     )
     if event.call.prompt is not None and request.service.engine is not None:
         request.prompt = _prompt(event.key, route, event.call.prompt)
+    request.waited_before_ms = _waited_before(gateway, request)
     gateway.request_by_key[event.key] = request
     gateway.retries.request(event.now_ms)
     yield from _place(gateway, request, event.now_ms)
 
 
+def _waited_before(
+    gateway: state_lib.Gateway, request: state_lib.Request
+) -> int:
+    """Return how long the caller has waited since it first asked.
+
+    Callers of a route start with the same deadline, and one that returns has
+    less of it left.
+    """
+    name, left_ms = request.route.name, request.call.deadline_ms
+    longest_ms = max(gateway.longest_deadline_by_route.get(name, 0), left_ms)
+    gateway.longest_deadline_by_route[name] = longest_ms
+    waited_ms = longest_ms - left_ms
+    return waited_ms if waited_ms >= RETURNED_MS else 0
+
+
 def _service(
     index: route_table.RouteIndex, route: route_table.Route, key: str
 ) -> route_table.RoutedService:
@@ -196,7 +214,7 @@
         yield from _refuse(gateway, request, refusals.no_runner(), "no-runner")
         return
     route = request.route
-    waited_ms = now_ms - request.arrived_ms
+    waited_ms = now_ms - request.arrived_ms + request.waited_before_ms
     patience_ms = turn_away.patience_ms(
         goal_ms=route.goal_ms, pause_ms=route.pause_goal_ms
     )
@@ -205,7 +223,12 @@
         behind,
         goal_ms=route.goal_ms,
         waited_ms=waited_ms,
-        left_ms=min(patience_ms - waited_ms, request.until_ms - now_ms),
+        left_ms=min(
+            patience_ms - (now_ms - request.arrived_ms),
+            request.until_ms - now_ms,
+        ),
+        returned=request.waited_before_ms > 0,
+        spread=gateway.random.random(),
         bounds=gateway.tuning.bounds,
     )
     match decision:
@@ -256,6 +279,7 @@
             "wait_ms": round(placement.wait_ms),
             "first_token_ms": round(placement.first_token_ms),
             "unread_tokens": placement.unread_tokens,
+            "waited_before_ms": request.waited_before_ms,
             "upstream": placement.upstream_id,
             "list": gateway.list_position,
         },
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -34,7 +34,8 @@
 
     `sent` is the leg in progress; `placement` how a prompt is served.
     `arrivals` counts what reached runners beside the first READ leg, and
-    `tried_ids` names them.
+    `tried_ids` names them. `waited_before_ms` is how long the caller waited
+    before this request, as its deadline tells.
     """
 
     key: str
@@ -49,6 +50,7 @@
     arrivals: int = 0
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     began: bool = False
+    waited_before_ms: int = 0
 
     @property
     def until_ms(self) -> int:
@@ -75,6 +77,9 @@
     load_by_id: dict[str, placement_lib.EngineLoad] = dataclasses.field(
         default_factory=dict
     )
+    longest_deadline_by_route: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     request_by_key: dict[str, Request] = dataclasses.field(default_factory=dict)
 
     @property
--- a/src/wisteriawall/policy/turn_away.py
+++ b/src/wisteriawall/policy/turn_away.py
@@ -18,10 +18,10 @@
 
 __all__ = ["Accept", "Bounds", "Decision", "TurnAway", "decide", "patience_ms"]
 
-# A caller that comes back sooner finds the queue as it was.
-MIN_RETRY_MS = 300.0
-# Share of the goal by which a caller may return before the queue is empty.
-RETRY_LEAD = 0.25
+# Bursts last seconds, so a caller that comes back sooner finds the queue as it
+# was. Callers spread over this time do not make a burst of their own.
+MIN_RETRY_MS = 900.0
+RETRY_SPREAD_MS = 1_200.0
 # Callers leave a stream after the longest of these without an event; the
 # users' protocol page gives them.
 MIN_PATIENCE_MS = 2_000.0
@@ -36,12 +36,14 @@
 
     `in_time` bounds a forecast that counts as in time, as a share of the goal.
     `late` bounds any other, as a share of the time that a caller waits for the
-    first event.
+    first event, and only while the queue is `late_wait` of the goal at most, or
+    `returned_wait` for a caller that was turned away before.
     """
 
     in_time: float = 0.95
     late: float = 0.8
     late_wait: float = 0.3
+    returned_wait: float = 1.0
 
 
 @final
@@ -84,6 +86,8 @@
     goal_ms: float,
     waited_ms: float,
     left_ms: float,
+    returned: bool,
+    spread: float,
     bounds: Bounds,
 ) -> Decision:
     """Accept one of two placements, if it is worth it.
@@ -92,14 +96,17 @@
         in_turn: The best with the urgency of the request's route.
         behind: The best behind everything that is more urgent.
         goal_ms: Time to the first token that earns full worth.
-        waited_ms: How long the request has been waiting here.
+        waited_ms: How long the caller has been waiting.
         left_ms: Time that the caller still waits for the first event.
+        returned: Whether the caller was turned away before.
+        spread: Random number from 0 to 1, to spread callers that come back.
         bounds: Shares that the forecasts may take.
     """
     if waited_ms + in_turn.first_token_ms <= bounds.in_time * goal_ms:
         return Accept(placement=in_turn, in_time=True)
     fits = behind.first_token_ms <= bounds.late * left_ms
-    if fits and behind.wait_ms <= bounds.late_wait * goal_ms:
+    allowed = bounds.returned_wait if returned else bounds.late_wait
+    if fits and behind.wait_ms <= allowed * goal_ms:
         return Accept(placement=behind, in_time=False)
-    retry_ms = max(MIN_RETRY_MS, behind.wait_ms - RETRY_LEAD * goal_ms)
+    retry_ms = max(MIN_RETRY_MS, behind.wait_ms) + spread * RETRY_SPREAD_MS
     return TurnAway(reason="the queue is too long", retry_ms=retry_ms)
