Count the time that a prompt keeps an engine busy; test the policies

Ruled out: order by urgency, which holds among waiting prompts. Change: a placement's cost counts its reading time 1.5 times over.

--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -80,7 +80,7 @@
 
     speeds: Speeds = Speeds()
     hand_over_cost_ms: float = 30.0
-    occupancy_weight: float = 0.5
+    occupancy_weight: float = 1.5
     other_zone_cost_ms: float = 2.0
 
 
@@ -353,6 +353,10 @@
     return 0.0 if candidate.same_zone else options.other_zone_cost_ms
 
 
+def _delay_of_others(read_ms: float, options: Options) -> float:
+    return options.occupancy_weight * read_ms
+
+
 def _direct(
     prompt: Prompt, candidate: Candidate, now_ms: int, options: Options
 ) -> Direct:
@@ -368,7 +372,7 @@
         wait_ms=wait_ms,
         first_token_ms=first_ms,
         cost_ms=first_ms
-        + options.occupancy_weight * read_ms
+        + _delay_of_others(read_ms, options)
         + _zone_cost(candidate, options),
     )
 
@@ -399,7 +403,7 @@
         first_token_ms=first_ms,
         cost_ms=first_ms
         + options.hand_over_cost_ms
-        + options.occupancy_weight * read_ms
+        + _delay_of_others(read_ms, options)
         + _zone_cost(reader, options)
         + _zone_cost(answerer, options),
     )
--- /dev/null
+++ b/testing/policy/test_turn_away.py
@@ -0,0 +1,70 @@
+"""Tests of what is accepted, served late, or refused."""
+
+import pytest
+
+from wisteriawall.policy import placement
+from wisteriawall.policy import turn_away
+
+
+def placed(*, wait_ms: float, own_ms: float) -> placement.Direct:
+    """Return a placement with this forecast."""
+    first_ms = wait_ms + own_ms
+    return placement.Direct(
+        upstream_id="d",
+        unread_tokens=1,
+        wait_ms=wait_ms,
+        first_token_ms=first_ms,
+        cost_ms=first_ms,
+    )
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "own_ms", "waited_ms", "returned", "expected"),
+    [
+        pytest.param(100, 200, 0, False, True, id="in-time"),
+        pytest.param(100, 200, 400, False, False, id="waited-too-long-before"),
+        pytest.param(100, 900, 0, False, False, id="long-prompt-short-queue"),
+        pytest.param(400, 900, 0, False, None, id="long-prompt-long-queue"),
+        pytest.param(400, 300, 0, False, None, id="queue-too-long"),
+        pytest.param(400, 300, 900, True, False, id="returned-caller"),
+        pytest.param(700, 300, 900, True, None, id="returned-to-long-queue"),
+        pytest.param(100, 2_100, 0, False, None, id="caller-would-leave"),
+    ],
+)
+def test_decision(
+    wait_ms: float,
+    own_ms: float,
+    waited_ms: float,
+    returned: bool,
+    expected: bool | None,
+) -> None:
+    found = placed(wait_ms=wait_ms, own_ms=own_ms)
+    decision = turn_away.decide(
+        found,
+        found,
+        goal_ms=600,
+        waited_ms=waited_ms,
+        left_ms=2_400,
+        returned=returned,
+        spread=0.5,
+        bounds=turn_away.Bounds(),
+    )
+    match decision:
+        case turn_away.Accept(in_time=in_time):
+            assert in_time is expected
+        case turn_away.TurnAway(retry_ms=retry_ms):
+            assert expected is None
+            assert retry_ms >= max(turn_away.MIN_RETRY_MS, wait_ms)
+
+
+@pytest.mark.parametrize(
+    ("goal_ms", "pause_ms", "expected"),
+    [
+        pytest.param(400, 200, 2_000, id="at-least-two-seconds"),
+        pytest.param(600, 200, 2_400, id="four-goals"),
+        pytest.param(400, 300, 2_400, id="eight-pauses"),
+    ],
+)
+def test_patience(goal_ms: float, pause_ms: float, expected: float) -> None:
+    found = turn_away.patience_ms(goal_ms=goal_ms, pause_ms=pause_ms)
+    assert found == expected
