--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -33,7 +33,7 @@
 # Another connection attempt is worth more than waiting for a silent host.
 CONNECT_TIMEOUT_S = 0.5
 # The balancer needs two misses at one question a second.
-LEAVE_S = 2.5
+LEAVE_MS = 2_500
 # Time between the last answer and the end of the process.
 EXIT_MS = 500
 MS_PER_S = 1_000
@@ -79,6 +79,8 @@
         tuning: Settings of the decisions.
         log: Takes a line for each decision.
         grace_ms: Time within which a planned stop must end.
+        leave_ms: Part of it in which the balancer finds the gateway not ready
+            and new requests are still served.
     """
 
     def __init__(
@@ -92,11 +94,13 @@
         tuning: state_lib.Tuning,
         log: decisions.DecisionLog,
         grace_ms: int,
+        leave_ms: int = LEAVE_MS,
     ) -> None:
         self._identity = identity
         self._dialect = dialect
         self._log = log
         self._grace_ms = grace_ms
+        self._leave_ms = leave_ms
         sender = envelope.Sender(identity.name, identity.incarnation)
         self._seeds = dict(control)
         self._control = control_client.ControlClient(
@@ -151,7 +155,7 @@
         began_ms = clock.steady_ms()
         self._leaving = True
         self._log.write("stopping", inputs={"in_progress": len(self._runs)})
-        self._stopping.wait(LEAVE_S)
+        self._stopping.wait(self._leave_ms / MS_PER_S)
         # Kept connections end too, or their callers would go on sending here.
         took_ms = clock.steady_ms() - began_ms
         self._http.stop(
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -140,7 +140,7 @@
     )
     talk.start()
     sites.wait_until(lambda: model.ran["a2"] == 1, "the stream")
-    threading.Timer(3.0, model.finish.set).start()
+    threading.Timer(1.0, model.finish.set).start()
     site.gateway.stop()
     site.stopped = True
     talk.join()
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from concurrent import futures
 import contextlib
 import json
 import pathlib
@@ -31,6 +32,7 @@
 KEY = b"k" * 32
 WAIT_S = 15.0
 GRACE_MS = 4_000
+LEAVE_MS = 200
 SEAL = "X-Wisteriawall-Response-Seal"
 ATTEMPT_ID = "X-Wisteriawall-Attempt-Id"
 HOST = "app.example"
@@ -311,6 +313,7 @@
             tuning=gateway_state.Tuning(),
             log=decisions.DecisionLog(process="g1", stream=self._log_file),
             grace_ms=GRACE_MS,
+            leave_ms=LEAVE_MS,
         )
         self.http = urllib3.PoolManager(retries=False)
         self.admin = f"http://{admin}"
@@ -324,12 +327,13 @@
         """Stop everything."""
         for runner in self.runners:
             runner.finish.set()
-        if not self.stopped:
-            self.gateway.stop()
         self._reader.stop()
-        self._operators.stop()
-        self.control.stop()
-        self._list.stop()
+        stops = [self._operators.stop, self.control.stop, self._list.stop]
+        if not self.stopped:
+            stops.append(self.gateway.stop)
+        with futures.ThreadPoolExecutor() as pool:
+            for stopped in [pool.submit(stop) for stop in stops]:
+                stopped.result()
         for runner in self.runners:
             runner.close()
         self._log_file.close()
