Ask another runner when a lookup ends with a runner's own failure

The failure in hand is delivered, seal and bytes unchanged, when no other runner may be asked. Ruled out: payments, which run once. Test: test_own_failure_of_a_runner_is_asked_elsewhere_once.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -16,6 +16,7 @@
     "Arrived",
     "Began",
     "Decided",
+    "Deliver",
     "Effect",
     "Ended",
     "Event",
@@ -65,8 +66,9 @@
     """The leg in progress gave no answer for the caller.
 
     `run` says whether the request may have run. `unreachable` tells that
-    nothing was sent because no connection could be made. After an answer
-    `began`, it goes on elsewhere only by resuming.
+    nothing was sent because no connection could be made. `answered` tells
+    that the runner's own failure is in hand and may be delivered. After an
+    answer `began`, it goes on elsewhere only by resuming.
     """
 
     key: str
@@ -74,6 +76,7 @@
     reason: str
     now_ms: int
     unreachable: bool = False
+    answered: bool = False
     status: int = 0
 
 
@@ -120,6 +123,12 @@
     refusal: refusal_lib.Refusal
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Deliver:
+    """Deliver the runner's failure that is in hand: no other may be asked."""
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Tell:
@@ -138,4 +147,4 @@
     inputs: dict[str, object]
 
 
-Effect: TypeAlias = calls.Send | Refuse | Tell | Decided
+Effect: TypeAlias = calls.Send | Refuse | Deliver | Tell | Decided
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -491,6 +491,9 @@
         request.sent = None
         yield from _place(gateway, request, event.now_ms)
         return
+    if event.answered:
+        yield events.Deliver()
+        return
     refusal = refusals.failed(event, run)
     yield from _refuse(gateway, request, refusal, event.reason)
 
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -62,6 +62,7 @@
     until_ms: int
     is_stream: bool
     is_resumable: bool
+    is_repeatable: bool
 
 
 @final
@@ -264,13 +265,19 @@
         """Read the whole answer, then send it."""
         body = b"".join(exchange.chunks())
         exchange.release()
-        self._began()
         if self._begun:
             self._abort(f"resuming was answered {head.status}")
-        if head.status >= 500 and not answer.sealed:
-            return self._fail(
-                refusal_lib.RunState.UNKNOWN, f"answered {head.status}"
+        if head.status >= 500 and (
+            not answer.sealed or self._request.is_repeatable
+        ):
+            effects = self._fail(
+                refusal_lib.RunState.UNKNOWN,
+                f"answered {head.status}",
+                answered=answer.sealed,
             )
+            if not any(isinstance(e, events.Deliver) for e in effects):
+                return effects
+        self._began()
         self._whole = True
         headers = [
             *end_to_end(head.headers.items()),
@@ -291,6 +298,7 @@
         reason: str,
         *,
         unreachable: bool = False,
+        answered: bool = False,
         status: int = 0,
     ) -> list[events.Effect]:
         if self._cancelled:
@@ -301,6 +309,7 @@
             reason=reason,
             now_ms=clock.steady_ms(),
             unreachable=unreachable,
+            answered=answered,
             status=status,
         )
         return self._submit(failed)
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -244,6 +244,7 @@
             until_ms=tracked.until_ms,
             is_stream=route.kind is route_table.RequestKind.STREAM,
             is_resumable=route.resumable,
+            is_repeatable=route.repeatable,
         )
         return self._run(
             request, effects, server_lib.caller(environ), start_response
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -64,6 +64,21 @@
     assert sum(good.ran.values()) == 4
 
 
+def test_own_failure_of_a_runner_is_asked_elsewhere_once(
+    site: sites.Site,
+) -> None:
+    first, second = site.add("i-1", "shop"), site.add("i-2", "shop")
+    first.behave = second.behave = "fail"
+    site.serve()
+    lookup = site.call("/read/", attempt="a1", method="GET", body=None)
+    assert (lookup.status, lookup.data) == (500, b"bad")
+    assert (first.ran["a1"], second.ran["a1"]) == (1, 1)
+    payment = site.call("/pay/", attempt="a2")
+    assert (payment.status, payment.data) == (500, b"bad")
+    assert first.ran["a2"] + second.ran["a2"] == 1
+    assert payment.headers[sites.SEAL].startswith("seal-i-")
+
+
 def test_prompt_is_read_apart_and_handed_over(site: sites.Site) -> None:
     reader = site.add("i-1", "model", "prefill")
     answerer = site.add("i-2", "model", "decode")
