--- a/src/wisteriawall/control/raft_follower.py
+++ b/src/wisteriawall/control/raft_follower.py
@@ -110,10 +110,11 @@
     raft: raft_state.Raft, message: raft_messages.AppendRequest
 ) -> None:
     """Bound the age of the applied state by the leader's confirmation."""
-    if message.quorum_age_ms < 0:
-        return
     if message.echo.incarnation != raft.incarnation:
         return
+    raft.echoed_ms = max(raft.echoed_ms, message.echo.clock_ms)
+    if message.quorum_age_ms < 0:
+        return
     if raft.applied_index >= message.commit_index:
         confirmed_ms = message.echo.clock_ms - message.quorum_age_ms
         raft.confirmed_ms = max(raft.confirmed_ms, confirmed_ms)
--- a/src/wisteriawall/control/raft_state.py
+++ b/src/wisteriawall/control/raft_state.py
@@ -163,7 +163,8 @@
     `confirmed_ms` is a reading of this replica's clock: its applied state
     holds everything that was committed before. `identity` names its data
     folder and `incarnation` its process, because a clock reading means
-    nothing after a restart.
+    nothing after a restart. `echoed_ms` is the newest of its own readings that
+    a leader has answered.
 
     Args:
         peers: Other voters of a new cluster, for a replica without a log.
@@ -192,6 +193,7 @@
     heartbeat_due_ms: int = 0
     leader_heard_ms: int = -ELECTION_MAX_MS
     confirmed_ms: int = -1
+    echoed_ms: int = -1
     elected_ms: int = -1
 
     def __post_init__(self, peers: tuple[str, ...] | None) -> None:
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -23,6 +23,7 @@
 
 from wisteriawall import clock
 from wisteriawall.control import events
+from wisteriawall.control import link_health
 from wisteriawall.control import membership
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
@@ -156,6 +157,7 @@
             address=peer_address_by_replica[replica], receive=self._on_peer
         )
         self._configured_peers = dict(peer_address_by_replica)
+        self._mended_ms = clock.steady_ms()
         self._linked_members: tuple[raft_messages.Member, ...] = ()
         self._links = transport.PeerLinks(address_by_peer={})
         self._follow_members()
@@ -295,6 +297,16 @@
             )
             self._carry_out(effects)
             self._follow_members()
+            self._mend_links()
+
+    def _mend_links(self) -> None:
+        """Connect anew to peers that a silent link may hide."""
+        now_ms = clock.steady_ms()
+        if now_ms - self._mended_ms < link_health.SILENCE_MS:
+            return
+        self._mended_ms = now_ms
+        for peer in link_health.stale_peers(self._control.raft, now_ms):
+            self._links.reconnect(peer)
 
     def _fail(self, reason: str) -> None:
         """Stop for good: nothing more is acknowledged."""
--- a/src/wisteriawall/gateway/calls.py
+++ b/src/wisteriawall/gateway/calls.py
@@ -62,8 +62,8 @@
     """Send a request, or a leg of it, to one runner.
 
     `memory_from` names the engine and handle whose memory CONTINUE takes.
-    `urgency` is 0 to 9, most urgent first. `fresh` asks for a connection that
-    no runner can have dropped.
+    `urgency` is 0 to 9, most urgent first. `reuse_idle_ms` bounds how long a
+    connection to reuse has been idle, None for any time.
     """
 
     upstream: site_messages.Upstream
@@ -71,7 +71,7 @@
     attempt: int
     urgency: int
     memory_from: str = ""
-    fresh: bool = False
+    reuse_idle_ms: int | None = None
 
 
 @final
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -22,6 +22,8 @@
 # A prompt that can't be in time anyway gives way to those that can.
 LATE_URGENCY = 8
 BITS_PER_BYTE = 8
+# Runners keep idle connections for seconds.
+ONCE_REUSE_IDLE_MS = 1_500
 # A deadline shorter than others by less than this says nothing.
 RETURNED_MS = 200
 
@@ -158,10 +160,14 @@
 ) -> Iterator[events.Effect]:
     """Send to the runner with the fewest requests, the own zone first."""
 
-    def order(upstream: site_messages.Upstream) -> tuple[int, bool, float]:
+    def order(upstream: site_messages.Upstream) -> tuple[int, bool, int]:
         load = gateway.load_by_id[upstream.upstream_id]
         other_zone = upstream.zone != gateway.zone
-        return load.in_flight, other_zone, gateway.random.random()
+        # The same runner whenever possible, whose connection is open already.
+        preference = zlib.crc32(
+            f"{gateway.name}/{upstream.upstream_id}".encode()
+        )
+        return load.in_flight, other_zone, preference
 
     chosen = min(candidates, key=order)
     load = gateway.load_by_id[chosen.upstream_id]
@@ -177,13 +183,23 @@
             leg=calls.Leg.WHOLE,
             attempt=request.arrivals + 1,
             urgency=FIRST_URGENCY,
-            fresh=request.route.kind is route_table.RequestKind.AT_MOST_ONCE,
+            reuse_idle_ms=_reuse_idle_ms(request.route),
         ),
         now_ms,
         unread_tokens=0,
     )
 
 
+def _reuse_idle_ms(route: route_table.Route) -> int | None:
+    """Return how long a connection may have been idle, None for any time.
+
+    A runner may drop an idle connection at the moment it is used, and a
+    request that runs once would then end with an unknown outcome.
+    """
+    once = route.kind is route_table.RequestKind.AT_MOST_ONCE
+    return ONCE_REUSE_IDLE_MS if once else None
+
+
 def _place_prompt(
     gateway: state_lib.Gateway,
     request: state_lib.Request,
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -203,7 +203,9 @@
             headers=headers,
             body=request.body or None,
             timeout_s=left_ms / MS_PER_S,
-            fresh=send.fresh,
+            max_idle_ms=connections.FOREVER_MS
+            if send.reuse_idle_ms is None
+            else send.reuse_idle_ms,
         )
 
     def _read_rest(self, exchange: exchange_lib.Exchange) -> None:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -114,6 +114,7 @@
         )
         self._lock = threading.Lock()
         self._gateway = state_lib.Gateway(
+            name=identity.name,
             zone=identity.zone,
             random=random.Random(f"{identity.name}/{identity.incarnation}"),
             tuning=tuning,
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -65,6 +65,7 @@
 class Gateway:
     """Everything that a gateway decides from."""
 
+    name: str
     zone: str
     random: random.Random
     tuning: Tuning
--- a/src/wisteriawall/platform/commands.py
+++ b/src/wisteriawall/platform/commands.py
@@ -89,7 +89,10 @@
     settings = settings_lib.load()
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
     log = _log(settings, "control")
-    folder = data or pathlib.Path(settings.data_directory or "data")
+    if data is None and not settings.data_directory:
+        _redirect_to_seeds(settings, log)
+        return
+    folder = data or pathlib.Path(settings.data_directory or "")
     incarnation = serving.incarnation()
     founders = _founders(settings)
     replica = data_folder.owner(folder) or _new_name(settings, bool(founders))
@@ -152,6 +155,20 @@
     )
 
 
+def _redirect_to_seeds(
+    settings: settings_lib.Settings, log: decisions.DecisionLog
+) -> None:
+    """Serve operators on a VM without a disk, which can hold no replica."""
+    http = server_lib.HttpServer(
+        address=settings.listen_addresses.control,
+        app=operators.SeedRedirect(seeds=settings.seeds),
+        threads=OPERATOR_THREADS,
+    )
+    log.write("start", inputs={"replica": "", "reason": "no data folder"})
+    serving.run_until_signalled(start=http.start, stop=http.stop, line="")
+    log.close()
+
+
 def _founders(
     settings: settings_lib.Settings,
 ) -> tuple[raft_messages.Member, ...]:
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -1,5 +1,6 @@
 """The operators' calls on the platform, answered by a control replica."""
 
+import itertools
 import logging
 from typing import Literal
 from typing import final
@@ -14,7 +15,7 @@
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_messages
 
-__all__ = ["OperatorApp", "TableInvalid", "decode_table"]
+__all__ = ["OperatorApp", "SeedRedirect", "TableInvalid", "decode_table"]
 
 _LOG = logging.getLogger("operators")
 
@@ -237,12 +238,41 @@
         address = self._shell.admin_address(leader)
         if not address:
             return server_lib.refuse(start_response, _UNAVAILABLE)
-        return server_lib.respond(
-            start_response,
-            status=307,
-            body=b"{}",
-            headers=[("Location", f"http://{address}{environ['PATH_INFO']}")],
-        )
+        return _redirect(environ, start_response, address)
+
+
+@final
+class SeedRedirect:
+    """WSGI application of a VM without a disk: points to the replicas.
+
+    Args:
+        seeds: Addresses of replicas that answer operators.
+    """
+
+    def __init__(self, *, seeds: list[str]) -> None:
+        self._seeds = itertools.cycle(seeds)
+
+    def __call__(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        """Redirect one request."""
+        server_lib.read_body(environ)
+        return _redirect(environ, start_response, next(self._seeds))
+
+
+def _redirect(
+    environ: server_lib.Environ,
+    start_response: server_lib.StartResponse,
+    address: str,
+) -> server_lib.Response:
+    return server_lib.respond(
+        start_response,
+        status=307,
+        body=b"{}",
+        headers=[("Location", f"http://{address}{environ['PATH_INFO']}")],
+    )
 
 
 _NOT_FOUND = refusal_lib.Refusal(
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -185,6 +185,15 @@
                 self._socket_by_peer[peer] = self._connect(address)
                 self._address_by_peer[peer] = address
 
+    def reconnect(self, peer: str) -> None:
+        """Connect anew to a peer whose connection may have gone silent."""
+        silent = self._socket_by_peer.get(peer)
+        if silent is not None:
+            self._socket_by_peer[peer] = self._connect(
+                self._address_by_peer[peer]
+            )
+            silent.close()
+
     def send(self, *, peer: str, message: bytes) -> None:
         """Send `message`, or drop it when the peer cannot take it now."""
         socket = self._socket_by_peer.get(peer)
--- a/testing/support/replay.py
+++ b/testing/support/replay.py
@@ -79,6 +79,7 @@
 ) -> state_lib.Gateway:
     """Return a gateway that knows the table and these engines."""
     known = state_lib.Gateway(
+        name="g1",
         zone="z1",
         random=random.Random(1),
         tuning=tuning or state_lib.Tuning(),
