--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -17,6 +17,7 @@
 from wisteriawall.gateway import run as run_lib
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.observability import decisions
+from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.web import connection as connection_lib
 from wisteriawall.web import connections
@@ -78,6 +79,7 @@
         budget: Retries that all gateways may make.
         tuning: Settings of the decisions.
         log: Takes a line for each decision.
+        metrics: Where decisions and their times are counted.
         grace_ms: Time within which a planned stop must end.
         leave_ms: Part of it in which the balancer finds the gateway not ready
             and new requests are still served.
@@ -93,12 +95,14 @@
         budget: RetryBudget,
         tuning: state_lib.Tuning,
         log: decisions.DecisionLog,
+        metrics: metrics_lib.Metrics,
         grace_ms: int,
         leave_ms: int = LEAVE_MS,
     ) -> None:
         self._identity = identity
         self._dialect = dialect
         self._log = log
+        self._metrics = metrics
         self._grace_ms = grace_ms
         self._leave_ms = leave_ms
         sender = envelope.Sender(identity.name, identity.incarnation)
@@ -297,10 +301,21 @@
                 self._news.tell(step)
             case events.Decided(decision=decision, key=key, inputs=inputs):
                 self._log.write(decision, request=key, inputs=inputs)
+                self._count(decision, inputs)
             case _:
                 return False
         return True
 
+    def _count(self, decision: str, inputs: Mapping[str, object]) -> None:
+        match decision, inputs:
+            case "refused", {"status": status}:
+                self._metrics.count(f"refused.{status}")
+            case (("began" | "ended"), {"ms": int(took_ms)}):
+                self._metrics.count(decision)
+                self._metrics.time_ms(decision, took_ms)
+            case _:
+                self._metrics.count(decision)
+
     def _hear(self, steps: list[site_messages.LoadEvent]) -> None:
         self._submit(
             events.Heard(events=tuple(steps), now_ms=clock.steady_ms())
--- a/src/wisteriawall/platform/commands.py
+++ b/src/wisteriawall/platform/commands.py
@@ -17,6 +17,8 @@
 from wisteriawall.gateway import shell as gateway_shell
 from wisteriawall.gateway import state as gateway_state
 from wisteriawall.observability import decisions
+from wisteriawall.observability import exposition
+from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.platform import headers
 from wisteriawall.platform import operators
 from wisteriawall.platform import runners
@@ -34,6 +36,16 @@
 OPERATOR_THREADS = 8
 NAME_BYTES = 4
 
+MetricsPort = Annotated[
+    int,
+    typer.Option(
+        envvar="WISTERIAWALL_METRICS_PORT",
+        help="Port that serves /metrics as text; 0 serves none.",
+        min=0,
+        max=65_535,
+    ),
+]
+
 app = typer.Typer(
     name="platform",
     help="Run on the users' platform, from the settings file it writes.",
@@ -42,11 +54,14 @@
 
 
 @app.command()
-def gateway(cluster_key: options.ClusterKey = "") -> None:
+def gateway(
+    cluster_key: options.ClusterKey = "", metrics_port: MetricsPort = 0
+) -> None:
     """Forward callers' requests to the runners."""
     settings = settings_lib.load()
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
     log = _log(settings, "gateway")
+    metrics = _metrics(settings, metrics_port)
     shell = gateway_shell.GatewayShell(
         identity=gateway_shell.Identity(
             name=settings.node_name,
@@ -62,6 +77,7 @@
         budget=settings.retry_budget,
         tuning=gateway_state.Tuning(),
         log=log,
+        metrics=metrics,
         grace_ms=settings.grace_ms,
     )
     serving.run_until_signalled(
@@ -77,6 +93,7 @@
 @app.command()
 def control(
     cluster_key: options.ClusterKey = "",
+    metrics_port: MetricsPort = 0,
     data: Annotated[
         pathlib.Path | None,
         typer.Option(
@@ -89,6 +106,7 @@
     settings = settings_lib.load()
     key = checks.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key)
     log = _log(settings, "control")
+    metrics = _metrics(settings, metrics_port)
     if data is None and not settings.data_directory:
         _redirect_to_seeds(settings, log)
         return
@@ -105,6 +123,7 @@
         incarnation=incarnation,
         bootstrap=bool(founders),
         founders=founders,
+        metrics=metrics,
         on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
     )
     client = control_client.ControlClient(
@@ -190,6 +209,14 @@
     return f"{settings.ip_address}-{secrets.token_hex(NAME_BYTES)}"
 
 
+def _metrics(settings: settings_lib.Settings, port: int) -> metrics_lib.Metrics:
+    if not port:
+        return metrics_lib.NoMetrics()
+    served = exposition.Exposition(address=f"{settings.ip_address}:{port}")
+    served.start()
+    return served
+
+
 def _log(
     settings: settings_lib.Settings, program: str
 ) -> decisions.DecisionLog:
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -23,6 +23,7 @@
 from wisteriawall.gateway import shell as gateway_shell
 from wisteriawall.gateway import state as gateway_state
 from wisteriawall.observability import decisions
+from wisteriawall.observability import metrics
 from wisteriawall.platform import headers
 from wisteriawall.platform import operators
 from wisteriawall.platform import runners
@@ -311,6 +312,7 @@
                 window_ms=10_000, ratio=0.2, slack=60
             ),
             tuning=gateway_state.Tuning(),
+            metrics=metrics.NoMetrics(),
             log=decisions.DecisionLog(process="g1", stream=self._log_file),
             grace_ms=GRACE_MS,
             leave_ms=LEAVE_MS,
