--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -30,7 +30,10 @@
 
 _LOG = logging.getLogger("gateway")
 
+# A changed table must be in force within two seconds.
 FOLLOW_S = 0.35
+# Pause while the table or the list of runners is missing.
+CATCH_UP_S = 0.1
 # Another connection attempt is worth more than waiting for a silent host.
 CONNECT_TIMEOUT_S = 0.5
 # The balancer needs two misses at one question a second.
@@ -322,7 +325,7 @@
         )
 
     def _follow_control(self) -> None:
-        while not self._stopping.wait(FOLLOW_S if self._connected else 0.1):
+        while not self._stopping.wait(self._follow_pause_s()):
             gateway = self._gateway
             asked = site_messages.Follow(
                 self._identity.name,
@@ -344,6 +347,12 @@
             if isinstance(reply, site_messages.Followed):
                 self._learn(reply)
 
+    def _follow_pause_s(self) -> float:
+        """Return when to ask next: soon while something is missing."""
+        gateway = self._gateway
+        complete = gateway.index is not None and gateway.upstream_by_id
+        return FOLLOW_S if self._connected and complete else CATCH_UP_S
+
     def _learn(self, reply: site_messages.Followed) -> None:
         self._news.follow(reply.peers)
         if reply.rpc_address_by_replica:
