Tell joining replicas where the members are; read lists with unreadable entries

The answer to its request now names the members. A page of the runners' list in which one entry is not even JSON (bytes of another writer) was unreadable as a whole; its readable entries now count. Ruled out: the leader's replication, which did send.

--- a/src/wisteriawall/control/joining.py
+++ b/src/wisteriawall/control/joining.py
@@ -1,5 +1,6 @@
 """Join a replica that the membership does not name, or that was removed."""
 
+from collections.abc import Mapping
 import logging
 import threading
 from typing import Protocol
@@ -24,6 +25,9 @@
     def is_settled(self, *, silence_ms: int) -> bool:
         """Tell whether this member heard a leader within `silence_ms`."""
 
+    def know_peers(self, peer_address_by_replica: Mapping[str, str]) -> None:
+        """Reach these members until the log names them."""
+
 
 @final
 class Joining:
@@ -68,3 +72,5 @@
                 _LOG.info("control: not joined yet: %s", error)
                 continue
             _LOG.info("control: asked to join: %s", reply)
+            if isinstance(reply, site_messages.JoinReply):
+                self._replica.know_peers(reply.peer_address_by_replica)
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -247,17 +247,23 @@
         return
     request = replicas.next_change(raft, join)
     if request is None:
-        yield events.Answer(event.call_id, site_messages.JoinReply(True))
+        reply = site_messages.JoinReply(True, "", _peer_addresses(raft))
+        yield events.Answer(event.call_id, reply)
         return
     effects = replicas.change(raft, request, event.wall_ms)
     if isinstance(effects, events.ReplicasReply):
-        reply = site_messages.JoinReply(False, effects.refusal)
+        reason = effects.refusal
     else:
         yield from _follow_raft(control, effects)
-        reply = site_messages.JoinReply(False, "a change is under way")
+        reason = "a change is under way"
+    reply = site_messages.JoinReply(False, reason, _peer_addresses(raft))
     yield events.Answer(event.call_id, reply)
 
 
+def _peer_addresses(raft: raft_lib.Raft) -> dict[str, str]:
+    return {m.replica: m.peer_address for m in raft.members}
+
+
 def _submit(
     control: replica_state.Control, command: commands.Command, now_ms: int
 ) -> Iterator[events.Effect]:
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -202,9 +202,19 @@
         """Return the name of this replica."""
         return self._control.raft.replica
 
+    def know_peers(self, peer_address_by_replica: Mapping[str, str]) -> None:
+        """Reach these members until the log names them; from any thread."""
+        own = {self.replica: self._configured_peers[self.replica]}
+        self._configured_peers = {**peer_address_by_replica, **own}
+
+    @property
+    def members(self) -> tuple[raft_messages.Member, ...]:
+        """Return the newest membership that this replica knows."""
+        return self._control.raft.members
+
     def admin_address(self, replica: str) -> str:
         """Return where operators reach a member, empty if it is unknown."""
-        for member in self._control.raft.members:
+        for member in self.members:
             if member.replica == replica:
                 return member.admin_address
         return ""
--- a/src/wisteriawall/platform/runners.py
+++ b/src/wisteriawall/platform/runners.py
@@ -1,7 +1,8 @@
 """The platform's list of runners."""
 
 from collections.abc import Iterator
-from typing import Any
+import json
+import re
 from typing import final
 from urllib import parse
 
@@ -16,6 +17,8 @@
 LIST_PATH = "/instances"
 TIMEOUT_S = 1.0
 MAX_PAGES = 200
+LIST_START = re.compile(r'"instances"\s*:\s*\[')
+NEXT_PAGE = re.compile(r'"next"\s*:\s*"([^"]*)"')
 
 
 @final
@@ -107,18 +110,29 @@
 def _decode_loose(
     body: bytes,
 ) -> tuple[list[site_messages.Upstream], str | None]:
-    """Read a page in which some entry is not even JSON text."""
-    try:
-        loaded: Any = msgspec.json.decode(body.decode("utf-8", "replace"))
-        entries = loaded["instances"]
-        following = loaded.get("next")
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
-        raise upstream_reader.ListUnreadable(f"page: {error}") from error
-    if not isinstance(entries, list):
+    """Read a page that is not JSON as a whole because of some entry."""
+    text = body.decode("utf-8", "replace")
+    if not LIST_START.search(text):
         raise upstream_reader.ListUnreadable("page: no list of entries")
-    found = [_decode_entry(msgspec.json.encode(entry)) for entry in entries]
-    usable = [u for u in found if u is not None]
-    return usable, following if isinstance(following, str) else None
+    found = [
+        _decode_entry(json.dumps(entry).encode()) for entry in _objects(text)
+    ]
+    token = NEXT_PAGE.search(text)
+    return [u for u in found if u is not None], token and token.group(1)
+
+
+def _objects(text: str) -> Iterator[object]:
+    """Yield every object in the text that can be read by itself."""
+    decoder = json.JSONDecoder()
+    position = text.find("{", text.find("{") + 1)
+    while position >= 0:
+        try:
+            value, end = decoder.raw_decode(text, position)
+        except (ValueError, RecursionError):
+            end = position + 1
+        else:
+            yield value
+        position = text.find("{", end)
 
 
 def _decode_entry(raw: bytes) -> site_messages.Upstream | None:
--- a/src/wisteriawall/wire/site_messages.py
+++ b/src/wisteriawall/wire/site_messages.py
@@ -121,10 +121,15 @@
 
 @final
 class JoinReply(msgspec.Struct, frozen=True, array_like=True, tag="joining"):
-    """Whether the replica is a member now, and why not yet."""
+    """Whether the replica is a member now, and why not yet.
+
+    `peer_address_by_replica` is where the members hear each other: the joining
+    replica's own log does not tell it yet.
+    """
 
     joined: bool
-    reason: str = ""
+    reason: str
+    peer_address_by_replica: dict[str, str]
 
 
 @final
--- /dev/null
+++ b/testing/control/test_replicas.py
@@ -0,0 +1,58 @@
+"""Tests of membership changes that replicas ask for or that are overdue."""
+
+import random
+
+import pytest
+
+from wisteriawall.control import events
+from wisteriawall.control import raft as raft_lib
+from wisteriawall.control import raft_state
+from wisteriawall.control import replicas
+from wisteriawall.wire import raft_messages
+from wisteriawall.wire import site_messages
+
+NOW_MS = 50_000
+
+
+def leader(*names: str, silent: tuple[str, ...] = ()) -> raft_lib.Raft:
+    """Return the state of a leader `a` with these other voters."""
+    raft = raft_lib.Raft(replica="a", peers=names, random=random.Random(1))
+    raft.role = raft_lib.RaftRole.LEADER
+    raft.elected_ms = 0
+    raft.progress_by_peer = {
+        name: raft_state.Progress(
+            next_index=1, heard_ms=1 if name in silent else NOW_MS
+        )
+        for name in names
+    }
+    return raft
+
+
+@pytest.mark.parametrize(
+    ("others", "silent", "lost"),
+    [
+        pytest.param("bc", "c", None, id="three-voters-are-kept"),
+        pytest.param("bcd", "", None, id="all-heard"),
+        pytest.param("bcd", "d", "d", id="silent-one-of-four"),
+        pytest.param("bcd", "cd", None, id="no-majority-heard"),
+    ],
+)
+def test_lost_replica(others: str, silent: str, lost: str | None) -> None:
+    raft = leader(*others, silent=tuple(silent))
+    assert replicas.lost(raft, NOW_MS) == lost
+
+
+def test_emptied_replica_of_the_same_vm_is_replaced() -> None:
+    raft = leader("b")
+    raft.log.members = (
+        raft_messages.Member("a", "10.0.0.1:1"),
+        raft_messages.Member("b", "10.0.0.2:1"),
+    )
+    join = site_messages.JoinReplicas("b-2", "10.0.0.2:1", "", "")
+    step = replicas.next_change(raft, join)
+    assert step == events.ReplicaRemove("leader", "b")
+    raft.log.members = raft.log.members[:1]
+    step = replicas.next_change(raft, join)
+    assert isinstance(step, events.ReplicaAdd)
+    raft.log.members = (*raft.log.members, raft_messages.Member("b-2"))
+    assert replicas.next_change(raft, join) is None
--- /dev/null
+++ b/testing/platform/test_decoding.py
@@ -0,0 +1,165 @@
+"""Tests of what arrives from the platform: a typed value or a typed error."""
+
+import json
+import pathlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+from support import platform_site as sites
+
+from wisteriawall.control import upstream_reader
+from wisteriawall.gateway import calls
+from wisteriawall.platform import headers
+from wisteriawall.platform import operators
+from wisteriawall.platform import runners
+from wisteriawall.platform import settings
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=12,
+)
+SETTINGS = {
+    "node_name": "n1",
+    "ip_address": "10.0.0.1",
+    "zone": "z1",
+    "seeds": ["10.0.0.1:80", "10.0.0.2:80"],
+    "internal_ports": [7_000, 7_010],
+    "cloud_api": {"address": "10.9.9.9:80"},
+    "something_new": {"a": 1},
+}
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_a_page_or_unreadable(data: bytes) -> None:
+    try:
+        found, _ = runners.decode_page(data)
+    except upstream_reader.ListUnreadable:
+        return
+    assert isinstance(found, list)
+
+
+@hypothesis.given(strategies.lists(JSON, max_size=5))
+def test_odd_entries_hide_no_good_one(odd: list[object]) -> None:
+    good = sites.StandInRunner("i-1", "shop")
+    entry = good.entry()
+    good.close()
+    page = {"instances": [*odd, entry], "next": None}
+    found, following = runners.decode_page(json.dumps(page).encode())
+    assert [upstream.upstream_id for upstream in found] == ["i-1"]
+    assert following is None
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        pytest.param(b"Infinity", id="no-json-number"),
+        pytest.param(b"\xff\xfe", id="no-text"),
+        pytest.param(b'{"identifier": "i-0", "service', id="cut"),
+        pytest.param(b'"unfinished', id="unfinished-text"),
+    ],
+)
+def test_unreadable_bytes_hide_no_good_entry(odd: bytes) -> None:
+    good = sites.StandInRunner("i-1", "shop")
+    entry = json.dumps(good.entry()).encode()
+    good.close()
+    body = b'{"instances": [' + entry + b"," + odd + b'], "next": "p-2"}'
+    found, following = runners.decode_page(body)
+    assert [upstream.upstream_id for upstream in found] == ["i-1"]
+    assert following == "p-2"
+
+
+@hypothesis.given(
+    strategies.binary(max_size=200)
+    | JSON.map(lambda value: json.dumps(value).encode())
+)
+def test_any_bytes_are_a_table_or_invalid(data: bytes) -> None:
+    with pytest.raises(operators.TableInvalid):
+        operators.decode_table(data)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({"timeout_ms": 0}, id="time-out-of-0"),
+        pytest.param({"service": "none"}, id="unknown-service"),
+        pytest.param({"path_prefix": "/pay/"}, id="same-host-and-prefix"),
+        pytest.param(
+            {"weighted_services": [{"service": "shop", "weight": 0}]},
+            id="weights-add-up-to-0",
+        ),
+        pytest.param({"type": "odd"}, id="unknown-type"),
+    ],
+)
+def test_invalid_route_makes_the_table_invalid(
+    change: dict[str, object],
+) -> None:
+    document = sites.document(1)
+    document["routes"][0] |= change
+    with pytest.raises(operators.TableInvalid):
+        operators.decode_table(json.dumps(document).encode())
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(
+            [
+                headers.ATTEMPT_ID,
+                headers.DEADLINE,
+                headers.TOKENS,
+                headers.PREFIX,
+                headers.MODEL,
+            ]
+        ),
+        strategies.text(max_size=20) | strategies.sampled_from(["5", "1,2"]),
+    )
+)
+def test_any_head_is_a_call_or_malformed(named: dict[str, str]) -> None:
+    try:
+        call = headers.PlatformDialect().read_call(named)
+    except calls.MalformedCall:
+        return
+    assert call.attempt_id
+    assert call.deadline_ms >= 0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param("", id="empty"),
+        pytest.param("{", id="cut"),
+        pytest.param("{}", id="fields-missing"),
+    ],
+)
+def test_bad_settings_name_the_file(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, text: str
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(path))
+    with pytest.raises(settings.SettingsInvalid, match=r"settings\.json"):
+        settings.load()
+
+
+def test_settings_give_addresses_and_ignore_new_fields(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(path))
+    loaded = settings.load()
+    assert loaded.rpc_address == "10.0.0.1:7001"
+    assert loaded.seed_rpc_by_replica() == {
+        "10.0.0.1": "10.0.0.1:7001",
+        "10.0.0.2": "10.0.0.2:7001",
+    }
