Expire requests at runners whose end was never told

Cause, found in reading: a gateway that is killed, or a lost datagram, leaves its requests in the other gateways' loads for good. Prompts then seem to wait longer, memory seems taken, and after twelve such requests a plain runner seems full and is refused. Entries older than the longest request are dropped before each decision. Also removes what nothing uses. Test: test_requests_whose_end_was_never_told_expire.

--- a/src/wisteriawall/gateway/calls.py
+++ b/src/wisteriawall/gateway/calls.py
@@ -118,6 +118,3 @@
 
     def read_prompt(self, body: bytes) -> ReadPrompt | None:
         """Return the answer to a READ leg, None if it can't be read."""
-
-    def free_memory(self, handle: str) -> tuple[str, str]:
-        """Return method and path of the call that frees a handle."""
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -131,6 +131,8 @@
         yield from _refuse(gateway, request, refusals.late(), "late")
         return
     candidates = _candidates(gateway, request)
+    for upstream in candidates:
+        gateway.load_by_id[upstream.upstream_id].expire(now_ms)
     if not candidates:
         yield from _refuse(gateway, request, refusals.no_runner(), "no-runner")
         return
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -44,8 +44,6 @@
         "expect",
     }
 )
-# Answers that arrive where another request's was expected, at most.
-MAX_FOREIGN_ANSWERS = 1
 
 
 @final
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -117,10 +117,6 @@
             return None
         return calls.ReadPrompt(handle=read.transfer_handle)
 
-    def free_memory(self, handle: str) -> tuple[str, str]:
-        """Return method and path of the call that frees a handle."""
-        return "DELETE", f"/kv-handle/{handle}"
-
 
 def _number(headers: Mapping[str, str], name: str, default: int) -> int:
     text = headers.get(name, "")
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -1,5 +1,6 @@
 """The operators' calls on the platform, answered by a control replica."""
 
+import enum
 import itertools
 import logging
 from typing import Literal
@@ -19,8 +20,6 @@
 
 _LOG = logging.getLogger("operators")
 
-PUBLISH_PATH = "/Configuration.Put"
-READ_PATH = "/Configuration.Get"
 OPERATOR = "platform"
 BITS_PER_MS_IN_MBPS = 1_000
 
@@ -31,6 +30,14 @@
 }
 
 
+@final
+class Calls(enum.StrEnum):
+    """Calls of operators."""
+
+    PUBLISH = "POST /Configuration.Put"
+    READ = "GET /Configuration.Get"
+
+
 class TableInvalid(ValueError):
     """A document is not a valid routing table."""
 
@@ -185,15 +192,15 @@
         """Serve one request."""
         body = server_lib.read_body(environ)
         request: events.Request
-        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
-            case "POST", "/Configuration.Put":
+        match f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}":
+            case Calls.PUBLISH:
                 try:
                     table = decode_table(body)
                 except TableInvalid as error:
                     _LOG.info("operators: refused a table: %s", error)
                     return server_lib.refuse(start_response, _invalid(error))
                 request = events.PublishRequest(OPERATOR, table, body)
-            case "GET", "/Configuration.Get":
+            case Calls.READ:
                 request = events.TableRequest()
             case _:
                 return server_lib.refuse(start_response, _NOT_FOUND)
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -42,6 +42,8 @@
 PACE_GAIN = 0.05
 MIN_PACE = 0.5
 MAX_PACE = 6.0
+# No request is in progress for longer; the longest deadline is 8 to 9 s.
+LONGEST_REQUEST_MS = 10_000
 # Shorter expectations say more of the network than of the engine.
 MIN_OBSERVED_MS = 30.0
 
@@ -108,6 +110,7 @@
     read_ms: float
     rank: int
     tokens: int
+    sent_ms: int
 
 
 @final
@@ -120,8 +123,8 @@
         "_memory_tokens",
         "_parts_tokens",
         "_read_by_id",
+        "_running_by_id",
         "_tokens_by_part",
-        "_tokens_by_running",
         "is_reader",
         "pace",
     )
@@ -131,7 +134,7 @@
         self.pace = 1.0
         self._memory_tokens = memory_tokens
         self._read_by_id: OrderedDict[str, _Read] = OrderedDict()
-        self._tokens_by_running: dict[str, int] = {}
+        self._running_by_id: OrderedDict[str, _Read] = OrderedDict()
         self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
         self._parts_tokens = 0
         self._head_since_ms = 0
@@ -140,7 +143,7 @@
     @property
     def in_flight(self) -> int:
         """Return how many requests the engine has."""
-        return len(self._read_by_id) + len(self._tokens_by_running)
+        return len(self._read_by_id) + len(self._running_by_id)
 
     @property
     def waiting(self) -> int:
@@ -187,7 +190,7 @@
     def lacks_room(self, tokens: int) -> bool:
         """Tell whether a prompt would have to wait for memory."""
         held = sum(read.tokens for read in self._read_by_id.values())
-        held += sum(self._tokens_by_running.values())
+        held += sum(read.tokens for read in self._running_by_id.values())
         return held + tokens > ROOM_SHARE * self._memory_tokens
 
     def send(
@@ -201,7 +204,7 @@
     ) -> None:
         """Note a prompt that was sent."""
         tokens = sum(tokens for _, tokens in parts)
-        self._read_by_id[request_id] = _Read(read_ms, rank, tokens)
+        self._read_by_id[request_id] = _Read(read_ms, rank, tokens, now_ms)
         self._find_head(now_ms)
         self._remember(parts)
 
@@ -209,15 +212,28 @@
         """Note the first token: the prompt was read."""
         read = self._read_by_id.pop(request_id, None)
         if read is not None:
-            self._tokens_by_running[request_id] = read.tokens
+            self._running_by_id[request_id] = read
             self._next_head(now_ms)
 
     def ended(self, request_id: str, *, now_ms: int) -> None:
         """Note that the engine has the request no more."""
-        self._tokens_by_running.pop(request_id, None)
+        self._running_by_id.pop(request_id, None)
         if self._read_by_id.pop(request_id, None) is not None:
             self._next_head(now_ms)
 
+    def expire(self, now_ms: int) -> None:
+        """Drop requests whose end was never told.
+
+        Their gateway was killed, or its datagram was lost.
+        """
+        for by_id in (self._read_by_id, self._running_by_id):
+            while by_id:
+                request_id, oldest = next(iter(by_id.items()))
+                if now_ms - oldest.sent_ms < LONGEST_REQUEST_MS:
+                    break
+                del by_id[request_id]
+        self._find_head(now_ms)
+
     def observe(self, *, expected_ms: float, took_ms: float) -> None:
         """Learn the engine's pace from one first token."""
         if expected_ms < MIN_OBSERVED_MS:
--- a/testing/policy/test_placement.py
+++ b/testing/policy/test_placement.py
@@ -166,3 +166,15 @@
     )
     assert best is not None
     assert best.upstream_id == "free"
+
+
+def test_requests_whose_end_was_never_told_expire() -> None:
+    engine = load()
+    send(engine, "reading", 500)
+    send(engine, "running", 100)
+    engine.began("running", now_ms=100)
+    engine.expire(placement.LONGEST_REQUEST_MS - 1)
+    assert engine.in_flight == 2
+    engine.expire(placement.LONGEST_REQUEST_MS)
+    assert engine.in_flight == 0
+    assert engine.wait_ms(now_ms=placement.LONGEST_REQUEST_MS, rank=9) == 0
