--- /dev/null
+++ b/src/wisteriawall/gateway/ending.py
@@ -0,0 +1,39 @@
+"""Final answers that a gateway gives itself."""
+
+from collections.abc import Iterator
+
+from wisteriawall.gateway import events
+from wisteriawall.gateway import refusals
+from wisteriawall.gateway import state as state_lib
+from wisteriawall.web import refusal as refusal_lib
+
+__all__ = ["refuse", "refuse_without_runner"]
+
+
+def refuse(
+    gateway: state_lib.Gateway,
+    request: state_lib.Request,
+    refusal: refusal_lib.Refusal,
+    reason: str,
+) -> Iterator[events.Effect]:
+    """End a request with a final answer of the gateway's own."""
+    gateway.request_by_key.pop(request.key, None)
+    yield events.Decided(
+        decision="refused",
+        key=request.key,
+        inputs={
+            "status": refusal.status,
+            "run": refusal.run.value,
+            "reason": reason,
+            "retry_ms": refusal.retry_after_ms,
+            "table": gateway.table_number,
+        },
+    )
+    yield events.Refuse(refusal=refusal)
+
+
+def refuse_without_runner(
+    gateway: state_lib.Gateway, request: state_lib.Request
+) -> Iterator[events.Effect]:
+    """Refuse a request for which no runner is left to try."""
+    yield from refuse(gateway, request, refusals.no_runner(), "no-runner")
