--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -38,9 +38,7 @@
     for upstream in candidates:
         gateway.load_by_id[upstream.upstream_id].expire(now_ms)
     if not candidates:
-        yield from ending.refuse(
-            gateway, request, refusals.no_runner(), "no-runner"
-        )
+        yield from ending.refuse_without_runner(gateway, request)
         return
     if request.prompt is None:
         yield from _place_plain(gateway, request, candidates, now_ms)
@@ -135,9 +133,7 @@
     in_turn = find(prompt)
     behind = find(dataclasses.replace(prompt, rank=LATE_URGENCY))
     if in_turn is None or behind is None:
-        yield from ending.refuse(
-            gateway, request, refusals.no_runner(), "no-runner"
-        )
+        yield from ending.refuse_without_runner(gateway, request)
         return
     route = request.route
     waited_ms = now_ms - request.arrived_ms + request.waited_before_ms
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -135,9 +135,7 @@
     if answering is None or answering.leaving:
         answering = placing.calmest_answering(gateway, request, event.now_ms)
     if answering is None:
-        yield from ending.refuse(
-            gateway, request, refusals.no_runner(), "no-runner"
-        )
+        yield from ending.refuse_without_runner(gateway, request)
         return
     send = calls.Send(
         upstream=answering,
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -145,11 +145,6 @@
         """Return how many requests the engine has."""
         return len(self._read_by_id) + len(self._running_by_id)
 
-    @property
-    def waiting(self) -> int:
-        """Return how many prompts are not read yet."""
-        return len(self._read_by_id)
-
     def unread(self, parts: Iterable[tuple[str, int]]) -> int:
         """Return the tokens that the engine would have to read anew.
 
@@ -242,11 +237,6 @@
         pace = self.pace + PACE_GAIN * (seen - self.pace)
         self.pace = min(MAX_PACE, max(MIN_PACE, pace))
 
-    def forget(self) -> None:
-        """Note that the engine lost its memory."""
-        self._tokens_by_part.clear()
-        self._parts_tokens = 0
-
     def _find_head(self, now_ms: int) -> None:
         """Take the most urgent prompt as the one in progress, if none is."""
         if self._head_id in self._read_by_id or not self._read_by_id:
