Send load events through a grid of gateways; heed leaving, pausing and failing runners

(1) Each gateway sent each load event to every other one. (2) A runner's Server-Leaving and Retry-After were ignored, and each gateway lost requests of its own to a crashed runner that was still listed. (3) A request could be sent after its deadline when the process had no processor time. (4) The control role without a disk died of SIGHUP, a process whose start failed after its metrics server had started did not end, an rpc thread ended with the first exchange that failed.

Events go to the gateways of a column, which forward them to their rows (gateway/load_mesh.py); starts of plain answers are not sent any more. policy/runner_notices.py keeps what speaks against a runner; failures and leaving are told to the other gateways. The deadline is checked before a send. Roles end with code 1 and a log line when they fail; SIGHUP is handled by all of them from their first instruction on; a malformed settings file is logged and the previous settings stay.

--- a/src/wisteriawall/commands/lifecycle.py
+++ b/src/wisteriawall/commands/lifecycle.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextvars
+import logging
 import signal
 import threading
 import time
@@ -9,6 +10,8 @@
 
 import typer
 
+from wisteriawall import errors
+
 __all__ = [
     "CheckableSettings",
     "check",
@@ -17,6 +20,8 @@
     "run_until_signalled",
 ]
 
+_LOG = logging.getLogger("settings")
+
 # The settings are read again at most this long after SIGHUP.
 RELOAD_POLL_INTERVAL_S = 0.5
 
@@ -90,5 +95,8 @@
     ):
         if reload is not None and reload_requested.is_set():
             reload_requested.clear()
-            reload()
+            try:
+                reload()
+            except errors.WisteriawallError as error:
+                _LOG.warning("reload: kept the previous settings: %s", error)
     stop()
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -27,6 +27,7 @@
     "PhaseFailed",
     "PrefillDone",
     "Refuse",
+    "RunnerNoticed",
 ]
 
 
@@ -81,6 +82,7 @@
         unreachable: No connection could be made, so nothing was sent.
         answered: The runner answered with an error that may be passed on.
         status: HTTP status for the caller; 0 selects the default.
+        runner_failed: Whether the failure speaks against the runner.
     """
 
     request_id: str
@@ -90,6 +92,27 @@
     unreachable: bool = False
     answered: bool = False
     status: int = 0
+    runner_failed: bool = True
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class RunnerNoticed:
+    """A runner's answer says that it leaves, or wants no requests for a time.
+
+    Attributes:
+        request_id: The request that was answered.
+        upstream_id: The runner.
+        leaving: Whether it is about to stop.
+        pause_ms: How long it wants no requests, None if it doesn't say.
+        now_ms: Time of the answer.
+    """
+
+    request_id: str
+    upstream_id: str
+    leaving: bool
+    pause_ms: int | None
+    now_ms: int
 
 
 @final
@@ -134,6 +157,7 @@
     | PrefillDone
     | AnswerStarted
     | PhaseFailed
+    | RunnerNoticed
     | Ended
     | PeerLoadReceived
     | ControlUpdate
--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -36,7 +36,21 @@
 
 
 def refuse_without_runner(
-    gateway: state_lib.Gateway, request: state_lib.Request
+    gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> Iterator[events.Effect]:
-    """Refuse a request because no runner of its service is left to try."""
-    yield from refuse(gateway, request, refusals.no_runner(), "no-runner")
+    """Refuse a request because no runner of its service is left to try.
+
+    If some are only paused, the caller is asked to return when the first pause
+    ends.
+    """
+    resume_ms = gateway.notices.resume_ms(
+        (
+            upstream.upstream_id
+            for upstream in gateway.upstream_by_id.values()
+            if upstream.service == request.service.name and not upstream.leaving
+        ),
+        now_ms,
+    )
+    yield from refuse(
+        gateway, request, refusals.no_runner(resume_ms), "no-runner"
+    )
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -5,6 +5,7 @@
 from wisteriawall.gateway import events
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import runner_notices
 from wisteriawall.wire import gateway_messages
 
 __all__ = [
@@ -63,6 +64,12 @@
             load.first_token_received(load_event.request_id, now_ms=now_ms)
         case gateway_messages.LoadEventKind.ENDED:
             load.request_ended(load_event.request_id, now_ms=now_ms)
+        case gateway_messages.LoadEventKind.FAILED:
+            gateway.notices.note_failure(load_event.upstream_id, now_ms)
+        case gateway_messages.LoadEventKind.LEAVING:
+            gateway.notices.note_leaving(
+                load_event.upstream_id, runner_notices.Source.GATEWAY, now_ms
+            )
 
 
 def update_slowdown(
@@ -105,6 +112,7 @@
     gateway.upstream_by_id = {u.upstream_id: u for u in upstreams}
     for removed_id in set(gateway.load_by_id) - set(gateway.upstream_by_id):
         del gateway.load_by_id[removed_id]
+        gateway.notices.remove(removed_id)
     for upstream_id, upstream in gateway.upstream_by_id.items():
         previous = previous_by_id.get(upstream_id)
         same_start = (
@@ -115,6 +123,7 @@
         if load is not None and same_start:
             load.is_prefill_engine = is_prefill_engine
             continue
+        gateway.notices.remove(upstream_id)
         gateway.load_by_id[upstream_id] = placement_lib.EngineLoad(
             kv_cache_tokens=_kv_cache_tokens(gateway, upstream.service),
             is_prefill_engine=is_prefill_engine,
--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -1,7 +1,8 @@
 """Datagrams with which gateways exchange the load that they put on runners.
 
 UDP avoids a connection between every pair of gateways. Lost datagrams are not
-sent again, since they only make a forecast slightly worse.
+sent again, since they only make a forecast slightly worse. `load_mesh` decides
+which gateways exchange datagrams.
 """
 
 from collections.abc import Callable
@@ -10,8 +11,10 @@
 import logging
 import socket
 import threading
+from typing import TypeAlias
 from typing import final
 
+from wisteriawall.gateway import load_mesh
 from wisteriawall.wire import envelope
 from wisteriawall.wire import gateway_messages
 
@@ -20,14 +23,24 @@
 _LOG = logging.getLogger("gateway")
 
 MAX_DATAGRAM_BYTES = 60_000
-BATCH_DELAY_S = 0.005
+# Events wait this long for others that go into the same datagram. The delay
+# bounds the number of datagrams, which counts on VMs with a fraction of a core.
+DIRECT_BATCH_DELAY_S = 0.005
+MESH_BATCH_DELAY_S = 0.010
+# Pause after an error of the socket, which may last.
+ERROR_PAUSE_S = 0.1
+# Events that wait for the sending thread; further ones are dropped.
+MAX_PENDING_EVENTS = 2_000
+
+Address: TypeAlias = tuple[str, int]
 
 
 @final
 class PeerLoadChannel:
-    """Broadcast this gateway's load events, and receive those of others.
+    """Send this gateway's load events to all others, and receive theirs.
 
     Args:
+        name: Name of this gateway.
         address: Host and port to bind; port 0 selects a free port.
         codec: Encodes and authenticates messages with the cluster key.
         receive: Called with the events of a datagram, on the receiving thread.
@@ -36,6 +49,7 @@
     def __init__(
         self,
         *,
+        name: str,
         address: str,
         codec: envelope.Codec[gateway_messages.LoadEventBatch],
         receive: Callable[[list[gateway_messages.LoadEvent]], None],
@@ -45,13 +59,16 @@
         self._socket.bind((host, int(port)))
         bound_host, bound_port = self._socket.getsockname()
         self.address = f"{bound_host}:{bound_port}"
+        self._name = name
         self._codec = codec
         self._receive = receive
-        self._peer_addresses: list[tuple[str, int]] = []
+        self._row_addresses: list[Address] = []
+        self._column_addresses: list[Address] = []
         self._lock = threading.Lock()
         self._pending: list[gateway_messages.LoadEvent] = []
+        self._forwarded: list[gateway_messages.LoadEvent] = []
         self._has_pending = threading.Event()
-        self._closed = False
+        self._closing = threading.Event()
         self._threads = [
             threading.Thread(target=target, name=name, daemon=True)
             for target, name in (
@@ -67,61 +84,93 @@
 
     def close(self) -> None:
         """Stop both threads and release the port; unsent events are dropped."""
-        self._closed = True
+        self._closing.set()
         self._has_pending.set()
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
     def set_peers(self, peers: Iterable[gateway_messages.GatewayPeer]) -> None:
-        """Replace the gateways to which events are sent."""
-        peer_addresses = []
-        for peer in peers:
-            host, _, port = peer.address.rpartition(":")
-            peer_addresses.append((host, int(port)))
-        self._peer_addresses = peer_addresses
+        """Replace the other gateways that receive events."""
+        address_by_name = {p.name: _parse_address(p.address) for p in peers}
+        neighbors = load_mesh.find_neighbors(self._name, address_by_name)
+        self._row_addresses = [address_by_name[n] for n in neighbors.row]
+        self._column_addresses = [address_by_name[n] for n in neighbors.column]
 
     def broadcast(self, event: gateway_messages.LoadEvent) -> None:
-        """Queue an event, sent with others after `BATCH_DELAY_S`."""
+        """Queue an event, sent with others after the batch delay."""
         with self._lock:
-            self._pending.append(event)
+            if len(self._pending) < MAX_PENDING_EVENTS:
+                self._pending.append(event)
+        self._has_pending.set()
+
+    def _forward(self, events: list[gateway_messages.LoadEvent]) -> None:
+        """Queue events of other gateways for the row."""
+        with self._lock:
+            if len(self._forwarded) < MAX_PENDING_EVENTS:
+                self._forwarded += events
         self._has_pending.set()
 
     def _send_batches(self) -> None:
-        while not self._closed:
+        while not self._closing.is_set():
             self._has_pending.wait()
-            threading.Event().wait(BATCH_DELAY_S)
+            has_column = bool(self._column_addresses)
+            self._closing.wait(
+                MESH_BATCH_DELAY_S if has_column else DIRECT_BATCH_DELAY_S
+            )
             self._has_pending.clear()
             with self._lock:
-                events, self._pending = self._pending, []
-            if not events:
-                continue
-            data = self._codec.encode(gateway_messages.LoadEventBatch(events))
-            if len(data) > MAX_DATAGRAM_BYTES:
-                _LOG.warning(
-                    "gateway: %d load events not sent: over the datagram limit",
-                    len(events),
-                )
-                continue
-            for target in self._peer_addresses:
-                with contextlib.suppress(OSError):
-                    self._socket.sendto(data, target)
+                own, self._pending = self._pending, []
+                forwarded, self._forwarded = self._forwarded, []
+            self._send(own, self._column_addresses, forward=True)
+            self._send([*own, *forwarded], self._row_addresses, forward=False)
+
+    def _send(
+        self,
+        events: list[gateway_messages.LoadEvent],
+        addresses: list[Address],
+        *,
+        forward: bool,
+    ) -> None:
+        if not events or not addresses:
+            return
+        data = self._codec.encode(
+            gateway_messages.LoadEventBatch(events, forward)
+        )
+        if len(data) > MAX_DATAGRAM_BYTES:
+            _LOG.warning(
+                "gateway: %d load events not sent: over the datagram limit",
+                len(events),
+            )
+            return
+        for target in addresses:
+            # A failed send is the same as a lost datagram.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, target)
 
     def _receive_datagrams(self) -> None:
-        while not self._closed:
+        while not self._closing.is_set():
             try:
                 data = self._socket.recv(MAX_DATAGRAM_BYTES)
-                if self._closed:
+                if self._closing.is_set():
                     return
                 _, message = self._codec.decode(data)
             except envelope.MessageRejected as error:
                 _LOG.warning("gateway: rejected a load datagram: %s", error)
                 continue
             except OSError as error:
-                if not self._closed:
-                    _LOG.warning(
-                        "gateway: receiving a load datagram failed: %s", error
-                    )
-                    continue
-                return
+                if self._closing.is_set():
+                    return
+                _LOG.warning(
+                    "gateway: receiving a load datagram failed: %s", error
+                )
+                self._closing.wait(ERROR_PAUSE_S)
+                continue
+            if message.forward:
+                self._forward(message.events)
             self._receive(message.events)
+
+
+def _parse_address(address: str) -> Address:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -24,6 +24,7 @@
 __all__ = [
     "dispatch",
     "least_loaded_decoder",
+    "may_send",
     "place",
     "route_priority_class",
 ]
@@ -52,11 +53,11 @@
             gateway, request, refusals.deadline_passed(), "late"
         )
         return
-    candidates = _candidates(gateway, request)
+    candidates = _candidates(gateway, request, now_ms)
     for upstream in candidates:
         gateway.load_by_id[upstream.upstream_id].drop_expired(now_ms)
     if not candidates:
-        yield from final_answers.refuse_without_runner(gateway, request)
+        yield from final_answers.refuse_without_runner(gateway, request, now_ms)
         return
     if request.prompt is None:
         yield from _place_plain(gateway, request, candidates, now_ms)
@@ -64,16 +65,35 @@
     yield from _place_prompt(gateway, request, candidates, now_ms)
 
 
+def may_send(
+    gateway: state_lib.Gateway,
+    upstream: gateway_messages.Upstream,
+    now_ms: int,
+) -> bool:
+    """Return whether a runner accepts requests of this gateway."""
+    return not upstream.leaving and gateway.notices.may_send(
+        upstream.upstream_id, now_ms
+    )
+
+
 def _candidates(
-    gateway: state_lib.Gateway, request: state_lib.Request
+    gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> list[gateway_messages.Upstream]:
-    return [
+    """Return the runners that a request may be sent to.
+
+    Runners that failed lately are left out, unless they are too many.
+    """
+    allowed = [
         upstream
         for upstream in gateway.upstream_by_id.values()
         if upstream.service == request.service.name
-        and not upstream.leaving
         and upstream.upstream_id not in request.tried_upstream_ids
+        and may_send(gateway, upstream, now_ms)
     ]
+    preferred_ids = gateway.notices.without_avoided(
+        [upstream.upstream_id for upstream in allowed], now_ms
+    )
+    return [u for u in allowed if u.upstream_id in preferred_ids]
 
 
 def _place_plain(
@@ -160,7 +180,7 @@
         dataclasses.replace(prompt, priority_class=LATE_PRIORITY_CLASS)
     )
     if at_route_priority is None or at_late_priority is None:
-        yield from final_answers.refuse_without_runner(gateway, request)
+        yield from final_answers.refuse_without_runner(gateway, request, now_ms)
         return
     route = request.route
     waited_ms = now_ms - request.arrived_ms + request.earlier_wait_ms
@@ -334,7 +354,7 @@
     return min(
         (
             upstream
-            for upstream in _candidates(gateway, request)
+            for upstream in _candidates(gateway, request, now_ms)
             if upstream.stage is not gateway_messages.Stage.PREFILL
         ),
         key=lambda u: gateway.load_by_id[u.upstream_id].wait_ms(
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -102,12 +102,16 @@
     `not_run` is set if the runner states that it did not run the request.
     `has_seal` is set if the answer carries a runner's seal, which shows that it
     was not made by an intermediary. `attempt_id` is the request it belongs to.
+    `leaving` is set if the runner is about to stop. `pause_ms` is the time for
+    which an overloaded runner asks for no further requests, None if it doesn't.
     """
 
     status: int
     not_run: bool
     has_seal: bool
     attempt_id: str
+    leaving: bool = False
+    pause_ms: int | None = None
 
 
 @final
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -16,6 +16,7 @@
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import runner_notices
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import gateway_messages
 
@@ -47,6 +48,8 @@
             yield from _handle_answer_start(gateway, event)
         case events.PhaseFailed():
             yield from _handle_failure(gateway, event)
+        case events.RunnerNoticed():
+            yield from _handle_notice(gateway, event)
         case events.Ended():
             yield from _handle_end(gateway, event)
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
@@ -159,10 +162,12 @@
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
     decoder = gateway.upstream_by_id.get(placement.upstream_id)
-    if decoder is None or decoder.leaving:
+    if decoder is None or not placing.may_send(gateway, decoder, event.now_ms):
         decoder = placing.least_loaded_decoder(gateway, request, event.now_ms)
     if decoder is None:
-        yield from final_answers.refuse_without_runner(gateway, request)
+        yield from final_answers.refuse_without_runner(
+            gateway, request, event.now_ms
+        )
         return
     send = protocol.Send(
         upstream=decoder,
@@ -187,9 +192,15 @@
     ):
         return
     request.answer_started = True
+    gateway.notices.note_success(
+        request.current_send.upstream.upstream_id, event.now_ms
+    )
     if request.current_send.phase is protocol.Phase.WHOLE:
         loads.update_slowdown(gateway, request, event.now_ms)
     yield _phase_progress(request, "began", event.now_ms)
+    if request.prompt is None:
+        # Only a prompt's prefill ends with the start of the answer.
+        return
     yield from loads.report_step(
         gateway,
         request,
@@ -240,6 +251,7 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
+    yield from _note_failure(gateway, send.upstream.upstream_id, event)
     run = event.run
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
@@ -259,6 +271,66 @@
     yield from final_answers.refuse(gateway, request, refusal, event.reason)
 
 
+def _handle_notice(
+    gateway: state_lib.Gateway, event: events.RunnerNoticed
+) -> Iterator[events.Effect]:
+    """Record what a runner's answer says about sending to it."""
+    upstream_id = event.upstream_id
+    if upstream_id not in gateway.upstream_by_id:
+        return
+    if event.pause_ms is not None:
+        yield events.LogDecision(
+            decision="runner-paused",
+            request_id=event.request_id,
+            inputs={
+                "upstream": upstream_id,
+                "asked_ms": event.pause_ms,
+                "pause_ms": gateway.notices.note_pause(
+                    upstream_id, event.pause_ms, event.now_ms
+                ),
+            },
+        )
+    if event.leaving and gateway.notices.note_leaving(
+        upstream_id, runner_notices.Source.ANSWER, event.now_ms
+    ):
+        yield events.LogDecision(
+            decision="runner-leaving",
+            request_id=event.request_id,
+            inputs={"upstream": upstream_id, "list": gateway.list_version},
+        )
+        yield events.BroadcastLoad(
+            load_event=gateway_messages.LoadEvent(
+                gateway_messages.LoadEventKind.LEAVING, upstream_id, ""
+            )
+        )
+
+
+def _note_failure(
+    gateway: state_lib.Gateway,
+    upstream_id: str,
+    event: events.PhaseFailed,
+) -> Iterator[events.Effect]:
+    """Avoid a runner after a failure of its own, here and at other gateways."""
+    if not event.runner_failed or upstream_id not in gateway.upstream_by_id:
+        return
+    yield events.LogDecision(
+        decision="runner-avoided",
+        request_id=event.request_id,
+        inputs={
+            "upstream": upstream_id,
+            "avoided_ms": gateway.notices.note_failure(
+                upstream_id, event.now_ms
+            ),
+            "reason": event.reason,
+        },
+    )
+    yield events.BroadcastLoad(
+        load_event=gateway_messages.LoadEvent(
+            gateway_messages.LoadEventKind.FAILED, upstream_id, ""
+        )
+    )
+
+
 def _may_retry(
     gateway: state_lib.Gateway,
     request: state_lib.Request,
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -50,13 +50,16 @@
     )
 
 
-def no_runner() -> refusal_lib.Refusal:
-    """Return the refusal of a request without a runner left to try."""
+def no_runner(resume_ms: int = 0) -> refusal_lib.Refusal:
+    """Return the refusal of a request without a runner left to try.
+
+    The caller is asked to retry after `resume_ms`; 0 selects the default.
+    """
     return refusal_lib.Refusal(
         status=503,
         code=refusal_lib.Code.NO_RUNNER,
         message="no runner of the service can take the request now",
-        retry_after_ms=UNAVAILABLE_RETRY_MS,
+        retry_after_ms=resume_ms or UNAVAILABLE_RETRY_MS,
     )
 
 
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -179,14 +179,34 @@
     def _exchange_phase(
         self, exchange: http_exchange.HttpExchange, send: protocol.Send
     ) -> Generator[bytes, None, list[events.Effect]]:
+        if clock.monotonic_ms() >= self._request.deadline_at_ms:
+            # The process had no processor time since the runner was chosen.
+            return self._report_failure(
+                refusal_lib.RunState.NOT_RUN,
+                "the deadline passed before the request was sent",
+                unreachable=True,
+                runner_failed=False,
+            )
         head = self._open(exchange, send)
         answer = self._dialect.parse_answer_head(
             head.status, dict(head.headers)
         )
+        if answer.leaving or answer.pause_ms is not None:
+            self._submit(
+                events.RunnerNoticed(
+                    request_id=self._request.request_id,
+                    upstream_id=send.upstream.upstream_id,
+                    leaving=answer.leaving,
+                    pause_ms=answer.pause_ms,
+                    now_ms=clock.monotonic_ms(),
+                )
+            )
         if answer.not_run:
             self._discard_body(exchange)
             return self._report_failure(
-                refusal_lib.RunState.NOT_RUN, f"rejected with {head.status}"
+                refusal_lib.RunState.NOT_RUN,
+                f"rejected with {head.status}",
+                runner_failed=False,
             )
         if send.phase is protocol.Phase.PREFILL:
             return self._finish_prefill(exchange, answer)
@@ -343,6 +363,7 @@
         unreachable: bool = False,
         answered: bool = False,
         status: int = 0,
+        runner_failed: bool = True,
     ) -> list[events.Effect]:
         if self._cancelled:
             self._abort("the caller disconnected")
@@ -354,6 +375,7 @@
             unreachable=unreachable,
             answered=answered,
             status=status,
+            runner_failed=runner_failed,
         )
         return self._submit(failed)
 
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -119,6 +119,7 @@
             message_type=gateway_messages.LoadEventBatch, key=key, sender=sender
         )
         self._peer_load = peers_lib.PeerLoadChannel(
+            name=identity.name,
             address=identity.load_address,
             codec=codec,
             receive=self._apply_peer_load,
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -9,6 +9,7 @@
 from wisteriawall.policy import admission
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import retry_window
+from wisteriawall.policy import runner_notices
 from wisteriawall.wire import gateway_messages
 
 __all__ = ["Gateway", "Request", "Tuning"]
@@ -72,7 +73,8 @@
     `retries` is this gateway's part of the shared retry budget. `route_index`
     is None until the first routing table arrives. `upstream_by_id` holds the
     runners of the newest list, `list_version` the version of that list, and
-    `load_by_id` the load of each of these runners.
+    `load_by_id` the load of each of these runners and `notices` what speaks
+    against sending to them.
     `longest_remaining_ms_by_route` holds the longest remaining time that any
     caller of a route had on arrival.
     """
@@ -90,6 +92,9 @@
     load_by_id: dict[str, placement_lib.EngineLoad] = dataclasses.field(
         default_factory=dict
     )
+    notices: runner_notices.RunnerNotices = dataclasses.field(
+        default_factory=runner_notices.RunnerNotices
+    )
     longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -44,11 +44,23 @@
     """
     settings = settings_lib.load()
     log = roles.open_log(settings, "control")
-    metrics = roles.open_metrics(settings, metrics_port)
-    if data is None and not settings.data_directory:
-        _redirect_to_seeds(settings, log, metrics)
-        return
-    folder = data or pathlib.Path(settings.data_directory or "")
+    with roles.end_on_failure(log):
+        metrics = roles.open_metrics(settings, metrics_port)
+        if data is None and not settings.data_directory:
+            _redirect_to_seeds(settings, log, metrics)
+        else:
+            folder = data or pathlib.Path(settings.data_directory or "")
+            _run_replica(settings, folder, key, log, metrics)
+
+
+def _run_replica(
+    settings: settings_lib.Settings,
+    folder: pathlib.Path,
+    key: bytes,
+    log: decisions.DecisionLog,
+    metrics: metrics_lib.Metrics,
+) -> None:
+    """Run a control replica until SIGTERM."""
     incarnation = lifecycle.new_incarnation()
     founders = _founding_members(settings)
     replica = data_folder.read_owner(folder) or _new_replica_name(
@@ -125,14 +137,21 @@
     metrics: metrics_lib.Metrics,
 ) -> None:
     """Redirect operators to the seeds: without a disk there is no replica."""
+    redirect = operators.SeedRedirect(seeds=settings.seeds)
     http = server_lib.HttpServer(
         address=settings.listen_addresses.control,
-        app=operators.SeedRedirect(seeds=settings.seeds),
+        app=redirect,
         threads=OPERATOR_THREADS,
     )
+
+    def reload() -> None:
+        seeds = settings_lib.load().seeds
+        redirect.set_seeds(seeds)
+        log.write("reload", inputs={"seeds": seeds})
+
     log.write("start", inputs={"replica": "", "reason": "no data folder"})
     lifecycle.run_until_signalled(
-        start=http.start, stop=http.stop, ready_message=""
+        start=http.start, stop=http.stop, ready_message="", reload=reload
     )
     metrics.close()
     log.write("stopped", inputs={"replica": ""})
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -17,29 +17,31 @@
         settings_lib.SettingsInvalid: The settings file can't be read.
     """
     settings = settings_lib.load()
-    shell = gateway_shell.GatewayShell(
-        identity=gateway_shell.Identity(
-            name=settings.node_name,
-            zone=settings.zone,
-            incarnation=lifecycle.new_incarnation(),
-            listen_address=settings.listen_addresses.frontend,
-            ready_address=settings.listen_addresses.ready,
-            load_address=settings.load_address,
-        ),
-        control_address_by_replica=settings.seed_rpc_by_replica(),
-        key=key,
-        dialect=headers.PlatformDialect(),
-        budget=settings.retry_budget,
-        tuning=gateway_state.Tuning(),
-        log=roles.open_log(settings, "gateway"),
-        metrics=roles.open_metrics(settings, metrics_port),
-        grace_ms=settings.grace_ms,
-    )
-    lifecycle.run_until_signalled(
-        start=shell.start,
-        stop=shell.stop,
-        ready_message="",
-        reload=lambda: shell.set_seeds(
-            settings_lib.load().seed_rpc_by_replica()
-        ),
-    )
+    log = roles.open_log(settings, "gateway")
+    with roles.end_on_failure(log):
+        shell = gateway_shell.GatewayShell(
+            identity=gateway_shell.Identity(
+                name=settings.node_name,
+                zone=settings.zone,
+                incarnation=lifecycle.new_incarnation(),
+                listen_address=settings.listen_addresses.frontend,
+                ready_address=settings.listen_addresses.ready,
+                load_address=settings.load_address,
+            ),
+            control_address_by_replica=settings.seed_rpc_by_replica(),
+            key=key,
+            dialect=headers.PlatformDialect(),
+            budget=settings.retry_budget,
+            tuning=gateway_state.Tuning(),
+            log=log,
+            metrics=roles.open_metrics(settings, metrics_port),
+            grace_ms=settings.grace_ms,
+        )
+        lifecycle.run_until_signalled(
+            start=shell.start,
+            stop=shell.stop,
+            ready_message="",
+            reload=lambda: shell.set_seeds(
+                settings_lib.load().seed_rpc_by_replica()
+            ),
+        )
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -1,6 +1,8 @@
 """HTTP headers that the platform's callers and runners use."""
 
 from collections.abc import Mapping
+import logging
+import math
 from typing import final
 
 import msgspec
@@ -10,6 +12,8 @@
 
 __all__ = ["PlatformDialect"]
 
+_LOG = logging.getLogger("runners")
+
 ATTEMPT_ID = "X-Wisteriawall-Attempt-Id"
 # Milliseconds that the caller still waits, counted from sending.
 DEADLINE_REMAINING = "X-Wisteriawall-Deadline-Remaining"
@@ -27,9 +31,15 @@
 # Engine and KV transfer handle to fetch the KV cache from, as `IP:PORT/HANDLE`.
 KV_CACHE_SOURCE = "X-Wisteriawall-Kv-Cache-Source"
 LAST_EVENT_ID = "Last-Event-Id"
+# Set to 1 by a runner that is about to stop, in all of its answers.
+SERVER_LEAVING = "Server-Leaving"
+# Seconds for which an overloaded runner wants no further requests.
+RETRY_AFTER = "Retry-After"
 
 PREFILL_STAGE = "prefill"
 MISDIRECTED_STATUS = 421
+OVERLOADED_STATUS = 503
+MS_PER_S = 1_000
 NO_DEADLINE_MS = 3_600_000
 
 # Only this system sets these headers; those of a caller are removed.
@@ -124,6 +134,10 @@
             or status == MISDIRECTED_STATUS,
             has_seal=RESPONSE_SEAL.lower() in value_by_name,
             attempt_id=value_by_name.get(ATTEMPT_ID.lower(), ""),
+            leaving=_has_flag(value_by_name.get(SERVER_LEAVING.lower(), "")),
+            pause_ms=_parse_pause_ms(value_by_name.get(RETRY_AFTER.lower()))
+            if status == OVERLOADED_STATUS
+            else None,
         )
 
     def parse_prefill_answer(
@@ -151,6 +165,30 @@
         ) from error
 
 
+def _has_flag(text: str) -> bool:
+    """Return whether a header that may be repeated contains the value 1."""
+    return any(value.strip() == "1" for value in text.split(","))
+
+
+def _parse_pause_ms(text: str | None) -> int | None:
+    """Return the longest of the retry times, None without a valid one."""
+    if text is None:
+        return None
+    pauses_ms = []
+    for value in text.split(","):
+        try:
+            pause_ms = float(value) * MS_PER_S
+        except ValueError:
+            pause_ms = math.nan
+        if math.isfinite(pause_ms) and pause_ms >= 0:
+            pauses_ms.append(math.ceil(pause_ms))
+        else:
+            _LOG.warning(
+                "runner: ignored %s %r, expected seconds", RETRY_AFTER, value
+            )
+    return max(pauses_ms, default=None)
+
+
 def _parse_prompt(headers: Mapping[str, str]) -> protocol.PromptTokens | None:
     counts = headers.get(TOKEN_COUNTS, "")
     if not counts:
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -266,6 +266,10 @@
     def __init__(self, *, seeds: list[str]) -> None:
         self._seeds = itertools.cycle(seeds)
 
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Replace the addresses, after a reload."""
+        self._seeds = itertools.cycle(seeds)
+
     def __call__(
         self,
         environ: server_lib.Environ,
--- a/src/wisteriawall/platform/roles.py
+++ b/src/wisteriawall/platform/roles.py
@@ -1,13 +1,33 @@
 """Decision log and metrics of the platform's gateway and control roles."""
 
+from collections.abc import Iterator
+import contextlib
 import logging
+import os
 
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.observability import prometheus
 from wisteriawall.platform import settings as settings_lib
 
-__all__ = ["open_log", "open_metrics"]
+__all__ = ["end_on_failure", "open_log", "open_metrics"]
+
+FAILURE_EXIT_CODE = 1
+
+
+@contextlib.contextmanager
+def end_on_failure(log: decisions.DecisionLog) -> Iterator[None]:
+    """Log an exception of the role and end the process.
+
+    The worker threads of servers that were already opened would otherwise keep
+    the process alive without serving.
+    """
+    try:
+        yield
+    except Exception:
+        logging.getLogger("process").exception("process: the role failed")
+        log.close()
+        os._exit(FAILURE_EXIT_CODE)
 
 
 def open_metrics(
--- /dev/null
+++ b/src/wisteriawall/policy/runner_notices.py
@@ -0,0 +1,150 @@
+"""What runners and failed attempts say about sending to a runner.
+
+Three load patterns are covered:
+
+- Planned replacement. A runner that leaves says so in its answers, often before
+  the list of runners does. It gets no further requests of a gateway that saw
+  this, for as long as that runner is listed.
+- Overload of a runner. One that rejects a request with a retry time gets
+  nothing until that time has passed.
+- Crashes and partial failures. The list shows a crashed runner for seconds, and
+  a runner that fails a part of its requests stays listed as ready. After a
+  failure it is avoided for a time that doubles with each further one. Gateways
+  tell each other of failures, so that not each of them loses a request first.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+from typing import final
+
+__all__ = ["RunnerNotices", "Source"]
+
+FIRST_AVOIDANCE_MS = 700
+MAX_AVOIDANCE_MS = 6_000
+# With more runners avoided, the failures have another cause than the runners.
+MAX_AVOIDED_SHARE = 0.5
+# Retry times that runners ask for are limited to this.
+MAX_PAUSE_MS = 60_000
+# How long another gateway's notice counts without one of the own runner's
+# answers; the list of runners shows a planned stop well before.
+TOLD_LEAVING_MS = 10_000
+# A runner that stays listed as ready gets requests again after this time, so
+# that a wrong notice does not remove it for good.
+SEEN_LEAVING_MS = 600_000
+
+
+@final
+class Source(enum.Enum):
+    """Where a notice comes from; the values appear in the decision log."""
+
+    ANSWER = "answer"
+    GATEWAY = "gateway"
+
+
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Notice:
+    """Notices about one runner; times are on the monotonic clock.
+
+    `failures` counts failures without a success in between.
+    """
+
+    leaving_until_ms: int = 0
+    paused_until_ms: int = 0
+    failures: int = 0
+    avoided_until_ms: int = 0
+
+
+@final
+class RunnerNotices:
+    """Notices about the runners of the current list, by runner id."""
+
+    __slots__ = ("_notice_by_id",)
+
+    def __init__(self) -> None:
+        self._notice_by_id: dict[str, _Notice] = {}
+
+    def note_leaving(self, runner: str, source: Source, now_ms: int) -> bool:
+        """Record that a runner leaves; return whether this is new."""
+        notice = self._notice_by_id.setdefault(runner, _Notice())
+        is_new = notice.leaving_until_ms <= now_ms
+        duration_ms = (
+            SEEN_LEAVING_MS if source is Source.ANSWER else TOLD_LEAVING_MS
+        )
+        notice.leaving_until_ms = max(
+            notice.leaving_until_ms, now_ms + duration_ms
+        )
+        return is_new
+
+    def note_pause(self, runner: str, pause_ms: int, now_ms: int) -> int:
+        """Record that a runner asks for no requests; return for how long."""
+        accepted_ms = min(MAX_PAUSE_MS, max(0, pause_ms))
+        notice = self._notice_by_id.setdefault(runner, _Notice())
+        notice.paused_until_ms = max(
+            notice.paused_until_ms, now_ms + accepted_ms
+        )
+        return accepted_ms
+
+    def note_failure(self, runner: str, now_ms: int) -> int:
+        """Record a failed attempt; return how long the runner is avoided.
+
+        Failures while it is avoided are of requests that were sent before, and
+        don't make the time longer.
+        """
+        notice = self._notice_by_id.setdefault(runner, _Notice())
+        if now_ms >= notice.avoided_until_ms:
+            avoidance_ms = min(
+                MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS << notice.failures
+            )
+            notice.failures = min(notice.failures + 1, 8)
+            notice.avoided_until_ms = now_ms + avoidance_ms
+        return notice.avoided_until_ms - now_ms
+
+    def note_success(self, runner: str, now_ms: int) -> None:
+        """Record an answer; it counts only after the time of avoidance."""
+        notice = self._notice_by_id.get(runner)
+        if notice is not None and now_ms >= notice.avoided_until_ms:
+            notice.failures = 0
+
+    def may_send(self, runner: str, now_ms: int) -> bool:
+        """Return whether the runner itself accepts requests."""
+        notice = self._notice_by_id.get(runner)
+        return notice is None or (
+            now_ms >= notice.leaving_until_ms
+            and now_ms >= notice.paused_until_ms
+        )
+
+    def resume_ms(self, runners: Iterable[str], now_ms: int) -> int:
+        """Return the time until the first pause of these runners ends.
+
+        Returns 0 if none of them is paused. Runners that leave are ignored.
+        """
+        pauses_ms = (
+            notice.paused_until_ms - now_ms
+            for runner in runners
+            if (notice := self._notice_by_id.get(runner))
+            if now_ms >= notice.leaving_until_ms
+            if now_ms < notice.paused_until_ms
+        )
+        return min(pauses_ms, default=0)
+
+    def without_avoided(self, runners: list[str], now_ms: int) -> set[str]:
+        """Return the runners that no recent failure speaks against.
+
+        Returns all of them if more than `MAX_AVOIDED_SHARE` would be left out.
+        """
+        preferred = {
+            runner for runner in runners if not self._is_avoided(runner, now_ms)
+        }
+        if len(preferred) < (1 - MAX_AVOIDED_SHARE) * len(runners):
+            return set(runners)
+        return preferred
+
+    def remove(self, runner: str) -> None:
+        """Forget a runner that is no longer listed, or was restarted."""
+        self._notice_by_id.pop(runner, None)
+
+    def _is_avoided(self, runner: str, now_ms: int) -> bool:
+        notice = self._notice_by_id.get(runner)
+        return notice is not None and now_ms < notice.avoided_until_ms
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -152,11 +152,15 @@
     SENT: It was sent to the runner.
     ANSWER_STARTED: The response began.
     ENDED: The runner no longer works on it.
+    FAILED: The runner could not be reached, or broke off or failed its answer.
+    LEAVING: The runner announced that it is about to stop.
     """
 
     SENT = "s"
     ANSWER_STARTED = "b"
     ENDED = "e"
+    FAILED = "f"
+    LEAVING = "l"
 
 
 @final
@@ -182,9 +186,11 @@
 class LoadEventBatch(
     msgspec.Struct, frozen=True, array_like=True, tag="load-news"
 ):
-    """Load events of one gateway, sent in one datagram.
+    """Load events of one or more gateways, sent in one datagram.
 
-    A lost datagram is not sent again.
+    With `forward`, the receiver forwards the events to its row of the grid in
+    `gateway.load_mesh`. A lost datagram is not sent again.
     """
 
     events: list[LoadEvent]
+    forward: bool = False
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
+import logging
 import threading
 from typing import final
 
@@ -28,7 +29,11 @@
 ]
 
 
+_LOG = logging.getLogger("rpc")
+
 RPC_TIMEOUT_MS = 1_000
+# Pause of a serving thread after an error, which may last.
+ERROR_PAUSE_S = 0.01
 RPC_THREADS = 8
 PEER_BUFFER_MESSAGES = 64
 # NNG must not repeat a request: it could be carried out twice.
@@ -61,6 +66,7 @@
         self._socket = pynng.Rep0()
         self._socket.listen(f"tcp://{address}")
         self._handler = handler
+        self._closing = threading.Event()
         self._contexts = [self._socket.new_context() for _ in range(threads)]
         self._threads = [
             threading.Thread(
@@ -76,6 +82,7 @@
 
     def close(self) -> None:
         """Stop answering and release the port."""
+        self._closing.set()
         # A context that is garbage collected after its socket was closed
         # raises an exception, so the contexts are closed first.
         for context in self._contexts:
@@ -85,11 +92,23 @@
         self._socket.close()
 
     def _serve(self, context: pynng.Context) -> None:
-        with contextlib.suppress(pynng.Closed):
-            while True:
+        while not self._closing.is_set():
+            try:
                 answer = self._handler(context.recv())
                 if answer is not None:
                     context.send(answer)
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                # The requester disconnected before it had the answer.
+                _LOG.info("rpc: an exchange failed: %s", error)
+                self._closing.wait(ERROR_PAUSE_S)
+            except TypeError:
+                # pynng raises it for a context that was closed between two
+                # calls.
+                if not self._closing.is_set():
+                    raise
+                return
 
 
 @final
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -165,3 +165,42 @@
         "10.0.0.1": "10.0.0.1:7001",
         "10.0.0.2": "10.0.0.2:7001",
     }
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "pause_ms"),
+    [
+        pytest.param(503, "2", 2_000, id="seconds"),
+        pytest.param(503, "0.25", 250, id="fraction"),
+        pytest.param(503, "1, 3", 3_000, id="twice"),
+        pytest.param(503, "1, soon", 1_000, id="one-of-two-valid"),
+        pytest.param(503, "soon", None, id="no-number"),
+        pytest.param(503, "-1", None, id="negative"),
+        pytest.param(503, "nan", None, id="not-a-number"),
+        pytest.param(503, "1e400", None, id="infinite"),
+        pytest.param(503, "", None, id="empty"),
+        pytest.param(200, "2", None, id="another-status"),
+    ],
+)
+def test_pause_of_an_overloaded_runner(
+    status: int, text: str, pause_ms: int | None
+) -> None:
+    head = headers.PlatformDialect().parse_answer_head(
+        status, {"Retry-After": text}
+    )
+    assert head.pause_ms == pause_ms
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [
+        pytest.param({}, False, id="absent"),
+        pytest.param({"server-leaving": "1"}, True, id="lower-case"),
+        pytest.param({"Server-Leaving": "1, 1"}, True, id="twice"),
+        pytest.param({"Server-Leaving": "0"}, False, id="zero"),
+        pytest.param({"Server-Leaving": "maybe"}, False, id="other-text"),
+    ],
+)
+def test_leaving_of_a_runner(values: dict[str, str], leaving: bool) -> None:
+    head = headers.PlatformDialect().parse_answer_head(200, values)
+    assert head.leaving is leaving
--- a/testing/platform/test_processes.py
+++ b/testing/platform/test_processes.py
@@ -1,8 +1,12 @@
 """Tests of the platform's programs, each run as a process."""
 
+from collections.abc import Iterator
+import contextlib
 import json
 import os
 import pathlib
+import signal
+import socket
 import subprocess
 import sys
 
@@ -45,6 +49,38 @@
     return path
 
 
+@contextlib.contextmanager
+def run_role(
+    role: str, settings: pathlib.Path, *, metrics_port: int | None = None
+) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a role as a process; kill it at the end if it still runs."""
+    port = free_port() if metrics_port is None else metrics_port
+    command = [sys.executable, "-m", "wisteriawall.platform", role]
+    process = subprocess.Popen(
+        [*command, "--metrics-port", str(port)],
+        env=os.environ
+        | {
+            settings_lib.SETTINGS_VARIABLE: str(settings),
+            "WISTERIAWALL_CLUSTER_KEY": KEY,
+        },
+        stdout=subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+def read_until(process: subprocess.Popen[bytes], text: bytes) -> None:
+    """Read the process's log up to the line that contains `text`."""
+    assert process.stdout is not None
+    for line in process.stdout:
+        if text in line:
+            return
+    raise AssertionError(f"the process ended without {text!r} in its log")
+
+
 @pytest.mark.parametrize(
     ("role", "with_disk"),
     [
@@ -57,18 +93,7 @@
     tmp_path: pathlib.Path, role: str, with_disk: bool
 ) -> None:
     metrics_port = free_port()
-    command = [sys.executable, "-m", "wisteriawall.platform", role]
-    process = subprocess.Popen(
-        [*command, "--metrics-port", str(metrics_port)],
-        env=os.environ
-        | {
-            settings_lib.SETTINGS_VARIABLE: str(
-                write_settings(tmp_path, with_disk=with_disk)
-            ),
-            "WISTERIAWALL_CLUSTER_KEY": KEY,
-        },
-        stdout=subprocess.PIPE,
-    )
+    settings = write_settings(tmp_path, with_disk=with_disk)
 
     def answers() -> bool:
         url = f"http://127.0.0.1:{metrics_port}/metrics"
@@ -77,19 +102,64 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    try:
+    with run_role(role, settings, metrics_port=metrics_port) as process:
+        read_until(process, b'"start"')
         platform_site.wait_until(answers, "metrics")
-        assert process.stdout is not None
-        while b'"start"' not in process.stdout.readline():
-            pass
         process.terminate()
         text, _ = process.communicate(timeout=platform_site.WAIT_S)
-    finally:
-        process.kill()
     assert process.returncode == 0
     assert b'"stopped"' in text.splitlines()[-1]
 
 
+@pytest.mark.parametrize(
+    ("role", "with_disk"),
+    [
+        pytest.param("gateway", False, id="gateway"),
+        pytest.param("control", True, id="replica"),
+        pytest.param("control", False, id="control-without-a-disk"),
+    ],
+)
+def test_sighup_reloads_the_settings(
+    tmp_path: pathlib.Path, role: str, with_disk: bool
+) -> None:
+    """A process without a handler for SIGHUP ends with exit code -1."""
+    settings = write_settings(tmp_path, with_disk=with_disk)
+    with run_role(role, settings) as process:
+        read_until(process, b'"start"')
+        for text in (settings.read_text(), "{"):
+            settings.write_text(text)
+            process.send_signal(signal.SIGHUP)
+        # The second content is malformed: the previous settings stay in use.
+        read_until(process, b"kept the previous settings")
+        process.terminate()
+        process.communicate(timeout=platform_site.WAIT_S)
+    assert process.returncode == 0
+
+
+@pytest.mark.parametrize(
+    ("role", "with_disk", "used"),
+    [
+        pytest.param("gateway", False, "ready", id="gateway"),
+        pytest.param("control", True, "control", id="replica"),
+        pytest.param("control", False, "control", id="control-without-a-disk"),
+    ],
+)
+def test_a_failed_start_ends_the_process(
+    tmp_path: pathlib.Path, role: str, with_disk: bool, used: str
+) -> None:
+    """Threads of the metrics server kept such a process alive."""
+    settings = write_settings(tmp_path, with_disk=with_disk)
+    address = json.loads(settings.read_text())["listen_addresses"][used]
+    host, _, port = address.rpartition(":")
+    with (
+        socket.create_server((host, int(port))),
+        run_role(role, settings) as process,
+    ):
+        text, _ = process.communicate(timeout=platform_site.WAIT_S)
+    assert process.returncode == 1
+    assert b"the role failed" in text
+
+
 @pytest.mark.parametrize(
     ("role", "excluded_parts"),
     [
