Avoid a runner only when it can't be reached or fails twice in a row

Cause: with answers lost at half of the runners (answer_lost), each lost answer removed its runner from all gateways for 0.7 s. Change: an answer in between clears a failure, and gateways are told only when the sender avoids the runner itself.

--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -62,10 +62,11 @@
             )
         case gateway_messages.LoadEventKind.ANSWER_STARTED:
             load.first_token_received(load_event.request_id, now_ms=now_ms)
+            gateway.notices.note_success(load_event.upstream_id, now_ms)
         case gateway_messages.LoadEventKind.ENDED:
             load.request_ended(load_event.request_id, now_ms=now_ms)
         case gateway_messages.LoadEventKind.FAILED:
-            gateway.notices.note_failure(load_event.upstream_id, now_ms)
+            gateway.notices.avoid(load_event.upstream_id, now_ms)
         case gateway_messages.LoadEventKind.LEAVING:
             gateway.notices.note_leaving(
                 load_event.upstream_id, runner_notices.Source.GATEWAY, now_ms
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -192,14 +192,14 @@
     ):
         return
     request.answer_started = True
-    gateway.notices.note_success(
-        request.current_send.upstream.upstream_id, event.now_ms
-    )
     if request.current_send.phase is protocol.Phase.WHOLE:
         loads.update_slowdown(gateway, request, event.now_ms)
     yield _phase_progress(request, "began", event.now_ms)
     if request.prompt is None:
         # Only a prompt's prefill ends with the start of the answer.
+        gateway.notices.note_success(
+            request.current_send.upstream.upstream_id, event.now_ms
+        )
         return
     yield from loads.report_step(
         gateway,
@@ -310,17 +310,20 @@
     upstream_id: str,
     event: events.PhaseFailed,
 ) -> Iterator[events.Effect]:
-    """Avoid a runner after a failure of its own, here and at other gateways."""
+    """Avoid a runner that seems to be down, here and at other gateways."""
     if not event.runner_failed or upstream_id not in gateway.upstream_by_id:
         return
+    avoidance_ms = gateway.notices.note_failure(
+        upstream_id, event.now_ms, unreachable=event.unreachable
+    )
+    if not avoidance_ms:
+        return
     yield events.LogDecision(
         decision="runner-avoided",
         request_id=event.request_id,
         inputs={
             "upstream": upstream_id,
-            "avoided_ms": gateway.notices.note_failure(
-                upstream_id, event.now_ms
-            ),
+            "avoided_ms": avoidance_ms,
             "reason": event.reason,
         },
     )
--- a/src/wisteriawall/policy/runner_notices.py
+++ b/src/wisteriawall/policy/runner_notices.py
@@ -7,10 +7,11 @@
   this, for as long as that runner is listed.
 - Overload of a runner. One that rejects a request with a retry time gets
   nothing until that time has passed.
-- Crashes and partial failures. The list shows a crashed runner for seconds, and
-  a runner that fails a part of its requests stays listed as ready. After a
-  failure it is avoided for a time that doubles with each further one. Gateways
-  tell each other of failures, so that not each of them loses a request first.
+- Crashes. The list shows a crashed runner for seconds. A runner that can't be
+  reached, or that fails several requests in a row, is avoided for a time that
+  doubles with each further failure. Gateways tell each other, so that not each
+  of them loses a request first. A single broken answer does not count: answers
+  are lost on their way too, and avoiding their runners would remove capacity.
 """
 
 from collections.abc import Iterable
@@ -20,8 +21,11 @@
 
 __all__ = ["RunnerNotices", "Source"]
 
+# Consecutive failures of requests that reached the runner.
+FAILURES_TO_AVOID = 2
 FIRST_AVOIDANCE_MS = 700
 MAX_AVOIDANCE_MS = 6_000
+MAX_DOUBLINGS = 8
 # With more runners avoided, the failures have another cause than the runners.
 MAX_AVOIDED_SHARE = 0.5
 # Retry times that runners ask for are limited to this.
@@ -47,12 +51,14 @@
 class _Notice:
     """Notices about one runner; times are on the monotonic clock.
 
-    `failures` counts failures without a success in between.
+    `failures` counts failures and `avoidances` the times of avoidance, both
+    without a success in between.
     """
 
     leaving_until_ms: int = 0
     paused_until_ms: int = 0
     failures: int = 0
+    avoidances: int = 0
     avoided_until_ms: int = 0
 
 
@@ -86,26 +92,43 @@
         )
         return accepted_ms
 
-    def note_failure(self, runner: str, now_ms: int) -> int:
-        """Record a failed attempt; return how long the runner is avoided.
+    def note_failure(
+        self, runner: str, now_ms: int, *, unreachable: bool
+    ) -> int:
+        """Record a failed attempt; return the time of a new avoidance or 0.
+
+        Args:
+            runner: The runner.
+            now_ms: Time of the failure.
+            unreachable: Whether no connection to the runner could be opened.
+        """
+        notice = self._notice_by_id.setdefault(runner, _Notice())
+        notice.failures += 1
+        if not unreachable and notice.failures < FAILURES_TO_AVOID:
+            return 0
+        return self.avoid(runner, now_ms)
+
+    def avoid(self, runner: str, now_ms: int) -> int:
+        """Avoid a runner; return the time of a new avoidance or 0.
 
         Failures while it is avoided are of requests that were sent before, and
         don't make the time longer.
         """
         notice = self._notice_by_id.setdefault(runner, _Notice())
-        if now_ms >= notice.avoided_until_ms:
-            avoidance_ms = min(
-                MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS << notice.failures
-            )
-            notice.failures = min(notice.failures + 1, 8)
-            notice.avoided_until_ms = now_ms + avoidance_ms
-        return notice.avoided_until_ms - now_ms
+        if now_ms < notice.avoided_until_ms:
+            return 0
+        avoidance_ms = min(
+            MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS * 2**notice.avoidances
+        )
+        notice.avoidances = min(notice.avoidances + 1, MAX_DOUBLINGS)
+        notice.avoided_until_ms = now_ms + avoidance_ms
+        return avoidance_ms
 
     def note_success(self, runner: str, now_ms: int) -> None:
         """Record an answer; it counts only after the time of avoidance."""
         notice = self._notice_by_id.get(runner)
         if notice is not None and now_ms >= notice.avoided_until_ms:
-            notice.failures = 0
+            notice.failures = notice.avoidances = 0
 
     def may_send(self, runner: str, now_ms: int) -> bool:
         """Return whether the runner itself accepts requests."""
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -152,7 +152,7 @@
     SENT: It was sent to the runner.
     ANSWER_STARTED: The response began.
     ENDED: The runner no longer works on it.
-    FAILED: The runner could not be reached, or broke off or failed its answer.
+    FAILED: The runner seems to be down; the sender avoids it.
     LEAVING: The runner announced that it is about to stop.
     """
 
