Start roles without the command line parser; repeat unanswered prevotes soon

Prevotes are repeated after 150 to 300 ms; a candidate still waits 600 ms or more for votes, which are synced to disk.

--- a/src/wisteriawall/commands/lifecycle.py
+++ b/src/wisteriawall/commands/lifecycle.py
@@ -8,8 +8,6 @@
 import time
 from typing import Protocol
 
-import typer
-
 from wisteriawall import errors
 
 __all__ = [
@@ -51,6 +49,10 @@
     """
     settings.check()
     if check_only.get():
+        # Only commands that are run with flags get here. Programs of small VMs
+        # start without the command line parser.
+        import typer
+
         typer.echo("settings: valid")
         raise typer.Exit
 
@@ -89,7 +91,7 @@
         signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
     start()
     if ready_message:
-        typer.echo(ready_message)
+        print(ready_message, flush=True)
     while not stop_requested.wait(
         RELOAD_POLL_INTERVAL_S if reload is not None else None
     ):
--- a/src/wisteriawall/control/raft_election.py
+++ b/src/wisteriawall/control/raft_election.py
@@ -16,7 +16,9 @@
 
     A prevote leaves the term as it is, so it can't depose a working leader.
     """
-    raft_replication.reset_election_timer(raft, now_ms)
+    raft.election_due_ms = now_ms + raft.random.randint(
+        raft_state.PREVOTE_INTERVAL_MIN_MS, raft_state.PREVOTE_INTERVAL_MAX_MS
+    )
     if raft.replica not in raft.voters or not raft.may_vote():
         return
     raft.role = raft_state.RaftRole.PRECANDIDATE
@@ -112,6 +114,8 @@
 def _start_election(
     raft: raft_state.Raft, now_ms: int
 ) -> Iterator[raft_state.Effect]:
+    # Votes are synced to disk, which takes longer than a prevote.
+    raft_replication.reset_election_timer(raft, now_ms)
     raft.role = raft_state.RaftRole.CANDIDATE
     raft.term += 1
     raft.voted_for = raft.replica
--- a/src/wisteriawall/control/raft_state.py
+++ b/src/wisteriawall/control/raft_state.py
@@ -13,6 +13,8 @@
     "ELECTION_TIMEOUT_MIN_MS",
     "HEARTBEAT_INTERVAL_MS",
     "LEADER_LEASE_MS",
+    "PREVOTE_INTERVAL_MAX_MS",
+    "PREVOTE_INTERVAL_MIN_MS",
     "AppendLog",
     "Apply",
     "Effect",
@@ -32,6 +34,11 @@
 # Each election timeout is drawn at random from this range.
 ELECTION_TIMEOUT_MIN_MS = 600
 ELECTION_TIMEOUT_MAX_MS = 1_200
+# Each interval between prevotes is drawn from this range. A prevote changes
+# nothing, and the messages of the first ones are lost if all replicas restart
+# and their connections are not open yet.
+PREVOTE_INTERVAL_MIN_MS = 150
+PREVOTE_INTERVAL_MAX_MS = 300
 # Shorter than the smallest election timeout: voters that acknowledged a leader
 # elect no other one before its lease has run out.
 LEADER_LEASE_MS = 500
--- a/src/wisteriawall/policy/runner_notices.py
+++ b/src/wisteriawall/policy/runner_notices.py
@@ -118,7 +118,7 @@
         if now_ms < notice.avoided_until_ms:
             return 0
         avoidance_ms = min(
-            MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS * 2**notice.avoidances
+            MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS << notice.avoidances
         )
         notice.avoidances = min(notice.avoidances + 1, MAX_DOUBLINGS)
         notice.avoided_until_ms = now_ms + avoidance_ms
--- a/testing/control/test_raft_rules.py
+++ b/testing/control/test_raft_rules.py
@@ -76,6 +76,31 @@
     return False
 
 
+def test_an_unanswered_prevote_is_repeated_soon() -> None:
+    """After a restart of all replicas, first messages find no connection."""
+    state = make()
+    for _ in range(3):
+        now_ms = state.election_due_ms
+        prevotes = [
+            effect.message
+            for effect in raft.tick(state, now_ms)
+            if isinstance(effect, raft.SendPeer)
+        ]
+        assert len(prevotes) == 2
+        assert all(message.prevote for message in prevotes)
+        assert state.election_due_ms - now_ms <= 300
+    assert state.term == 2
+
+
+def test_a_candidate_leaves_time_for_votes_on_slow_disks() -> None:
+    state = make()
+    list(raft.tick(state, 10_000))
+    reply = raft_messages.VoteReply(3, "b", True, True, "b-1")
+    list(raft.receive(state, reply, 10_001))
+    assert state.role is raft.RaftRole.CANDIDATE
+    assert state.election_due_ms >= 10_001 + 600
+
+
 @pytest.mark.parametrize("prevote", [False, True], ids=["vote", "prevote"])
 @pytest.mark.parametrize(
     ("state", "request_", "now_ms", "expected"),
