Spread cold prompts of different subjects over engines of similar cost

Gateways that have not heard of each other choose the same idle engine. Change: placement adds up to 20 ms that depend on subject and engine; load events wait 5 ms at each hop instead of 10.

--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -25,8 +25,7 @@
 MAX_DATAGRAM_BYTES = 60_000
 # Events wait this long for others that go into the same datagram. The delay
 # bounds the number of datagrams, which counts on VMs with a fraction of a core.
-DIRECT_BATCH_DELAY_S = 0.005
-MESH_BATCH_DELAY_S = 0.010
+BATCH_DELAY_S = 0.005
 # Pause after an error of the socket, which may last.
 ERROR_PAUSE_S = 0.1
 # Events that wait for the sending thread; further ones are dropped.
@@ -114,10 +113,7 @@
     def _send_batches(self) -> None:
         while not self._closing.is_set():
             self._has_pending.wait()
-            has_column = bool(self._column_addresses)
-            self._closing.wait(
-                MESH_BATCH_DELAY_S if has_column else DIRECT_BATCH_DELAY_S
-            )
+            self._closing.wait(BATCH_DELAY_S)
             self._has_pending.clear()
             with self._lock:
                 own, self._pending = self._pending, []
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -10,7 +10,10 @@
   needs no second prefill there. Requests with the same parts are therefore
   mostly sent to the same engine.
 - Several gateways. Each broadcasts the requests that it sends, so that all of
-  them forecast from the same load.
+  them forecast from the same load. What others sent in the last few tens of
+  milliseconds is not known yet. Prompts of different subjects therefore prefer
+  different engines among those of similar cost, and prompts of one subject the
+  same engine.
 """
 
 from collections import OrderedDict
@@ -19,6 +22,7 @@
 import dataclasses
 from typing import TypeAlias
 from typing import final
+import zlib
 
 __all__ = [
     "Candidate",
@@ -45,6 +49,7 @@
 MAX_SLOWDOWN = 6.0
 # No request is in progress for longer: the longest deadline is 8 to 9 s.
 MAX_REQUEST_MS = 10_000
+MAX_CRC32 = 0xFFFF_FFFF
 # Shorter prefills measure the network more than the engine.
 MIN_EXPECTED_MS = 30.0
 
@@ -90,12 +95,14 @@
         occupancy_weight: Cost of each millisecond of prefill, because the
             prompts that arrive later wait for it.
         cross_zone_cost_ms: Cost of an engine in another availability zone.
+        spread_ms: Largest cost that is added to spread subjects over engines.
     """
 
     speeds: PrefillSpeeds = PrefillSpeeds()
     pair_cost_ms: float = 30.0
     occupancy_weight: float = 1.5
     cross_zone_cost_ms: float = 2.0
+    spread_ms: float = 20.0
 
 
 @final
@@ -121,6 +128,15 @@
         """Number of tokens in the whole prompt."""
         return sum(tokens for _, tokens in self.parts)
 
+    @property
+    def subject(self) -> str:
+        """Identifier of the last part that other prompts may share.
+
+        The last part of all belongs to this prompt alone.
+        """
+        parts = self.parts[:-1] or self.parts
+        return parts[-1][0] if parts else self.request_id
+
 
 @final
 @dataclasses.dataclass(slots=True)
@@ -454,6 +470,14 @@
     return 0.0 if candidate.same_zone else options.cross_zone_cost_ms
 
 
+def _spread_penalty_ms(
+    prompt: Prompt, candidate: Candidate, options: Options
+) -> float:
+    """Return a cost that depends only on the subject and the engine."""
+    pair = f"{prompt.subject}/{candidate.upstream_id}".encode()
+    return options.spread_ms * zlib.crc32(pair) / MAX_CRC32
+
+
 def _occupancy_penalty_ms(prefill_ms: float, options: Options) -> float:
     return options.occupancy_weight * prefill_ms
 
@@ -474,7 +498,8 @@
         first_token_ms=first_token_ms,
         cost_ms=first_token_ms
         + _occupancy_penalty_ms(prefill_ms, options)
-        + _zone_penalty_ms(candidate, options),
+        + _zone_penalty_ms(candidate, options)
+        + _spread_penalty_ms(prompt, candidate, options),
     )
 
 
@@ -509,6 +534,7 @@
         cost_ms=first_token_ms
         + options.pair_cost_ms
         + _occupancy_penalty_ms(prefill_ms, options)
+        + _spread_penalty_ms(prompt, prefill_engine, options)
         + _zone_penalty_ms(prefill_engine, options)
         + _zone_penalty_ms(decode_engine, options),
     )
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -153,3 +153,35 @@
     counts = [len(list(g)) for _, g in itertools.groupby(sorted(decoder_ids))]
     assert len(counts) == 2
     assert max(counts) <= 3 * min(counts)
+
+
+def test_gateways_that_hear_late_of_each_other_spread_cold_prompts() -> None:
+    """Prompts of several gateways arrive before any hears of the others.
+
+    All of them would choose the same idle engine, and each prompt after the
+    first would wait for a whole prefill.
+    """
+    fleet = [
+        *(replay.upstream(f"p{n}", PREFILL) for n in range(8)),
+        *(replay.upstream(f"d{n}", DECODE) for n in range(4)),
+    ]
+    load = [
+        replay.Request(
+            wave * 1_500 + number,
+            "brief",
+            ((f"s{wave}-{number}", 13_000), (f"own{wave}-{number}", 1_000)),
+        )
+        for wave in range(10)
+        for number in range(6)
+    ]
+
+    def in_time(spread_ms: float) -> int:
+        gateways = [
+            replay.gateway(fleet, tuning_with(spread_ms=spread_ms))
+            for _ in range(6)
+        ]
+        player = replay.Replay(gateways, update_delay_ms=25)
+        return player.play(load).in_time(TARGET_LATENCY_MS, "brief")
+
+    default_ms = placement.Options().spread_ms
+    assert in_time(default_ms) >= 1.2 * in_time(0.0)
--- a/testing/support/replay.py
+++ b/testing/support/replay.py
@@ -157,12 +157,18 @@
     Args:
         gateways: Each request goes to the next of them in turn.
         share_load: Whether gateways broadcast load events to each other.
+        update_delay_ms: Time that a load event takes.
     """
 
     def __init__(
-        self, gateways: list[state_lib.Gateway], *, share_load: bool = True
+        self,
+        gateways: list[state_lib.Gateway],
+        *,
+        share_load: bool = True,
+        update_delay_ms: int = UPDATE_DELAY_MS,
     ) -> None:
         """Create a model for each engine of the first gateway."""
+        self._update_delay_ms = update_delay_ms
         self._gateways = gateways
         self._share_load = share_load
         self._engine_by_id = {
@@ -274,7 +280,7 @@
                 for receiver in self._gateways:
                     if receiver is not gateway:
                         action = ("update", receiver, effect.load_event)
-                        self._schedule(now_ms + UPDATE_DELAY_MS, action)
+                        self._schedule(now_ms + self._update_delay_ms, action)
         return other_effects
 
     def _send(
