Never block on a full decision log at the end; bound the refusals that entries read

DecisionLog.close waited without limit while its queue was full, and the count of dropped lines was changed by two threads without a lock. An entry read an agent's refusal without a bound.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -254,7 +254,11 @@
 
     def _read_refusal(self) -> refusal_lib.RunState:
         try:
-            data = b"".join(self._chunks())
+            data = b""
+            for chunk in self._chunks():
+                data += chunk
+                if len(data) > MAX_REFUSAL_BYTES:
+                    return refusal_lib.RunState.UNKNOWN
             run = msgspec.json.decode(data, type=RefusalBody).run
         except (AnswerBroken, msgspec.DecodeError):
             return refusal_lib.RunState.UNKNOWN
--- a/src/wisteriawall/observability/decisions.py
+++ b/src/wisteriawall/observability/decisions.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+import contextlib
 import logging
 import queue
 import sys
@@ -36,6 +37,7 @@
         self._process = process
         self._stream = stream or sys.stdout.buffer
         self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_LINES)
+        self._lock = threading.Lock()
         self._dropped_count = 0
         self._encoder = msgspec.json.Encoder()
         self._writer = threading.Thread(
@@ -61,22 +63,39 @@
         if request:
             line["request"] = request
         line.update(inputs)
-        dropped_count, self._dropped_count = self._dropped_count, 0
+        dropped_count = self._take_dropped_count()
         if dropped_count:
             line["dropped_lines"] = dropped_count
         try:
             self._queue.put_nowait(self._encoder.encode(line))
         except queue.Full:
-            self._dropped_count = dropped_count + 1
+            self._count_dropped(dropped_count + 1)
 
     def close(self) -> None:
         """Stop the writer after the queued lines; wait up to a second for it.
 
-        Blocks first while the queue is full.
+        If the queue is full, its oldest line is dropped: the output may be
+        blocked, and the process must end nevertheless.
         """
-        self._queue.put(None)
+        while True:
+            try:
+                self._queue.put_nowait(None)
+                break
+            except queue.Full:
+                with contextlib.suppress(queue.Empty):
+                    self._queue.get_nowait()
+                self._count_dropped(1)
         self._writer.join(timeout=1.0)
 
+    def _count_dropped(self, count: int) -> None:
+        with self._lock:
+            self._dropped_count += count
+
+    def _take_dropped_count(self) -> int:
+        with self._lock:
+            count, self._dropped_count = self._dropped_count, 0
+        return count
+
     def _write_queued_lines(self) -> None:
         while True:
             lines = [self._queue.get()]
@@ -91,7 +110,7 @@
                 self._stream.flush()
             except OSError:
                 # The process keeps running without its decision log.
-                self._dropped_count += len(lines)
+                self._count_dropped(len(lines))
             if lines[-1] is None:
                 return
 
