--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -11,6 +11,7 @@
 from wisteriawall import clock
 from wisteriawall.config import route_table
 from wisteriawall.gateway import events
+from wisteriawall.gateway import loads
 from wisteriawall.gateway import peers as peers_lib
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
@@ -378,6 +379,7 @@
                 gateway.table_number,
                 gateway.list_version,
                 self._draining,
+                loads.decode_load(gateway),
             )
             try:
                 reply = self._control.call(follow)
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -88,7 +88,8 @@
     `address` is the UDP address at which the gateway receives load events.
     `table_number` and `list_version` identify the newest routing table and the
     newest upstream list that it has, 0 and (0, 0) when it has none. `stopping`
-    says that a planned stop has begun.
+    says that a planned stop has begun. `decode_load` is the share of the decode
+    engines' slots that is in use, as far as the gateway knows.
     """
 
     gateway: str
@@ -97,6 +98,7 @@
     table_number: int
     list_version: tuple[int, int]
     stopping: bool = False
+    decode_load: float = 0.0
 
 
 @final
