--- a/src/wisteriawall/platform/stage_orders.py
+++ b/src/wisteriawall/platform/stage_orders.py
@@ -6,7 +6,7 @@
 import urllib3
 
 from wisteriawall.control import stage_director
-from wisteriawall.platform import headers
+from wisteriawall.platform import header_names
 
 __all__ = ["send"]
 
@@ -38,7 +38,7 @@
             headers={
                 "Content-Type": "application/json",
                 "Connection": "close",
-                headers.EXPECT_INSTANCE: order.upstream.upstream_id,
+                header_names.EXPECT_INSTANCE: order.upstream.upstream_id,
             },
             timeout=ORDER_TIMEOUT_S,
             retries=False,
