Send the list of gateways only to gateways that lack it

The answer to each poll, every 350 ms and gateway, carried all other gateways: about 45 bytes each, so that the leader's traffic grew with the square of their number (reckoned: 0.6 MB/s at 70 gateways, 20 MB/s at 400, over a link of 12.5 MB/s). Gateways now name the version that they have.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import final
+import zlib
 
 from wisteriawall.control import events
 from wisteriawall.control import raft as raft_lib
@@ -33,13 +34,15 @@
     """The runners and gateways as the leader sends them to gateways.
 
     `upstreams` is the list of runners that this replica last read, None until
-    it has read one as leader.
+    it has read one as leader. `peers_version` is 0 until the version of the
+    list of gateways is computed.
     """
 
     upstreams: gateway_messages.UpstreamList | None = None
     gateway_by_name: dict[str, _Gateway] = dataclasses.field(
         default_factory=dict
     )
+    peers_version: int = 0
 
     def decode_load(self, now_ms: int) -> float:
         """Return the median decode load that gateways reported, 0 if none did.
@@ -96,12 +99,17 @@
         upstreams = None
     if upstreams is not None and upstreams.version == request.list_version:
         upstreams = None
+    peers_version = _peers_version(updates)
     return gateway_messages.Followed(
         age_ms=now_ms - raft.quorum_acknowledged_ms(now_ms),
         table_number=number,
         table=published.table if published and lacks_table else None,
         upstreams=upstreams,
-        peers=[
+        # All gateways ask several times a second, so that the list goes only to
+        # those that lack it.
+        peers=None
+        if request.peers_version == peers_version
+        else [
             gateway_messages.GatewayPeer(name, gateway.address)
             for name, gateway in sorted(updates.gateway_by_name.items())
             if name != request.gateway and not gateway.stopping
@@ -109,9 +117,22 @@
         rpc_address_by_replica={
             m.replica: m.rpc_address for m in raft.members if m.rpc_address
         },
+        peers_version=peers_version,
     )
 
 
+def _peers_version(updates: GatewayUpdates) -> int:
+    """Return a number that differs for different lists of gateways, never 0."""
+    if not updates.peers_version:
+        names = sorted(
+            f"{name}={gateway.address}"
+            for name, gateway in updates.gateway_by_name.items()
+            if not gateway.stopping
+        )
+        updates.peers_version = zlib.crc32(" ".join(names).encode()) or 1
+    return updates.peers_version
+
+
 def _record_gateway(
     updates: GatewayUpdates,
     request: gateway_messages.FollowRequest,
@@ -121,6 +142,12 @@
     known = updates.gateway_by_name.get(request.gateway)
     if known is not None and known.incarnation > request.incarnation:
         return
+    if (
+        known is None
+        or known.address != request.address
+        or known.stopping != request.stopping
+    ):
+        updates.peers_version = 0
     updates.gateway_by_name[request.gateway] = _Gateway(
         address=request.address,
         incarnation=request.incarnation,
@@ -131,3 +158,4 @@
     for name, gateway in list(updates.gateway_by_name.items()):
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
             del updates.gateway_by_name[name]
+            updates.peers_version = 0
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -145,6 +145,8 @@
         self._draining = False
         self._connected = False
         self._gateway_count = 0
+        self._peer_count = 0
+        self._peers_version = 0
         self._stopping = threading.Event()
         self._http = server_lib.HttpServer(
             address=identity.listen_address,
@@ -380,6 +382,7 @@
                 gateway.list_version,
                 self._draining,
                 loads.decode_load(gateway),
+                self._peers_version,
             )
             try:
                 reply = self._control.call(follow)
@@ -407,10 +410,13 @@
         )
 
     def _apply_reply(self, reply: gateway_messages.Followed) -> None:
-        self._peer_load.set_peers(reply.peers)
+        if reply.peers is not None:
+            self._peer_load.set_peers(reply.peers)
+            self._peers_version = reply.peers_version
+            self._peer_count = len(reply.peers)
         if reply.rpc_address_by_replica:
             self._control.set_replicas(reply.rpc_address_by_replica)
-        gateway_count = len(reply.peers) + 1
+        gateway_count = self._peer_count + 1
         is_same_count = gateway_count == self._gateway_count
         if reply.table is None and reply.upstreams is None and is_same_count:
             return
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -89,7 +89,8 @@
     `table_number` and `list_version` identify the newest routing table and the
     newest upstream list that it has, 0 and (0, 0) when it has none. `stopping`
     says that a planned stop has begun. `decode_load` is the share of the decode
-    engines' slots that is in use, as far as the gateway knows.
+    engines' slots that is in use, as far as the gateway knows. `peers_version`
+    identifies the list of gateways that it has, 0 when it has none.
     """
 
     gateway: str
@@ -99,6 +100,7 @@
     list_version: tuple[int, int]
     stopping: bool = False
     decode_load: float = 0.0
+    peers_version: int = 0
 
 
 @final
@@ -107,16 +109,18 @@
 
     The state in the answer was confirmed current at most `age_ms` before it
     was sent. `table` and `upstreams` are None when the gateway already has the
-    newest. `peers` are the other live gateways. `rpc_address_by_replica` lists
-    every control replica.
+    newest. `peers` are the other live gateways, None if the gateway already has
+    the list `peers_version`. `rpc_address_by_replica` lists every control
+    replica.
     """
 
     age_ms: int
     table_number: int
     table: route_table.RouteTable | None
     upstreams: UpstreamList | None
-    peers: list[GatewayPeer]
+    peers: list[GatewayPeer] | None
     rpc_address_by_replica: dict[str, str]
+    peers_version: int = 0
 
 
 @final
--- /dev/null
+++ b/testing/control/test_gateway_updates.py
@@ -0,0 +1,90 @@
+"""Tests of the leader's answers to gateways."""
+
+import random
+
+import pytest
+
+from wisteriawall.control import gateway_updates
+from wisteriawall.control import raft
+from wisteriawall.control import raft_log
+from wisteriawall.control import state
+from wisteriawall.wire import gateway_messages
+from wisteriawall.wire import raft_messages
+
+
+class LeadingReplica:
+    """The only replica of a cluster, and what it knows of gateways."""
+
+    def __init__(self) -> None:
+        """Win the election."""
+        member = raft_messages.Member("c", identity="c-1")
+        snapshot = raft_messages.Snapshot(0, 0, (member,), b"")
+        self.raft = raft.Raft(
+            replica="c",
+            identity="c-1",
+            incarnation=1,
+            random=random.Random(1),
+            term=1,
+            log=raft_log.RaftLog(snapshot=snapshot, entries=[]),
+        )
+        for now_ms in range(0, 3_000, 50):
+            list(raft.tick(self.raft, now_ms))
+        self.updates = gateway_updates.GatewayUpdates()
+
+    def follow(
+        self, name: str, *, version: int = 0, now_ms: int = 3_000, **more: bool
+    ) -> gateway_messages.Followed:
+        """Return the answer to a gateway that has the list `version`."""
+        request = gateway_messages.FollowRequest(
+            name,
+            1,
+            f"{name}:1",
+            0,
+            (0, 0),
+            peers_version=version,
+            **more,  # type: ignore[arg-type]
+        )
+        reply = gateway_updates.follow(
+            self.updates, self.raft, state.Ledger(), request, now_ms
+        )
+        assert isinstance(reply, gateway_messages.Followed)
+        return reply
+
+
+def test_the_list_of_gateways_is_sent_once() -> None:
+    leader = LeadingReplica()
+    leader.follow("a")
+    first = leader.follow("b")
+    assert first.peers == [gateway_messages.GatewayPeer("a", "a:1")]
+    assert leader.follow("b", version=first.peers_version).peers is None
+    own = leader.follow("a")
+    assert own.peers_version == first.peers_version
+    assert own.peers == [gateway_messages.GatewayPeer("b", "b:1")]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param("added", id="added"),
+        pytest.param("stopping", id="stopping"),
+        pytest.param("silent", id="silent"),
+    ],
+)
+def test_a_changed_list_of_gateways_is_sent_again(change: str) -> None:
+    leader = LeadingReplica()
+    leader.follow("a")
+    version = leader.follow("b").peers_version
+    now_ms = 3_000
+    match change:
+        case "added":
+            leader.follow("d")
+        case "stopping":
+            leader.follow("a", stopping=True)
+        case "silent":
+            now_ms += gateway_updates.GATEWAY_TIMEOUT_MS + 1
+            for _ in range(2):
+                list(raft.tick(leader.raft, now_ms))
+    reply = leader.follow("b", version=version, now_ms=now_ms)
+    expected = ["a", "d"] if change == "added" else []
+    assert reply.peers is not None
+    assert [peer.name for peer in reply.peers] == expected
