--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -25,7 +25,6 @@
     incarnation: int
     seen_ms: int
     stopping: bool
-    decode_load: float
 
 
 @final
@@ -44,18 +43,6 @@
     )
     peers_version: int = 0
 
-    def decode_load(self, now_ms: int) -> float:
-        """Return the median decode load that gateways reported, 0 if none did.
-
-        The median leaves out gateways that have heard little of the others.
-        """
-        loads = sorted(
-            gateway.decode_load
-            for gateway in list(self.gateway_by_name.values())
-            if now_ms - gateway.seen_ms <= GATEWAY_TIMEOUT_MS
-        )
-        return loads[len(loads) // 2] if loads else 0.0
-
 
 def accept_upstreams(
     updates: GatewayUpdates,
@@ -153,7 +140,6 @@
         incarnation=request.incarnation,
         seen_ms=now_ms,
         stopping=request.stopping,
-        decode_load=request.decode_load,
     )
     for name, gateway in list(updates.gateway_by_name.items()):
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -211,16 +211,6 @@
         """Whether this replica holds the leader's lease now."""
         return self._control.raft.holds_lease(clock.monotonic_ms())
 
-    @property
-    def term(self) -> int:
-        """Raft term of this replica."""
-        return self._control.raft.term
-
-    @property
-    def decode_load(self) -> float:
-        """Share of the decode engines' slots in use, as gateways report it."""
-        return self._control.gateway_updates.decode_load(clock.monotonic_ms())
-
     @property
     def replica(self) -> str:
         """Name of this replica."""
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -11,7 +11,6 @@
 __all__ = [
     "apply_step",
     "apply_upstreams",
-    "decode_load",
     "report_step",
     "update_slowdown",
 ]
@@ -132,17 +131,6 @@
         )
 
 
-def decode_load(gateway: state_lib.Gateway) -> float:
-    """Return the share of the decode engines' slots that is in use."""
-    slots = running = 0
-    for upstream in list(gateway.upstream_by_id.values()):
-        if upstream.stage is gateway_messages.Stage.DECODE:
-            slots += upstream.slots
-            load = gateway.load_by_id.get(upstream.upstream_id)
-            running += load.in_flight if load is not None else 0
-    return running / slots if slots else 0.0
-
-
 def _kv_cache_tokens(gateway: state_lib.Gateway, service: str) -> int:
     if gateway.route_index is None:
         return 0
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -15,7 +15,6 @@
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
-from wisteriawall.policy import earlier_wait as earlier_wait_lib
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import runner_notices
 from wisteriawall.web import refusal as refusal_lib
@@ -28,6 +27,9 @@
 # a gateway that restarts starts with an empty retry window.
 MIN_BUDGET_GATEWAYS = 8
 
+# Smaller differences between callers' deadlines don't show an earlier attempt.
+MIN_EARLIER_WAIT_MS = 200
+
 
 def reduce(
     gateway: state_lib.Gateway, event: events.Event
@@ -83,15 +85,31 @@
         request.prompt = _build_prompt(
             event.request_id, route, event.head.prompt
         )
-    earlier_wait = gateway.earlier_wait_by_route.setdefault(
-        route.name, earlier_wait_lib.EarlierWait()
-    )
-    request.earlier_wait_ms = earlier_wait.add(event.head.remaining_ms)
+    request.earlier_wait_ms = _earlier_wait_ms(gateway, request)
     gateway.request_by_id[event.request_id] = request
     gateway.retries.add_request(event.now_ms)
     yield from placing.place(gateway, request, event.now_ms)
 
 
+def _earlier_wait_ms(
+    gateway: state_lib.Gateway, request: state_lib.Request
+) -> int:
+    """Return how long the caller waited in attempts before this request.
+
+    All callers of a route start with the same total deadline, so the longest
+    remaining time seen on the route is taken as that total. A caller that
+    retries has less of it left, and the difference is its earlier wait. Returns
+    0 below `MIN_EARLIER_WAIT_MS`.
+    """
+    name, remaining_ms = request.route.name, request.head.remaining_ms
+    longest_remaining_ms = max(
+        gateway.longest_remaining_ms_by_route.get(name, 0), remaining_ms
+    )
+    gateway.longest_remaining_ms_by_route[name] = longest_remaining_ms
+    waited_ms = longest_remaining_ms - remaining_ms
+    return waited_ms if waited_ms >= MIN_EARLIER_WAIT_MS else 0
+
+
 def _pick_service(
     index: route_table.RouteIndex, route: route_table.Route, request_id: str
 ) -> route_table.RoutedService:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -11,7 +11,6 @@
 from wisteriawall import clock
 from wisteriawall.config import route_table
 from wisteriawall.gateway import events
-from wisteriawall.gateway import loads
 from wisteriawall.gateway import peers as peers_lib
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
@@ -381,7 +380,6 @@
                 gateway.table_number,
                 gateway.list_version,
                 self._draining,
-                loads.decode_load(gateway),
                 self._peers_version,
             )
             try:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -7,7 +7,6 @@
 from wisteriawall.config import route_table
 from wisteriawall.gateway import protocol
 from wisteriawall.policy import admission
-from wisteriawall.policy import earlier_wait
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_notices
@@ -76,8 +75,8 @@
     runners of the newest list, `list_version` the version of that list, and
     `load_by_id` the load of each of these runners and `notices` what speaks
     against sending to them.
-    `earlier_wait_by_route` estimates how long callers waited in earlier
-    attempts.
+    `longest_remaining_ms_by_route` holds the longest remaining time that any
+    caller of a route had on arrival.
     """
 
     name: str
@@ -96,8 +95,8 @@
     notices: runner_notices.RunnerNotices = dataclasses.field(
         default_factory=runner_notices.RunnerNotices
     )
-    earlier_wait_by_route: dict[str, earlier_wait.EarlierWait] = (
-        dataclasses.field(default_factory=dict)
+    longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
+        default_factory=dict
     )
     request_by_id: dict[str, Request] = dataclasses.field(default_factory=dict)
 
--- a/src/wisteriawall/platform/commands.py
+++ b/src/wisteriawall/platform/commands.py
@@ -52,24 +52,12 @@
             help="Data folder; that of the settings file by default.",
         ),
     ] = None,
-    prefill_share: Annotated[
-        float,
-        typer.Option(
-            envvar="WISTERIAWALL_PREFILL_SHARE",
-            help="Share of the engines that prefill; 0 changes no stages.",
-            min=0.0,
-            max=1.0,
-        ),
-    ] = 0.5,
 ) -> None:
     """Run one control replica."""
     from wisteriawall.platform import control_role
 
     control_role.run(
-        key=_key(cluster_key),
-        metrics_port=metrics_port,
-        data=data,
-        prefill_share=prefill_share,
+        key=_key(cluster_key), metrics_port=metrics_port, data=data
     )
 
 
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -9,7 +9,6 @@
 from wisteriawall.commands import lifecycle
 from wisteriawall.control import joining
 from wisteriawall.control import shell as control_shell
-from wisteriawall.control import stage_director
 from wisteriawall.control import upstream_reader
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
@@ -17,7 +16,6 @@
 from wisteriawall.platform import roles
 from wisteriawall.platform import runners
 from wisteriawall.platform import settings as settings_lib
-from wisteriawall.platform import stage_orders
 from wisteriawall.storage import data_folder
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_client
@@ -25,20 +23,13 @@
 from wisteriawall.wire import gateway_messages
 from wisteriawall.wire import raft_messages
 
-__all__ = ["DEFAULT_PREFILL_SHARE", "run"]
+__all__ = ["run"]
 
 OPERATOR_THREADS = 8
-DEFAULT_PREFILL_SHARE = 0.5
 NAME_SUFFIX_BYTES = 4
 
 
-def run(
-    *,
-    key: bytes,
-    metrics_port: int,
-    data: pathlib.Path | None,
-    prefill_share: float = DEFAULT_PREFILL_SHARE,
-) -> None:
+def run(*, key: bytes, metrics_port: int, data: pathlib.Path | None) -> None:
     """Run the control role until SIGTERM.
 
     Without a data folder, operators' calls are redirected to the seeds.
@@ -47,8 +38,6 @@
         key: Shared cluster key.
         metrics_port: Port of /metrics; 0 serves none.
         data: Data folder, overrides that of the settings file.
-        prefill_share: Share of each service's engines that prefill; 0 leaves
-            their stages as they are.
 
     Raises:
         settings_lib.SettingsInvalid: The settings file can't be read.
@@ -61,7 +50,7 @@
             _redirect_to_seeds(settings, log, metrics)
         else:
             folder = data or pathlib.Path(settings.data_directory or "")
-            _run_replica(settings, folder, key, log, metrics, prefill_share)
+            _run_replica(settings, folder, key, log, metrics)
 
 
 def _run_replica(
@@ -70,7 +59,6 @@
     key: bytes,
     log: decisions.DecisionLog,
     metrics: metrics_lib.Metrics,
-    prefill_share: float,
 ) -> None:
     """Run a control replica until SIGTERM."""
     incarnation = lifecycle.new_incarnation()
@@ -106,11 +94,8 @@
         ),
         client=client,
     )
-    director = stage_director.StageDirector(
-        leader=shell, send=stage_orders.send, prefill_share=prefill_share
-    )
     list_reader = upstream_reader.UpstreamReader(
-        leader=director,
+        leader=shell,
         read=runners.RunnerListClient(address=settings.cloud_api.address).read,
     )
     http = server_lib.HttpServer(
@@ -123,14 +108,12 @@
         shell.start()
         http.start()
         joiner.start()
-        director.start()
         list_reader.start()
         log.write("start", inputs={"replica": replica, "folder": str(folder)})
 
     def stop() -> None:
         log.write("stopping", inputs={"replica": replica})
         list_reader.stop()
-        director.stop()
         joiner.stop()
         http.stop()
         shell.stop()
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -9,7 +9,6 @@
 
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import run as run_lib
-from wisteriawall.platform import header_names
 
 __all__ = ["PlatformDialect"]
 
@@ -23,6 +22,7 @@
 TOKEN_COUNTS = "X-Wisteriawall-Token-Counts"
 # Parts of the prompt in order, as `id:tokens,id:tokens`.
 PROMPT_PREFIX = "X-Wisteriawall-Prompt-Prefix"
+EXPECT_INSTANCE = "X-Wisteriawall-Expect-Instance"
 # Set by a runner that did not run the request.
 NOT_EXECUTED = "X-Wisteriawall-Not-Executed"
 RESPONSE_SEAL = "X-Wisteriawall-Response-Seal"
@@ -47,7 +47,7 @@
     name.lower()
     for name in (
         DEADLINE_REMAINING,
-        header_names.EXPECT_INSTANCE,
+        EXPECT_INSTANCE,
         "X-Wisteriawall-Expect-Version",
         REQUEST_URGENCY,
         SERVING_STAGE,
@@ -108,7 +108,7 @@
             if name.lower() not in SYSTEM_HEADERS
         }
         outgoing[DEADLINE_REMAINING] = str(remaining_ms)
-        outgoing[header_names.EXPECT_INSTANCE] = send.upstream.upstream_id
+        outgoing[EXPECT_INSTANCE] = send.upstream.upstream_id
         if TOKEN_COUNTS in headers:
             outgoing[REQUEST_URGENCY] = str(send.priority_class)
         if last_event_id:
--- a/src/wisteriawall/platform/launch.py
+++ b/src/wisteriawall/platform/launch.py
@@ -13,7 +13,6 @@
 KEY_VARIABLE = "WISTERIAWALL_CLUSTER_KEY"
 METRICS_PORT_VARIABLE = "WISTERIAWALL_METRICS_PORT"
 DATA_VARIABLE = "WISTERIAWALL_DATA"
-PREFILL_SHARE_VARIABLE = "WISTERIAWALL_PREFILL_SHARE"
 MAX_PORT = 65_535
 
 
@@ -48,11 +47,6 @@
         key=key,
         metrics_port=metrics_port,
         data=pathlib.Path(data) if data else None,
-        prefill_share=_parse_share(
-            os.environ.get(
-                PREFILL_SHARE_VARIABLE, str(control_role.DEFAULT_PREFILL_SHARE)
-            )
-        ),
     )
 
 
@@ -64,18 +58,6 @@
     )
 
 
-def _parse_share(text: str) -> float:
-    try:
-        share = float(text)
-    except ValueError:
-        share = -1.0
-    if not 0.0 <= share <= 1.0:
-        raise parsers.SettingError(
-            PREFILL_SHARE_VARIABLE, text, "a number from 0 to 1"
-        )
-    return share
-
-
 def _end_of_imports() -> None:
     """Start garbage collection, without the objects that imports created."""
     gc.freeze()
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -88,9 +88,8 @@
     `address` is the UDP address at which the gateway receives load events.
     `table_number` and `list_version` identify the newest routing table and the
     newest upstream list that it has, 0 and (0, 0) when it has none. `stopping`
-    says that a planned stop has begun. `decode_load` is the share of the decode
-    engines' slots that is in use, as far as the gateway knows. `peers_version`
-    identifies the list of gateways that it has, 0 when it has none.
+    says that a planned stop has begun. `peers_version` identifies the list of
+    gateways that it has, 0 when it has none.
     """
 
     gateway: str
@@ -99,7 +98,6 @@
     table_number: int
     list_version: tuple[int, int]
     stopping: bool = False
-    decode_load: float = 0.0
     peers_version: int = 0
 
 
