Adopt engine capacities from tables that arrive after the list; count the wait for a thread

(1) A gateway that got the list of runners before the first routing table took the KV caches of all engines for empty space of 0 tokens, for good: each prompt was forecast to wait 1 s more, and most were rejected. (2) The time that a connection waits for a thread was not counted as the caller's wait. A newer table updates the capacities; the test fails without. Requests arrive when their connection was queued.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -34,13 +34,17 @@
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Arrived:
-    """A caller's request was received; `head` holds its parsed headers."""
+    """A caller's request was received; `head` holds its parsed headers.
+
+    `unread_ms` is how long its connection waited for a thread to read it.
+    """
 
     request_id: str
     host: str
     path: str
     head: protocol.RequestHead
     now_ms: int
+    unread_ms: int = 0
 
 
 @final
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "apply_step",
+    "apply_table",
     "apply_upstreams",
     "report_step",
     "update_slowdown",
@@ -131,6 +132,18 @@
         )
 
 
+def apply_table(gateway: state_lib.Gateway) -> None:
+    """Adopt the capacities of engines from a newer routing table.
+
+    The list of runners may arrive before the first table that names their
+    service.
+    """
+    for upstream_id, upstream in gateway.upstream_by_id.items():
+        gateway.load_by_id[upstream_id].set_kv_cache_tokens(
+            _kv_cache_tokens(gateway, upstream.service)
+        )
+
+
 def _kv_cache_tokens(gateway: state_lib.Gateway, service: str) -> int:
     if gateway.route_index is None:
         return 0
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -79,7 +79,7 @@
         head=event.head,
         route=route,
         service=_pick_service(gateway.route_index, route, event.request_id),
-        arrived_ms=event.now_ms,
+        arrived_ms=event.now_ms - event.unread_ms,
     )
     if event.head.prompt is not None and request.service.engine is not None:
         request.prompt = _build_prompt(
@@ -380,6 +380,7 @@
     table = event.table
     if table is not None and table.number > gateway.table_number:
         gateway.route_index = route_table.RouteIndex(table)
+        loads.apply_table(gateway)
         yield events.LogDecision(
             decision="table", request_id="", inputs={"number": table.number}
         )
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -266,6 +266,7 @@
             path=target.partition("?")[0],
             head=head,
             now_ms=now_ms,
+            unread_ms=server_lib.queued_ms(environ),
         )
         effects = self._submit(arrived)
         accepted = self._gateway.request_by_id.get(request_id)
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -194,6 +194,10 @@
         self._active_since_ms = 0
         self._active_id = ""
 
+    def set_kv_cache_tokens(self, tokens: int) -> None:
+        """Replace the capacity of the engine's KV cache."""
+        self._kv_cache_tokens = tokens
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were sent and have not ended."""
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -14,6 +14,7 @@
 from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
+from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.web import connection_monitor
 from wisteriawall.web import refusal as refusal_lib
@@ -26,6 +27,7 @@
     "Response",
     "StartResponse",
     "caller_connection",
+    "queued_ms",
     "raw_headers",
     "read_body",
     "send_refusal",
@@ -176,6 +178,7 @@
 
     def process_conn(self, conn: server_connection.ServerConnection) -> None:
         """Queue a connection for a worker; refuse it if the queue is full."""
+        conn.queued_at_ms = clock.monotonic_ms()
         try:
             self.requests.put(conn)
         except queue.Full:
@@ -200,6 +203,12 @@
     return connection
 
 
+def queued_ms(environ: Environ) -> int:
+    """Return how long the request's connection waited for a worker thread."""
+    value: int = environ[server_connection.QUEUED_MS_KEY]
+    return value
+
+
 def raw_headers(environ: Environ) -> dict[str, str]:
     """Return the request headers by name in title case, such as `If-Match`.
 
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -17,11 +17,13 @@
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from wisteriawall import clock
 from wisteriawall.web import connection_monitor
 from wisteriawall.web import refusal as refusal_lib
 
 __all__ = [
     "CONNECTION_KEY",
+    "QUEUED_MS_KEY",
     "RAW_HEADERS_KEY",
     "CallerConnection",
     "ServerConnection",
@@ -32,6 +34,7 @@
 # Keys of the WSGI environ.
 CONNECTION_KEY = "wisteriawall.connection"
 RAW_HEADERS_KEY = "wisteriawall.headers"
+QUEUED_MS_KEY = "wisteriawall.queued_ms"
 # SO_LINGER with a timeout of 0 makes `close` send a TCP reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
 CODE_BY_STATUS = {
@@ -150,9 +153,14 @@
 
     RequestHandlerClass = HttpRequest
     caller: CallerConnection | None = None
+    # When the connection was queued for a worker, on the monotonic clock, and
+    # how long it waited there.
+    queued_at_ms = 0
+    queued_ms = 0
 
     def communicate(self) -> bool:
         """Serve one request; return whether to keep the connection open."""
+        self.queued_ms = clock.monotonic_ms() - self.queued_at_ms
         self.caller = CallerConnection(self.socket, self.server.monitor)
         self.caller.start_read_deadline(
             seconds=self.server.request_read_timeout_s
@@ -195,6 +203,7 @@
         environ: dict[str, Any] = super().get_environ()  # type: ignore
         environ[CONNECTION_KEY] = self.req.conn.caller
         environ[RAW_HEADERS_KEY] = self.req.inheaders
+        environ[QUEUED_MS_KEY] = self.req.conn.queued_ms
         return environ
 
     def respond(self) -> None:
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -7,6 +7,8 @@
 import pytest
 from support import replay
 
+from wisteriawall.gateway import events
+from wisteriawall.gateway import reducer
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import admission
 from wisteriawall.policy import placement
@@ -185,3 +187,31 @@
 
     default_ms = placement.Options().spread_ms
     assert in_time(default_ms) >= 1.2 * in_time(0.0)
+
+
+@pytest.mark.parametrize(
+    "table_first",
+    [
+        pytest.param(True, id="table-first"),
+        pytest.param(False, id="list-first"),
+    ],
+)
+def test_capacity_of_engines_is_known_in_any_order(table_first: bool) -> None:
+    """Without it, prompts were forecast to wait 1 s and were rejected."""
+    state = replay.gateway([])
+    state.route_index = None
+    updates = [
+        events.ControlUpdate(
+            table=replay.TABLE, upstreams=None, gateway_count=1, now_ms=0
+        ),
+        events.ControlUpdate(
+            table=None,
+            upstreams=gateway_messages.UpstreamList(1, 2, FLEET),
+            gateway_count=1,
+            now_ms=0,
+        ),
+    ]
+    for update in updates if table_first else reversed(updates):
+        list(reducer.reduce(state, update))
+    result = replay.Replay([state]).play(brief_requests(1, 1, subjects=1))
+    assert result.in_time(TARGET_LATENCY_MS) == 1
--- a/testing/gateway/test_notices.py
+++ b/testing/gateway/test_notices.py
@@ -147,6 +147,37 @@
     assert service.used(now_ms) == used
 
 
+@pytest.mark.parametrize(
+    ("unread_ms", "status"),
+    [
+        pytest.param(4_999, 0, id="in-time"),
+        pytest.param(5_000, 503, id="deadline-passed-unread"),
+    ],
+)
+def test_the_time_before_a_request_is_read_counts(
+    unread_ms: int, status: int
+) -> None:
+    """A gateway without processor time reads requests late."""
+    service = Service()
+    arrived = events.Arrived(
+        request_id="r1",
+        host="h",
+        path="/pay/x",
+        head=protocol.RequestHead(
+            attempt_id="r1", remaining_ms=5_000, prompt=None
+        ),
+        now_ms=9_000,
+        unread_ms=unread_ms,
+    )
+    match service.reduce(arrived)[-1]:
+        case events.Refuse(refusal=refusal):
+            assert refusal.status == status
+        case protocol.Send():
+            assert status == 0
+        case other:
+            raise AssertionError(other)
+
+
 def test_a_restarted_runner_is_used_again() -> None:
     service = Service()
     service.notice("u1", leaving=True)
