Let requests wait for the first routing table for up to half a second

Change: they wait up to 0.5 s for the table and the list; the wait counts as theirs in the placement.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -36,7 +36,8 @@
 class Arrived:
     """A caller's request was received; `head` holds its parsed headers.
 
-    `unread_ms` is how long its connection waited for a thread to read it.
+    `unread_ms` is how long it waited before that: for a thread to read it, and
+    for the routing table after the start of the gateway.
     """
 
     request_id: str
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -37,6 +37,10 @@
 # Polling interval while control is unreachable, or while the routing table or
 # the list of runners is missing.
 INCOMPLETE_POLL_S = 0.1
+# Requests that arrive before the routing table and the list of runners wait for
+# them at most this long. After a loss of power all gateways start at once, and
+# callers that were refused would come back later than both arrive.
+START_WAIT_S = 0.5
 # Short, since trying another runner is better than waiting for a host that
 # doesn't respond.
 CONNECT_TIMEOUT_S = 0.5
@@ -142,6 +146,7 @@
         )
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
+        self._can_serve = threading.Event()
         self._connected = False
         self._gateway_count = 0
         self._peer_count = 0
@@ -249,8 +254,10 @@
         environ: server_lib.Environ,
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
-        now_ms = clock.monotonic_ms()
+        received_ms = clock.monotonic_ms()
         headers = server_lib.raw_headers(environ)
+        if not self._can_serve.is_set():
+            self._can_serve.wait(START_WAIT_S)
         try:
             head = self._dialect.parse_request_head(headers)
         except protocol.MalformedCall as error:
@@ -265,8 +272,10 @@
             host=headers.get("Host", ""),
             path=target.partition("?")[0],
             head=head,
-            now_ms=now_ms,
-            unread_ms=server_lib.queued_ms(environ),
+            now_ms=clock.monotonic_ms(),
+            unread_ms=clock.monotonic_ms()
+            - received_ms
+            + server_lib.queued_ms(environ),
         )
         effects = self._submit(arrived)
         accepted = self._gateway.request_by_id.get(request_id)
@@ -427,6 +436,10 @@
             now_ms=clock.monotonic_ms(),
         )
         self._submit(update)
+        if self._gateway.route_index is not None and (
+            self._gateway.upstream_by_id
+        ):
+            self._can_serve.set()
         self._pool.close_other_addresses(
             {u.address for u in self._gateway.upstream_by_id.values()}
         )
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -8,6 +8,8 @@
 from support import platform_site as sites
 import urllib3
 
+from wisteriawall.gateway import shell as gateway_shell
+
 PROMPT = {
     "X-Wisteriawall-Model": "m",
     "X-Wisteriawall-Token-Counts": "900,20",
@@ -305,3 +307,33 @@
     )
     assert answer.status == status
     assert json.loads(answer.data)["run"] == "not_run"
+
+
+def test_a_request_waits_for_the_first_table(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a restart of everything, callers arrive before the table."""
+    monkeypatch.setattr(gateway_shell, "START_WAIT_S", sites.WAIT_S)
+    site.add_runner("i-1", "shop")
+    sites.wait_until(
+        lambda: bool(site.gateway.upstream_by_id), "the list of runners"
+    )
+    status_by_attempt: dict[str, int] = {}
+
+    def call(attempt: str) -> None:
+        answer = site.call("/pay/", attempt=attempt)
+        status_by_attempt[attempt] = answer.status
+
+    callers = [threading.Thread(target=call, args=(f"a{n}",)) for n in range(3)]
+    for caller in callers:
+        caller.start()
+    site.publish_until_accepted(sites.document(1))
+    for caller in callers:
+        caller.join(sites.WAIT_S)
+    assert status_by_attempt == {"a0": 200, "a1": 200, "a2": 200}
+
+
+def test_a_request_is_refused_when_no_table_arrives(site: sites.Site) -> None:
+    answer = site.call("/pay/", attempt="a1")
+    assert answer.status == 503
+    assert answer.headers["Retry-After"] == "1.000"
