Keep notices about a runner while its entry is missing from the list

Found in reading the change: a notice was dropped with the runner's entry. An entry that is unreadable for a time comes back, and a request to a runner that had said that it leaves would break DRAIN.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -107,14 +107,14 @@
 
     Attributes:
         request_id: The request that was answered.
-        upstream_id: The runner.
+        upstream: The runner.
         leaving: Whether it is about to stop.
         pause_ms: How long it wants no requests, None if it doesn't say.
         now_ms: Time of the answer.
     """
 
     request_id: str
-    upstream_id: str
+    upstream: gateway_messages.Upstream
     leaving: bool
     pause_ms: int | None
     now_ms: int
--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -45,7 +45,7 @@
     """
     resume_ms = gateway.notices.resume_ms(
         (
-            upstream.upstream_id
+            upstream.start_id
             for upstream in gateway.upstream_by_id.values()
             if upstream.service == request.service.name and not upstream.leaving
         ),
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -47,6 +47,7 @@
     load = gateway.load_by_id.get(load_event.upstream_id)
     if load is None:
         return
+    start_id = gateway.upstream_by_id[load_event.upstream_id].start_id
     match load_event.kind:
         case gateway_messages.LoadEventKind.SENT:
             tokens = sum(tokens for _, tokens in load_event.parts)
@@ -63,14 +64,14 @@
             )
         case gateway_messages.LoadEventKind.ANSWER_STARTED:
             load.first_token_received(load_event.request_id, now_ms=now_ms)
-            gateway.notices.note_success(load_event.upstream_id, now_ms)
+            gateway.notices.note_success(start_id, now_ms)
         case gateway_messages.LoadEventKind.ENDED:
             load.request_ended(load_event.request_id, now_ms=now_ms)
         case gateway_messages.LoadEventKind.FAILED:
-            gateway.notices.avoid(load_event.upstream_id, now_ms)
+            gateway.notices.avoid(start_id, now_ms)
         case gateway_messages.LoadEventKind.LEAVING:
             gateway.notices.note_leaving(
-                load_event.upstream_id, runner_notices.Source.GATEWAY, now_ms
+                start_id, runner_notices.Source.GATEWAY, now_ms
             )
 
 
@@ -103,7 +104,9 @@
 
 
 def apply_upstreams(
-    gateway: state_lib.Gateway, upstreams: list[gateway_messages.Upstream]
+    gateway: state_lib.Gateway,
+    upstreams: list[gateway_messages.Upstream],
+    now_ms: int,
 ) -> None:
     """Replace the list of runners and adjust the recorded loads.
 
@@ -112,9 +115,9 @@
     """
     previous_by_id = gateway.upstream_by_id
     gateway.upstream_by_id = {u.upstream_id: u for u in upstreams}
+    gateway.notices.drop_expired({u.start_id for u in upstreams}, now_ms)
     for removed_id in set(gateway.load_by_id) - set(gateway.upstream_by_id):
         del gateway.load_by_id[removed_id]
-        gateway.notices.remove(removed_id)
     for upstream_id, upstream in gateway.upstream_by_id.items():
         previous = previous_by_id.get(upstream_id)
         same_start = (
@@ -125,7 +128,6 @@
         if load is not None and same_start:
             load.is_prefill_engine = is_prefill_engine
             continue
-        gateway.notices.remove(upstream_id)
         gateway.load_by_id[upstream_id] = placement_lib.EngineLoad(
             kv_cache_tokens=_kv_cache_tokens(gateway, upstream.service),
             is_prefill_engine=is_prefill_engine,
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -72,7 +72,7 @@
 ) -> bool:
     """Return whether a runner accepts requests of this gateway."""
     return not upstream.leaving and gateway.notices.may_send(
-        upstream.upstream_id, now_ms
+        upstream.start_id, now_ms
     )
 
 
@@ -91,9 +91,9 @@
         and may_send(gateway, upstream, now_ms)
     ]
     preferred_ids = gateway.notices.without_avoided(
-        [upstream.upstream_id for upstream in allowed], now_ms
+        [upstream.start_id for upstream in allowed], now_ms
     )
-    return [u for u in allowed if u.upstream_id in preferred_ids]
+    return [u for u in allowed if u.start_id in preferred_ids]
 
 
 def _place_plain(
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -198,7 +198,7 @@
     if request.prompt is None:
         # Only a prompt's prefill ends with the start of the answer.
         gateway.notices.note_success(
-            request.current_send.upstream.upstream_id, event.now_ms
+            request.current_send.upstream.start_id, event.now_ms
         )
         return
     yield from loads.report_step(
@@ -251,7 +251,7 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
-    yield from _note_failure(gateway, send.upstream.upstream_id, event)
+    yield from _note_failure(gateway, send.upstream, event)
     run = event.run
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
@@ -275,9 +275,7 @@
     gateway: state_lib.Gateway, event: events.RunnerNoticed
 ) -> Iterator[events.Effect]:
     """Record what a runner's answer says about sending to it."""
-    upstream_id = event.upstream_id
-    if upstream_id not in gateway.upstream_by_id:
-        return
+    upstream_id, start_id = event.upstream.upstream_id, event.upstream.start_id
     if event.pause_ms is not None:
         yield events.LogDecision(
             decision="runner-paused",
@@ -286,12 +284,12 @@
                 "upstream": upstream_id,
                 "asked_ms": event.pause_ms,
                 "pause_ms": gateway.notices.note_pause(
-                    upstream_id, event.pause_ms, event.now_ms
+                    start_id, event.pause_ms, event.now_ms
                 ),
             },
         )
     if event.leaving and gateway.notices.note_leaving(
-        upstream_id, runner_notices.Source.ANSWER, event.now_ms
+        start_id, runner_notices.Source.ANSWER, event.now_ms
     ):
         yield events.LogDecision(
             decision="runner-leaving",
@@ -307,14 +305,15 @@
 
 def _note_failure(
     gateway: state_lib.Gateway,
-    upstream_id: str,
+    upstream: gateway_messages.Upstream,
     event: events.PhaseFailed,
 ) -> Iterator[events.Effect]:
     """Avoid a runner that seems to be down, here and at other gateways."""
-    if not event.runner_failed or upstream_id not in gateway.upstream_by_id:
+    if not event.runner_failed:
         return
+    upstream_id = upstream.upstream_id
     avoidance_ms = gateway.notices.note_failure(
-        upstream_id, event.now_ms, unreachable=event.unreachable
+        upstream.start_id, event.now_ms, unreachable=event.unreachable
     )
     if not avoidance_ms:
         return
@@ -391,7 +390,7 @@
         and upstream_list.version > gateway.list_version
     ):
         gateway.list_version = upstream_list.version
-        loads.apply_upstreams(gateway, upstream_list.upstreams)
+        loads.apply_upstreams(gateway, upstream_list.upstreams, event.now_ms)
         yield events.LogDecision(
             decision="upstreams",
             request_id="",
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -195,7 +195,7 @@
             self._submit(
                 events.RunnerNoticed(
                     request_id=self._request.request_id,
-                    upstream_id=send.upstream.upstream_id,
+                    upstream=send.upstream,
                     leaving=answer.leaving,
                     pause_ms=answer.pause_ms,
                     now_ms=clock.monotonic_ms(),
--- a/src/wisteriawall/policy/runner_notices.py
+++ b/src/wisteriawall/policy/runner_notices.py
@@ -14,6 +14,7 @@
   are lost on their way too, and avoiding their runners would remove capacity.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import enum
@@ -64,7 +65,11 @@
 
 @final
 class RunnerNotices:
-    """Notices about the runners of the current list, by runner id."""
+    """Notices by the start id of the runner.
+
+    They are kept while a runner is missing from the list, since its entry can
+    be unreadable for a time.
+    """
 
     __slots__ = ("_notice_by_id",)
 
@@ -164,9 +169,16 @@
             return set(runners)
         return preferred
 
-    def remove(self, runner: str) -> None:
-        """Forget a runner that is no longer listed, or was restarted."""
-        self._notice_by_id.pop(runner, None)
+    def drop_expired(self, listed: Collection[str], now_ms: int) -> None:
+        """Forget runners that are not listed and whose notices have expired."""
+        for runner, notice in list(self._notice_by_id.items()):
+            last_ms = max(
+                notice.leaving_until_ms,
+                notice.paused_until_ms,
+                notice.avoided_until_ms,
+            )
+            if runner not in listed and now_ms >= last_ms:
+                del self._notice_by_id[runner]
 
     def _is_avoided(self, runner: str, now_ms: int) -> bool:
         notice = self._notice_by_id.get(runner)
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -54,6 +54,11 @@
     weights_version: int = 0
     born_ms: int = 0
 
+    @property
+    def start_id(self) -> str:
+        """Return an id that differs between the starts of one runner."""
+        return f"{self.upstream_id}/{self.born_ms}"
+
 
 @final
 class UpstreamList(msgspec.Struct, frozen=True):
