--- a/testing/platform/test_processes.py
+++ b/testing/platform/test_processes.py
@@ -149,13 +149,13 @@
 ) -> None:
     """Threads of the metrics server kept such a process alive."""
     settings = write_settings(tmp_path, with_disk=with_disk)
-    address = json.loads(settings.read_text())["listen_addresses"][used]
-    host, _, port = address.rpartition(":")
-    with (
-        socket.create_server((host, int(port))),
-        run_role(role, settings) as process,
-    ):
-        text, _ = process.communicate(timeout=platform_site.WAIT_S)
+    document = json.loads(settings.read_text())
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        document["listen_addresses"][used] = f"127.0.0.1:{port}"
+        settings.write_text(json.dumps(document))
+        with run_role(role, settings) as process:
+            text, _ = process.communicate(timeout=platform_site.WAIT_S)
     assert process.returncode == 1
     assert b"the role failed" in text
 
