Log answers of other requests, unexpected errors and requests open when a stop ends

The record of the incident can't tell its hypotheses apart: the log doesn't name the request that an answer belongs to, a request whose thread raised has no line after its sent line, and a process that is killed at the end of its grace period doesn't say what it waited for. New lines: foreign-answer (with the number of requests on the connection), request-error (with the traceback) and still-open.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import urllib3
-import urllib3.connection
 
 from wisteriawall import errors
 from wisteriawall.entry import events
@@ -82,7 +81,7 @@
         self._pool = pool
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
-        self._connection: urllib3.connection.HTTPConnection | None = None
+        self._connection: connection_pool.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._address = ""
         self._cancelled = False
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -22,12 +22,15 @@
     "Effect",
     "Ended",
     "Event",
+    "ForeignAnswer",
     "LogDecision",
     "PeerLoadReceived",
     "PhaseFailed",
     "PrefillDone",
     "Refuse",
     "RunnerNoticed",
+    "StopTimedOut",
+    "UnexpectedError",
 ]
 
 
@@ -120,6 +123,44 @@
     now_ms: int
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ForeignAnswer:
+    """A runner's answer does not carry the id of the request.
+
+    Attributes:
+        request_id: The request that was sent last on the connection.
+        answer_id: Id in the answer; empty if it carries none.
+        status: HTTP status of the answer.
+        not_run: Whether the answer says that its request was not run.
+        connection_requests: Number of requests sent on the connection so far.
+    """
+
+    request_id: str
+    answer_id: str
+    status: int
+    not_run: bool
+    connection_requests: int
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class UnexpectedError:
+    """The thread of a request raised an exception that nothing handles."""
+
+    request_id: str
+    error: str
+    trace: str
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class StopTimedOut:
+    """The time for finishing requests before the process ends is over."""
+
+    now_ms: int
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Ended:
@@ -163,6 +204,9 @@
     | AnswerStarted
     | PhaseFailed
     | RunnerNoticed
+    | ForeignAnswer
+    | UnexpectedError
+    | StopTimedOut
     | Ended
     | PeerLoadReceived
     | ControlUpdate
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -1,5 +1,6 @@
 """Load of each runner, from the requests of this and all other gateways."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from wisteriawall.gateway import events
@@ -10,6 +11,7 @@
 
 __all__ = [
     "apply_step",
+    "apply_steps",
     "apply_table",
     "apply_upstreams",
     "report_step",
@@ -35,6 +37,16 @@
     yield events.BroadcastLoad(load_event=load_event)
 
 
+def apply_steps(
+    gateway: state_lib.Gateway,
+    load_events: Iterable[gateway_messages.LoadEvent],
+    now_ms: int,
+) -> None:
+    """Update runners' loads with events of another gateway."""
+    for load_event in load_events:
+        apply_step(gateway, load_event, now_ms)
+
+
 def apply_step(
     gateway: state_lib.Gateway,
     load_event: gateway_messages.LoadEvent,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -8,6 +8,7 @@
 import zlib
 
 from wisteriawall.config import route_table
+from wisteriawall.gateway import diagnostics
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import loads
@@ -50,11 +51,16 @@
             yield from _handle_failure(gateway, event)
         case events.RunnerNoticed():
             yield from _handle_notice(gateway, event)
+        case (
+            events.ForeignAnswer()
+            | events.UnexpectedError()
+            | events.StopTimedOut()
+        ):
+            yield from diagnostics.log(gateway, event)
         case events.Ended():
             yield from _handle_end(gateway, event)
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
-            for load_event in load_events:
-                loads.apply_step(gateway, load_event, now_ms)
+            loads.apply_steps(gateway, load_events, now_ms)
         case events.ControlUpdate():
             yield from _apply_control_update(gateway, event)
 
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import logging
 import threading
+import traceback
 from typing import TypeAlias
 from typing import final
 
@@ -24,8 +24,6 @@
 
 __all__ = ["CallerRequest", "ForwardedResponse", "end_to_end_headers"]
 
-_LOG = logging.getLogger("gateway")
-
 Head: TypeAlias = urllib3.BaseHTTPResponse
 
 MS_PER_S = 1_000
@@ -111,7 +109,7 @@
         self._head_sent = False
         self._complete = False
         self._scanner = stream.EventScanner()
-        self._chunk_iterator = self._execute_effects()
+        self._chunk_iterator = self._log_errors()
 
     def cancel(self) -> None:
         """Abort the current exchange and all later ones, from any thread.
@@ -139,6 +137,22 @@
         self._submit(ended)
         self._on_close()
 
+    def _log_errors(self) -> Generator[bytes, None, None]:
+        try:
+            yield from self._execute_effects()
+        except ConnectionAbortedError:
+            # Raised by `_abort`, to reset the caller's connection.
+            raise
+        except Exception as error:
+            self._submit(
+                events.UnexpectedError(
+                    request_id=self._request.request_id,
+                    error=repr(error),
+                    trace=traceback.format_exc(),
+                )
+            )
+            raise
+
     def _execute_effects(self) -> Generator[bytes, None, None]:
         """Carry out the effects, and yield the bytes of the answer."""
         effects = self._effects
@@ -191,6 +205,16 @@
         answer = self._dialect.parse_answer_head(
             head.status, dict(head.headers)
         )
+        if answer.attempt_id != self._request.request_id:
+            self._submit(
+                events.ForeignAnswer(
+                    request_id=self._request.request_id,
+                    answer_id=answer.attempt_id,
+                    status=answer.status,
+                    not_run=answer.not_run,
+                    connection_requests=exchange.connection_requests,
+                )
+            )
         if answer.leaving or answer.pause_ms is not None:
             self._submit(
                 events.RunnerNoticed(
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -185,12 +185,14 @@
         # Closes keep-alive connections too; their callers would otherwise
         # continue to send requests to this gateway.
         elapsed_ms = clock.monotonic_ms() - stop_started_ms
-        self._http.stop(
-            response_timeout_s=max(
-                0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms
-            )
-            / MS_PER_S
+        response_timeout_s = (
+            max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
         )
+        timed_out = threading.Timer(response_timeout_s, self._stop_timed_out)
+        timed_out.daemon = True
+        timed_out.start()
+        self._http.stop(response_timeout_s=response_timeout_s)
+        timed_out.cancel()
         self._stopping.set()
         # Concurrently, since each server takes up to 500 ms to stop.
         with futures.ThreadPoolExecutor() as pool:
@@ -206,6 +208,9 @@
         self._log.write("stopped", inputs={"cut": len(self._active_responses)})
         self._log.close()
 
+    def _stop_timed_out(self) -> None:
+        self._submit(events.StopTimedOut(now_ms=clock.monotonic_ms()))
+
     def set_seeds(self, control_address_by_replica: Mapping[str, str]) -> None:
         """Replace the control replicas of the settings file, after a reload.
 
--- a/src/wisteriawall/web/connection_pool.py
+++ b/src/wisteriawall/web/connection_pool.py
@@ -12,7 +12,7 @@
 
 from wisteriawall import clock
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "RunnerConnection"]
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 32
@@ -33,6 +33,13 @@
 ]
 
 
+@final
+class RunnerConnection(urllib3.connection.HTTPConnection):
+    """Connection that counts the requests that were sent on it."""
+
+    request_count = 0
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class _IdleConnection:
@@ -41,7 +48,7 @@
     `expires_ms` is when the peer may close it.
     """
 
-    connection: urllib3.connection.HTTPConnection
+    connection: RunnerConnection
     idle_since_ms: int
     expires_ms: int
 
@@ -68,7 +75,7 @@
         *,
         force_new: bool,
         max_idle_ms: int = NO_LIMIT_MS,
-    ) -> urllib3.connection.HTTPConnection:
+    ) -> RunnerConnection:
         """Return an open connection to `address`.
 
         Args:
@@ -93,7 +100,7 @@
                 return idle.connection
             idle.connection.close()
         host, _, port = address.rpartition(":")
-        connection = urllib3.connection.HTTPConnection(
+        connection = RunnerConnection(
             host,
             int(port),
             timeout=self._connect_timeout_s,
@@ -105,7 +112,7 @@
     def release(
         self,
         address: str,
-        connection: urllib3.connection.HTTPConnection,
+        connection: RunnerConnection,
         *,
         keep_alive_ms: int = NO_LIMIT_MS,
     ) -> None:
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -51,6 +51,8 @@
     """One HTTP request and its response, for a single use.
 
     `cancel` may be called in any thread, the other methods in one thread.
+    `connection_requests` is the number of requests that were sent on the
+    connection, this one included.
 
     Args:
         pool: Pool that connections are taken from and returned to.
@@ -61,9 +63,10 @@
         self._lock = threading.Lock()
         self._address = ""
         self._socket: socket.socket | None = None
-        self._connection: urllib3.connection.HTTPConnection | None = None
+        self._connection: connection_pool.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
+        self.connection_requests = 0
 
     def send(
         self,
@@ -103,6 +106,8 @@
             for name, marker in SUPPRESSED_HEADERS.items()
             if name not in headers
         }
+        connection.request_count += 1
+        self.connection_requests = connection.request_count
         try:
             connection.request(
                 method,
@@ -182,7 +187,7 @@
 
     def _connect(
         self, address: str, *, force_new: bool, max_idle_ms: int
-    ) -> urllib3.connection.HTTPConnection:
+    ) -> connection_pool.RunnerConnection:
         self._address = address
         try:
             connection = self._pool.acquire(
