Reproduce late second answers and malformed answers on real sockets

The stand-in runner's transfer handles name their attempt now, so that the test of separate engines checks whose handle is used.

--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -108,7 +108,7 @@
     assert prefiller.runs_by_attempt["a1"] == 0
     headers_by_name = decoder.received[0][2]
     source = headers_by_name["x-wisteriawall-kv-cache-source"]
-    assert source == f"{prefiller.address}/h1"
+    assert source == f"{prefiller.address}/h-a1"
 
 
 @pytest.mark.parametrize(
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -57,6 +57,10 @@
     headers and body of each request, and `runs_by_attempt` counts the requests
     that it ran, by attempt id. `disconnected` is set when a caller closes its
     connection, and setting `finish` continues a `stream-slow` answer.
+
+    `stutter` returns bytes to send before an answer, from the previous answer
+    on the connection, which is empty before the first. A stuttering runner
+    answers a second time when the next request has arrived.
     """
 
     def __init__(self, name: str, service: str, stage: str = "") -> None:
@@ -65,6 +69,7 @@
         self.runs_by_attempt: Counter[str] = Counter()
         self.received: list[tuple[str, str, dict[str, str], bytes]] = []
         self.behavior = "answer"
+        self.stutter: Callable[[bytes], bytes] | None = None
         self.state = "ready"
         self.finish = threading.Event()
         self.disconnected = threading.Event()
@@ -105,11 +110,12 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with contextlib.suppress(OSError), connection:
+            answers = _RecordedAnswers(connection)
             reader = connection.makefile("rb")
-            while self._serve_one(connection, reader):
-                pass
+            while self._serve_one(answers, reader):
+                answers.end()
 
-    def _serve_one(self, connection: socket.socket, reader: Any) -> bool:
+    def _serve_one(self, connection: "_RecordedAnswers", reader: Any) -> bool:
         start = reader.readline().decode().split()
         if not start:
             self.disconnected.set()
@@ -117,11 +123,13 @@
         headers_by_name = _read_head(reader)
         body = reader.read(int(headers_by_name.get("content-length", "0")))
         self.received.append((start[0], start[1], headers_by_name, body))
+        if self.stutter is not None:
+            connection.repeat(self.stutter)
         return self._answer(connection, headers_by_name, body)
 
     def _answer(
         self,
-        connection: socket.socket,
+        connection: "_RecordedAnswers",
         headers_by_name: dict[str, str],
         body: bytes,
     ) -> bool:
@@ -138,7 +146,9 @@
             _send(connection, "503 Service Unavailable", head, b"")
             return True
         if headers_by_name.get("x-wisteriawall-serving-stage") == "prefill":
-            prefill_answer = json.dumps({"transfer_handle": "h1", "tokens": 9})
+            prefill_answer = json.dumps(
+                {"transfer_handle": f"h-{attempt}", "tokens": 9}
+            )
             _send(connection, "200 OK", head, prefill_answer.encode())
             return True
         self.runs_by_attempt[attempt] += 1
@@ -146,16 +156,14 @@
 
     def _run(
         self,
-        connection: socket.socket,
+        connection: "_RecordedAnswers",
         headers_by_name: dict[str, str],
         head: str,
         body: bytes,
     ) -> bool:
         match self.behavior:
             case "reset":
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-                )
+                connection.reset_on_close()
                 return False
             case "fail":
                 _send(connection, "500 Internal Server Error", head, b"bad")
@@ -171,13 +179,13 @@
                 _send(connection, "200 OK", head, b"answer to " + body)
         return True
 
-    def _wait_for_close(self, connection: socket.socket) -> None:
-        connection.recv(1)
+    def _wait_for_close(self, connection: "_RecordedAnswers") -> None:
+        connection.wait_for_close()
         self.disconnected.set()
 
     def _stream(
         self,
-        connection: socket.socket,
+        connection: "_RecordedAnswers",
         head: str,
         headers_by_name: dict[str, str],
     ) -> bool:
@@ -200,6 +208,38 @@
         return True
 
 
+class _RecordedAnswers:
+    """Connection to a caller that remembers the previous answer on it."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+        self._previous = b""
+        self._current = b""
+
+    def sendall(self, data: bytes) -> None:
+        """Send a part of the current answer."""
+        self._current += data
+        self._connection.sendall(data)
+
+    def end(self) -> None:
+        """End the current answer."""
+        self._previous, self._current = self._current, b""
+
+    def repeat(self, stutter: Callable[[bytes], bytes]) -> None:
+        """Send what `stutter` makes of the previous answer."""
+        self._connection.sendall(stutter(self._previous))
+
+    def reset_on_close(self) -> None:
+        """Make the close of the connection send a reset."""
+        self._connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+        )
+
+    def wait_for_close(self) -> None:
+        """Block until the caller closes the connection."""
+        self._connection.recv(1)
+
+
 def _read_head(reader: Any) -> dict[str, str]:
     headers_by_name: dict[str, str] = {}
     while (line := reader.readline().decode().strip()) != "":
@@ -208,12 +248,12 @@
     return headers_by_name
 
 
-def _chunk(connection: socket.socket, data: bytes) -> None:
+def _chunk(connection: "_RecordedAnswers", data: bytes) -> None:
     connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
 
 
 def _send(
-    connection: socket.socket, status: str, head: str, body: bytes
+    connection: "_RecordedAnswers", status: str, head: str, body: bytes
 ) -> None:
     text = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
     connection.sendall(text.encode() + body)
