Answer the caller when a runner's answer is malformed or the thread fails

Cause: urllib3 wraps http.client's exceptions only inside its connection pool, which the gateway doesn't use, so a status line or header that can't be parsed was neither Broken nor Unreachable. It left the request's thread; the server then raised once more while it looked for a status, closed the connection, and never closed the response body, so that the request stayed in the gateway's load for good.

HttpExchange now reports every error of the HTTP library as Broken, with an unknown outcome, and any other error of a phase becomes a failed phase with a request-error line: a repeatable request goes on at another runner, others end with 502.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -109,7 +109,7 @@
         self._head_sent = False
         self._complete = False
         self._scanner = stream.EventScanner()
-        self._chunk_iterator = self._log_errors()
+        self._chunk_iterator = self._execute_effects()
 
     def cancel(self) -> None:
         """Abort the current exchange and all later ones, from any thread.
@@ -137,22 +137,6 @@
         self._submit(ended)
         self._on_close()
 
-    def _log_errors(self) -> Generator[bytes, None, None]:
-        try:
-            yield from self._execute_effects()
-        except ConnectionAbortedError:
-            # Raised by `_abort`, to reset the caller's connection.
-            raise
-        except Exception as error:
-            self._submit(
-                events.UnexpectedError(
-                    request_id=self._request.request_id,
-                    error=repr(error),
-                    trace=traceback.format_exc(),
-                )
-            )
-            raise
-
     def _execute_effects(self) -> Generator[bytes, None, None]:
         """Carry out the effects, and yield the bytes of the answer."""
         effects = self._effects
@@ -187,6 +171,22 @@
             return self._report_failure(
                 refusal_lib.RunState.UNKNOWN, str(error), status=status
             )
+        except ConnectionAbortedError:
+            # Raised by `_abort`, to reset the caller's connection.
+            raise
+        except Exception as error:
+            self._submit(
+                events.UnexpectedError(
+                    request_id=self._request.request_id,
+                    error=repr(error),
+                    trace=traceback.format_exc(),
+                )
+            )
+            return self._report_failure(
+                refusal_lib.RunState.UNKNOWN,
+                f"internal error: {type(error).__name__}",
+                runner_failed=False,
+            )
         finally:
             exchange.close()
 
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import http.client
 import socket
 import threading
 from typing import final
@@ -20,6 +21,15 @@
 # A connection is reused only up to this long before the peer's keep-alive
 # timeout, so that the peer does not close it just as it is used.
 KEEP_ALIVE_MARGIN_MS = 1_000
+# What sending a request and reading its response raise if the connection fails
+# or the response is malformed. urllib3 does not wrap the exceptions of
+# http.client while it reads the head of a response.
+EXCHANGE_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
 # Headers that urllib3 adds unless told otherwise.
 SUPPRESSED_HEADERS = {
     name: urllib3.util.SKIP_HEADER
@@ -34,7 +44,7 @@
 
 @final
 class Broken(errors.WisteriawallError):
-    """The exchange ended before the complete response had arrived.
+    """The exchange ended before a complete, valid response had arrived.
 
     Args:
         message: What failed.
@@ -94,7 +104,8 @@
 
         Raises:
             Unreachable: No connection was opened, so nothing was sent.
-            Broken: The response headers did not arrive completely.
+            Broken: The response headers did not arrive completely, or are
+                malformed.
         """
         connection = self._connect(
             address, force_new=force_new, max_idle_ms=max_idle_ms
@@ -119,7 +130,7 @@
                 enforce_content_length=True,
             )
             self._response = connection.getresponse()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
         return self._response
 
@@ -146,7 +157,7 @@
                     CHUNK_BYTES, decode_content=False
                 ):
                     yield data
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
 
     def release(self) -> None:
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from wisteriawall.gateway import shell as gateway_shell
+from wisteriawall.platform import headers
 
 PROMPT = {
     "X-Wisteriawall-Model": "m",
@@ -56,6 +57,22 @@
     assert (last["decision"], last["status"]) == ("refused", status)
 
 
+def test_unexpected_error_ends_with_an_answer_to_the_caller(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError("a fault of the program")
+
+    site.add_runner("i-1", "shop")
+    site.start_serving()
+    monkeypatch.setattr(headers.PlatformDialect, "parse_answer_head", fail)
+    answer = site.call("/pay/", attempt="a1")
+    assert answer.status == 502
+    assert json.loads(answer.data)["run"] == "unknown"
+    decisions = [line["decision"] for line in site.decisions("a1")]
+    assert decisions == ["sent", "request-error", "leg-failed", "refused"]
+
+
 def test_read_only_request_is_retried_after_a_failure(site: sites.Site) -> None:
     failing, healthy = (
         site.add_runner("i-1", "shop"),
