Match a runner's answers to requests by their id

Cause: an answer was matched to a request by its position on a kept connection. A runner that answers twice sends the second answer when the next request has already arrived, so the check for waiting bytes before the reuse passes. The attempt id was compared only before an answer was passed on, after rejections and prefills had been used. Besides, http.client reads each response through a buffer of its own, which drops what arrived together with the end of a response; the rest was read as the next one.

RunnerConnection reads all responses of a connection through one buffer and returns the one that names the request: interim responses and those that name another request are read to their end and skipped, at most eight and 4 MiB each. One without an id on a connection with an earlier request is unusable, as is one without a length: the connection closes and the outcome is unknown. A connection with unread bytes isn't reused. A request that is sent to an address for the second time opens a connection, as a late answer to its first phase would have the same id. Each mismatch is logged.

The cases of prompts and of malformed answers now use a site of their own each where a failing runner would be avoided by the next case; what they check is unchanged or more.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -16,6 +16,7 @@
 from wisteriawall.entry import sse
 from wisteriawall.web import connection_pool
 from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import runner_connection
 from wisteriawall.wire import headers
 
 __all__ = ["AnswerBroken", "Attempt", "AttemptRefused", "AttemptTimeouts"]
@@ -81,7 +82,7 @@
         self._pool = pool
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
-        self._connection: connection_pool.RunnerConnection | None = None
+        self._connection: runner_connection.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._address = ""
         self._cancelled = False
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -126,7 +126,12 @@
 
 
 class Dialect(Protocol):
-    """Translates between a protocol's headers and the types of this module."""
+    """Translates between a protocol's headers and the types of this module.
+
+    `answer_id_header` is the header of an answer that holds its request's id.
+    """
+
+    answer_id_header: str
 
     def parse_request_head(self, headers: Headers) -> RequestHead:
         """Return the parsed headers of a caller's request.
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import functools
+import http.client
 import threading
 import traceback
 from typing import TypeAlias
@@ -19,6 +21,7 @@
 from wisteriawall.web import connection_pool
 from wisteriawall.web import http_exchange
 from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import runner_connection
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
 
@@ -106,6 +109,7 @@
         self._lock = threading.Lock()
         self._exchange: http_exchange.HttpExchange | None = None
         self._cancelled = False
+        self._sent_addresses: set[str] = set()
         self._head_sent = False
         self._complete = False
         self._scanner = stream.EventScanner()
@@ -205,16 +209,6 @@
         answer = self._dialect.parse_answer_head(
             head.status, dict(head.headers)
         )
-        if answer.attempt_id != self._request.request_id:
-            self._submit(
-                events.ForeignAnswer(
-                    request_id=self._request.request_id,
-                    answer_id=answer.attempt_id,
-                    status=answer.status,
-                    not_run=answer.not_run,
-                    connection_requests=exchange.connection_requests,
-                )
-            )
         if answer.leaving or answer.pause_ms is not None:
             self._submit(
                 events.RunnerNoticed(
@@ -232,13 +226,12 @@
                 f"rejected with {head.status}",
                 runner_failed=False,
             )
-        if send.phase is protocol.Phase.PREFILL:
-            return self._finish_prefill(exchange, answer)
-        if answer.attempt_id != self._request.head.attempt_id:
+        if answer.attempt_id != self._request.request_id:
             return self._report_failure(
-                refusal_lib.RunState.UNKNOWN,
-                "the answer is to another request",
+                refusal_lib.RunState.UNKNOWN, "the answer names no request"
             )
+        if send.phase is protocol.Phase.PREFILL:
+            return self._finish_prefill(exchange, answer)
         is_streamed = self._request.is_stream and head.status == 200
         if is_streamed:
             return (yield from self._relay_stream(exchange, head))
@@ -255,18 +248,48 @@
             remaining_ms=remaining_ms,
             last_event_id=self._scanner.last_event_id,
         )
+        address = send.upstream.address
+        # A late answer to an earlier phase would have this request's id.
+        was_sent_here = address in self._sent_addresses
+        self._sent_addresses.add(address)
         return exchange.send(
-            send.upstream.address,
+            address,
             method=request.method,
             target=request.target,
             headers=headers,
             body=request.body or None,
             timeout_s=remaining_ms / MS_PER_S,
+            force_new=was_sent_here,
+            answer_id=runner_connection.AnswerId(
+                header=self._dialect.answer_id_header,
+                value=request.request_id,
+                on_mismatch=functools.partial(
+                    self._report_foreign_answer, exchange
+                ),
+            ),
             max_idle_ms=connection_pool.NO_LIMIT_MS
             if send.max_idle_ms is None
             else send.max_idle_ms,
         )
 
+    def _report_foreign_answer(
+        self,
+        exchange: http_exchange.HttpExchange,
+        response: http.client.HTTPResponse,
+    ) -> None:
+        answer = self._dialect.parse_answer_head(
+            response.status, dict(response.headers)
+        )
+        self._submit(
+            events.ForeignAnswer(
+                request_id=self._request.request_id,
+                answer_id=answer.attempt_id,
+                status=answer.status,
+                not_run=answer.not_run,
+                connection_requests=exchange.connection_requests,
+            )
+        )
+
     def _discard_body(self, exchange: http_exchange.HttpExchange) -> None:
         """Read the rest of an answer, so that its connection can be reused."""
         for _ in exchange.body_chunks():
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -69,6 +69,8 @@
 class PlatformDialect:
     """Translates the platform's headers to and from the gateway's types."""
 
+    answer_id_header = ATTEMPT_ID
+
     def parse_request_head(
         self, headers: protocol.Headers
     ) -> protocol.RequestHead:
--- a/src/wisteriawall/web/connection_pool.py
+++ b/src/wisteriawall/web/connection_pool.py
@@ -7,12 +7,10 @@
 import threading
 from typing import final
 
-import urllib3.connection
-import urllib3.connectionpool
-
 from wisteriawall import clock
+from wisteriawall.web import runner_connection
 
-__all__ = ["ConnectionPool", "RunnerConnection"]
+__all__ = ["ConnectionPool"]
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 32
@@ -33,13 +31,6 @@
 ]
 
 
-@final
-class RunnerConnection(urllib3.connection.HTTPConnection):
-    """Connection that counts the requests that were sent on it."""
-
-    request_count = 0
-
-
 @final
 @dataclasses.dataclass(slots=True)
 class _IdleConnection:
@@ -48,7 +39,7 @@
     `expires_ms` is when the peer may close it.
     """
 
-    connection: RunnerConnection
+    connection: runner_connection.RunnerConnection
     idle_since_ms: int
     expires_ms: int
 
@@ -75,7 +66,7 @@
         *,
         force_new: bool,
         max_idle_ms: int = NO_LIMIT_MS,
-    ) -> RunnerConnection:
+    ) -> runner_connection.RunnerConnection:
         """Return an open connection to `address`.
 
         Args:
@@ -100,7 +91,7 @@
                 return idle.connection
             idle.connection.close()
         host, _, port = address.rpartition(":")
-        connection = RunnerConnection(
+        connection = runner_connection.RunnerConnection(
             host,
             int(port),
             timeout=self._connect_timeout_s,
@@ -112,19 +103,22 @@
     def release(
         self,
         address: str,
-        connection: RunnerConnection,
+        connection: runner_connection.RunnerConnection,
         *,
         keep_alive_ms: int = NO_LIMIT_MS,
     ) -> None:
         """Return an open connection whose last response was read completely.
 
-        It may be reused for `keep_alive_ms`. It is closed instead if the pool
-        is closed or has enough idle connections to `address`.
+        It may be reused for `keep_alive_ms`. It is closed instead if it can't
+        be reused, if the pool is closed or if the pool has enough idle
+        connections to `address`.
         """
         now_ms = clock.monotonic_ms()
+        reusable = connection.is_reusable
         with self._lock:
             idle = self._idle_by_address[address]
-            if not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS:
+            has_room = not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS
+            if reusable and has_room:
                 idle.append(
                     _IdleConnection(connection, now_ms, now_ms + keep_alive_ms)
                 )
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -13,6 +13,7 @@
 
 from wisteriawall import errors
 from wisteriawall.web import connection_pool
+from wisteriawall.web import runner_connection
 
 __all__ = ["Broken", "HttpExchange", "Unreachable"]
 
@@ -73,7 +74,7 @@
         self._lock = threading.Lock()
         self._address = ""
         self._socket: socket.socket | None = None
-        self._connection: connection_pool.RunnerConnection | None = None
+        self._connection: runner_connection.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
         self.connection_requests = 0
@@ -89,9 +90,12 @@
         timeout_s: float,
         force_new: bool = False,
         max_idle_ms: int = connection_pool.NO_LIMIT_MS,
+        answer_id: runner_connection.AnswerId | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Send the request; return the response once its headers are read.
 
+        Responses to earlier requests on the connection are skipped.
+
         Args:
             address: Host and port of the runner.
             method: HTTP method, sent unchanged.
@@ -101,11 +105,13 @@
             timeout_s: Longest wait for the headers and for each later read.
             force_new: Whether to open a new connection instead of an idle one.
             max_idle_ms: Longest idle time of a connection to reuse.
+            answer_id: Id by which the response names this request; None if the
+                server's responses have none.
 
         Raises:
             Unreachable: No connection was opened, so nothing was sent.
-            Broken: The response headers did not arrive completely, or are
-                malformed.
+            Broken: The response headers did not arrive completely, are
+                malformed, or may belong to another request.
         """
         connection = self._connect(
             address, force_new=force_new, max_idle_ms=max_idle_ms
@@ -118,6 +124,7 @@
             if name not in headers
         }
         connection.request_count += 1
+        connection.answer_id = answer_id
         self.connection_requests = connection.request_count
         try:
             connection.request(
@@ -171,7 +178,7 @@
         if connection is None:
             return
         keep_alive_ms = _keep_alive_ms(self._response)
-        if self._cancelled or not keep_alive_ms or not connection.is_connected:
+        if self._cancelled or not keep_alive_ms:
             connection.close()
             return
         self._pool.release(
@@ -198,7 +205,7 @@
 
     def _connect(
         self, address: str, *, force_new: bool, max_idle_ms: int
-    ) -> connection_pool.RunnerConnection:
+    ) -> runner_connection.RunnerConnection:
         self._address = address
         try:
             connection = self._pool.acquire(
--- /dev/null
+++ b/src/wisteriawall/web/runner_connection.py
@@ -0,0 +1,196 @@
+"""HTTP connection that matches responses to requests by their id.
+
+A faulty server may send a second response to an earlier request, at the point
+where the response to the next request is expected.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import http.client
+import io
+import socket
+from typing import Any
+from typing import final
+
+import urllib3.connection
+
+__all__ = ["AnswerId", "RunnerConnection", "UnidentifiedResponse"]
+
+MAX_SKIPPED_RESPONSES = 8
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+CHUNK_BYTES = 64 * 1024
+FIRST_FINAL_STATUS = 200
+
+
+@final
+class UnidentifiedResponse(http.client.HTTPException):
+    """A response can't be matched to a request of its connection."""
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class AnswerId:
+    """Id by which a response names its request.
+
+    Attributes:
+        header: Header of the response that holds the id.
+        value: Id of the request that was sent last.
+        on_mismatch: Called with each response that has another id or none.
+    """
+
+    header: str
+    value: str
+    on_mismatch: Callable[[http.client.HTTPResponse], None]
+
+
+@final
+class RunnerConnection(urllib3.connection.HTTPConnection):
+    """Connection that skips responses to earlier requests.
+
+    All responses are read through one buffer. http.client uses a new buffer for
+    each, which would lose what arrived together with the end of a response.
+
+    `request_count` is the number of requests that were sent. `answer_id` is the
+    id that the next response must have; with None, any response is taken for
+    the next one.
+    """
+
+    request_count = 0
+    answer_id: AnswerId | None = None
+    _is_last_response = False
+    _raw_reader: "_SocketReader"
+    _reader: "_SharedReader"
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self._raw_reader = _SocketReader(self.sock)
+        self._reader = _SharedReader(self._raw_reader)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent.
+
+        Call it after the last response was read completely. It is False if the
+        server closes the connection or has sent more than that response.
+        """
+        if self._is_last_response or self.sock is None:
+            return False
+        try:
+            self.sock.settimeout(0)
+            has_more = bool(self._reader.peek(1))
+        except OSError:
+            return False
+        return not has_more and not self._raw_reader.at_end
+
+    # Called by `getresponse` of http.client in place of the class attribute.
+    def response_class(  # type: ignore[override]
+        self, _: socket.socket, debuglevel: int = 0, method: str | None = None
+    ) -> http.client.HTTPResponse:
+        """Return the response to the last request, with its head read.
+
+        Raises:
+            UnidentifiedResponse: A response without an id arrived and could be
+                one to an earlier request, or too much had to be skipped.
+            http.client.HTTPException: The head of a response is malformed.
+            OSError: The connection failed.
+        """
+        for _attempt in range(MAX_SKIPPED_RESPONSES + 1):
+            response = http.client.HTTPResponse(
+                _as_socket(self._reader), debuglevel, method
+            )
+            response.begin()
+            if self._is_expected(response):
+                self._is_last_response = response.will_close
+                # http.client would close the socket now, and leave the rest of
+                # the response to a buffer of its own.
+                response.will_close = False
+                return response
+            _skip_body(response)
+        raise UnidentifiedResponse(
+            f"more than {MAX_SKIPPED_RESPONSES} responses to other requests"
+        )
+
+    def _is_expected(self, response: http.client.HTTPResponse) -> bool:
+        """Return whether a response is the final one to the last request.
+
+        Raises:
+            UnidentifiedResponse: It has no id, and the connection was used for
+                earlier requests.
+        """
+        if response.status < FIRST_FINAL_STATUS:
+            return False
+        if self.answer_id is None:
+            return True
+        value = response.headers.get(self.answer_id.header)
+        if value == self.answer_id.value:
+            return True
+        self.answer_id.on_mismatch(response)
+        if value is not None:
+            return False
+        if self.request_count > 1:
+            raise UnidentifiedResponse("the response names no request")
+        return True
+
+
+class _SocketReader(io.RawIOBase):
+    """Reads a socket; `at_end` is set once the peer has closed it."""
+
+    def __init__(self, source: socket.socket) -> None:
+        super().__init__()
+        self._socket = source
+        self.at_end = False
+
+    def readable(self) -> bool:
+        """Return True: this is a reader."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into `buffer`; return None if a non-blocking read has no data.
+
+        Raises:
+            OSError: The connection failed, or the socket's timeout passed.
+        """
+        try:
+            count = self._socket.recv_into(buffer)
+        except BlockingIOError:
+            return None
+        self.at_end = count == 0
+        return count
+
+
+class _SharedReader(io.BufferedReader):
+    """Buffered reader that stays open when a response closes it."""
+
+    def makefile(self, *_: object) -> "_SharedReader":
+        """Return this reader, where http.client opens one of a socket."""
+        return self
+
+    def close(self) -> None:
+        """Do nothing: the reader serves all responses of a connection."""
+
+
+def _as_socket(reader: _SharedReader) -> Any:
+    # http.client only calls `makefile` of the socket.
+    return reader
+
+
+def _skip_body(response: http.client.HTTPResponse) -> None:
+    """Read and drop the body of a response to an earlier request.
+
+    Raises:
+        UnidentifiedResponse: It has no end before that of the connection, or is
+            larger than `MAX_SKIPPED_BYTES`.
+    """
+    if response.length is None and not response.chunked:
+        raise UnidentifiedResponse(
+            "the response to another request has no length"
+        )
+    skipped_bytes = 0
+    while data := response.read(CHUNK_BYTES):
+        skipped_bytes += len(data)
+        if skipped_bytes > MAX_SKIPPED_BYTES:
+            raise UnidentifiedResponse(
+                "the response to another request has more than"
+                f" {MAX_SKIPPED_BYTES} bytes"
+            )
--- a/testing/platform/test_late_answers.py
+++ b/testing/platform/test_late_answers.py
@@ -111,6 +111,14 @@
             },
         )
 
+    def source_by_attempt(self) -> dict[str, str]:
+        """Return the source of the KV cache of each request that had one."""
+        return {
+            headers[sites.ATTEMPT_ID.lower()]: headers[KV_SOURCE]
+            for _, _, headers, _ in self.decoder.received
+            if KV_SOURCE in headers
+        }
+
     def runs(self, attempt: str) -> int:
         """Return how often the plain runners ran a request."""
         return sum(runner.runs_by_attempt[attempt] for runner in self.shops)
@@ -167,30 +175,8 @@
     ]
 
 
-@pytest.mark.parametrize("stutter", [*IDENTIFIED, *UNIDENTIFIED])
-def test_prompt_goes_on_only_from_its_own_transfer_handle(
-    serving: ServingSite, stutter: Stutter
-) -> None:
-    attempts = serving.new_attempts(4)
-    for attempt in attempts:
-        serving.talk(attempt)
-        serving.prefiller.stutter = lambda previous: (
-            previous and stutter(previous)
-        )
-    source_by_attempt = {
-        headers[sites.ATTEMPT_ID.lower()]: headers[KV_SOURCE]
-        for _, _, headers, _ in serving.decoder.received
-        if KV_SOURCE in headers
-    }
-    assert attempts[0] in source_by_attempt
-    address = serving.prefiller.address
-    assert source_by_attempt == {
-        attempt: f"{address}/h-{attempt}" for attempt in source_by_attempt
-    }
-
-
 @pytest.mark.parametrize("stutter", IDENTIFIED)
-def test_prompt_is_read_although_a_late_answer_came_first(
+def test_prompt_goes_on_from_its_own_transfer_handle(
     serving: ServingSite, stutter: Stutter
 ) -> None:
     attempts = serving.new_attempts(4)
@@ -199,15 +185,30 @@
         events.append(serving.talk(attempt).data.count(b"data:"))
         serving.stutter(lambda previous: previous and stutter(previous))
     assert events == [4, 4, 4, 4]
+    source_by_attempt = serving.source_by_attempt()
+    assert [source_by_attempt[attempt] for attempt in attempts] == [
+        f"{serving.prefiller.address}/h-{attempt}" for attempt in attempts
+    ]
+
+
+@pytest.mark.parametrize("stutter", UNIDENTIFIED)
+def test_prompt_never_goes_on_from_another_transfer_handle(
+    site: sites.Site, stutter: Stutter
+) -> None:
+    serving = ServingSite(site)
+    first, *attempts = serving.new_attempts(4)
+    serving.talk(first)
+    serving.prefiller.stutter = lambda previous: previous and stutter(previous)
+    for attempt in attempts:
+        serving.talk(attempt)
+    source_by_attempt = serving.source_by_attempt()
+    assert first in source_by_attempt
+    assert source_by_attempt == {
+        attempt: f"{serving.prefiller.address}/h-{attempt}"
+        for attempt in source_by_attempt
+    }
 
 
-@pytest.mark.parametrize(
-    ("path", "runs"),
-    [
-        pytest.param("/pay/", 1, id="payment"),
-        pytest.param("/read/", 2, id="lookup"),
-    ],
-)
 @pytest.mark.parametrize(
     "answer_bytes",
     [
@@ -218,11 +219,12 @@
     ],
 )
 def test_malformed_answer_ends_with_an_answer_to_the_caller(
-    serving: ServingSite, path: str, runs: int, answer_bytes: bytes
+    site: sites.Site, answer_bytes: bytes
 ) -> None:
-    (attempt,) = serving.new_attempts(1)
+    serving = ServingSite(site)
     serving.stutter(lambda _: answer_bytes)
-    answer = serving.site.call(path, attempt=attempt)
-    assert (answer.status, serving.runs(attempt)) == (502, runs)
-    last = serving.site.decisions(attempt)[-1]
-    assert (last["decision"], last["status"]) == ("refused", 502)
+    for path, attempt, runs in (("/pay/", "a1", 1), ("/read/", "a2", 2)):
+        answer = site.call(path, attempt=attempt)
+        assert (answer.status, serving.runs(attempt)) == (502, runs)
+        last = site.decisions(attempt)[-1]
+        assert (last["decision"], last["status"]) == ("refused", 502)
--- /dev/null
+++ b/testing/web/test_http_exchange.py
@@ -0,0 +1,170 @@
+"""Tests of HTTP exchanges with a server whose every byte is scripted."""
+
+from collections.abc import Iterator
+import http.client
+
+import pytest
+from support import scripted_server
+
+from wisteriawall.web import connection_pool
+from wisteriawall.web import http_exchange
+from wisteriawall.web import runner_connection
+
+WAIT_S = 15.0
+ID = "Request-Id"
+
+
+@pytest.fixture
+def server() -> Iterator[scripted_server.ScriptedServer]:
+    """Return a server without a script."""
+    running = scripted_server.ScriptedServer()
+    yield running
+    running.close()
+
+
+@pytest.fixture
+def pool() -> Iterator[connection_pool.ConnectionPool]:
+    """Return a connection pool, closed after the test."""
+    opened = connection_pool.ConnectionPool()
+    yield opened
+    opened.close()
+
+
+def answer(request_id: str, body: bytes = b"", head: str = "") -> bytes:
+    """Return a response that names its request, unless the id is empty."""
+    id_line = f"{ID}: {request_id}\r\n" if request_id else ""
+    return (
+        f"HTTP/1.1 200 OK\r\n{id_line}{head}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def exchange(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    request_id: str,
+    mismatches: list[str | None] | None = None,
+) -> bytes:
+    """Send a request and return the body of its response."""
+
+    def on_mismatch(response: http.client.HTTPResponse) -> None:
+        if mismatches is not None:
+            mismatches.append(response.headers.get(ID))
+
+    sent = http_exchange.HttpExchange(pool)
+    try:
+        sent.send(
+            server.address,
+            method="GET",
+            target="/",
+            headers={"Host": "h"},
+            body=None,
+            timeout_s=WAIT_S,
+            answer_id=runner_connection.AnswerId(
+                header=ID, value=request_id, on_mismatch=on_mismatch
+            ),
+        )
+        body = b"".join(sent.body_chunks())
+        sent.release()
+    finally:
+        sent.close()
+    return body
+
+
+def test_connection_is_reused_after_a_complete_response(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    server.script = [answer(f"r{number}", b"body") for number in range(3)]
+    for number in range(3):
+        assert exchange(pool, server, f"r{number}") == b"body"
+    assert server.connections == 1
+
+
+def test_responses_to_earlier_requests_are_skipped_and_reported(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    mismatches: list[str | None] = []
+    server.script = [
+        answer("r0", b"zero"),
+        answer("r0", b"zero") + answer("r0", b"0") + answer("r1", b"one"),
+    ]
+    assert exchange(pool, server, "r0", mismatches) == b"zero"
+    assert exchange(pool, server, "r1", mismatches) == b"one"
+    assert mismatches == ["r0", "r0"]
+    assert server.connections == 1
+
+
+def test_bytes_that_arrive_with_the_end_of_a_response_are_not_lost(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """The rest of such bytes would be taken for the next response."""
+    server.script = [answer("r0", b"zero") + b"HTTP/1.1 2", answer("r1")]
+    assert exchange(pool, server, "r0") == b"zero"
+    assert exchange(pool, server, "r1") == b""
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        pytest.param(
+            answer("r0", b"zero", head="Connection: close\r\n"), id="close"
+        ),
+        pytest.param(
+            f"HTTP/1.0 200 OK\r\n{ID}: r0\r\n\r\nzero".encode(), id="no-length"
+        ),
+    ],
+)
+def test_connection_that_the_server_closes_is_not_reused(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    first: bytes,
+) -> None:
+    server.script = [first]
+    assert exchange(pool, server, "r0") == b"zero"
+    server.script = [answer("r1", b"one")]
+    assert exchange(pool, server, "r1") == b"one"
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        pytest.param(answer(""), id="no-id"),
+        pytest.param(
+            f"HTTP/1.1 200 OK\r\n{ID}: r0\r\n\r\nzero".encode(),
+            id="late-response-without-length",
+        ),
+        pytest.param(
+            (runner_connection.MAX_SKIPPED_RESPONSES + 1) * answer("r0"),
+            id="too-many-late-responses",
+        ),
+        pytest.param(
+            answer("r0", (runner_connection.MAX_SKIPPED_BYTES + 1) * b"x"),
+            id="late-response-too-large",
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", id="head-alone"
+        ),
+    ],
+)
+def test_response_that_may_belong_to_another_request_is_unusable(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    second: bytes,
+) -> None:
+    server.script = [answer("r0"), second + answer("r1"), answer("r2", b"two")]
+    exchange(pool, server, "r0")
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r1")
+    assert exchange(pool, server, "r2") == b"two"
+    assert server.connections == 2
+
+
+def test_response_without_an_id_is_accepted_on_a_new_connection(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """Nothing else was requested on that connection."""
+    mismatches: list[str | None] = []
+    server.script = [answer("", b"zero")]
+    assert exchange(pool, server, "r0", mismatches) == b"zero"
+    assert mismatches == [None]
