End reading a response at the request's deadline

A gateway that stopped outlived its grace period because of streams whose runners had stopped sending: one such request still had 2.5 s to go at the end of the period, and a request's thread could go on past its deadline for as long as its runner sent a byte now and then.

Cause: each read of a response had the time that was left when the request was sent as its timeout, so that a pause late in the response, or many short ones, led beyond the deadline.

Reads now fail at the deadline. The test sends a response byte by byte: it ends as Broken and timed out after 500 ms.

--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -11,6 +11,7 @@
 import urllib3
 import urllib3.util
 
+from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.web import connection_pool
 from wisteriawall.web import runner_connection
@@ -87,7 +88,7 @@
         target: str,
         headers: Mapping[str, str],
         body: bytes | None,
-        timeout_s: float,
+        deadline_at_ms: int,
         force_new: bool = False,
         max_idle_ms: int = connection_pool.NO_LIMIT_MS,
         answer_id: runner_connection.AnswerId | None = None,
@@ -102,7 +103,8 @@
             target: Path and query, sent unchanged.
             headers: All headers to send, including `Host`.
             body: Request body; None sends none.
-            timeout_s: Longest wait for the headers and for each later read.
+            deadline_at_ms: When the whole response must have arrived, on the
+                monotonic clock.
             force_new: Whether to open a new connection instead of an idle one.
             max_idle_ms: Longest idle time of a connection to reuse.
             answer_id: Id by which the response names this request; None if the
@@ -116,8 +118,11 @@
         connection = self._connect(
             address, force_new=force_new, max_idle_ms=max_idle_ms
         )
-        self.set_timeout(timeout_s)
+        connection.deadline_at_ms = deadline_at_ms
+        # Bounds the sending too.
+        timeout_s = max(1, deadline_at_ms - clock.monotonic_ms()) / MS_PER_S
         connection.timeout = timeout_s
+        connection.sock.settimeout(timeout_s)
         suppressed = {
             name: marker
             for name, marker in SUPPRESSED_HEADERS.items()
@@ -141,12 +146,6 @@
             raise _broken_error(error) from error
         return self._response
 
-    def set_timeout(self, seconds: float) -> None:
-        """Set the longest wait of each later read or write."""
-        if self._socket is not None:
-            with contextlib.suppress(OSError):
-                self._socket.settimeout(max(0.001, seconds))
-
     def body_chunks(self) -> Iterator[bytes]:
         """Yield the response body as it arrives.
 
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -14,11 +14,17 @@
 
 import urllib3.connection
 
+from wisteriawall import clock
+
 __all__ = ["AnswerId", "RunnerConnection", "UnidentifiedResponse"]
 
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
+MS_PER_S = 1_000
+# Setting a socket's timeout is a system call, so it is set again only after the
+# deadline has come this much closer.
+MAX_OVERRUN_MS = 100
 FIRST_FINAL_STATUS = 200
 
 
@@ -52,7 +58,8 @@
 
     `request_count` is the number of requests that were sent. `answer_id` is the
     id that the next response must have; with None, any response is taken for
-    the next one.
+    the next one. Reads fail within `MAX_OVERRUN_MS` after `deadline_at_ms`, on
+    the monotonic clock; with None, the socket's own timeout holds for each.
     """
 
     request_count = 0
@@ -67,6 +74,15 @@
         self._raw_reader = _SocketReader(self.sock)
         self._reader = _SharedReader(self._raw_reader)
 
+    @property
+    def deadline_at_ms(self) -> int | None:
+        """Return when reads start to fail."""
+        return self._raw_reader.deadline_at_ms
+
+    @deadline_at_ms.setter
+    def deadline_at_ms(self, deadline_at_ms: int | None) -> None:
+        self._raw_reader.deadline_at_ms = deadline_at_ms
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent.
@@ -77,6 +93,7 @@
         if self._is_last_response or self.sock is None:
             return False
         try:
+            self.deadline_at_ms = None
             self.sock.settimeout(0)
             has_more = bool(self._reader.peek(1))
         except OSError:
@@ -134,11 +151,15 @@
 
 
 class _SocketReader(io.RawIOBase):
-    """Reads a socket; `at_end` is set once the peer has closed it."""
+    """Reads a socket, until a deadline if there is one.
+
+    `at_end` is set once the peer has closed the connection.
+    """
 
     def __init__(self, source: socket.socket) -> None:
         super().__init__()
         self._socket = source
+        self.deadline_at_ms: int | None = None
         self.at_end = False
 
     def readable(self) -> bool:
@@ -149,8 +170,10 @@
         """Read into `buffer`; return None if a non-blocking read has no data.
 
         Raises:
-            OSError: The connection failed, or the socket's timeout passed.
+            OSError: The connection failed, or a timeout passed.
         """
+        if self.deadline_at_ms is not None:
+            self._set_timeout(self.deadline_at_ms)
         try:
             count = self._socket.recv_into(buffer)
         except BlockingIOError:
@@ -158,6 +181,15 @@
         self.at_end = count == 0
         return count
 
+    def _set_timeout(self, deadline_at_ms: int) -> None:
+        remaining_ms = deadline_at_ms - clock.monotonic_ms()
+        if remaining_ms <= 0:
+            raise TimeoutError("the deadline passed")
+        timeout_s = self._socket.gettimeout()
+        timeout_ms = timeout_s * MS_PER_S if timeout_s else 0
+        if not remaining_ms <= timeout_ms <= remaining_ms + MAX_OVERRUN_MS:
+            self._socket.settimeout(remaining_ms / MS_PER_S)
+
 
 class _SharedReader(io.BufferedReader):
     """Buffered reader that stays open when a response closes it."""
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -6,11 +6,12 @@
 import pytest
 from support import scripted_server
 
+from wisteriawall import clock
 from wisteriawall.web import connection_pool
 from wisteriawall.web import http_exchange
 from wisteriawall.web import runner_connection
 
-WAIT_S = 15.0
+WAIT_MS = 15_000
 ID = "Request-Id"
 
 
@@ -43,6 +44,7 @@
     server: scripted_server.ScriptedServer,
     request_id: str,
     mismatches: list[str | None] | None = None,
+    deadline_ms: int = WAIT_MS,
 ) -> bytes:
     """Send a request and return the body of its response."""
 
@@ -58,7 +60,7 @@
             target="/",
             headers={"Host": "h"},
             body=None,
-            timeout_s=WAIT_S,
+            deadline_at_ms=clock.monotonic_ms() + deadline_ms,
             answer_id=runner_connection.AnswerId(
                 header=ID, value=request_id, on_mismatch=on_mismatch
             ),
@@ -168,3 +170,14 @@
     server.script = [answer("", b"zero")]
     assert exchange(pool, server, "r0", mismatches) == b"zero"
     assert mismatches == [None]
+
+
+def test_response_that_goes_on_past_the_deadline_is_broken(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """Each part arrives in time after the one before."""
+    server.script = [answer("r0", 1_000 * b"x")]
+    server.pause_s = 0.05
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r0", deadline_ms=500)
+    assert caught.value.timed_out
