End a server's stop within its time, and cut by the monotonic clock

A process with one stalled answer outlived its grace period and was killed: cheroot's pool shuts the caller's socket down for reading after its timeout and then joins each worker without a limit. Its timeout is read from the wall clock, so that a step of that clock ended answers at once, or not at all. The shutdown for reading was reported by the connection monitor as the caller's disconnect, and the connection then ended without a reset. Shutdown requests were put into the bounded queue of connections, where a full queue would block the stop.

WorkerPool replaces the pool: it waits for all workers up to one deadline on the project's monotonic clock, reports the timeout to its owner, then resets what is still in progress (the disconnect callback is called by us, once, and the connection is marked for a reset before anything is shut down) and waits 200 ms more.

Tests on the code before: the stop with a stalled answer did not return; a cut answer ended without a reset; after a step of +1000 s an answer was cut at once, after -1000 s the stop went on beyond its timeout. (A step mattered only between two joins, so the test has eight streams.)

--- a/src/wisteriawall/web/connection_monitor.py
+++ b/src/wisteriawall/web/connection_monitor.py
@@ -65,6 +65,13 @@
             self._on_disconnect_by_fd[fd] = callback
             self._epoll.register(fd, DISCONNECT_EVENTS | select.EPOLLONESHOT)
 
+    def report_disconnect(self, connection: socket.socket) -> None:
+        """Call the callback of `connection` as if the caller was gone."""
+        with self._lock:
+            callback = self._take_callback(connection.fileno())
+        if callback is not None:
+            callback()
+
     def stop_monitoring(self, connection: socket.socket) -> None:
         """Remove the read deadline and callback of `connection`.
 
@@ -72,9 +79,7 @@
         """
         with self._lock:
             self._deadline_s_by_socket.pop(connection, None)
-            if self._on_disconnect_by_fd.pop(connection.fileno(), None):
-                with contextlib.suppress(OSError):
-                    self._epoll.unregister(connection.fileno())
+            self._take_callback(connection.fileno())
 
     @property
     def registration_count(self) -> int:
@@ -85,11 +90,19 @@
         while not self._stopped:
             for fd, _ in self._epoll.poll(POLL_TIMEOUT_S):
                 with self._lock:
-                    callback = self._on_disconnect_by_fd.get(fd)
+                    callback = self._take_callback(fd)
                 if callback is not None:
                     callback()
             self._shut_down_overdue_reads()
 
+    def _take_callback(self, fd: int) -> Callable[[], None] | None:
+        """Remove and return the callback of a connection, if it has one."""
+        callback = self._on_disconnect_by_fd.pop(fd, None)
+        if callback is not None:
+            with contextlib.suppress(OSError):
+                self._epoll.unregister(fd)
+        return callback
+
     def _shut_down_overdue_reads(self) -> None:
         now_s = time.monotonic()
         with self._lock:
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -19,6 +19,7 @@
 from wisteriawall.web import connection_monitor
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server_connection
+from wisteriawall.web import worker_pool
 
 __all__ = [
     "BodyRefused",
@@ -108,9 +109,13 @@
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
-            accepted_queue_size=threads + MAX_QUEUED_CONNECTIONS,
-            accepted_queue_timeout=0,
         )
+        self._workers = worker_pool.WorkerPool(
+            self._server,
+            threads=threads,
+            max_queued=threads + MAX_QUEUED_CONNECTIONS,
+        )
+        self._server.requests = self._workers
         self._server.gateway = server_connection.WsgiGateway
         self._server.monitor = self._monitor
         self._server.request_read_timeout_s = request_read_timeout_s
@@ -128,13 +133,22 @@
         self._monitor.start()
         self._thread.start()
 
-    def stop(self, *, response_timeout_s: float = RESPONSE_TIMEOUT_S) -> None:
+    def stop(
+        self,
+        *,
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
+        on_timeout: Callable[[], None] | None = None,
+    ) -> None:
         """Stop accepting, close idle connections and finish requests.
 
-        Waits for responses in progress. After `response_timeout_s` seconds the
-        requests that still run can read no more of their body.
+        Waits for responses in progress. Those that are not finished after
+        `response_timeout_s` seconds are cut: their connections are reset and
+        their disconnect callbacks are called. `on_timeout` is called before
+        that.
         """
         self.disable_keep_alive()
+        if on_timeout is not None:
+            self._workers.on_timeout = on_timeout
         self._server.shutdown_timeout = response_timeout_s
         self._server.stop()
         self._thread.join(timeout=5.0)
@@ -147,8 +161,7 @@
     @property
     def busy_worker_threads(self) -> int:
         """Return the number of workers that are serving a connection."""
-        pool = self._server.requests
-        return sum(worker.conn is not None for worker in pool._threads)
+        return self._workers.busy_threads
 
     @property
     def monitor_registrations(self) -> int:
@@ -174,6 +187,7 @@
     ConnectionClass = server_connection.ServerConnection
     monitor: connection_monitor.ConnectionMonitor
     request_read_timeout_s: float
+    shutdown_timeout: float
     closes_after_response = False
 
     def process_conn(self, conn: server_connection.ServerConnection) -> None:
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -95,6 +95,16 @@
             socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
         )
 
+    def cut(self) -> None:
+        """Reset the connection as soon as its thread closes it.
+
+        A thread that reads the request or runs the application is told to end.
+        """
+        with contextlib.suppress(OSError):
+            self.abort_response()
+            self._monitor.report_disconnect(self._socket)
+            self._socket.shutdown(socket.SHUT_RD)
+
 
 def error_response(protocol: str, status: str, message: str) -> bytes:
     """Return an HTTP response in JSON for an error that cheroot reports.
@@ -181,6 +191,12 @@
         # complete to the caller.
         os.close(self.socket.detach())
 
+    def cut(self) -> None:
+        """End the request in progress with a reset, from another thread."""
+        caller = self.caller
+        if caller is not None:
+            caller.cut()
+
     def refuse(self) -> None:
         """Send status 503 and close, when the queue for workers is full."""
         data = error_response("HTTP/1.1", "503 Service Unavailable", "")
--- /dev/null
+++ b/testing/web/test_stop.py
@@ -0,0 +1,72 @@
+"""Tests of a server that stops while answers are in progress."""
+
+import time
+
+import pytest
+from support import http_harness
+
+
+def test_stalled_answer_does_not_keep_the_stop_from_returning(
+    harness: http_harness.Harness,
+) -> None:
+    app = http_harness.StreamingApp()
+    app.ends_when_cancelled = False
+    server = harness.serve(app)
+    harness.call(server).send()
+    assert app.began.wait(http_harness.WAIT_S)
+    stopping = harness.start_stop(server, response_timeout_s=0.2)
+    stopping.join(http_harness.WAIT_S / 3)
+    stopped = not stopping.is_alive()
+    app.finish.set()
+    assert stopped
+
+
+def test_answer_cut_by_the_stop_ends_with_a_reset(
+    harness: http_harness.Harness,
+) -> None:
+    app = http_harness.StreamingApp()
+    server = harness.serve(app)
+    caller = harness.call(server)
+    caller.send()
+    assert app.began.wait(http_harness.WAIT_S)
+    stopping = harness.start_stop(server, response_timeout_s=0.2)
+    assert caller.is_reset()
+    assert app.closed.wait(http_harness.WAIT_S)
+    stopping.join(http_harness.WAIT_S)
+    assert not stopping.is_alive()
+    assert server.monitor_registrations == 0
+
+
+@pytest.mark.parametrize("step_s", [1_000, -1_000], ids=["forward", "back"])
+def test_step_of_the_wall_clock_does_not_move_the_end_of_a_stop(
+    harness: http_harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    step_s: float,
+) -> None:
+    """A forward step cut answers early, a backward step did so too late."""
+    apps = [http_harness.StreamingApp() for _ in range(8)]
+    server = harness.serve(
+        lambda environ, start_response: apps[int(environ["PATH_INFO"][1:])](
+            environ, start_response
+        ),
+        threads=len(apps),
+    )
+    for number, app in enumerate(apps):
+        harness.call(server).send(b"%d" % number)
+        assert app.began.wait(http_harness.WAIT_S)
+    stopping = harness.start_stop(server, response_timeout_s=4.0)
+    http_harness.wait_until(
+        lambda: not server.busy_worker_threads, "the end of the accept loop"
+    )
+    wall_clock = time.time
+    monkeypatch.setattr(time, "time", lambda: wall_clock() + step_s)
+    *others, last = apps
+    for app in others:
+        app.finish.set()
+    stopping.join(1.0)
+    cut_early = last.cancelled.is_set()
+    stopping.join(http_harness.WAIT_S / 2)
+    stopped = not stopping.is_alive()
+    last.finish.set()
+    assert not cut_early
+    assert stopped
