Don't report a disconnect to the connection that reuses its descriptor

The connection monitor polls for disconnects and then looks the callback up by file descriptor. Between the two, the thread that serves the connection may have ended and closed it, and a new connection may have got the same descriptor: the new request was cancelled, its runner's connection shut down and its caller reset, though its caller was still waiting. Callers that close after their answer, as all do when answers say "Connection: close", race with the server's own close, so it takes only a monitor thread that waits for the interpreter lock.

The monitor now asks the descriptor itself, under the lock that a connection must take before it is closed, and ignores an event that is out of date.

--- a/src/wisteriawall/web/connection_monitor.py
+++ b/src/wisteriawall/web/connection_monitor.py
@@ -90,7 +90,13 @@
         while not self._stopped:
             for fd, _ in self._epoll.poll(POLL_TIMEOUT_S):
                 with self._lock:
-                    callback = self._take_callback(fd)
+                    # Since the poll, the connection may have been closed and
+                    # its descriptor given to another one.
+                    callback = (
+                        self._take_callback(fd)
+                        if _is_disconnected(fd)
+                        else None
+                    )
                 if callback is not None:
                     callback()
             self._shut_down_overdue_reads()
@@ -117,3 +123,10 @@
                 # still be sent.
                 with contextlib.suppress(OSError):
                     connection.shutdown(socket.SHUT_RD)
+
+
+def _is_disconnected(fd: int) -> bool:
+    poll = select.poll()
+    poll.register(fd, select.POLLRDHUP)
+    # A closed descriptor is reported too; it has no callback.
+    return bool(poll.poll(0))
