Close every response, and answer a failed application

When the iterator of an application raised before its first part, cheroot's gateway tried to send a head that did not exist: this raised in `finally`, so that the response was not closed (the gateway's request stayed in its state), and as the head counted as sent, the caller's connection ended without an answer. After the head, the connection ended without a reset and nothing was logged for some errors. An error of the application's own sockets was taken for one of the caller's: a timeout was answered 408, which promises that the request was not run.

The gateway of our server now runs the loop itself. An error of sending to the caller resets the connection too. A failure of close() is logged and leaves the answer as it is.

--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -5,7 +5,11 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 import contextlib
+import errno
+import logging
 import os
 import socket
 import struct
@@ -31,6 +35,8 @@
     "error_response",
 ]
 
+_LOG = logging.getLogger("http")
+
 # Keys of the WSGI environ.
 CONNECTION_KEY = "wisteriawall.connection"
 RAW_HEADERS_KEY = "wisteriawall.headers"
@@ -212,7 +218,11 @@
 
 @final
 class WsgiGateway(wsgi.Gateway_10):
-    """WSGI gateway that adds the connection and raw headers to the environ."""
+    """WSGI gateway with the connection and raw headers in the environ.
+
+    It closes every response, and ends one that fails with status 500 or, once
+    its head was sent, with a reset.
+    """
 
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         """Return the WSGI environ of the request."""
@@ -223,14 +233,74 @@
         return environ
 
     def respond(self) -> None:
-        """Call the application; close afterwards if the server is stopping."""
+        """Call the application, send its response and close that.
+
+        Closes the connection afterwards if the server is stopping.
+
+        Raises:
+            ConnectionAbortedError: The response was not sent completely.
+        """
         if self.req.server.closes_after_response:
             self.req.close_connection = True
-        super().respond()
+        response: Iterable[bytes] = ()
+        try:
+            response = self.req.server.wsgi_app(self.env, self.start_response)
+            for chunk in filter(None, response):
+                self.write(chunk)
+            self._send_head()
+        except Exception as error:
+            self._end_failed(error)
+            # Cheroot neither logs nor answers an error with this number.
+            raise ConnectionAbortedError(
+                errno.ECONNABORTED, "the response was not sent completely"
+            ) from error
+        finally:
+            self._close(response)
 
     def write(self, chunk: bytes) -> None:
         """Send a body chunk; for a HEAD request send only the headers."""
+        self._send_head()
         if self.req.method == b"HEAD":
+            return
+        with self._reset_on_error():
+            super().write(chunk)
+
+    def _send_head(self) -> None:
+        """Send the head, unless that was done."""
+        if not self.started_response:
+            raise RuntimeError("the application has not started a response")
+        with self._reset_on_error():
             self.req.ensure_headers_sent()
+
+    @contextlib.contextmanager
+    def _reset_on_error(self) -> Iterator[None]:
+        """Reset the connection if sending to the caller fails."""
+        try:
+            yield
+        except OSError:
+            self.req.conn.caller.abort_response()
+            raise
+
+    def _end_failed(self, error: Exception) -> None:
+        """Send status 500 if nothing was sent, otherwise reset."""
+        caller = self.req.conn.caller
+        if caller.aborted:
+            _LOG.info("http: the response was aborted: %r", error)
+        else:
+            _LOG.warning("http: the application failed", exc_info=error)
+        if caller.aborted or self.req.sent_headers:
+            caller.abort_response()
+            return
+        # The application was called, so a slow caller is not the reason.
+        caller.clear_read_deadline()
+        self.req.simple_response("500 Internal Server Error")
+        self.req.sent_headers = True
+
+    def _close(self, response: Iterable[bytes]) -> None:
+        close = getattr(response, "close", None)
+        if close is None:
             return
-        super().write(chunk)
+        try:
+            close()
+        except Exception as error:
+            _LOG.warning("http: closing the response failed", exc_info=error)
