Say "Connection: close" in every answer from SIGTERM on

In the first part of the grace period, in which the gateway reports that it is not ready but serves, answers on kept connections did not say "Connection: close": their callers stayed, and met the close of idle connections 2.5 s later. Whether to close was decided when a request had been read, so that slow answers of the second part did not say it either.

It is now decided when the head is sent, from the first step of the stop on. Requests that arrive in the first part are served as before.

Tests on the code before: no Connection header in an answer whose head was sent after keep-alive had been turned off, and none in the answers to requests of the unready time.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -178,12 +178,12 @@
         """Report not ready, finish requests in progress, then shut down."""
         stop_started_ms = clock.monotonic_ms()
         self._draining = True
+        # Callers then move to other gateways while this one still serves them.
+        self._http.disable_keep_alive()
         self._log.write(
             "stopping", inputs={"in_progress": len(self._active_responses)}
         )
         self._stopping.wait(self._unready_ms / MS_PER_S)
-        # Closes keep-alive connections too; their callers would otherwise
-        # continue to send requests to this gateway.
         elapsed_ms = clock.monotonic_ms() - stop_started_ms
         response_timeout_s = (
             max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -155,7 +155,7 @@
         self._monitor.stop()
 
     def disable_keep_alive(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that it begins."""
         self._server.closes_after_response = True
 
     @property
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -146,6 +146,12 @@
 class HttpRequest(cheroot_server.HTTPRequest):
     """Request that sends cheroot's own errors as JSON."""
 
+    def send_headers(self) -> None:
+        """Send the head; ask the caller to close if the server is stopping."""
+        if self.server.closes_after_response:
+            self.close_connection = True
+        super().send_headers()
+
     def simple_response(self, status: object, msg: object = "") -> None:
         """Send an error and close, even while the caller still sends."""
         self.close_connection = True
@@ -235,13 +241,9 @@
     def respond(self) -> None:
         """Call the application, send its response and close that.
 
-        Closes the connection afterwards if the server is stopping.
-
         Raises:
             ConnectionAbortedError: The response was not sent completely.
         """
-        if self.req.server.closes_after_response:
-            self.req.close_connection = True
         response: Iterable[bytes] = ()
         try:
             response = self.req.server.wsgi_app(self.env, self.start_response)
--- /dev/null
+++ b/testing/platform/test_stop.py
@@ -0,0 +1,68 @@
+"""Tests of a gateway that stops while requests arrive or are in progress."""
+
+import http.client
+import threading
+
+import pytest
+from support import platform_site as sites
+
+
+class Caller:
+    """A caller that keeps its connection to the gateway open."""
+
+    def __init__(self, site: sites.Site) -> None:
+        """Connect."""
+        host, _, port = site.gateway.address.rpartition(":")
+        self.connection = http.client.HTTPConnection(
+            host, int(port), timeout=sites.WAIT_S
+        )
+        self.connection.connect()
+
+    def send(self, attempt: str, path: str = "/pay/") -> None:
+        """Send a request."""
+        headers = {
+            "Host": sites.HOST,
+            sites.ATTEMPT_ID: attempt,
+            "X-Wisteriawall-Deadline-Remaining": "60000",
+        }
+        self.connection.request("POST", path, body=b"hi", headers=headers)
+
+    def read(self) -> http.client.HTTPResponse:
+        """Return the answer, without its body."""
+        return self.connection.getresponse()
+
+
+def start_stop(site: sites.Site) -> threading.Thread:
+    """Begin to stop the gateway in a thread."""
+    site.stopped = True
+    stopping = threading.Thread(target=site.gateway.stop, daemon=True)
+    stopping.start()
+    sites.wait_until(lambda: not site.gateway.is_ready, "the start of the stop")
+    return stopping
+
+
+@pytest.fixture
+def serving(site: sites.Site) -> sites.Site:
+    """Return a site with one plain runner and one engine."""
+    site.add_runner("i-1", "shop")
+    site.add_runner("i-2", "model", "decode").behavior = "stream-slow"
+    site.start_serving()
+    return site
+
+
+def test_request_of_the_unready_time_is_answered_and_closed(
+    serving: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(serving.gateway, "_unready_ms", 60_000)
+    kept, opened_late = Caller(serving), Caller(serving)
+    kept.send("a1")
+    assert kept.read().read() == b"answer to hi"
+    stopping = start_stop(serving)
+    for attempt, caller in (("a2", kept), ("a3", opened_late)):
+        caller.send(attempt)
+        answer = caller.read()
+        assert answer.read() == b"answer to hi"
+        assert answer.headers["Connection"] == "close"
+    serving.gateway._stopping.set()
+    stopping.join(sites.WAIT_S)
+    assert not stopping.is_alive()
--- a/testing/web/test_stop.py
+++ b/testing/web/test_stop.py
@@ -1,10 +1,13 @@
 """Tests of a server that stops while answers are in progress."""
 
+import threading
 import time
 
 import pytest
 from support import http_harness
 
+from wisteriawall.web import server as server_lib
+
 
 def test_stalled_answer_does_not_keep_the_stop_from_returning(
     harness: http_harness.Harness,
@@ -70,3 +73,26 @@
     last.finish.set()
     assert not cut_early
     assert stopped
+
+
+def test_answer_says_close_if_its_head_is_sent_after_keep_alive_ended(
+    harness: http_harness.Harness,
+) -> None:
+    """The decision fell when the request was read, before a slow answer."""
+    called, go_on = threading.Event(), threading.Event()
+
+    def app(
+        environ: server_lib.Environ, start_response: server_lib.StartResponse
+    ) -> server_lib.Response:
+        called.set()
+        assert go_on.wait(http_harness.WAIT_S)
+        return server_lib.send_response(start_response, status=200, body=b"{}")
+
+    server = harness.serve(app)
+    caller = harness.call(server)
+    caller.send()
+    assert called.wait(http_harness.WAIT_S)
+    server.disable_keep_alive()
+    go_on.set()
+    assert b"Connection: close" in caller.read_head()
+    assert caller.read_to_end() == b"{}"
