--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -132,8 +132,8 @@
         """Return whether a response is the final one to the last request.
 
         Raises:
-            UnidentifiedResponse: It has no id, and the connection was used for
-                earlier requests.
+            UnidentifiedResponse: It can't be told which request it answers, or
+                it names a request that was not sent on this connection.
         """
         if response.status < FIRST_FINAL_STATUS:
             return False
@@ -143,11 +143,16 @@
         if value == self.answer_id.value:
             return True
         self.answer_id.on_mismatch(response)
-        if value is not None:
-            return False
-        if self.request_count > 1:
+        if self.request_count == 1:
+            # Nothing else was requested here, so no other response will come.
+            if value is None:
+                return True
+            raise UnidentifiedResponse(
+                "the response names a request of another connection"
+            )
+        if value is None:
             raise UnidentifiedResponse("the response names no request")
-        return True
+        return False
 
 
 class _SocketReader(io.RawIOBase):
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -162,6 +162,14 @@
     assert server.connections == 2
 
 
+def test_first_response_of_a_connection_must_not_name_another_request(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    server.script = [answer("r0")]
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r1")
+
+
 def test_response_without_an_id_is_accepted_on_a_new_connection(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
