Run the tests of processes at an address of their own

The processes listened on free ports of 127.0.0.1, from which all outgoing connections leave, so that one of them could take such a port before the process did. The processes now use the host of cluster.unused_loopback_address(), which no connection leaves from. A process that ends too early shows its log.

--- a/testing/platform/test_processes.py
+++ b/testing/platform/test_processes.py
@@ -18,27 +18,29 @@
 from wisteriawall.platform import settings as settings_lib
 
 KEY = "6f" * 32
+# Outgoing connections leave from 127.0.0.1 and may take a free port there.
+HOST = cluster.unused_loopback_address().rpartition(":")[0]
 
 
 def free_port() -> int:
-    """Return a port on loopback that is free at the moment."""
+    """Return a port of `HOST` that is free at the moment."""
     return int(cluster.unused_loopback_address().rpartition(":")[2])
 
 
 def write_settings(folder: pathlib.Path, *, with_disk: bool) -> pathlib.Path:
     """Write the settings file of a single VM; return its path."""
-    control = f"127.0.0.1:{free_port()}"
+    control = f"{HOST}:{free_port()}"
     first_port = free_port()
     settings = {
         "node_name": "n1",
-        "ip_address": "127.0.0.1",
+        "ip_address": HOST,
         "zone": "z1",
         "seeds": [control],
         "internal_ports": [first_port, first_port + 8],
-        "cloud_api": {"address": f"127.0.0.1:{free_port()}"},
+        "cloud_api": {"address": f"{HOST}:{free_port()}"},
         "listen_addresses": {
-            "frontend": f"127.0.0.1:{free_port()}",
-            "ready": f"127.0.0.1:{free_port()}",
+            "frontend": f"{HOST}:{free_port()}",
+            "ready": f"{HOST}:{free_port()}",
             "control": control,
         },
         "bootstrap": True,
@@ -75,10 +77,12 @@
 def read_until(process: subprocess.Popen[bytes], text: bytes) -> None:
     """Read the process's log up to the line that contains `text`."""
     assert process.stdout is not None
+    lines = []
     for line in process.stdout:
         if text in line:
             return
-    raise AssertionError(f"the process ended without {text!r} in its log")
+        lines.append(line)
+    raise AssertionError(f"the process ended without {text!r} in {lines}")
 
 
 @pytest.mark.parametrize(
@@ -96,7 +100,7 @@
     settings = write_settings(tmp_path, with_disk=with_disk)
 
     def answers() -> bool:
-        url = f"http://127.0.0.1:{metrics_port}/metrics"
+        url = f"http://{HOST}:{metrics_port}/metrics"
         try:
             return urllib3.request("GET", url, retries=False).status == 200
         except urllib3.exceptions.HTTPError:
