End calls to control before NNG is shut down

Cause: RpcClient.close() only closed its socket. The call in which the polling thread waited failed at once, and the thread then replaced the socket of the closed client, while the main thread ended the interpreter. pynng calls nng_fini() at its exit, which frees the expire queues of NNG and sets their number to 0 before it clears the flag that NNG is initialised. A socket that is opened in between computes 'random % nni_aio_expire_q_cnt' in nni_aio_init: the division by zero. gdb shows it for a thread that calls a closed client at the exit: nng_req0_open, nni_sock_open, req0_sock_init, nni_aio_init, with nni_aio_expire_q_cnt 0. Other moments end with SIGABRT (a mutex that was destroyed) or a Python exception (NotSupported from dial). The control role never closed the client with which it asks for membership.

Change: a closed client stays closed. close() waits until no call uses its socket (a closed socket ends them at once), further calls raise RpcClosed, which ControlClient turns into ControlUnavailable, and set_replicas opens nothing. The gateway joins its polling thread after it closed the client; the control role closes its client.

Measured before: in 285 starts and stops of a gateway, a replica and a control role without a disk every exit code was 0 (or -15 before the handler was installed), with tracebacks in 5 of 35 gateways whose control was unreachable and 1 of 35 replicas that asked for membership. A thread that calls a closed client without a pause at the exit: -8 in 9 and -6 in 11 of 20 processes; after the change code 0 in 20 of 20.

The new tests of test_processes.py passed before (6 of 6): there the race is rare.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -50,6 +50,8 @@
 # Part of the grace period reserved for the exit after the last answer.
 EXIT_RESERVE_MS = 750
 MS_PER_S = 1_000
+# Closing the client ends the call in which the polling thread waits.
+POLL_END_TIMEOUT_S = 1.0
 CALLER_THREADS = 96
 READY_THREADS = 2
 
@@ -204,6 +206,7 @@
             closed.result()
         self._peer_load.close()
         self._control.close()
+        self._thread.join(timeout=POLL_END_TIMEOUT_S)
         self._pool.close()
         self._log.write("stopped", inputs={"cut": len(self._active_responses)})
         self._log.close()
@@ -400,6 +403,8 @@
             try:
                 reply = self._control.call(follow)
             except control_client.ControlUnavailable as error:
+                if self._stopping.is_set():
+                    return
                 self._record_connection(False, str(error))
                 self._control.set_replicas(
                     {
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -115,6 +115,7 @@
         log.write("stopping", inputs={"replica": replica})
         list_reader.stop()
         joiner.stop()
+        client.close()
         http.stop()
         shell.stop()
         metrics.close()
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -46,6 +46,7 @@
             message_type=control_messages.ControlReply, key=key, sender=sender
         )
         self._lock = threading.Lock()
+        self._closed = False
         self._address_by_replica: dict[str, str] = {}
         self._client_by_replica: dict[str, transport.RpcClient] = {}
         self._preferred_replica = next(iter(address_by_replica))
@@ -55,9 +56,11 @@
         """Replace the set of replicas that are called.
 
         Connections to replicas whose address did not change are kept; the
-        other connections are closed.
+        other connections are closed. A closed client opens no connections.
         """
         with self._lock:
+            if self._closed:
+                return
             clients = dict(self._client_by_replica)
             for replica, address in self._address_by_replica.items():
                 if address_by_replica.get(replica) != address:
@@ -77,7 +80,7 @@
 
         Raises:
             ControlUnavailable: No replica answered, or each of them answered
-                that it is not the leader.
+                that it is not the leader, or the client is closed.
         """
         for replica in self._replicas_to_try():
             reply = self._call_replica(replica, request)
@@ -88,7 +91,11 @@
                 continue
             self._prefer(replica)
             return reply
-        raise ControlUnavailable("no control replica could answer")
+        raise ControlUnavailable(
+            "the client is closed"
+            if self._closed
+            else "no control replica could answer"
+        )
 
     def call_all(
         self, request: control_messages.ControlRequest
@@ -110,7 +117,9 @@
         return len(self._client_by_replica) // 2 + 1
 
     def close(self) -> None:
-        """Close the connections to all replicas."""
+        """Close the connections to all replicas and end calls in progress."""
+        with self._lock:
+            self._closed = True
         for client in self._client_by_replica.values():
             client.close()
 
@@ -121,7 +130,9 @@
         because a redirect changes both.
         """
         tried: set[str] = set()
-        while untried := set(self._client_by_replica) - tried:
+        while not self._closed and (
+            untried := set(self._client_by_replica) - tried
+        ):
             replica = self._preferred_replica
             if replica not in untried:
                 replica = min(untried)
@@ -154,6 +165,10 @@
         try:
             data = client.call(self._codec.encode(request))
             _, reply = self._codec.decode(data)
-        except (transport.RpcTimeout, envelope.MessageRejected):
+        except (
+            transport.RpcClosed,
+            transport.RpcTimeout,
+            envelope.MessageRejected,
+        ):
             return None
         return reply  # type: ignore[return-value]
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -5,9 +5,14 @@
 - `PeerConnections` sends one-way messages to a `PeerServer`. A message to an
   unreachable peer is dropped, which the protocols above tolerate.
 - `Publisher` sends one-way messages to any number of `Subscriber` sockets.
+
+NNG frees its memory when the interpreter ends, and a thread that still uses it
+then crashes the process. So each socket must be closed before. `close` may be
+called repeatedly, and waits for threads that use the socket.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
 import logging
@@ -23,6 +28,7 @@
     "PeerServer",
     "Publisher",
     "RpcClient",
+    "RpcClosed",
     "RpcServer",
     "RpcTimeout",
     "Subscriber",
@@ -38,6 +44,8 @@
 PEER_BUFFER_MESSAGES = 64
 # NNG must not repeat a request: it could be carried out twice.
 RESEND_DISABLED_MS = -1
+# Longest wait in `close` for threads that use the closed socket.
+CLOSE_TIMEOUT_S = 1.0
 
 
 @final
@@ -45,6 +53,11 @@
     """No answer arrived; the request may still have been carried out."""
 
 
+@final
+class RpcClosed(errors.WisteriawallError):
+    """The client is closed; the request was not sent."""
+
+
 @final
 class RpcServer:
     """Answers requests that arrive at one address.
@@ -126,7 +139,10 @@
     ) -> None:
         self._address = address
         self._timeout_ms = timeout_ms
-        self._lock = threading.Lock()
+        # Guards the attributes below; notified when a call ends.
+        self._condition = threading.Condition()
+        self._calls_in_progress = 0
+        self._closed = False
         self._socket = self._connect()
 
     def call(self, request: bytes) -> bytes:
@@ -134,21 +150,47 @@
 
         Raises:
             RpcTimeout: The request was not sent, or its answer did not arrive,
-                within the timeout.
+                within the timeout or before the client was closed.
+            RpcClosed: The client was closed before the call.
         """
-        socket = self._socket
-        try:
-            with socket.new_context() as context:
-                context.send(request)
-                answer: bytes = context.recv()
-                return answer
-        except pynng.NNGException as error:
-            self._reconnect(socket)
-            raise RpcTimeout(f"no answer to the request: {error}") from error
+        with self._hold_socket() as socket:
+            try:
+                with socket.new_context() as context:
+                    context.send(request)
+                    answer: bytes = context.recv()
+                    return answer
+            except pynng.NNGException as error:
+                self._reconnect(socket)
+                raise RpcTimeout(
+                    f"no answer to the request: {error}"
+                ) from error
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, end calls in progress and wait for them."""
+        with self._condition:
+            self._closed = True
         self._socket.close()
+        with self._condition:
+            has_ended = self._condition.wait_for(
+                lambda: not self._calls_in_progress, timeout=CLOSE_TIMEOUT_S
+            )
+        if not has_ended:
+            _LOG.error("rpc: a call did not end when its client was closed")
+
+    @contextlib.contextmanager
+    def _hold_socket(self) -> Iterator[pynng.Req0]:
+        """Yield the socket; `close` waits until the context is left."""
+        with self._condition:
+            if self._closed:
+                raise RpcClosed("the client is closed")
+            self._calls_in_progress += 1
+            socket = self._socket
+        try:
+            yield socket
+        finally:
+            with self._condition:
+                self._calls_in_progress -= 1
+                self._condition.notify_all()
 
     def _connect(self) -> pynng.Req0:
         socket = pynng.Req0(
@@ -163,10 +205,10 @@
         """Replace the socket on which a call failed.
 
         Its connection may have broken without a TCP reset. Another thread may
-        already have replaced it.
+        already have replaced it, or closed the client.
         """
-        with self._lock:
-            if self._socket is failed:
+        with self._condition:
+            if self._socket is failed and not self._closed:
                 self._socket = self._connect()
                 failed.close()
 
--- a/testing/platform/test_processes.py
+++ b/testing/platform/test_processes.py
@@ -9,13 +9,16 @@
 import socket
 import subprocess
 import sys
+import threading
 
+import msgspec
 import pytest
 from support import platform_site
 import urllib3
 
 from wisteriawall.demo import cluster
 from wisteriawall.platform import settings as settings_lib
+from wisteriawall.wire import transport
 
 KEY = "6f" * 32
 # Outgoing connections leave from 127.0.0.1 and may take a free port there.
@@ -51,9 +54,24 @@
     return path
 
 
+def use_other_seed(path: pathlib.Path) -> str:
+    """Name another VM as the only seed; return its RPC address."""
+    document = json.loads(path.read_text())
+    document |= {"seeds": [f"127.0.0.2:{free_port()}"], "bootstrap": False}
+    path.write_text(json.dumps(document))
+    settings = msgspec.json.decode(
+        path.read_bytes(), type=settings_lib.Settings
+    )
+    return settings.seed_rpc_by_replica()["127.0.0.2"]
+
+
 @contextlib.contextmanager
 def run_role(
-    role: str, settings: pathlib.Path, *, metrics_port: int | None = None
+    role: str,
+    settings: pathlib.Path,
+    *,
+    metrics_port: int | None = None,
+    stderr: int | None = None,
 ) -> Iterator[subprocess.Popen[bytes]]:
     """Run a role as a process; kill it at the end if it still runs."""
     port = free_port() if metrics_port is None else metrics_port
@@ -66,6 +84,7 @@
             "WISTERIAWALL_CLUSTER_KEY": KEY,
         },
         stdout=subprocess.PIPE,
+        stderr=stderr,
     )
     try:
         yield process
@@ -115,6 +134,60 @@
     assert b'"stopped"' in text.splitlines()[-1]
 
 
+def stop_and_check_log(process: subprocess.Popen[bytes]) -> None:
+    """End a process; its log must show neither a warning nor a traceback."""
+    process.terminate()
+    text, errors = process.communicate(timeout=platform_site.WAIT_S)
+    lines = [json.loads(line) for line in text.splitlines()]
+    loud = [ln for ln in lines if ln.get("level", "INFO") != "INFO"]
+    assert (process.returncode, errors, loud) == (0, b"", [])
+
+
+@pytest.mark.parametrize("role", ["gateway", "control"])
+def test_sigterm_ends_a_process_that_calls_a_control_without_an_answer(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    """The call went on in NNG, which the interpreter had shut down."""
+    settings = write_settings(tmp_path, with_disk=True)
+    received = threading.Event()
+    mute = transport.RpcServer(
+        address=use_other_seed(settings), handler=lambda _: received.set()
+    )
+    mute.start()
+    with (
+        contextlib.closing(mute),
+        run_role(role, settings, stderr=subprocess.PIPE) as process,
+    ):
+        assert received.wait(platform_site.WAIT_S)
+        stop_and_check_log(process)
+
+
+@pytest.mark.parametrize("role", ["gateway", "control"])
+def test_sigterm_ends_a_process_that_calls_an_unreachable_control(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    settings = write_settings(tmp_path, with_disk=True)
+    use_other_seed(settings)
+    with run_role(role, settings, stderr=subprocess.PIPE) as process:
+        read_until(process, b'"start"')
+        stop_and_check_log(process)
+
+
+def test_sigterm_ends_a_gateway_that_polls_control(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = write_settings(tmp_path, with_disk=True)
+    with (
+        run_role("control", settings) as control,
+        run_role("gateway", settings, stderr=subprocess.PIPE) as gateway,
+    ):
+        read_until(gateway, b'"control-back"')
+        stop_and_check_log(gateway)
+        control.terminate()
+        control.communicate(timeout=platform_site.WAIT_S)
+    assert control.returncode == 0
+
+
 @pytest.mark.parametrize(
     ("role", "with_disk"),
     [
--- a/testing/wire/test_control_client.py
+++ b/testing/wire/test_control_client.py
@@ -1,9 +1,15 @@
-"""Tests of redirects in `wisteriawall.wire.control_client`."""
+"""Tests of `wisteriawall.wire.control_client`."""
 
 from collections.abc import Iterator
 import contextlib
+import subprocess
+import sys
+import threading
+import time
 
+import pynng
 import pytest
+from support import platform_site
 
 from wisteriawall.demo import cluster
 from wisteriawall.wire import control_client
@@ -18,6 +24,33 @@
 )
 FOLLOWED = gateway_messages.Followed(0, 7, None, None, [], {})
 
+POLLING_SCRIPT = """
+import sys, threading
+from wisteriawall.wire import control_client, envelope, gateway_messages
+
+follow = gateway_messages.FollowRequest(
+    "g1", 1, "127.0.0.1:1", 0, (0, 0), False
+)
+client = control_client.ControlClient(
+    address_by_replica={"c1": sys.argv[1]},
+    key=b"k" * 32,
+    sender=envelope.Sender("g1", 1),
+)
+started = threading.Event()
+
+def poll():
+    while True:
+        started.set()
+        try:
+            client.call(follow)
+        except control_client.ControlUnavailable:
+            pass
+
+threading.Thread(target=poll, daemon=True).start()
+started.wait()
+client.close()
+"""
+
 
 @contextlib.contextmanager
 def serve_replica(reply: control_messages.ControlReply) -> Iterator[str]:
@@ -38,6 +71,23 @@
     server.close()
 
 
+@contextlib.contextmanager
+def serve_mute_replica() -> Iterator[tuple[str, threading.Event]]:
+    """Serve a replica that answers no request.
+
+    Yields:
+        The RPC address of the replica, and an event set by each request.
+    """
+    address = cluster.unused_loopback_address()
+    received = threading.Event()
+    server = transport.RpcServer(
+        address=address, handler=lambda _: received.set()
+    )
+    server.start()
+    yield address, received
+    server.close()
+
+
 @contextlib.contextmanager
 def open_client(address: str) -> Iterator[control_client.ControlClient]:
     """Open a client that knows only one replica, as after a start."""
@@ -70,3 +120,61 @@
         pytest.raises(control_client.ControlUnavailable),
     ):
         client.call(FOLLOW)
+
+
+def test_closed_client_does_not_connect_again() -> None:
+    """A call on a closed client replaced the socket, which stayed open."""
+    with serve_replica(FOLLOWED) as address, open_client(address) as client:
+        assert client.call(FOLLOW) == FOLLOWED
+        client.close()
+        client.set_replicas({"seed": address, "other": address})
+        for _ in range(2):
+            with pytest.raises(control_client.ControlUnavailable):
+                client.call(FOLLOW)
+
+
+def test_close_waits_for_a_call_that_still_uses_nng(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    close_context = pynng.Context.close
+    has_left_nng = threading.Event()
+
+    def close_slowly(context: pynng.Context) -> None:
+        time.sleep(0.2)
+        try:
+            close_context(context)
+        finally:
+            has_left_nng.set()
+
+    def call(client: control_client.ControlClient) -> None:
+        with pytest.raises(control_client.ControlUnavailable):
+            client.call(FOLLOW)
+
+    with (
+        serve_mute_replica() as (address, received),
+        open_client(address) as client,
+    ):
+        thread = threading.Thread(target=call, args=(client,))
+        with monkeypatch.context() as patches:
+            patches.setattr(pynng.Context, "close", close_slowly)
+            thread.start()
+            assert received.wait(platform_site.WAIT_S)
+            client.close()
+            assert has_left_nng.is_set()
+            thread.join()
+
+
+def test_process_ends_while_a_thread_polls_a_closed_client() -> None:
+    """Calls reached NNG after its shutdown: a traceback, SIGABRT or SIGFPE."""
+    ended = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            POLLING_SCRIPT,
+            cluster.unused_loopback_address(),
+        ],
+        stderr=subprocess.PIPE,
+        timeout=platform_site.WAIT_S,
+        check=False,
+    )
+    assert (ended.returncode, ended.stderr) == (0, b"")
