Keep a failed connection open until its last call has ended

Seen: a process whose threads call an unreachable control at the same time can end with SIGABRT ('panic: pthread_mutex_unlock: Invalid argument', in NNG's thread nng:aio:expire), long before any exit.

Cause: the first call that timed out replaced the socket and closed the failed one, on which the calls of other threads were just timing out too. NNG (as built into pynng 0.9.0) doesn't bear a socket that is closed while its calls expire.

Change: RpcClient counts the calls on each socket and closes a replaced one after its last call. A call on a connection that was found broken now ends at its own timeout, instead of at the first one of another thread.

--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -141,7 +141,7 @@
         self._timeout_ms = timeout_ms
         # Guards the attributes below; notified when a call ends.
         self._condition = threading.Condition()
-        self._calls_in_progress = 0
+        self._call_count_by_socket: dict[pynng.Req0, int] = {}
         self._closed = False
         self._socket = self._connect()
 
@@ -169,27 +169,34 @@
         """Close the connection, end calls in progress and wait for them."""
         with self._condition:
             self._closed = True
-        self._socket.close()
+            sockets = {self._socket, *self._call_count_by_socket}
+        for socket in sockets:
+            socket.close()
         with self._condition:
             has_ended = self._condition.wait_for(
-                lambda: not self._calls_in_progress, timeout=CLOSE_TIMEOUT_S
+                lambda: not self._call_count_by_socket, timeout=CLOSE_TIMEOUT_S
             )
         if not has_ended:
             _LOG.error("rpc: a call did not end when its client was closed")
 
     @contextlib.contextmanager
     def _hold_socket(self) -> Iterator[pynng.Req0]:
-        """Yield the socket; `close` waits until the context is left."""
+        """Yield the socket; a replaced one is closed after its last call."""
         with self._condition:
             if self._closed:
                 raise RpcClosed("the client is closed")
-            self._calls_in_progress += 1
             socket = self._socket
+            count = self._call_count_by_socket.get(socket, 0)
+            self._call_count_by_socket[socket] = count + 1
         try:
             yield socket
         finally:
             with self._condition:
-                self._calls_in_progress -= 1
+                self._call_count_by_socket[socket] -= 1
+                if not self._call_count_by_socket[socket]:
+                    del self._call_count_by_socket[socket]
+                    if socket is not self._socket:
+                        socket.close()
                 self._condition.notify_all()
 
     def _connect(self) -> pynng.Req0:
@@ -205,12 +212,12 @@
         """Replace the socket on which a call failed.
 
         Its connection may have broken without a TCP reset. Another thread may
-        already have replaced it, or closed the client.
+        already have replaced it, or closed the client. Other calls still use
+        the socket: NNG aborts the process if it is closed while they time out.
         """
         with self._condition:
             if self._socket is failed and not self._closed:
                 self._socket = self._connect()
-                failed.close()
 
 
 @final
--- a/testing/wire/test_transport.py
+++ b/testing/wire/test_transport.py
@@ -1,12 +1,36 @@
 """Tests of `wisteriawall.wire.transport`."""
 
 import queue
+import subprocess
+import sys
 
 from support import platform_site
 
 from wisteriawall.demo import cluster
 from wisteriawall.wire import transport
 
+TIMEOUTS_SCRIPT = """
+import sys, threading, time
+from wisteriawall.wire import transport
+
+client = transport.RpcClient(address=sys.argv[1], timeout_ms=1)
+end = time.monotonic() + 0.3
+
+def call():
+    while time.monotonic() < end:
+        try:
+            client.call(b"")
+        except transport.RpcTimeout:
+            pass
+
+threads = [threading.Thread(target=call) for _ in range(4)]
+for thread in threads:
+    thread.start()
+for thread in threads:
+    thread.join()
+client.close()
+"""
+
 
 def test_subscriber_receives_from_publisher_on_port_0() -> None:
     # Messages sent before the subscription is complete are lost, so the message
@@ -54,3 +78,19 @@
     assert received.get(timeout=platform_site.WAIT_S) == b"vote"
     for resource in (links, up_server, down_server):
         resource.close()
+
+
+def test_process_goes_on_when_calls_of_several_threads_time_out() -> None:
+    """One call closed the socket of the others, and NNG aborted."""
+    ended = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            TIMEOUTS_SCRIPT,
+            cluster.unused_loopback_address(),
+        ],
+        stderr=subprocess.PIPE,
+        timeout=platform_site.WAIT_S,
+        check=False,
+    )
+    assert (ended.returncode, ended.stderr) == (0, b"")
