Close servers' sockets before their threads' contexts

RpcServer.close() closed the contexts of its threads; pynng then raises a TypeError in a thread that is between two calls, which was caught by its type. A handler that ended late went on to send on its closed context. close() of a server that hadn't been started, or a second one, raised a RuntimeError.

Change: close() closes the socket, which ends every receive with Closed, and joins the threads with one deadline for all; a thread that is still alive is logged. Each thread opens and closes its own context, and sends nothing once the server is closing. PeerServer and Subscriber do the same; closed PeerConnections forget their peers.

--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -12,11 +12,13 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
 import logging
 import threading
+import time
 from typing import final
 
 import pynng
@@ -58,6 +60,20 @@
     """The client is closed; the request was not sent."""
 
 
+def _join(threads: Iterable[threading.Thread]) -> None:
+    """Wait for threads that were told to end and whose socket is closed."""
+    deadline_s = time.monotonic() + CLOSE_TIMEOUT_S
+    for thread in threads:
+        if not thread.is_alive():
+            continue
+        thread.join(timeout=max(0.0, deadline_s - time.monotonic()))
+        if thread.is_alive():
+            _LOG.error(
+                "rpc: the thread %s did not end when its socket was closed",
+                thread.name,
+            )
+
+
 @final
 class RpcServer:
     """Answers requests that arrive at one address.
@@ -80,12 +96,9 @@
         self._socket.listen(f"tcp://{address}")
         self._handler = handler
         self._closing = threading.Event()
-        self._contexts = [self._socket.new_context() for _ in range(threads)]
         self._threads = [
-            threading.Thread(
-                target=self._serve, args=(context,), name="rpc", daemon=True
-            )
-            for context in self._contexts
+            threading.Thread(target=self._serve, name="rpc", daemon=True)
+            for _ in range(threads)
         ]
 
     def start(self) -> None:
@@ -94,34 +107,32 @@
             thread.start()
 
     def close(self) -> None:
-        """Stop answering and release the port."""
+        """Stop answering, release the port and wait for the threads."""
         self._closing.set()
-        # A context that is garbage collected after its socket was closed
-        # raises an exception, so the contexts are closed first.
-        for context in self._contexts:
-            context.close()
-        for thread in self._threads:
-            thread.join(timeout=1.0)
+        # Ends what the threads wait for. Each of them closes its own context:
+        # pynng raises a TypeError in a thread whose context another one closed.
         self._socket.close()
+        _join(self._threads)
 
-    def _serve(self, context: pynng.Context) -> None:
-        while not self._closing.is_set():
-            try:
-                answer = self._handler(context.recv())
-                if answer is not None:
-                    context.send(answer)
-            except pynng.Closed:
-                return
-            except pynng.NNGException as error:
-                # The requester disconnected before it had the answer.
-                _LOG.info("rpc: an exchange failed: %s", error)
-                self._closing.wait(ERROR_PAUSE_S)
-            except TypeError:
-                # pynng raises it for a context that was closed between two
-                # calls.
-                if not self._closing.is_set():
-                    raise
-                return
+    def _serve(self) -> None:
+        with (
+            contextlib.suppress(pynng.Closed),
+            self._socket.new_context() as context,
+        ):
+            while not self._closing.is_set():
+                self._serve_one(context)
+
+    def _serve_one(self, context: pynng.Context) -> None:
+        try:
+            answer = self._handler(context.recv())
+            if answer is not None and not self._closing.is_set():
+                context.send(answer)
+        except pynng.Closed:
+            raise
+        except pynng.NNGException as error:
+            # The requester disconnected before it had the answer.
+            _LOG.info("rpc: an exchange failed: %s", error)
+            self._closing.wait(ERROR_PAUSE_S)
 
 
 @final
@@ -235,6 +246,7 @@
         self._socket = pynng.Pull0()
         self._socket.listen(f"tcp://{address}")
         self._on_message = on_message
+        self._closing = threading.Event()
         self._thread = threading.Thread(
             target=self._receive_messages, name="peers", daemon=True
         )
@@ -244,13 +256,14 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop receiving and release the port."""
+        """Stop receiving, release the port and wait for the thread."""
+        self._closing.set()
         self._socket.close()
-        self._thread.join(timeout=1.0)
+        _join([self._thread])
 
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
-            while True:
+            while not self._closing.is_set():
                 self._on_message(self._socket.recv())
 
 
@@ -317,8 +330,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for socket in self._socket_by_peer.values():
-            socket.close()
+        self.set_peers({})
 
     @staticmethod
     def _connect(address: str) -> pynng.Push0:
@@ -364,6 +376,7 @@
         self._socket.subscribe(b"")
         self._dialer_by_address: dict[str, pynng.Dialer] = {}
         self._on_message = on_message
+        self._closing = threading.Event()
         self._thread = threading.Thread(
             target=self._receive_messages, name="feed", daemon=True
         )
@@ -382,11 +395,12 @@
             self._dialer_by_address.pop(address).close()
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections and wait for the thread."""
+        self._closing.set()
         self._socket.close()
-        self._thread.join(timeout=1.0)
+        _join([self._thread])
 
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
-            while True:
+            while not self._closing.is_set():
                 self._on_message(self._socket.recv())
--- a/testing/wire/test_transport.py
+++ b/testing/wire/test_transport.py
@@ -1,9 +1,14 @@
 """Tests of `wisteriawall.wire.transport`."""
 
+from collections.abc import Callable
+import gc
 import queue
 import subprocess
 import sys
+import threading
 
+import pynng
+import pytest
 from support import platform_site
 
 from wisteriawall.demo import cluster
@@ -94,3 +99,82 @@
         check=False,
     )
     assert (ended.returncode, ended.stderr) == (0, b"")
+
+
+def ignore(data: bytes) -> None:
+    """Handle a message or request without an answer."""
+
+
+@pytest.mark.parametrize(
+    "open_socket",
+    [
+        pytest.param(
+            lambda: transport.RpcServer(
+                address=cluster.unused_loopback_address(), handler=ignore
+            ),
+            id="rpc-server",
+        ),
+        pytest.param(
+            lambda: transport.PeerServer(
+                address=cluster.unused_loopback_address(), on_message=ignore
+            ),
+            id="peer-server",
+        ),
+        pytest.param(
+            lambda: transport.Subscriber(on_message=ignore), id="subscriber"
+        ),
+    ],
+)
+@pytest.mark.parametrize("started", [True, False])
+def test_close_is_repeatable_and_leaves_no_thread(
+    open_socket: Callable[[], transport.RpcServer], started: bool
+) -> None:
+    others = set(threading.enumerate())
+    socket = open_socket()
+    if started:
+        socket.start()
+    for _ in range(2):
+        socket.close()
+    assert set(threading.enumerate()) <= others
+    # An exception of a finalizer is reported as a failure of this test.
+    del socket
+    gc.collect()
+
+
+def test_closed_peer_connections_send_nothing() -> None:
+    peers = transport.PeerConnections(
+        address_by_peer={"p": cluster.unused_loopback_address()}
+    )
+    for _ in range(2):
+        peers.close()
+    peers.reconnect("p")
+    peers.send(peer="p", message=b"vote")
+    assert peers.disconnected_peers == []
+
+
+def test_server_does_not_answer_after_its_close(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A handler that ended late used a context that was closed."""
+    received = threading.Event()
+    finish = threading.Event()
+    sent = threading.Event()
+    monkeypatch.setattr(transport, "CLOSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(pynng.Context, "send", lambda *_: sent.set())
+
+    def handle(data: bytes) -> bytes:
+        received.set()
+        finish.wait(platform_site.WAIT_S)
+        return data
+
+    address = cluster.unused_loopback_address()
+    server = transport.RpcServer(address=address, handler=handle)
+    server.start()
+    with pynng.Req0() as requester:
+        requester.dial(f"tcp://{address}")
+        requester.send(b"x")
+        assert received.wait(platform_site.WAIT_S)
+        server.close()
+        finish.set()
+        server.close()
+    assert not sent.is_set()
