Answer waiting calls when a control replica stops

A call that it hadn't answered waited for its whole 5 s, on a thread of the RPC server that the stop then couldn't join, or on a thread of the operators' server. A second stop() raised EBADF.

Change: stop() answers the calls in progress and later ones with Unavailable, as after a failure of the disk. A call stores its future before it looks for the failure, so that none is missed in between. Further stops do nothing.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -188,9 +188,15 @@
         _LOG.info("control: replica %s started", self._control.raft.replica)
 
     def stop(self) -> None:
-        """Stop the replica, close its connections and its data folder."""
+        """Stop the replica, close its connections and its data folder.
+
+        Calls in progress and later ones are answered with `Unavailable`.
+        """
+        if self._stopping.is_set():
+            return
         self._stopping.set()
         self._thread.join()
+        self._refuse_calls("the replica has stopped")
         self._rpc_server.close()
         self._peer_server.close()
         self._peer_connections.close()
@@ -257,14 +263,15 @@
         The reply is `Unavailable` if the replica has failed or does not answer
         within `CALL_TIMEOUT_S`.
         """
-        if self._failure:
-            return events.Unavailable(self._failure)
         call_id = next(self._call_ids)
         future: futures.Future[events.Reply] = futures.Future()
         self._future_by_call[call_id] = future
-        with contextlib.suppress(queue.Full):
-            self._queue.put(_Call(call_id, request), timeout=CALL_TIMEOUT_S)
         try:
+            # Read after the future is stored, so that `_refuse_calls` finds it.
+            if self._failure:
+                return events.Unavailable(self._failure)
+            with contextlib.suppress(queue.Full):
+                self._queue.put(_Call(call_id, request), timeout=CALL_TIMEOUT_S)
             return future.result(timeout=CALL_TIMEOUT_S)
         except futures.TimeoutError:
             return events.Unavailable("no answer in time")
@@ -367,13 +374,16 @@
             self._peer_connections.reconnect(peer)
 
     def _fail(self, reason: str) -> None:
-        """Answer every call from now on with `Unavailable`."""
         _LOG.error("control: replica stopped: %s", reason)
-        self._failure = reason
+        self._refuse_calls(reason)
+        self._on_failure()
+
+    def _refuse_calls(self, reason: str) -> None:
+        """Answer every call from now on with `Unavailable`."""
+        self._failure = self._failure or reason
         for future in list(self._future_by_call.values()):
             if not future.done():
                 future.set_result(events.Unavailable(reason))
-        self._on_failure()
 
     def _next_batch(self, deadline_s: float) -> Iterator[_QueuedEvent]:
         """Yield queued events; wait for the first until `deadline_s`."""
--- a/testing/control/test_shell.py
+++ b/testing/control/test_shell.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from concurrent import futures
 import errno
 import os
 import pathlib
+import threading
 import time
 
 import pytest
@@ -12,6 +14,7 @@
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
+from wisteriawall.control import reducer
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.demo import cluster as cluster_lib
 
@@ -108,3 +111,25 @@
     assert isinstance(reply, events.Unavailable)
     assert "expected at most" in reply.reason
     assert isinstance(patch(shell, 1), events.PatchReply)
+
+
+def test_stop_answers_calls_that_wait(
+    open_shell: Open, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Threads waited for an answer of the reducer after it had ended."""
+    received = threading.Event()
+
+    def ignore(_: object, event: events.Event) -> Iterator[events.Effect]:
+        if isinstance(event, events.CallReceived):
+            received.set()
+        return iter(())
+
+    shell = open_shell()
+    monkeypatch.setattr(reducer, "reduce", ignore)
+    stopped = events.Unavailable("the replica has stopped")
+    with futures.ThreadPoolExecutor() as pool:
+        reply = pool.submit(shell.call, events.TableRequest())
+        assert received.wait(WAIT_S)
+        shell.stop()
+        assert reply.result() == stopped
+    assert shell.call(events.TableRequest()) == stopped
