Join the threads of load datagrams before their socket is closed

Change: close() ends the receive, joins both threads for at most 0.2 s each, logs one that is still alive, and then closes the socket.

--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -28,6 +28,8 @@
 BATCH_DELAY_S = 0.005
 # Pause after an error of the socket, which may last.
 ERROR_PAUSE_S = 0.1
+# Longest wait in `close` for each thread.
+CLOSE_TIMEOUT_S = 0.2
 # Events that wait for the sending thread; further ones are dropped.
 MAX_PENDING_EVENTS = 2_000
 
@@ -85,8 +87,14 @@
         """Stop both threads and release the port; unsent events are dropped."""
         self._closing.set()
         self._has_pending.set()
+        # Ends the receive; the error is that the socket is not connected.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
+        for thread in self._threads:
+            if thread.is_alive():
+                thread.join(timeout=CLOSE_TIMEOUT_S)
+            if thread.is_alive():
+                _LOG.error("gateway: the thread %s did not end", thread.name)
         self._socket.close()
 
     def set_peers(self, peers: Iterable[gateway_messages.GatewayPeer]) -> None:
--- a/testing/gateway/test_peers.py
+++ b/testing/gateway/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the datagrams between gateways, on loopback."""
 
 import contextlib
+import threading
 import time
 
 import pytest
@@ -70,3 +71,11 @@
             time.sleep(0.01)
     assert channels.received[sender] == []
     assert all(channels.received[name] == ["r1"] for name in others)
+
+
+def test_closed_channel_has_no_thread() -> None:
+    others = set(threading.enumerate())
+    channels = Channels(1)
+    for _ in range(2):
+        channels.close()
+    assert set(threading.enumerate()) <= others
