--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -5,13 +5,20 @@
 - `PeerConnections` sends one-way messages to a `PeerServer`. A message to an
   unreachable peer is dropped, which the protocols above tolerate.
 - `Publisher` sends one-way messages to any number of `Subscriber` sockets.
+
+NNG frees its memory when the interpreter ends, and a thread that still uses it
+then crashes the process. So each socket must be closed before. `close` may be
+called repeatedly, and waits for threads that use the socket.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
 import logging
 import threading
+import time
 from typing import final
 
 import pynng
@@ -23,6 +30,7 @@
     "PeerServer",
     "Publisher",
     "RpcClient",
+    "RpcClosed",
     "RpcServer",
     "RpcTimeout",
     "Subscriber",
@@ -38,6 +46,8 @@
 PEER_BUFFER_MESSAGES = 64
 # NNG must not repeat a request: it could be carried out twice.
 RESEND_DISABLED_MS = -1
+# Longest wait in `close` for threads that use the closed socket.
+CLOSE_TIMEOUT_S = 1.0
 
 
 @final
@@ -45,6 +55,25 @@
     """No answer arrived; the request may still have been carried out."""
 
 
+@final
+class RpcClosed(errors.WisteriawallError):
+    """The client is closed; the request was not sent."""
+
+
+def _join(threads: Iterable[threading.Thread]) -> None:
+    """Wait for threads that were told to end and whose socket is closed."""
+    deadline_s = time.monotonic() + CLOSE_TIMEOUT_S
+    for thread in threads:
+        if not thread.is_alive():
+            continue
+        thread.join(timeout=max(0.0, deadline_s - time.monotonic()))
+        if thread.is_alive():
+            _LOG.error(
+                "rpc: the thread %s did not end when its socket was closed",
+                thread.name,
+            )
+
+
 @final
 class RpcServer:
     """Answers requests that arrive at one address.
@@ -67,12 +96,9 @@
         self._socket.listen(f"tcp://{address}")
         self._handler = handler
         self._closing = threading.Event()
-        self._contexts = [self._socket.new_context() for _ in range(threads)]
         self._threads = [
-            threading.Thread(
-                target=self._serve, args=(context,), name="rpc", daemon=True
-            )
-            for context in self._contexts
+            threading.Thread(target=self._serve, name="rpc", daemon=True)
+            for _ in range(threads)
         ]
 
     def start(self) -> None:
@@ -81,34 +107,32 @@
             thread.start()
 
     def close(self) -> None:
-        """Stop answering and release the port."""
+        """Stop answering, release the port and wait for the threads."""
         self._closing.set()
-        # A context that is garbage collected after its socket was closed
-        # raises an exception, so the contexts are closed first.
-        for context in self._contexts:
-            context.close()
-        for thread in self._threads:
-            thread.join(timeout=1.0)
+        # Ends what the threads wait for. Each of them closes its own context:
+        # pynng raises a TypeError in a thread whose context another one closed.
         self._socket.close()
+        _join(self._threads)
 
-    def _serve(self, context: pynng.Context) -> None:
-        while not self._closing.is_set():
-            try:
-                answer = self._handler(context.recv())
-                if answer is not None:
-                    context.send(answer)
-            except pynng.Closed:
-                return
-            except pynng.NNGException as error:
-                # The requester disconnected before it had the answer.
-                _LOG.info("rpc: an exchange failed: %s", error)
-                self._closing.wait(ERROR_PAUSE_S)
-            except TypeError:
-                # pynng raises it for a context that was closed between two
-                # calls.
-                if not self._closing.is_set():
-                    raise
-                return
+    def _serve(self) -> None:
+        with (
+            contextlib.suppress(pynng.Closed),
+            self._socket.new_context() as context,
+        ):
+            while not self._closing.is_set():
+                self._serve_one(context)
+
+    def _serve_one(self, context: pynng.Context) -> None:
+        try:
+            answer = self._handler(context.recv())
+            if answer is not None and not self._closing.is_set():
+                context.send(answer)
+        except pynng.Closed:
+            raise
+        except pynng.NNGException as error:
+            # The requester disconnected before it had the answer.
+            _LOG.info("rpc: an exchange failed: %s", error)
+            self._closing.wait(ERROR_PAUSE_S)
 
 
 @final
@@ -126,7 +150,10 @@
     ) -> None:
         self._address = address
         self._timeout_ms = timeout_ms
-        self._lock = threading.Lock()
+        # Guards the attributes below; notified when a call ends.
+        self._condition = threading.Condition()
+        self._call_count_by_socket: dict[pynng.Req0, int] = {}
+        self._closed = False
         self._socket = self._connect()
 
     def call(self, request: bytes) -> bytes:
@@ -134,21 +161,54 @@
 
         Raises:
             RpcTimeout: The request was not sent, or its answer did not arrive,
-                within the timeout.
+                within the timeout or before the client was closed.
+            RpcClosed: The client was closed before the call.
         """
-        socket = self._socket
-        try:
-            with socket.new_context() as context:
-                context.send(request)
-                answer: bytes = context.recv()
-                return answer
-        except pynng.NNGException as error:
-            self._reconnect(socket)
-            raise RpcTimeout(f"no answer to the request: {error}") from error
+        with self._hold_socket() as socket:
+            try:
+                with socket.new_context() as context:
+                    context.send(request)
+                    answer: bytes = context.recv()
+                    return answer
+            except pynng.NNGException as error:
+                self._reconnect(socket)
+                raise RpcTimeout(
+                    f"no answer to the request: {error}"
+                ) from error
 
     def close(self) -> None:
-        """Close the connection."""
-        self._socket.close()
+        """Close the connection, end calls in progress and wait for them."""
+        with self._condition:
+            self._closed = True
+            sockets = {self._socket, *self._call_count_by_socket}
+        for socket in sockets:
+            socket.close()
+        with self._condition:
+            has_ended = self._condition.wait_for(
+                lambda: not self._call_count_by_socket, timeout=CLOSE_TIMEOUT_S
+            )
+        if not has_ended:
+            _LOG.error("rpc: a call did not end when its client was closed")
+
+    @contextlib.contextmanager
+    def _hold_socket(self) -> Iterator[pynng.Req0]:
+        """Yield the socket; a replaced one is closed after its last call."""
+        with self._condition:
+            if self._closed:
+                raise RpcClosed("the client is closed")
+            socket = self._socket
+            count = self._call_count_by_socket.get(socket, 0)
+            self._call_count_by_socket[socket] = count + 1
+        try:
+            yield socket
+        finally:
+            with self._condition:
+                self._call_count_by_socket[socket] -= 1
+                if not self._call_count_by_socket[socket]:
+                    del self._call_count_by_socket[socket]
+                    if socket is not self._socket:
+                        socket.close()
+                self._condition.notify_all()
 
     def _connect(self) -> pynng.Req0:
         socket = pynng.Req0(
@@ -163,12 +223,12 @@
         """Replace the socket on which a call failed.
 
         Its connection may have broken without a TCP reset. Another thread may
-        already have replaced it.
+        already have replaced it, or closed the client. Other calls still use
+        the socket: NNG aborts the process if it is closed while they time out.
         """
-        with self._lock:
-            if self._socket is failed:
+        with self._condition:
+            if self._socket is failed and not self._closed:
                 self._socket = self._connect()
-                failed.close()
 
 
 @final
@@ -186,6 +246,7 @@
         self._socket = pynng.Pull0()
         self._socket.listen(f"tcp://{address}")
         self._on_message = on_message
+        self._closing = threading.Event()
         self._thread = threading.Thread(
             target=self._receive_messages, name="peers", daemon=True
         )
@@ -195,13 +256,14 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop receiving and release the port."""
+        """Stop receiving, release the port and wait for the thread."""
+        self._closing.set()
         self._socket.close()
-        self._thread.join(timeout=1.0)
+        _join([self._thread])
 
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
-            while True:
+            while not self._closing.is_set():
                 self._on_message(self._socket.recv())
 
 
@@ -268,8 +330,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for socket in self._socket_by_peer.values():
-            socket.close()
+        self.set_peers({})
 
     @staticmethod
     def _connect(address: str) -> pynng.Push0:
@@ -315,6 +376,7 @@
         self._socket.subscribe(b"")
         self._dialer_by_address: dict[str, pynng.Dialer] = {}
         self._on_message = on_message
+        self._closing = threading.Event()
         self._thread = threading.Thread(
             target=self._receive_messages, name="feed", daemon=True
         )
@@ -333,11 +395,12 @@
             self._dialer_by_address.pop(address).close()
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections and wait for the thread."""
+        self._closing.set()
         self._socket.close()
-        self._thread.join(timeout=1.0)
+        _join([self._thread])
 
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
-            while True:
+            while not self._closing.is_set():
                 self._on_message(self._socket.recv())
--- a/testing/platform/test_processes.py
+++ b/testing/platform/test_processes.py
@@ -9,36 +9,41 @@
 import socket
 import subprocess
 import sys
+import threading
 
+import msgspec
 import pytest
 from support import platform_site
 import urllib3
 
 from wisteriawall.demo import cluster
 from wisteriawall.platform import settings as settings_lib
+from wisteriawall.wire import transport
 
 KEY = "6f" * 32
+# Outgoing connections leave from 127.0.0.1 and may take a free port there.
+HOST = cluster.unused_loopback_address().rpartition(":")[0]
 
 
 def free_port() -> int:
-    """Return a port on loopback that is free at the moment."""
+    """Return a port of `HOST` that is free at the moment."""
     return int(cluster.unused_loopback_address().rpartition(":")[2])
 
 
 def write_settings(folder: pathlib.Path, *, with_disk: bool) -> pathlib.Path:
     """Write the settings file of a single VM; return its path."""
-    control = f"127.0.0.1:{free_port()}"
+    control = f"{HOST}:{free_port()}"
     first_port = free_port()
     settings = {
         "node_name": "n1",
-        "ip_address": "127.0.0.1",
+        "ip_address": HOST,
         "zone": "z1",
         "seeds": [control],
         "internal_ports": [first_port, first_port + 8],
-        "cloud_api": {"address": f"127.0.0.1:{free_port()}"},
+        "cloud_api": {"address": f"{HOST}:{free_port()}"},
         "listen_addresses": {
-            "frontend": f"127.0.0.1:{free_port()}",
-            "ready": f"127.0.0.1:{free_port()}",
+            "frontend": f"{HOST}:{free_port()}",
+            "ready": f"{HOST}:{free_port()}",
             "control": control,
         },
         "bootstrap": True,
@@ -49,9 +54,24 @@
     return path
 
 
+def use_other_seed(path: pathlib.Path) -> str:
+    """Name another VM as the only seed; return its RPC address."""
+    document = json.loads(path.read_text())
+    document |= {"seeds": [f"127.0.0.2:{free_port()}"], "bootstrap": False}
+    path.write_text(json.dumps(document))
+    settings = msgspec.json.decode(
+        path.read_bytes(), type=settings_lib.Settings
+    )
+    return settings.seed_rpc_by_replica()["127.0.0.2"]
+
+
 @contextlib.contextmanager
 def run_role(
-    role: str, settings: pathlib.Path, *, metrics_port: int | None = None
+    role: str,
+    settings: pathlib.Path,
+    *,
+    metrics_port: int | None = None,
+    stderr: int | None = None,
 ) -> Iterator[subprocess.Popen[bytes]]:
     """Run a role as a process; kill it at the end if it still runs."""
     port = free_port() if metrics_port is None else metrics_port
@@ -64,6 +84,7 @@
             "WISTERIAWALL_CLUSTER_KEY": KEY,
         },
         stdout=subprocess.PIPE,
+        stderr=stderr,
     )
     try:
         yield process
@@ -75,10 +96,12 @@
 def read_until(process: subprocess.Popen[bytes], text: bytes) -> None:
     """Read the process's log up to the line that contains `text`."""
     assert process.stdout is not None
+    lines = []
     for line in process.stdout:
         if text in line:
             return
-    raise AssertionError(f"the process ended without {text!r} in its log")
+        lines.append(line)
+    raise AssertionError(f"the process ended without {text!r} in {lines}")
 
 
 @pytest.mark.parametrize(
@@ -96,7 +119,7 @@
     settings = write_settings(tmp_path, with_disk=with_disk)
 
     def answers() -> bool:
-        url = f"http://127.0.0.1:{metrics_port}/metrics"
+        url = f"http://{HOST}:{metrics_port}/metrics"
         try:
             return urllib3.request("GET", url, retries=False).status == 200
         except urllib3.exceptions.HTTPError:
@@ -111,6 +134,60 @@
     assert b'"stopped"' in text.splitlines()[-1]
 
 
+def stop_and_check_log(process: subprocess.Popen[bytes]) -> None:
+    """End a process; its log must show neither a warning nor a traceback."""
+    process.terminate()
+    text, errors = process.communicate(timeout=platform_site.WAIT_S)
+    lines = [json.loads(line) for line in text.splitlines()]
+    loud = [ln for ln in lines if ln.get("level", "INFO") != "INFO"]
+    assert (process.returncode, errors, loud) == (0, b"", [])
+
+
+@pytest.mark.parametrize("role", ["gateway", "control"])
+def test_sigterm_ends_a_process_that_calls_a_control_without_an_answer(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    """The call went on in NNG, which the interpreter had shut down."""
+    settings = write_settings(tmp_path, with_disk=True)
+    received = threading.Event()
+    mute = transport.RpcServer(
+        address=use_other_seed(settings), handler=lambda _: received.set()
+    )
+    mute.start()
+    with (
+        contextlib.closing(mute),
+        run_role(role, settings, stderr=subprocess.PIPE) as process,
+    ):
+        assert received.wait(platform_site.WAIT_S)
+        stop_and_check_log(process)
+
+
+@pytest.mark.parametrize("role", ["gateway", "control"])
+def test_sigterm_ends_a_process_that_calls_an_unreachable_control(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    settings = write_settings(tmp_path, with_disk=True)
+    use_other_seed(settings)
+    with run_role(role, settings, stderr=subprocess.PIPE) as process:
+        read_until(process, b'"start"')
+        stop_and_check_log(process)
+
+
+def test_sigterm_ends_a_gateway_that_polls_control(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = write_settings(tmp_path, with_disk=True)
+    with (
+        run_role("control", settings) as control,
+        run_role("gateway", settings, stderr=subprocess.PIPE) as gateway,
+    ):
+        read_until(gateway, b'"control-back"')
+        stop_and_check_log(gateway)
+        control.terminate()
+        control.communicate(timeout=platform_site.WAIT_S)
+    assert control.returncode == 0
+
+
 @pytest.mark.parametrize(
     ("role", "with_disk"),
     [
