Send each call to an engine on a connection of its own

Seen on real sockets: an engine that repeats its previous answer once the next request has arrived decides with the answer to a state request about an order (reported as done with order 4, expected 5), a late refusal of an order is taken for the answer to the next one, and a cache page for the page after it. An answer whose Location header can't be parsed leaves the client as a ValueError; by the code, the order then stays in execution until the agent starts again.

Cause: an answer was matched to a request by its position on a kept connection, and engines need not name the request in their answers.

wire.http_call makes each call on a connection of its own, so that no answer to another request can arrive on it, and reports every error of the HTTP library, incomplete, malformed and interim responses as CallFailed. Redirects were returned before, too, but only after their target had been parsed.

--- a/src/wisteriawall/agent/engine_client.py
+++ b/src/wisteriawall/agent/engine_client.py
@@ -4,11 +4,11 @@
 from typing import final
 
 import msgspec
-import urllib3
 
 from wisteriawall import errors
 from wisteriawall.agent import engine_messages
 from wisteriawall.wire import fleet
+from wisteriawall.wire import http_call
 
 __all__ = ["EngineClient", "EngineUnclear", "OrderRefused"]
 
@@ -42,7 +42,6 @@
     ) -> None:
         self._url = f"http://{address}/admin"
         self._order_timeout_s = order_timeout_s
-        self._pool = urllib3.PoolManager(retries=False, maxsize=8)
 
     def execute_order(self, order: fleet.Order) -> engine_messages.EngineState:
         """Have the engine execute `order`; return its state afterwards.
@@ -99,10 +98,6 @@
         query = "" if after is None else f"?after={after}"
         return self._get(f"/cache{query}", engine_messages.CacheChangePage)
 
-    def close(self) -> None:
-        """Close idle connections."""
-        self._pool.clear()
-
     def _get(self, path: str, message_type: type[MessageT]) -> MessageT:
         status, data = self._request("GET", path, b"", STATE_TIMEOUT_S)
         if status != 200:
@@ -113,12 +108,12 @@
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         try:
-            response = self._pool.request(
-                method, self._url + path, body=body, timeout=timeout_s
+            response = http_call.call(
+                method, self._url + path, body=body, timeout_s=timeout_s
             )
-        except urllib3.exceptions.HTTPError as error:
+        except http_call.CallFailed as error:
             raise EngineUnclear(str(error)) from error
-        return response.status, response.data
+        return response.status, response.body
 
 
 def _decode(data: bytes, message_type: type[MessageT]) -> MessageT:
--- a/src/wisteriawall/agent/shell.py
+++ b/src/wisteriawall/agent/shell.py
@@ -156,7 +156,6 @@
         self._http.stop()
         self._renewer.join(timeout=5.0)
         self._control.close()
-        self._engine.close()
 
     def submit(self, event: events.Event) -> list[events.Effect]:
         """Apply one event and start threads for its order effects.
