Read the platform's lists on new connections and go on after any error

Seen on real sockets: a page of the list of runners that arrives a second time is taken for the next page, so that the list has some runners twice and lacks others; a late VM list hides a newer one. A VM list with status 503 and the body `[]` was delivered as an empty list. A page with a deeply nested entry (RecursionError) or a bad Location header (ValueError) ended the reader's thread, after which the list was never read again.

Cause: answers were matched by their position on a kept connection, the VM list's status was not looked at, and the readers' threads ended on errors outside the expected types.

Each read now has its own connection. The VM list is used only with status 200. Deeply nested entries are left out like other entries that can't be decoded. The readers log any other error and read again.

--- a/src/wisteriawall/control/upstream_reader.py
+++ b/src/wisteriawall/control/upstream_reader.py
@@ -82,11 +82,13 @@
     def _read_once(self) -> None:
         try:
             upstreams = self._read()
-        except ListUnreadable as error:
+        except Exception as error:
+            # Nothing but this thread would read the list again.
             if self._is_readable:
                 _LOG.warning(
                     "control: reading the list of runners failed, retrying: %s",
                     error,
+                    exc_info=not isinstance(error, ListUnreadable),
                 )
             self._is_readable = False
             return
--- a/src/wisteriawall/control/vm_list.py
+++ b/src/wisteriawall/control/vm_list.py
@@ -7,9 +7,9 @@
 from typing import final
 
 import msgspec
-import urllib3
 
 from wisteriawall.control import membership
+from wisteriawall.wire import http_call
 
 __all__ = ["VmListReader", "parse"]
 
@@ -51,7 +51,6 @@
     ) -> None:
         self._url = url
         self._deliver = deliver
-        self._pool = urllib3.PoolManager(retries=False)
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="vm-list", daemon=True
@@ -69,13 +68,16 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
-                response = self._pool.request(
-                    "GET", self._url, timeout=TIMEOUT_S
-                )
-                self._deliver(parse(response.data))
-            except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+                self._deliver(self._read())
+            except Exception as error:
+                # Nothing but this thread would read the list again.
                 _LOG.warning(
-                    "control: reading the VM list failed, retrying: %s",
-                    error,
+                    "control: reading the VM list failed, retrying: %r", error
                 )
             self._stopping.wait(POLL_INTERVAL_S)
+
+    def _read(self) -> VmStateByName:
+        response = http_call.call("GET", self._url, timeout_s=TIMEOUT_S)
+        if response.status != 200:
+            raise http_call.CallFailed(f"HTTP {response.status}")
+        return parse(response.body)
--- a/src/wisteriawall/platform/runners.py
+++ b/src/wisteriawall/platform/runners.py
@@ -7,10 +7,10 @@
 from urllib import parse
 
 import msgspec
-import urllib3
 
 from wisteriawall.control import upstream_reader
 from wisteriawall.wire import gateway_messages
+from wisteriawall.wire import http_call
 
 __all__ = ["RunnerListClient", "decode_page"]
 
@@ -60,7 +60,6 @@
 
     def __init__(self, *, address: str) -> None:
         self._url = f"http://{address}{LIST_PATH}"
-        self._pool = urllib3.PoolManager(retries=False)
 
     def read(self) -> list[gateway_messages.Upstream]:
         """Return every runner of the list, sorted by id.
@@ -85,16 +84,16 @@
     def _fetch_page(self, token: str) -> bytes:
         query = f"?{parse.urlencode({'page_token': token})}" if token else ""
         try:
-            response = self._pool.request(
-                "GET", self._url + query, timeout=REQUEST_TIMEOUT_S
+            response = http_call.call(
+                "GET", self._url + query, timeout_s=REQUEST_TIMEOUT_S
             )
-        except urllib3.exceptions.HTTPError as error:
+        except http_call.CallFailed as error:
             raise upstream_reader.ListUnreadable(str(error)) from error
         if response.status != 200:
             raise upstream_reader.ListUnreadable(
                 f"got status {response.status}, expected 200"
             )
-        return response.data
+        return response.body
 
 
 def decode_page(
@@ -110,7 +109,7 @@
     """
     try:
         page = msgspec.json.decode(body, type=_Page)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return _decode_damaged_page(body)
     upstreams = [_decode_entry(bytes(raw)) for raw in page.instances]
     return [u for u in upstreams if u is not None], page.next
