Match no operator's request to the response to another

Seen on real sockets: a replica that forwards a patch returned the late response to an earlier patch as the result of the next one, also a late 412; the operator client did the same. An interim response of the leader was returned as status 103, a bad Location header left the client as a ValueError, and a response body of another form left it as a msgspec.DecodeError, both without an exit code.

Cause: responses were matched by their position on a kept connection, and errors outside urllib3's types were not expected.

Both now use wire.http_call, with one connection a call. A response that can't be decoded is Unavailable, like a replica that did not answer.

--- a/src/wisteriawall/control/admin.py
+++ b/src/wisteriawall/control/admin.py
@@ -6,7 +6,6 @@
 from typing import final
 
 import msgspec
-import urllib3
 
 from wisteriawall.control import admin_requests
 from wisteriawall.control import events
@@ -16,6 +15,7 @@
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import headers as headers_lib
+from wisteriawall.wire import http_call
 
 __all__ = ["AdminApp"]
 
@@ -50,7 +50,6 @@
         self._shell = shell
         self._address_by_replica = address_by_replica
         self._operator_by_token_digest = operator_by_token_digest
-        self._pool = urllib3.PoolManager(retries=False)
 
     def __call__(
         self,
@@ -140,15 +139,15 @@
             )
         body = environ[admin_requests.BODY_ENVIRON_KEY]
         try:
-            response = self._pool.request(
+            response = http_call.call(
                 environ["REQUEST_METHOD"],
                 f"http://{address}{_path_and_query(environ)}",
                 body=body,
                 headers=_forwarded_headers(environ),
-                timeout=FORWARD_TIMEOUT_S,
+                timeout_s=FORWARD_TIMEOUT_S,
             )
-        except urllib3.exceptions.HTTPError as error:
-            refusal = _unavailable(type(error).__name__)
+        except http_call.CallFailed as error:
+            refusal = _unavailable(str(error))
             return server_lib.send_refusal(start_response, refusal)
         response_headers = [
             (name, response.headers[name])
@@ -158,7 +157,7 @@
         return server_lib.send_response(
             start_response,
             status=response.status,
-            body=response.data,
+            body=response.body,
             headers=response_headers,
         )
 
--- a/src/wisteriawall/operator/client.py
+++ b/src/wisteriawall/operator/client.py
@@ -10,9 +10,9 @@
 from urllib import parse
 
 import msgspec
-import urllib3
 
 from wisteriawall import errors
+from wisteriawall.wire import http_call
 
 __all__ = ["OperatorClient", "OperatorResponse", "Refused", "Unavailable"]
 
@@ -42,7 +42,7 @@
 
 @final
 class Unavailable(errors.WisteriawallError):
-    """No replica answered; it is unknown whether a write was carried out."""
+    """No replica gave a usable response; a write may have been carried out."""
 
     exit_code = errors.ExitCode.UNAVAILABLE
 
@@ -59,8 +59,15 @@
     holding: str = ""
 
     def decode(self, body_type: type[BodyT]) -> BodyT:
-        """Return the body, decoded from JSON as `body_type`."""
-        return msgspec.json.decode(self.body, type=body_type)
+        """Return the body, decoded from JSON as `body_type`.
+
+        Raises:
+            Unavailable: The body is of another form.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=body_type)
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+            raise Unavailable(f"malformed response: {error}") from error
 
 
 @final
@@ -86,7 +93,6 @@
     def __init__(self, *, addresses: tuple[str, ...], token: str) -> None:
         self._addresses = addresses
         self._token = token
-        self._pool = urllib3.PoolManager(retries=False)
 
     def call(
         self,
@@ -114,11 +120,11 @@
                 url += "?" + parse.urlencode(query)
             try:
                 response = self._request(method, url, body, headers or {})
-            except urllib3.exceptions.HTTPError as error:
+            except http_call.CallFailed as error:
                 last_error = f"{address}: {error}"
                 continue
             if response.status == 503:
-                last_error = f"{address}: {_error_message(response.data)}"
+                last_error = f"{address}: {_error_message(response.body)}"
                 continue
             return _parse_response(response)
         raise Unavailable(
@@ -131,21 +137,21 @@
 
     def _request(
         self, method: str, url: str, body: bytes, headers: Mapping[str, str]
-    ) -> urllib3.BaseHTTPResponse:
-        return self._pool.request(
+    ) -> http_call.Response:
+        return http_call.call(
             method,
             url,
             body=body,
             headers={"Authorization": f"Bearer {self._token}", **headers},
-            timeout=TIMEOUT_S,
+            timeout_s=TIMEOUT_S,
         )
 
 
-def _parse_response(response: urllib3.BaseHTTPResponse) -> OperatorResponse:
+def _parse_response(response: http_call.Response) -> OperatorResponse:
     if response.status == 200:
         holding = response.headers.get("Wisteriawall-Processes", "")
-        return OperatorResponse(response.data, holding)
-    message = _error_message(response.data)
+        return OperatorResponse(response.body, holding)
+    message = _error_message(response.body)
     if response.status in (409, 412):
         raise Conflict(message)
     if response.status < 500:
@@ -156,6 +162,6 @@
 def _error_message(body: bytes) -> str:
     try:
         error = msgspec.json.decode(body, type=_ErrorBody).error
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeError, RecursionError):
         return body.decode(errors="replace")[:200]
     return f"{error.code}: {error.message}"
