Relay each attempt over a connection of its own to the upstream

Seen on real sockets: an upstream that repeats its previous answer once the next request has arrived has that answer relayed to the entry under the id of the next attempt, where nothing can tell it from the right one. The same holds for a late refusal, an interim response, and an answer that names another attempt.

Cause: the agent matched answers to attempts by their position on a kept connection, and then added the id of the attempt to whatever it got.

The agent now opens a connection for each attempt: upstreams need not repeat an id, and the connection is on one host. An upstream that does repeat the id must name this attempt, otherwise the attempt ends with an unknown outcome. Any other error before the answer began is logged, ends the attempt in the agent's state and is answered with 502; before, a malformed Location header (ValueError) left the attempt running, behind a 500 of the HTTP server.

--- a/src/wisteriawall/agent/proxy.py
+++ b/src/wisteriawall/agent/proxy.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import contextlib
 import functools
 import hmac
 import logging
 from typing import final
 
-import urllib3
+import urllib3.exceptions
+import urllib3.util
 
 from wisteriawall import clock
 from wisteriawall.agent import events
 from wisteriawall.observability import metrics as metrics_lib
+from wisteriawall.web import connection_pool
+from wisteriawall.web import http_exchange
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import headers
@@ -21,8 +23,7 @@
 
 _LOG = logging.getLogger("agent")
 
-UPSTREAM_TIMEOUT = urllib3.Timeout(connect=2.0, read=120.0)
-CHUNK_BYTES = 65_536
+UPSTREAM_TIMEOUT_S = 120.0
 RELAYED_HEADERS = ("Content-Type", "Content-Length")
 
 
@@ -56,7 +57,7 @@
         self._upstream = upstream
         self._token = token.encode()
         self._submit = submit
-        self._pool = urllib3.PoolManager(retries=False, maxsize=64)
+        self._pool = connection_pool.ConnectionPool()
 
     def __call__(
         self,
@@ -92,9 +93,12 @@
         arrived: events.AttemptArrived,
         body: bytes,
     ) -> server_lib.Response:
+        exchange = http_exchange.HttpExchange(self._pool)
         try:
-            response = self._request_upstream(environ, arrived, body)
-        except urllib3.exceptions.HTTPError as error:
+            response = self._request_upstream(exchange, environ, arrived, body)
+            _check_identity(response, arrived)
+        except Exception as error:
+            exchange.close()
             refusal = _refusal_of_error(error)
             not_run = refusal.run is refusal_lib.RunState.NOT_RUN
             self._end(arrived, not_run=not_run)
@@ -111,7 +115,7 @@
             server_lib.status_line(response.status), response_headers
         )
         relayed_body = RelayedBody(
-            response=response,
+            exchange=exchange,
             on_first_byte=functools.partial(self._record_first_byte, arrived),
             on_close=functools.partial(self._on_body_closed, arrived),
         )
@@ -137,13 +141,16 @@
 
     def _request_upstream(
         self,
+        exchange: http_exchange.HttpExchange,
         environ: server_lib.Environ,
         arrived: events.AttemptArrived,
         body: bytes,
     ) -> urllib3.BaseHTTPResponse:
         query = environ.get("QUERY_STRING", "")
         path = environ["PATH_INFO"] + (f"?{query}" if query else "")
+        url = urllib3.util.parse_url(f"http://{self._upstream}{path}")
         upstream_headers = {
+            "Host": self._upstream,
             "Content-Type": environ.get("CONTENT_TYPE", ""),
             headers.REQUEST_ID: arrived.request_id,
             headers.ATTEMPT: str(arrived.attempt),
@@ -151,13 +158,16 @@
         key = environ.get("HTTP_IDEMPOTENCY_KEY")
         if key:
             upstream_headers["Idempotency-Key"] = key
-        return self._pool.request(
-            environ["REQUEST_METHOD"],
-            f"http://{self._upstream}{path}",
-            body=body,
+        # An upstream need not repeat the request id. Its answer is known to be
+        # to this attempt only if the connection carries no other one.
+        return exchange.send(
+            self._upstream,
+            method=environ["REQUEST_METHOD"],
+            target=url.request_uri,
             headers=upstream_headers,
-            timeout=UPSTREAM_TIMEOUT,
-            preload_content=False,
+            body=body,
+            timeout_s=UPSTREAM_TIMEOUT_S,
+            force_new=True,
         )
 
     def _end(self, arrived: events.AttemptArrived, *, not_run: bool) -> None:
@@ -182,18 +192,18 @@
     def __init__(
         self,
         *,
-        response: urllib3.BaseHTTPResponse,
+        exchange: http_exchange.HttpExchange,
         on_first_byte: Callable[[], None],
         on_close: Callable[["RelayedBody"], None],
     ) -> None:
-        self._response = response
+        self._exchange = exchange
         self._on_first_byte = on_first_byte
         self._aborted = False
         self._on_close = on_close
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the upstream's bytes; an error resets the connection."""
-        chunks = self._response.stream(CHUNK_BYTES, decode_content=False)
+        chunks = self._exchange.body_chunks()
         first = next(chunks, b"")
         self._on_first_byte()
         yield first
@@ -203,20 +213,16 @@
             yield chunk
         if self._aborted:
             raise ConnectionAbortedError("the answer was aborted")
-        self._response.release_conn()
 
     def close(self) -> None:
-        """Close the upstream's response and report the end of the attempt."""
-        # A response that was read to its end has already returned its
-        # connection to the pool.
-        self._response.close()
+        """Close the upstream's connection and report the attempt's end."""
+        self._exchange.close()
         self._on_close(self)
 
     def abort(self) -> None:
         """Abort the answer; called from any thread."""
         self._aborted = True
-        with contextlib.suppress(OSError, ValueError, RuntimeError):
-            self._response.shutdown()
+        self._exchange.cancel()
 
 
 _UNAUTHENTICATED = refusal_lib.Refusal(
@@ -231,18 +237,32 @@
 )
 
 
-def _refusal_of_error(
-    error: urllib3.exceptions.HTTPError,
-) -> refusal_lib.Refusal:
-    connection_refused = isinstance(
-        error, urllib3.exceptions.NewConnectionError
-    )
+def _check_identity(
+    response: urllib3.BaseHTTPResponse, arrived: events.AttemptArrived
+) -> None:
+    """Raise Broken if the response names another attempt."""
+    expected = {
+        headers.REQUEST_ID: arrived.request_id,
+        headers.ATTEMPT: str(arrived.attempt),
+    }
+    for name, value in expected.items():
+        if response.headers.get(name, value) != value:
+            raise http_exchange.Broken("the answer is to another attempt")
+
+
+def _refusal_of_error(error: Exception) -> refusal_lib.Refusal:
     run = refusal_lib.RunState
+    not_sent = (
+        http_exchange.Unreachable,
+        urllib3.exceptions.LocationParseError,
+    )
+    if not isinstance(error, (*not_sent, http_exchange.Broken)):
+        _LOG.error("agent: an attempt failed unexpectedly", exc_info=error)
     return refusal_lib.Refusal(
         status=502,
         code=refusal_lib.Code.UPSTREAM_FAILED,
-        message=type(error).__name__,
-        run=run.NOT_RUN if connection_refused else run.UNKNOWN,
+        message=f"{type(error).__name__}: {error}",
+        run=run.NOT_RUN if isinstance(error, not_sent) else run.UNKNOWN,
     )
 
 
