Name the refused attempt in an agent's refusals

Seen on real sockets: a late refusal that an agent repeats on a kept connection, with or without the name of another attempt, is taken by the entry for the refusal of the next attempt, and that attempt counts as not run although the agent ran it; the request is sent again, outside the retry budget.

Cause: a refusal carried no request id, and was matched by its position.

The header Wisteriawall-Refused names the attempt in each refusal of the agent. The entry believes a refusal only if it names this attempt, and reports any other as an unknown outcome. The id is not sent as Wisteriawall-Request because an older entry would take such a refusal for the upstream's answer. An older agent's refusal is believed on the first request of a connection only.

--- a/src/wisteriawall/agent/proxy.py
+++ b/src/wisteriawall/agent/proxy.py
@@ -67,24 +67,27 @@
         """Serve one attempt."""
         token = environ.get(headers.wsgi_environ_key(headers.TOKEN), "")
         if not hmac.compare_digest(token.encode(), self._token):
-            return server_lib.send_refusal(start_response, _UNAUTHENTICATED)
+            return _send_refusal(environ, start_response, _UNAUTHENTICATED)
         # Read before admission, so that lease and configuration number are
         # checked when the attempt starts, however slow the body was.
-        body = server_lib.read_body(environ)
+        try:
+            body = server_lib.read_body(environ)
+        except server_lib.BodyRefused as error:
+            return _send_refusal(environ, start_response, error.refusal)
         arrived = _parse_arrival(environ)
         if arrived is None:
-            return server_lib.send_refusal(start_response, _BAD_HEADERS)
+            return _send_refusal(environ, start_response, _BAD_HEADERS)
         for effect in self._submit(arrived):
             match effect:
                 case events.Reject(_, refusal):
                     self._metrics.count(f"refused.{refusal.code}")
-                    return server_lib.send_refusal(start_response, refusal)
+                    return _send_refusal(environ, start_response, refusal)
                 case events.Admit():
                     self._metrics.count("admitted")
                     return self._relay(environ, start_response, arrived, body)
                 case _:
                     pass
-        return server_lib.send_refusal(start_response, _BAD_HEADERS)
+        return _send_refusal(environ, start_response, _BAD_HEADERS)
 
     def _relay(
         self,
@@ -103,7 +106,7 @@
             not_run = refusal.run is refusal_lib.RunState.NOT_RUN
             self._end(arrived, not_run=not_run)
             self._metrics.count(f"upstream_failed.{refusal.run}")
-            return server_lib.send_refusal(start_response, refusal)
+            return _send_refusal(environ, start_response, refusal)
         response_headers = [
             (name, response.headers[name])
             for name in RELAYED_HEADERS
@@ -237,6 +240,26 @@
 )
 
 
+def _send_refusal(
+    environ: server_lib.Environ,
+    start_response: server_lib.StartResponse,
+    refusal: refusal_lib.Refusal,
+) -> server_lib.Response:
+    """Send a refusal that names the attempt as the entry named it."""
+    refused = headers.attempt_key(
+        environ.get(headers.wsgi_environ_key(headers.REQUEST_ID), ""),
+        environ.get(headers.wsgi_environ_key(headers.ATTEMPT), ""),
+    )
+
+    def start_named(
+        status: str, response_headers: list[tuple[str, str]], /
+    ) -> object:
+        named = [*response_headers, (headers.REFUSED, refused)]
+        return start_response(status, named)
+
+    return server_lib.send_refusal(start_named, refusal)
+
+
 def _check_identity(
     response: urllib3.BaseHTTPResponse, arrived: events.AttemptArrived
 ) -> None:
--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -85,6 +85,7 @@
         self._response: urllib3.BaseHTTPResponse | None = None
         self._address = ""
         self._cancelled = False
+        self._connection_reused = False
         self.status = 0
         self.content_type = ""
 
@@ -191,6 +192,8 @@
         assert connection is not None
         agent_socket = connection.sock
         connection.timeout = timeouts.first_byte_s
+        self._connection_reused = connection.request_count > 0
+        connection.request_count += 1
         try:
             connection.request(
                 request.method,
@@ -242,15 +245,27 @@
         ):
             return
         run = refusal_lib.RunState.UNKNOWN
-        if answered_id is None:
-            # Agents add this header to the upstream's answers, so an answer
-            # without it is a refusal by the agent itself.
+        # Agents add this header to the upstream's answers, so an answer
+        # without it is a refusal by the agent itself.
+        if answered_id is None and self._refuses(dispatch):
             run = self._read_refusal()
         by_agent = run is refusal_lib.RunState.NOT_RUN and self.status != 502
         raise AttemptRefused(
             run, f"agent answered {self.status}", by_agent=by_agent
         )
 
+    def _refuses(self, dispatch: events.Dispatch) -> bool:
+        """Return whether a refusal is certainly that of this attempt."""
+        assert self._response is not None
+        refused = self._response.headers.get(headers.REFUSED)
+        if refused is None:
+            # Older agents name no attempt. The refusal may then be a late
+            # one, of an earlier attempt on the connection.
+            return not self._connection_reused
+        return refused == headers.attempt_key(
+            dispatch.request_id, dispatch.attempt
+        )
+
     def _read_refusal(self) -> refusal_lib.RunState:
         try:
             data = b""
--- a/src/wisteriawall/wire/headers.py
+++ b/src/wisteriawall/wire/headers.py
@@ -1,6 +1,7 @@
 """Names of the HTTP headers that an entry and an agent exchange.
 
-Agents repeat the request id and the attempt in their answers.
+Agents repeat the request id and the attempt in the answers that they relay,
+and name the attempt in their own refusals.
 """
 
 __all__ = [
@@ -8,8 +9,10 @@
     "ATTEMPT",
     "CLAIM_ID",
     "CONFIG_NUMBER",
+    "REFUSED",
     "REQUEST_ID",
     "TOKEN",
+    "attempt_key",
     "wsgi_environ_key",
 ]
 
@@ -25,6 +28,15 @@
 CLAIM_ID = "Wisteriawall-Claim"
 # Secret by which the agent authenticates the entry.
 TOKEN = "Wisteriawall-Token"
+# Attempt that the agent itself refused, as `attempt_key` writes it. It differs
+# from REQUEST_ID because older entries take an answer with that header for one
+# of the upstream.
+REFUSED = "Wisteriawall-Refused"
+
+
+def attempt_key(request_id: str, attempt: int | str) -> str:
+    """Return the text that identifies one attempt of one request."""
+    return f"{request_id}/{attempt}"
 
 
 def wsgi_environ_key(header: str) -> str:
--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -13,6 +13,7 @@
 from wisteriawall.agent import events
 from wisteriawall.agent import proxy as proxy_lib
 from wisteriawall.observability import metrics
+from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import headers
 
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         """Start the upstream and the proxy."""
         self.echoes_id = False
+        self.refusal: refusal_lib.Refusal | None = None
         self.ended: queue.SimpleQueue[events.AttemptEnded] = queue.SimpleQueue()
         self.upstream = stuttering_server.StutteringServer(self._answer)
         self.proxy = proxy_lib.UpstreamProxy(
@@ -79,6 +81,8 @@
 
     def _submit(self, event: events.Event) -> list[events.Effect]:
         match event:
+            case events.AttemptArrived() if self.refusal:
+                return [events.Reject(event.request_id, self.refusal)]
             case events.AttemptArrived():
                 return [events.Admit(event.request_id)]
             case events.AttemptEnded():
@@ -136,6 +140,7 @@
     assert answer.status == 502
     assert msgspec.json.decode(answer.data)["run"] == "unknown"
     assert not harness.ended.get(timeout=WAIT_S).not_run
+    assert answer.headers[headers.REFUSED] == "q0/1"
 
 
 @pytest.mark.parametrize(
@@ -160,6 +165,31 @@
     assert answer.status == 502
     assert msgspec.json.decode(answer.data)["run"] == "unknown"
     assert not harness.ended.get(timeout=WAIT_S).not_run
+    assert answer.headers[headers.REFUSED] == "q0/1"
+
+
+@pytest.mark.parametrize(
+    ("changed", "status", "refused"),
+    [
+        pytest.param({}, 503, "q0/1", id="admission"),
+        pytest.param({headers.TOKEN: "x"}, 401, "q0/1", id="token"),
+        pytest.param({headers.CONFIG_NUMBER: "x"}, 400, "q0/1", id="headers"),
+        pytest.param({headers.ATTEMPT: ""}, 400, "q0/", id="no-attempt"),
+    ],
+)
+def test_refusal_names_the_attempt_and_no_answered_one(
+    harness: ProxyHarness, changed: dict[str, str], status: int, refused: str
+) -> None:
+    harness.refusal = refusal_lib.Refusal(
+        status=503, code=refusal_lib.Code.DRAINING, message="no"
+    )
+    answer = harness.send(b"a", **changed)
+    assert answer.status == status
+    assert msgspec.json.decode(answer.data)["run"] == "not_run"
+    assert answer.headers[headers.REFUSED] == refused
+    # An older entry takes an answer with this header for one of the upstream.
+    assert headers.REQUEST_ID not in answer.headers
+    assert harness.upstream.received == []
 
 
 def test_refusal_to_connect_means_not_run(harness: ProxyHarness) -> None:
