Report malformed answers of an agent as failed attempts

On a connection of the entry's own pool, http.client's exceptions are not wrapped by urllib3. A malformed status line or header of an agent left Attempt.open as http.client.BadStatusLine, LineTooLong or HTTPException; only the handler's net for defects, with a traceback, caught it.

Attempt now expects the same errors as the gateway's HttpExchange, and reports an unknown outcome.

test_attempt: 6 of the 7 new cases failed before.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -15,6 +15,7 @@
 from wisteriawall.entry import parsing
 from wisteriawall.entry import sse
 from wisteriawall.web import connection_pool
+from wisteriawall.web import http_exchange
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import headers
 
@@ -143,7 +144,7 @@
         assert self._response is not None
         try:
             yield from self._response.stream(CHUNK_BYTES, decode_content=False)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except http_exchange.EXCHANGE_ERRORS as error:
             raise AnswerBroken(type(error).__name__) from error
 
     def _read_to_end(self) -> None:
@@ -205,7 +206,7 @@
             )
             self._response = connection.getresponse()
             agent_socket.settimeout(timeouts.idle_s)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except http_exchange.EXCHANGE_ERRORS as error:
             raise AttemptRefused(
                 refusal_lib.RunState.UNKNOWN, type(error).__name__
             ) from error
--- a/testing/entry/test_attempt.py
+++ b/testing/entry/test_attempt.py
@@ -111,6 +111,8 @@
         pytest.param(lambda previous: 2 * previous, id="whole-answer-twice"),
         pytest.param(lambda _: refusal_bytes(None), id="refusal-without-id"),
         pytest.param(lambda _: refusal_bytes("q0/1"), id="earlier-refusal"),
+        pytest.param(lambda previous: previous[9:], id="part-of-an-answer"),
+        pytest.param(lambda _: b"HTTP/1.1 OK 200\r\n\r\n", id="malformed"),
     ],
 )
 def test_late_answer_never_means_that_the_next_attempt_did_not_run(
@@ -150,3 +152,24 @@
     entry.agent.respond = lambda _: refusal_bytes(refused)
     assert entry.send("q1", attempt=2) == on_kept
     assert entry.agent.received[-1].position > 1
+
+
+@pytest.mark.parametrize(
+    "answer_bytes",
+    [
+        pytest.param(b"\x16\x03\x01\x00*\x02\x00\x00\r\n", id="binary"),
+        pytest.param(b"HTTP/1.1 OK 200\r\n\r\n", id="bad-status-line"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + 101 * b"a: b\r\n", id="headers"),
+        pytest.param(b"HTTP/1.1 " + 70_000 * b"2" + b"\r\n", id="long-line"),
+        pytest.param(
+            refusal_bytes("q1/1").replace(b"503 Busy", b"200 OK")[:-3],
+            id="half-a-refusal",
+        ),
+    ],
+)
+def test_malformed_answer_is_an_unknown_outcome(
+    entry: EntrySide, answer_bytes: bytes
+) -> None:
+    entry.agent.respond = lambda _: answer_bytes
+    entry.agent.closes_after_answer = True
+    assert entry.send("q1") == UNKNOWN
