--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -223,3 +223,35 @@
     answer = harness.send(b"a")
     assert (answer.status, answer.data) == (302, b"moved")
     assert not harness.ended.get(timeout=WAIT_S).not_run
+
+
+@pytest.mark.parametrize(
+    "answer_bytes",
+    [
+        pytest.param(
+            stuttering_server.answer_bytes(b"ab", length=3), id="half-a-body"
+        ),
+        pytest.param(
+            stuttering_server.answer_bytes(b"", length=3), id="head-alone"
+        ),
+        pytest.param(CHUNKED + b"zz\r\n", id="bad-chunk"),
+        pytest.param(CHUNKED + b"1\r\na\r\n", id="no-last-chunk"),
+        pytest.param(CHUNKED + b"1\r\na\r\n" + INTERIM, id="head-as-chunk"),
+    ],
+)
+def test_incomplete_body_ends_the_attempt_and_looks_incomplete(
+    harness: ProxyHarness, answer_bytes: bytes
+) -> None:
+    harness.upstream.respond = lambda _: answer_bytes
+    harness.upstream.closes_after_answer = True
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        harness.send(b"a")
+    assert not harness.ended.get(timeout=WAIT_S).not_run
+
+
+def test_answer_behind_the_first_is_not_relayed(harness: ProxyHarness) -> None:
+    harness.upstream.respond = lambda request: (
+        2 * stuttering_server.answer_bytes(request.body)
+    )
+    answers = [harness.send(body).data for body in (b"a", b"b", b"c")]
+    assert answers == [b"a", b"b", b"c"]
