Go on receiving after an empty message between processes

An empty NNG message ended the thread that receives a replica's messages from its peers, or an entry's feed, so that nothing more was received until a restart: pynng's Socket.recv raises RuntimeError for it, which is none of its own exceptions. No cluster key is needed to send one.

Both threads now use recv_msg, which has the empty body as b""; the codecs reject that with a log line like any other message that is not valid.

--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -202,7 +202,7 @@
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
             while True:
-                self._on_message(self._socket.recv())
+                self._on_message(_receive(self._socket))
 
 
 @final
@@ -340,4 +340,13 @@
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
             while True:
-                self._on_message(self._socket.recv())
+                self._on_message(_receive(self._socket))
+
+
+def _receive(socket: pynng.Socket) -> bytes:
+    """Return the next message, which may be empty.
+
+    `Socket.recv` of pynng raises RuntimeError for an empty message.
+    """
+    data: bytes = socket.recv_msg().bytes
+    return data
