--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -128,6 +128,12 @@
     assert [request.body for request in harness.upstream.received] == bodies
 
 
+def test_interim_answer_is_not_relayed(harness: ProxyHarness) -> None:
+    harness.upstream.stutter = lambda _: INTERIM
+    answer = harness.send(b"a")
+    assert (answer.status, answer.data) == (200, b"answer to a")
+
+
 def test_answer_that_names_another_attempt_is_not_relayed(
     harness: ProxyHarness,
 ) -> None:
--- a/testing/entry/test_attempt.py
+++ b/testing/entry/test_attempt.py
@@ -133,6 +133,12 @@
     assert entry.send("q0", attempt=2) == UNKNOWN
 
 
+def test_interim_response_of_an_agent_is_skipped(entry: EntrySide) -> None:
+    entry.agent.stutter = lambda _: b"HTTP/1.1 102 Processing\r\n\r\n"
+    assert entry.send("q0") == b"answer to q0"
+    assert entry.send("q1") == b"answer to q1"
+
+
 @pytest.mark.parametrize(
     ("refused", "on_new", "on_kept"),
     [
--- a/testing/test_connections.py
+++ b/testing/test_connections.py
@@ -45,6 +45,7 @@
     "standin/engine_orders.py": "stand-in; the answer is not used",
     "web/connection_pool.py": "opens connections for its users",
     "web/http_exchange.py": "its users say how an answer names its request",
+    "web/runner_connection.py": "skips responses that name another request",
     "web/server_connection.py": "server side",
     "wire/http_call.py": "one connection for each call",
     "wire/transport.py": "NNG gives each request an id",
