--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -264,7 +264,7 @@
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
             while not self._closing.is_set():
-                self._on_message(self._socket.recv())
+                self._on_message(_receive(self._socket))
 
 
 @final
@@ -403,4 +403,13 @@
     def _receive_messages(self) -> None:
         with contextlib.suppress(pynng.Closed):
             while not self._closing.is_set():
-                self._on_message(self._socket.recv())
+                self._on_message(_receive(self._socket))
+
+
+def _receive(socket: pynng.Socket) -> bytes:
+    """Return the next message, which may be empty.
+
+    `Socket.recv` of pynng raises RuntimeError for an empty message.
+    """
+    data: bytes = socket.recv_msg().bytes
+    return data
