--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -29,6 +29,7 @@
 
 Head: TypeAlias = urllib3.BaseHTTPResponse
 
+MS_PER_S = 1_000
 # Headers that apply to one connection only, see RFC 9110, section 7.6.1, and
 # headers that this server and the HTTP client handle themselves.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -257,6 +258,7 @@
             target=request.target,
             headers=headers,
             body=request.body or None,
+            timeout_s=remaining_ms / MS_PER_S,
             deadline_at_ms=request.deadline_at_ms,
             force_new=was_sent_here,
             answer_id=runner_connection.AnswerId(
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -11,7 +11,6 @@
 import urllib3
 import urllib3.util
 
-from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.web import connection_pool
 from wisteriawall.web import runner_connection
@@ -88,7 +87,8 @@
         target: str,
         headers: Mapping[str, str],
         body: bytes | None,
-        deadline_at_ms: int,
+        timeout_s: float,
+        deadline_at_ms: int | None = None,
         force_new: bool = False,
         max_idle_ms: int = connection_pool.NO_LIMIT_MS,
         answer_id: runner_connection.AnswerId | None = None,
@@ -103,8 +103,9 @@
             target: Path and query, sent unchanged.
             headers: All headers to send, including `Host`.
             body: Request body; None sends none.
+            timeout_s: Longest wait for the headers and for each later read.
             deadline_at_ms: When the whole response must have arrived, on the
-                monotonic clock.
+                monotonic clock; None for no limit.
             force_new: Whether to open a new connection instead of an idle one.
             max_idle_ms: Longest idle time of a connection to reuse.
             answer_id: Id by which the response names this request; None if the
@@ -119,8 +120,6 @@
             address, force_new=force_new, max_idle_ms=max_idle_ms
         )
         connection.deadline_at_ms = deadline_at_ms
-        # Bounds the sending too.
-        timeout_s = max(1, deadline_at_ms - clock.monotonic_ms()) / MS_PER_S
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         suppressed = {
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -60,6 +60,7 @@
             target="/",
             headers={"Host": "h"},
             body=None,
+            timeout_s=WAIT_MS / 1_000,
             deadline_at_ms=clock.monotonic_ms() + deadline_ms,
             answer_id=runner_connection.AnswerId(
                 header=ID, value=request_id, on_mismatch=on_mismatch
