Expect a 500 with an unknown outcome where an upstream's body breaks first

The cases head-alone and bad-chunk of the agent's proxy check that answer now: no success, outcome unknown, and no id by which the entry would take it for the upstream's.

--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -237,10 +237,6 @@
         pytest.param(
             stuttering_server.answer_bytes(b"ab", length=3), id="half-a-body"
         ),
-        pytest.param(
-            stuttering_server.answer_bytes(b"", length=3), id="head-alone"
-        ),
-        pytest.param(CHUNKED + b"zz\r\n", id="bad-chunk"),
         pytest.param(CHUNKED + b"1\r\na\r\n", id="no-last-chunk"),
         pytest.param(CHUNKED + b"1\r\na\r\n" + INTERIM, id="head-as-chunk"),
     ],
@@ -255,6 +251,27 @@
     assert not harness.ended.get(timeout=WAIT_S).not_run
 
 
+@pytest.mark.parametrize(
+    "answer_bytes",
+    [
+        pytest.param(
+            stuttering_server.answer_bytes(b"", length=3), id="head-alone"
+        ),
+        pytest.param(CHUNKED + b"zz\r\n", id="bad-chunk"),
+    ],
+)
+def test_body_that_breaks_before_its_first_byte_has_an_unknown_outcome(
+    harness: ProxyHarness, answer_bytes: bytes
+) -> None:
+    harness.upstream.respond = lambda _: answer_bytes
+    harness.upstream.closes_after_answer = True
+    answer = harness.send(b"a")
+    assert answer.status == 500
+    assert msgspec.json.decode(answer.data)["run"] == "unknown"
+    assert headers.REQUEST_ID not in answer.headers
+    assert not harness.ended.get(timeout=WAIT_S).not_run
+
+
 def test_answer_behind_the_first_is_not_relayed(harness: ProxyHarness) -> None:
     harness.upstream.respond = lambda request: (
         2 * stuttering_server.answer_bytes(request.body)
