Refuse requests that arrive after the unready time of a stop

A connection that was not idle when the gateway closed its idle connections (accepted and waiting for its first request, say) still had its request read and passed on up to the end of the grace period.

From the end of the unready time on the reducer refuses what arrives: 503, Retry-After 0.050, "Connection: close", not run; the log has "refused" with the reason "stopping". The log lines of requests that a timeout cuts are now written by the server's stop itself before it cuts, not by a timer beside it.

Test on the code before: the request that was sent after the listening socket had closed ran at a runner and was answered 200.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -40,7 +40,8 @@
     """A caller's request was received; `head` holds its parsed headers.
 
     `unread_ms` is how long it waited before that: for a thread to read it, and
-    for the routing table after the start of the gateway.
+    for the routing table after the start of the gateway. `too_late` tells that
+    the process ends too soon for a new request.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     head: protocol.RequestHead
     now_ms: int
     unread_ms: int = 0
+    too_late: bool = False
 
 
 @final
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -68,6 +68,20 @@
 def _handle_arrival(
     gateway: state_lib.Gateway, event: events.Arrived
 ) -> Iterator[events.Effect]:
+    if event.too_late:
+        yield events.LogDecision(
+            decision="refused",
+            request_id=event.request_id,
+            inputs={
+                "status": refusals.STOPPING.status,
+                "run": refusals.STOPPING.run.value,
+                "reason": "stopping",
+                "retry_ms": refusals.STOPPING.retry_after_ms,
+                "unread_ms": event.unread_ms,
+            },
+        )
+        yield events.Refuse(refusal=refusals.STOPPING)
+        return
     if gateway.route_index is None:
         yield events.Refuse(refusal=refusals.NO_TABLE)
         return
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -7,6 +7,7 @@
     "NO_ROUTE",
     "NO_TABLE",
     "PLAIN_OVERLOAD_RETRY_MS",
+    "STOPPING",
     "deadline_passed",
     "malformed_head",
     "no_runner",
@@ -19,6 +20,7 @@
 # A runner's restart, or the next update of the runner list, takes about 1 s.
 UNAVAILABLE_RETRY_MS = 1_000
 NOT_RUN_RETRY_MS = 300
+STOPPING_RETRY_MS = 50
 
 NO_TABLE = refusal_lib.Refusal(
     status=503,
@@ -26,6 +28,13 @@
     message="no routing table is known here yet",
     retry_after_ms=UNAVAILABLE_RETRY_MS,
 )
+# Other gateways serve the request at once.
+STOPPING = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.DRAINING,
+    message="this gateway is stopping",
+    retry_after_ms=STOPPING_RETRY_MS,
+)
 NO_ROUTE = refusal_lib.Refusal(
     status=404,
     code=refusal_lib.Code.NOT_FOUND,
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -146,6 +146,7 @@
         )
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
+        self._arrivals_closed = False
         self._can_serve = threading.Event()
         self._connected = False
         self._gateway_count = 0
@@ -184,15 +185,17 @@
             "stopping", inputs={"in_progress": len(self._active_responses)}
         )
         self._stopping.wait(self._unready_ms / MS_PER_S)
+        # Requests that arrive from here on, on connections that are not closed
+        # yet, may not end in time.
+        self._arrivals_closed = True
         elapsed_ms = clock.monotonic_ms() - stop_started_ms
         response_timeout_s = (
             max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
         )
-        timed_out = threading.Timer(response_timeout_s, self._stop_timed_out)
-        timed_out.daemon = True
-        timed_out.start()
-        self._http.stop(response_timeout_s=response_timeout_s)
-        timed_out.cancel()
+        self._http.stop(
+            response_timeout_s=response_timeout_s,
+            on_timeout=self._stop_timed_out,
+        )
         self._stopping.set()
         # Concurrently, since each server takes up to 500 ms to stop.
         with futures.ThreadPoolExecutor() as pool:
@@ -281,6 +284,7 @@
             unread_ms=clock.monotonic_ms()
             - received_ms
             + server_lib.queued_ms(environ),
+            too_late=self._arrivals_closed,
         )
         effects = self._submit(arrived)
         accepted = self._gateway.request_by_id.get(request_id)
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -1,6 +1,7 @@
 """Tests of a gateway that stops while requests arrive or are in progress."""
 
 import http.client
+import json
 import threading
 
 import pytest
@@ -66,3 +67,32 @@
     serving.gateway._stopping.set()
     stopping.join(sites.WAIT_S)
     assert not stopping.is_alive()
+
+
+def test_request_after_the_unready_time_is_refused_as_not_run(
+    serving: sites.Site,
+) -> None:
+    """It was passed on and then cut with its runner at work."""
+    open_connection, streaming = Caller(serving), Caller(serving)
+    streaming.send("a1", "/talk/")
+    streaming.read()
+    # A worker waits for the request of a new connection: it is not idle.
+    sites.wait_until(
+        lambda: serving.gateway._http.busy_worker_threads == 2,
+        "the accepted connections",
+    )
+    stopping = start_stop(serving)
+    sites.wait_until(
+        lambda: serving.gateway._arrivals_closed,
+        "the end of the unready time",
+    )
+    open_connection.send("a2")
+    answer = open_connection.read()
+    assert answer.status == 503
+    assert answer.headers["Connection"] == "close"
+    assert float(answer.headers["Retry-After"]) > 0
+    assert json.loads(answer.read())["run"] == "not_run"
+    serving.runners[1].finish.set()
+    stopping.join(sites.WAIT_S)
+    assert serving.runners[0].runs_by_attempt["a2"] == 0
+    assert serving.decisions("a2")[-1]["reason"] == "stopping"
