Refuse what a stopping server has not read, and read no more of it

A stop dropped idle connections on which a request had just arrived and those in the accept queue: their callers saw the connection end without an answer. Connections in the queue for workers stayed there, unread, while all workers were busy, up to the end of the process, or were served long after their callers had given up. A worker that put a connection back after the close of the idle connections registered it at a closed selector: the connection stayed open without a reader, or the error ended the worker, and with it the whole server.

What has begun to arrive is now answered 503 (not run) unread, everything else is closed: in the accept queue, on idle connections, in the queue for workers, and on connections that are put back later (IdleConnections and WorkerPool decide under a lock that the close takes too).

--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -11,12 +11,14 @@
 from typing import TypeAlias
 from typing import final
 
+from cheroot import connections
 from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
 from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.web import connection_monitor
+from wisteriawall.web import idle_connections
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server_connection
 from wisteriawall.web import worker_pool
@@ -188,8 +190,19 @@
     monitor: connection_monitor.ConnectionMonitor
     request_read_timeout_s: float
     shutdown_timeout: float
+    _connections: connections.ConnectionManager
     closes_after_response = False
 
+    def prepare(self) -> None:
+        """Bind the socket and start the workers."""
+        super().prepare()
+        self._connections.close()
+        self._connections = idle_connections.IdleConnections(self)
+
+    def put_conn(self, conn: server_connection.ServerConnection) -> None:
+        """Wait for the next request of a connection, unless stopping."""
+        self._connections.put(conn)
+
     def process_conn(self, conn: server_connection.ServerConnection) -> None:
         """Queue a connection for a worker; refuse it if the queue is full."""
         conn.queued_at_ms = clock.monotonic_ms()
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -209,8 +209,25 @@
         if caller is not None:
             caller.cut()
 
+    def close_unserved(self) -> None:
+        """Close without serving; refuse a request that has begun to arrive."""
+        if self._has_input():
+            self.refuse()
+        else:
+            self.close()
+
+    def _has_input(self) -> bool:
+        if self.rfile.has_data():
+            return True
+        try:
+            self.socket.setblocking(False)
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def refuse(self) -> None:
-        """Send status 503 and close, when the queue for workers is full."""
+        """Send status 503 and close, when no worker can serve the request."""
+        _LOG.info("http: refused a request of %s unread", self.remote_addr)
         data = error_response("HTTP/1.1", "503 Service Unavailable", "")
         with contextlib.suppress(OSError):
             self.socket.setblocking(False)
--- a/src/wisteriawall/web/worker_pool.py
+++ b/src/wisteriawall/web/worker_pool.py
@@ -41,6 +41,8 @@
         # The queue itself has no bound: stopping must be able to add to it.
         super().__init__(server, min=threads, max=threads)
         self._max_queued = max_queued
+        self._lock = threading.Lock()
+        self._stopping = False
         # Called once if responses are still in progress when the time to stop
         # is over, before they are cut.
         self.on_timeout: Callable[[], None] = lambda: None
@@ -54,16 +56,19 @@
         """Queue a connection.
 
         Raises:
-            queue.Full: The maximum number of connections is waiting.
+            queue.Full: The maximum number of connections is waiting, or the
+                threads are ending.
         """
-        if self._queue.qsize() >= self._max_queued:
-            raise queue.Full
-        self._queue.put_nowait(obj)
+        with self._lock:
+            if self._stopping or self._queue.qsize() >= self._max_queued:
+                raise queue.Full
+            self._queue.put_nowait(obj)
 
     def stop(self, timeout: float | None = None) -> None:
         """End the threads, and cut what is in progress after `timeout` seconds.
 
-        A cut response ends with a reset of its connection.
+        A cut response ends with a reset of its connection. Connections that
+        wait for a thread are refused at once.
         """
         timeout_ms = 0 if timeout is None else round(timeout * MS_PER_S)
         deadline_ms = clock.monotonic_ms() + timeout_ms
@@ -74,6 +79,8 @@
             if worker is not threading.current_thread()
         ]
         self._threads.clear()
+        for connection in self._take_queued():
+            connection.close_unserved()
         for _ in workers:
             self._queue.put_nowait(SHUTDOWN_REQUEST)
         _join(workers, deadline_ms)
@@ -87,6 +94,17 @@
                 connection.cut()
         _join(running, clock.monotonic_ms() + CUT_TIMEOUT_MS)
 
+    def _take_queued(self) -> list[Any]:
+        """Remove and return the queued connections, and accept no more."""
+        with self._lock:
+            self._stopping = True
+            connections = []
+            while True:
+                try:
+                    connections.append(self._queue.get_nowait())
+                except queue.Empty:
+                    return connections
+
     def _spawn_worker(self) -> threadpool.WorkerThread:
         worker = threadpool.WorkerThread(self.server)  # type: ignore[no-untyped-call]
         worker.name = f"worker-{worker.name}"
--- a/testing/web/test_stop.py
+++ b/testing/web/test_stop.py
@@ -96,3 +96,77 @@
     go_on.set()
     assert b"Connection: close" in caller.read_head()
     assert caller.read_to_end() == b"{}"
+
+
+def test_requests_that_no_worker_has_read_are_refused_by_the_stop(
+    harness: http_harness.Harness,
+) -> None:
+    """Those in the queue for workers were read after their callers gave up."""
+    app = http_harness.StreamingApp()
+    server = harness.serve(app, threads=1)
+    streaming, queued = harness.call(server), harness.call(server)
+    streaming.send()
+    assert app.began.wait(http_harness.WAIT_S)
+    queued.send()
+    http_harness.wait_until(
+        lambda: server._server.requests.qsize == 1, "the queued connection"
+    )
+    stopping = harness.start_stop(server, response_timeout_s=60.0)
+    assert queued.read_head().startswith(b"HTTP/1.1 503 ")
+    app.finish.set()
+    stopping.join(http_harness.WAIT_S)
+    assert streaming.read_to_end().endswith(b"4\r\nlast\r\n0\r\n\r\n")
+
+
+def test_request_in_the_accept_queue_is_refused_by_the_stop(
+    harness: http_harness.Harness,
+) -> None:
+    server = harness.serve(_answer)
+    server._server._connections.stop()
+    caller = harness.call(server)
+    caller.send()
+    server.stop()
+    assert caller.read_head().startswith(b"HTTP/1.1 503 ")
+
+
+def test_request_on_an_idle_connection_is_refused_by_the_stop(
+    harness: http_harness.Harness,
+) -> None:
+    """It arrived after the accept loop had ended."""
+    server = harness.serve(_answer)
+    caller, without_request = harness.call(server), harness.call(server)
+    for each in (caller, without_request):
+        each.send()
+        assert each.read_head()
+        assert each.socket.recv(2) == b"{}"
+    connections = server._server._connections
+    http_harness.wait_until(
+        lambda: connections._num_connections == 2, "the idle connections"
+    )
+    connections.stop()
+    caller.send()
+    server.stop()
+    assert caller.read_head().startswith(b"HTTP/1.1 503 ")
+    assert without_request.read_to_end() == b""
+
+
+def test_connection_put_back_after_the_close_is_closed(
+    harness: http_harness.Harness,
+) -> None:
+    """It stayed open without a reader, or ended the worker."""
+    app = http_harness.StreamingApp()
+    server = harness.serve(app)
+    caller = harness.call(server)
+    caller.send()
+    assert app.began.wait(http_harness.WAIT_S)
+    connections = server._server._connections
+    connections.stop()
+    connections.close()
+    app.finish.set()
+    assert caller.read_to_end().endswith(b"4\r\nlast\r\n0\r\n\r\n")
+
+
+def _answer(
+    environ: server_lib.Environ, start_response: server_lib.StartResponse
+) -> server_lib.Response:
+    return server_lib.send_response(start_response, status=200, body=b"{}")
