Stop the readiness and metrics servers beside the answers in progress

The answers end up to 750 ms before the end of the period, and each server may take 500 ms after that.

They now stop while the answers are in progress, and one second is kept for the exit: answers are cut in the last sixth of the period at the earliest. The test waits for the readiness server's end during an answer; on the code before it fails, as the answer is cut first.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -48,7 +48,7 @@
 # two failures.
 UNREADY_MS = 2_500
 # Part of the grace period reserved for the exit after the last answer.
-EXIT_RESERVE_MS = 750
+EXIT_RESERVE_MS = 1_000
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
 POLL_END_TIMEOUT_S = 1.0
@@ -194,19 +194,20 @@
         response_timeout_s = (
             max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
         )
-        self._http.stop(
-            response_timeout_s=response_timeout_s,
-            on_timeout=self._stop_timed_out,
-        )
-        self._stopping.set()
-        # Concurrently, since each server takes up to 500 ms to stop.
+        # Concurrently, since each server takes up to 500 ms to stop, and the
+        # answers in progress may need the time that is left.
         with futures.ThreadPoolExecutor() as pool:
             closing = [
                 pool.submit(close)
                 for close in (self._ready.stop, self._metrics.close)
             ]
+            self._http.stop(
+                response_timeout_s=response_timeout_s,
+                on_timeout=self._stop_timed_out,
+            )
         for closed in closing:
             closed.result()
+        self._stopping.set()
         self._peer_load.close()
         self._control.close()
         self._thread.join(timeout=POLL_END_TIMEOUT_S)
@@ -233,6 +234,11 @@
         """Return the host and port that serve callers."""
         return self._http.address
 
+    @property
+    def ready_address(self) -> str:
+        """Return the host and port that serve readiness checks."""
+        return self._ready.address
+
     @property
     def upstream_by_id(self) -> Mapping[str, gateway_messages.Upstream]:
         """Return the runners of the latest list by upstream id."""
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import threading
 
 import pytest
@@ -96,3 +97,28 @@
     stopping.join(sites.WAIT_S)
     assert serving.runners[0].runs_by_attempt["a2"] == 0
     assert serving.decisions("a2")[-1]["reason"] == "stopping"
+
+
+def test_other_servers_stop_beside_the_answers_in_progress(
+    serving: sites.Site,
+) -> None:
+    """Stopping them afterwards took a process beyond its grace period."""
+    caller = Caller(serving)
+    caller.send("a1", "/talk/")
+    answer = caller.read()
+    ready_address = serving.gateway.ready_address
+    stopping = start_stop(serving)
+
+    def refuses_connections() -> bool:
+        host, _, port = ready_address.rpartition(":")
+        try:
+            with socket.create_connection((host, int(port))):
+                return False
+        except ConnectionRefusedError:
+            return True
+
+    sites.wait_until(refuses_connections, "the stop of the readiness server")
+    serving.runners[1].finish.set()
+    assert answer.read().count(b"data:") == 4
+    stopping.join(sites.WAIT_S)
+    assert not stopping.is_alive()
