--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real processes of the system under faults from outside."""
--- /dev/null
+++ b/testing/soak/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m soak`."""
+
+import sys
+
+from soak import run
+
+sys.exit(run.main())
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,289 @@
+"""Callers in threads that record what they sent and what came back."""
+
+import dataclasses
+import random
+import select
+import socket
+import threading
+import time
+from typing import final
+
+from support import platform_site
+
+from soak import records
+from soak import wire
+
+CONNECT_TIMEOUT_S = 1.0
+# Generous, so that the verdict does not depend on the speed of the machine.
+DEADLINE_S = 15.0
+THINK_S = (0.0, 0.15)
+RECONNECT_PAUSE_S = 0.1
+SHORT_PATIENCE_S = 2.0
+PROMPT_TOKENS = 9_000
+CHUNKED_SHARE = 0.3
+EARLY_LEAVER_SHARE = 0.05
+PATH_BY_KIND = {
+    records.Kind.LOOKUP: "/read/",
+    records.Kind.PAYMENT: "/pay/",
+    records.Kind.STREAM: "/talk/",
+    records.Kind.RESUMABLE: "/resume/",
+}
+KINDS = tuple(records.Kind)
+KIND_WEIGHTS = (3, 4, 2, 2)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Habits:
+    """How one caller behaves."""
+
+    keeps_connections: bool
+    # Longest wait for the next byte of an answer.
+    patience_s: float
+
+
+@final
+class Caller:
+    """One caller; sends requests one after another until it is stopped.
+
+    Args:
+        number: Number of the caller, which its attempt ids contain.
+        seed: Seed of its requests.
+        address_by_gateway: The gateways that it chooses from.
+        seen: Records of its calls.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        seed: int,
+        address_by_gateway: dict[str, str],
+        seen: records.Records,
+    ) -> None:
+        self._number, self._seen = number, seen
+        self._address_by_gateway = address_by_gateway
+        self._chance = random.Random(f"{seed}/caller/{number}")
+        self._habits = Habits(
+            keeps_connections=number % 4 != 3,
+            patience_s=SHORT_PATIENCE_S if number % 2 else DEADLINE_S,
+        )
+        self._stopping = threading.Event()
+        self._connection: _Connection | None = None
+        self._calls = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start to send requests."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask the caller to end after its current call."""
+        self._stopping.set()
+
+    def join(self, timeout_s: float) -> None:
+        """Wait for the end of the current call, then leave it."""
+        self._thread.join(timeout_s)
+        if self._thread.is_alive() and self._connection is not None:
+            self._connection.leave()
+            self._thread.join(timeout_s)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(self._chance.uniform(*THINK_S)):
+            call = self._make_call()
+            connection = self._connection or self._connect()
+            if connection is None:
+                self._stopping.wait(RECONNECT_PAUSE_S)
+                continue
+            self._connection = connection
+            call.gateway = connection.gateway
+            call.connection = connection.number
+            connection.uses += 1
+            call.use = connection.uses
+            self._seen.calls.append(call)
+            is_open = connection.send(call, self._habits, self._chance)
+            if not is_open or not self._habits.keeps_connections:
+                connection.close()
+                self._connection = None
+        if self._connection is not None:
+            self._connection.close()
+
+    def _connect(self) -> "_Connection | None":
+        name = self._chance.choice(list(self._address_by_gateway))
+        host, _, port = self._address_by_gateway[name].rpartition(":")
+        try:
+            return _Connection(
+                socket.create_connection(
+                    (host, int(port)), timeout=CONNECT_TIMEOUT_S
+                ),
+                name,
+                self._seen.next_number(),
+            )
+        except OSError:
+            return None
+
+    def _make_call(self) -> records.Call:
+        chance = self._chance
+        (kind,) = chance.choices(KINDS, KIND_WEIGHTS)
+        self._calls += 1
+        attempt = f"a{self._number:03}x{self._calls:05}"
+        size = chance.choice((0, 20, 500, 20_000))
+        is_post = kind is not records.Kind.LOOKUP
+        header_by_name = {
+            "Host": platform_site.HOST,
+            platform_site.ATTEMPT_ID: attempt,
+            "X-Wisteriawall-Deadline-Remaining": f"{DEADLINE_S * 1_000:.0f}",
+        }
+        if kind.is_stream:
+            header_by_name |= _prompt_headers(chance, attempt)
+        if kind is records.Kind.RESUMABLE and chance.random() < 0.1:
+            header_by_name["Last-Event-Id"] = "1"
+        return records.Call(
+            attempt=attempt,
+            kind=kind,
+            gateway="",
+            connection=0,
+            use=0,
+            method="POST" if is_post else "GET",
+            target=f"{PATH_BY_KIND[kind]}{attempt}?q={chance.randrange(99)}",
+            header_by_name=header_by_name,
+            body=f"{attempt}:{'b' * size}".encode() if is_post else b"",
+            deadline_s=DEADLINE_S,
+            started_s=time.monotonic(),
+        )
+
+
+def _prompt_headers(chance: random.Random, attempt: str) -> dict[str, str]:
+    header_by_name = {
+        "X-Wisteriawall-Model": "m",
+        "X-Wisteriawall-Token-Counts": f"{PROMPT_TOKENS},20",
+        "X-Wisteriawall-Prompt-Prefix": f"{attempt}:{PROMPT_TOKENS}",
+    }
+    if chance.random() < 0.1:
+        # Only the system sets this; a caller's own value has no effect.
+        header_by_name["X-Wisteriawall-Kv-Cache-Source"] = "127.0.0.1:1/mine"
+    return header_by_name
+
+
+@final
+class _Connection:
+    """One connection to a gateway."""
+
+    def __init__(
+        self, connection: socket.socket, gateway: str, number: int
+    ) -> None:
+        self.gateway, self.number = gateway, number
+        self.uses = 0
+        self._socket = connection
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._reader = wire.Reader(self)
+        self._patience_s = DEADLINE_S
+        self._ends_s = 0.0
+        self._has_left = False
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+    def leave(self) -> None:
+        """Leave the current call, from another thread."""
+        self._has_left = True
+        self._socket.shutdown(socket.SHUT_RDWR)
+
+    def recv(self, size: int) -> bytes:
+        """Return the next bytes, within the patience and the deadline."""
+        remaining_s = self._ends_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError
+        self._socket.settimeout(min(self._patience_s, remaining_s))
+        return self._socket.recv(size)
+
+    def send(
+        self, call: records.Call, habits: Habits, chance: random.Random
+    ) -> bool:
+        """Send a request and read its answer.
+
+        Return whether the connection can be used again.
+        """
+        self._patience_s = habits.patience_s
+        if chance.random() < EARLY_LEAVER_SHARE:
+            self._patience_s = chance.uniform(0.01, 0.5)
+        call.started_s = time.monotonic()
+        self._ends_s = call.started_s + call.deadline_s
+        call.surplus = self._read_surplus()
+        parts: list[bytes] = []
+        self._reader.on_bytes = parts.append
+        try:
+            self._write_request(call, chance)
+            is_kept = self._read_answer(call)
+        except (TimeoutError, OSError, wire.Truncated) as error:
+            is_kept = False
+            call.error = repr(error)
+            call.ending = self._ending(call, error)
+        except wire.MalformedMessage as error:
+            is_kept = False
+            call.error = repr(error)
+            call.ending = records.Ending.MALFORMED
+        call.answer = b"".join(parts)
+        call.ended_s = time.monotonic()
+        return is_kept
+
+    def _ending(self, call: records.Call, error: Exception) -> records.Ending:
+        if self._has_left:
+            return records.Ending.LEFT
+        match error:
+            case TimeoutError() if time.monotonic() < self._ends_s:
+                return records.Ending.LEFT
+            case TimeoutError():
+                return records.Ending.DEADLINE
+            case _ if not call.first_byte_s and not self._reader.buffer:
+                return records.Ending.UNANSWERED
+            case OSError():
+                return records.Ending.RESET
+            case _:
+                return records.Ending.CLOSED
+
+    def _read_surplus(self) -> bytes:
+        """Return bytes that came while no request was waiting."""
+        surplus = self._reader.buffer
+        readable, _, _ = select.select([self._socket], [], [], 0)
+        if readable:
+            try:
+                surplus += self._socket.recv(
+                    wire.RECEIVE_BYTES, socket.MSG_PEEK
+                )
+            except OSError:
+                # The connection was reset; the request finds that out too.
+                return surplus
+        return surplus
+
+    def _write_request(self, call: records.Call, chance: random.Random) -> None:
+        headers = dict(call.header_by_name)
+        self._socket.settimeout(call.deadline_s)
+        first = f"{call.method} {call.target} HTTP/1.1"
+        if call.body and chance.random() < CHUNKED_SHARE:
+            headers["Transfer-Encoding"] = "chunked"
+            self._socket.sendall(wire.format_head(first, headers))
+            middle = len(call.body) // 2
+            for part in (call.body[:middle], call.body[middle:], b""):
+                self._socket.sendall(wire.chunk(part))
+        else:
+            if call.method == "POST":
+                headers["Content-Length"] = str(len(call.body))
+            self._socket.sendall(wire.format_head(first, headers) + call.body)
+        call.sent_s = time.monotonic()
+
+    def _read_answer(self, call: records.Call) -> bool:
+        while True:
+            first, headers = self._reader.read_head()
+            call.first_byte_s = call.first_byte_s or time.monotonic()
+            status = wire.parse_status(first)
+            if status >= 200:
+                break
+        call.status, call.answer_header_by_name = status, headers
+        self._reader.read_body(headers, default=-1)
+        call.ending = records.Ending.COMPLETE
+        has_length = (
+            "content-length" in headers or "transfer-encoding" in headers
+        )
+        return has_length and headers.get("connection", "").lower() != "close"
--- /dev/null
+++ b/testing/soak/checks.py
@@ -0,0 +1,363 @@
+"""Promises judged from what callers, runners and operators saw.
+
+The names are those of the users' rules; a message quotes the rule.
+"""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import re
+from typing import final
+
+from soak import fleet
+from soak import lost
+from soak import records
+from soak import runners
+
+RULES = (
+    "MIXED",
+    "TWICE",
+    "REFUSED",
+    "UNASKED",
+    "LOST",
+    "ORDER",
+    "CONFIG",
+    "STOP",
+)
+CONFIG_S = 2.0
+BACK_S = 0.25
+# A SIGTERM before the program handles it ends it with this code.
+STARTUP_S = 10.0
+TERMINATED_CODE = -15
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+PROMPT_HEADERS = (
+    "X-Wisteriawall-Model",
+    "X-Wisteriawall-Token-Counts",
+    "X-Wisteriawall-Prompt-Prefix",
+)
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) t\d+\n\n")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken promise, with what was seen of it."""
+
+    rule: str
+    attempt: str
+    text: str
+    lines: tuple[str, ...] = ()
+
+
+@final
+class _Evidence:
+    """Records by attempt."""
+
+    def __init__(self, seen: records.Records) -> None:
+        self.seen = seen
+        self.call_by_attempt = {call.attempt: call for call in seen.calls}
+        self.arrivals_by_attempt: dict[str, list[records.Arrival]] = (
+            collections.defaultdict(list)
+        )
+        for arrival in seen.arrivals:
+            self.arrivals_by_attempt[arrival.attempt].append(arrival)
+
+    def finding(self, rule: str, attempt: str, text: str) -> Finding:
+        """Return a finding with all that was seen of the attempt."""
+        call = self.call_by_attempt.get(attempt)
+        lines = [] if call is None else [_describe_call(call)]
+        lines += map(_describe_arrival, self.arrivals_by_attempt[attempt])
+        if call is not None:
+            lines += [
+                f"  {i.name}: {i.change} at {i.at_s:.3f}, code {i.code}"
+                for i in self.seen.incidents
+                if i.name == call.gateway
+                and call.started_s - 10 <= i.at_s <= call.ended_s + 10
+            ]
+        return Finding(rule, attempt, text, tuple(lines))
+
+
+def _describe_call(call: records.Call) -> str:
+    return (
+        f"  caller: {call.kind} at {call.gateway},"
+        f" connection {call.connection} use {call.use},"
+        f" started {call.started_s:.3f}, sent {call.sent_s:.3f},"
+        f" first byte {call.first_byte_s:.3f}, ended {call.ended_s:.3f}:"
+        f" {call.ending}, status {call.status},"
+        f" {len(call.answer)} bytes, {call.error}"
+    )
+
+
+def _describe_arrival(arrival: records.Arrival) -> str:
+    headers = arrival.header_by_name
+    return (
+        f"  runner {arrival.runner} ({arrival.service} {arrival.stage}):"
+        f" {arrival.at_s:.3f} to {arrival.ended_s:.3f}, run"
+        f" {arrival.has_run}, {arrival.ending}, status {arrival.status},"
+        f" {arrival.misbehavior or 'sound'},"
+        f" stage {headers.get(runners.STAGE, '-')},"
+        f" handle {headers.get(runners.KV_SOURCE, '-')},"
+        f" after event {headers.get(runners.LAST_EVENT_ID, '-')}"
+    )
+
+
+def judge(seen: records.Records) -> list[Finding]:
+    """Return every broken promise."""
+    evidence = _Evidence(seen)
+    checks = (
+        _check_answers,
+        _check_handles,
+        _check_runs,
+        _check_requests,
+        _check_lost,
+        _check_streams,
+        _check_readings,
+        _check_stops,
+    )
+    return [finding for check in checks for finding in check(evidence)]
+
+
+def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
+    for call in evidence.seen.calls:
+        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        for text in _answer_faults(call, arrivals):
+            yield evidence.finding("MIXED", call.attempt, text)
+
+
+def _answer_faults(
+    call: records.Call, arrivals: list[records.Arrival]
+) -> Iterator[str]:
+    if call.surplus:
+        yield (
+            "a success on a connection with no request waiting, or bytes"
+            f" that are no answer: {call.surplus[:80]!r}"
+        )
+    if call.ending is records.Ending.MALFORMED and not any(
+        lost.is_unsound(arrival) for arrival in arrivals
+    ):
+        yield f"bytes that are no answer in the protocol: {call.error}"
+    if not call.status:
+        return
+    named = call.answer_header_by_name.get(records.ATTEMPT_ID, call.attempt)
+    if named != call.attempt:
+        yield f"an answer that belongs to another request, {named}"
+    seal = call.answer_header_by_name.get(records.SEAL, "")
+    answered = [a for a in arrivals if seal and a.seal == seal]
+    if not answered:
+        if seal or 200 <= call.status < 300:
+            yield f"status {call.status} with the seal {seal!r}, of no run"
+        return
+    yield from _run_faults(call, answered[0])
+
+
+def _run_faults(call: records.Call, arrival: records.Arrival) -> Iterator[str]:
+    if arrival.header_by_name.get(runners.STAGE) == "prefill":
+        yield "the answer to a prefill, which is not for the caller"
+    if arrival.status != call.status:
+        yield f"the runner answered {arrival.status}, not {call.status}"
+    if call.kind is records.Kind.RESUMABLE:
+        return
+    if not arrival.answer.startswith(call.answer):
+        yield f"not the runner's body: {call.answer[:80]!r}"
+    if call.ending is records.Ending.COMPLETE and (
+        arrival.answer != call.answer
+        or arrival.ending is not records.RunEnding.ANSWERED
+    ):
+        yield (
+            "an answer that ends early must not look complete:"
+            f" {len(call.answer)} of {len(arrival.answer)} bytes"
+        )
+
+
+def _check_handles(evidence: _Evidence) -> Iterator[Finding]:
+    for arrival in evidence.seen.arrivals:
+        source = arrival.header_by_name.get(runners.KV_SOURCE)
+        if source is None:
+            continue
+        handle = source.rpartition("/")[2]
+        owner = evidence.seen.attempt_by_handle.get(handle)
+        if owner is None:
+            yield evidence.finding(
+                "UNASKED",
+                arrival.attempt,
+                f"a KV cache source that no runner gave: {source}",
+            )
+        elif owner != arrival.attempt:
+            yield evidence.finding(
+                "MIXED",
+                arrival.attempt,
+                "a request goes on from the handle of another request:"
+                f" {handle} of {owner}",
+            )
+
+
+def _check_runs(evidence: _Evidence) -> Iterator[Finding]:
+    for call in evidence.seen.calls:
+        if call.kind.is_idempotent:
+            continue
+        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        runs = sum(arrival.has_run for arrival in arrivals)
+        if runs > 1:
+            yield evidence.finding(
+                "TWICE",
+                call.attempt,
+                f"a request that isn't idempotent runs {runs} times",
+            )
+        if runs and call.status in NOT_RUN_STATUSES:
+            yield evidence.finding(
+                "REFUSED",
+                call.attempt,
+                "a request that isn't idempotent is answered"
+                f" {call.status} and has run, or runs later",
+            )
+
+
+def _check_requests(evidence: _Evidence) -> Iterator[Finding]:
+    for arrival in evidence.seen.arrivals:
+        call = evidence.call_by_attempt.get(arrival.attempt)
+        if call is None:
+            yield evidence.finding(
+                "UNASKED", arrival.attempt, "an id that no client sent"
+            )
+            continue
+        changed = [
+            name
+            for name, sent, received in (
+                ("method", call.method, arrival.method),
+                ("target", call.target, arrival.target),
+                ("body", call.body, arrival.body),
+                *(
+                    (
+                        name,
+                        call.header_by_name.get(name),
+                        arrival.header_by_name.get(name.lower()),
+                    )
+                    for name in PROMPT_HEADERS
+                ),
+            )
+            if sent != received
+        ]
+        if changed:
+            yield evidence.finding(
+                "UNASKED", arrival.attempt, f"changed: {', '.join(changed)}"
+            )
+
+
+def _check_lost(evidence: _Evidence) -> Iterator[Finding]:
+    for call, text in lost.find(
+        evidence.seen, evidence.arrivals_by_attempt, grace_s=fleet.GRACE_S
+    ):
+        yield evidence.finding("LOST", call.attempt, text)
+
+
+def _check_streams(evidence: _Evidence) -> Iterator[Finding]:
+    for call in evidence.seen.calls:
+        if not call.kind.is_stream or call.status != 200:
+            continue
+        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        for text in _stream_faults(call, arrivals):
+            yield evidence.finding("ORDER", call.attempt, text)
+
+
+def _stream_faults(
+    call: records.Call, arrivals: list[records.Arrival]
+) -> Iterator[str]:
+    events = list(EVENT.finditer(call.answer))
+    is_complete = call.ending is records.Ending.COMPLETE
+    whole = b"".join(event[0] for event in events)
+    rest = call.answer[len(whole) :]
+    if not call.answer.startswith(whole) or (is_complete and rest):
+        yield f"pieces that are no events: {call.answer[-80:]!r}"
+        return
+    start = int(call.header_by_name.get("Last-Event-Id", "0"))
+    numbers = [int(event[1]) for event in events]
+    if numbers != list(range(start + 1, start + 1 + len(numbers))):
+        yield f"a piece is missing or comes twice: {numbers}"
+    last = max((arrival.last_event for arrival in arrivals), default=0)
+    if is_complete and numbers[-1:] != [last]:
+        yield f"ends as complete before its last piece, {last}: {numbers}"
+    runs = list(dict.fromkeys(event[2] for event in events))
+    if len(runs) > 1 and call.kind is not records.Kind.RESUMABLE:
+        yield f"pieces of two runs are joined: {runs}"
+    for event in events:
+        if not any(event[0] in arrival.answer for arrival in arrivals):
+            yield f"a piece of no run of this request: {event[0]!r}"
+            return
+
+
+def _check_readings(evidence: _Evidence) -> Iterator[Finding]:
+    seen = evidence.seen
+    content_by_version = {p.version: p.content for p in seen.publications}
+    readings = sorted(seen.readings, key=lambda reading: reading.sent_s)
+    for reading in readings:
+        acknowledged = [
+            p.version
+            for p in seen.publications
+            if p.acknowledged_s
+            and (
+                reading.is_final or p.acknowledged_s + CONFIG_S < reading.sent_s
+            )
+        ]
+        earlier = [
+            r.version
+            for r in readings
+            if r.ended_s
+            + (BACK_S if r.replica == reading.replica else CONFIG_S)
+            < reading.sent_s
+        ]
+        newest = max((*acknowledged, *earlier), default=0)
+        if reading.version < newest:
+            yield Finding(
+                "CONFIG",
+                f"version {reading.version}",
+                "a read of the configuration is answered with an older"
+                f" version than {newest}, by {reading.replica}, sent"
+                f" {reading.sent_s:.3f}",
+            )
+        if content_by_version.get(reading.version) != reading.content:
+            yield Finding(
+                "CONFIG",
+                f"version {reading.version}",
+                "read back, it isn't what was sent under its number",
+            )
+    if seen.publications and not any(r.is_final for r in readings):
+        yield Finding("CONFIG", "at the end", "the configuration doesn't come")
+
+
+def _check_stops(evidence: _Evidence) -> Iterator[Finding]:
+    by_pid: dict[int, list[records.Incident]] = collections.defaultdict(list)
+    for incident in evidence.seen.incidents:
+        if incident.pid:
+            by_pid[incident.pid].append(incident)
+    for pid, incidents in by_pid.items():
+        text = _stop_fault(incidents)
+        if text:
+            lines = tuple(
+                f"  {i.name}: {i.change} at {i.at_s:.3f}, code {i.code}"
+                for i in incidents
+            )
+            yield Finding("STOP", f"pid {pid}", text, lines)
+
+
+def _stop_fault(incidents: list[records.Incident]) -> str:
+    """Return what is wrong with the end of a process, empty if nothing is."""
+    changes = {incident.change for incident in incidents}
+    ends = [i for i in incidents if i.change is records.Change.END]
+    if not ends:
+        return "is still running at the end"
+    if records.Change.KILL in changes:
+        return ""
+    terms = [i for i in incidents if i.change is records.Change.TERM]
+    if not terms:
+        return f"ended by itself, with code {ends[0].code}"
+    if records.Change.GRACE_KILL in changes:
+        frozen = any(
+            i.change is records.Change.THAW and i.at_s > terms[0].at_s
+            for i in incidents
+        )
+        return "" if frozen else "still ran at the end of the grace period"
+    code = ends[0].code
+    started_s = min(incident.at_s for incident in incidents)
+    if code == TERMINATED_CODE and terms[0].at_s < started_s + STARTUP_S:
+        return ""
+    return f"ended with code {code} after SIGTERM" if code else ""
--- /dev/null
+++ b/testing/soak/fleet.py
@@ -0,0 +1,354 @@
+"""Control replicas and gateways as processes, restarted when they end."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from typing import Any
+from typing import final
+
+from soak import records
+import wisteriawall
+from wisteriawall.platform import settings as settings_lib
+from wisteriawall.web import server as server_lib
+
+GRACE_S = 8.0
+KEY = "6f" * 32
+FIRST_HOST = 2
+INTERNAL_PORTS = 8
+RESTART_PAUSE_S = 0.05
+SOURCE_FOLDER = pathlib.Path(wisteriawall.__file__).parent.parent
+
+
+@final
+class RunnerList:
+    """Stand-in of the platform's list of runners.
+
+    Args:
+        entries: Returns the entries of the list.
+    """
+
+    def __init__(self, entries: Callable[[], list[dict[str, Any]]]) -> None:
+        self._entries = entries
+        self._server = server_lib.HttpServer(
+            address="127.0.0.1:0", app=self._serve, threads=2
+        )
+        self._server.start()
+        self.address = self._server.address
+
+    def close(self) -> None:
+        """Release the address."""
+        self._server.stop()
+
+    def _serve(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        del environ  # Every call is for the whole list.
+        body = json.dumps({"instances": self._entries(), "next": None})
+        return server_lib.send_response(
+            start_response, status=200, body=body.encode()
+        )
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Ports that every machine uses, each at its own address."""
+
+    frontend: int
+    ready: int
+    control: int
+    internal: int
+
+
+def find_ports(hosts: list[str]) -> Ports:
+    """Return ports that are free at all hosts.
+
+    Nothing else listens at these addresses, and outgoing connections leave
+    from 127.0.0.1, so the ports stay free.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind((hosts[0], 0))
+            first: int = probe.getsockname()[1]
+        ports = range(first, first + 3 + INTERNAL_PORTS)
+        if ports[-1] < 65_536 and all(
+            _is_free(host, port) for host in hosts for port in ports
+        ):
+            return Ports(first, first + 1, first + 2, first + 3)
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+@final
+class Node:
+    """One program on its own address, restarted as soon as it ends.
+
+    Args:
+        name: Name of the node.
+        role: `gateway` or `control`.
+        settings: Path of its settings file, as the first start reads it.
+        log: Path of its log.
+        seen: Records that get its starts, signals and ends.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        role: str,
+        settings: pathlib.Path,
+        log: pathlib.Path,
+        seen: records.Records,
+    ) -> None:
+        self.name = name
+        self.log_path = log
+        self._role, self._settings, self._seen = role, settings, seen
+        self._is_finishing = False
+        self._lock = threading.Lock()
+        self._process: subprocess.Popen[bytes] | None = None
+        self._watcher = threading.Thread(target=self._keep_running)
+
+    def start(self) -> None:
+        """Start the program."""
+        self._watcher.start()
+
+    def finish(self) -> None:
+        """End the program for good, by SIGTERM first."""
+        with self._lock:
+            self._is_finishing = True
+        self.terminate()
+
+    def join(self) -> None:
+        """Wait for the end after `finish`."""
+        self._watcher.join(2 * GRACE_S)
+        if self._watcher.is_alive():
+            raise AssertionError(f"{self.name} is still running")
+
+    def terminate(self) -> None:
+        """Send SIGTERM, and SIGKILL at the end of the grace period."""
+        process = self._signal(signal.SIGTERM, records.Change.TERM)
+        if process is not None:
+            timer = threading.Timer(GRACE_S, self._end_grace, (process,))
+            timer.daemon = True
+            timer.start()
+
+    def reload(self) -> None:
+        """Send SIGHUP."""
+        self._signal(signal.SIGHUP, records.Change.HUP)
+
+    def kill(self) -> None:
+        """Send SIGKILL."""
+        self._signal(signal.SIGKILL, records.Change.KILL)
+
+    def freeze(self, for_s: float) -> None:
+        """Send SIGSTOP, and SIGCONT to the same process later."""
+        process = self._signal(signal.SIGSTOP, records.Change.FREEZE)
+        if process is not None:
+            timer = threading.Timer(for_s, self._thaw, (process,))
+            timer.daemon = True
+            timer.start()
+
+    def _thaw(self, process: subprocess.Popen[bytes]) -> None:
+        self._signal(signal.SIGCONT, records.Change.THAW, only=process)
+
+    def _end_grace(self, process: subprocess.Popen[bytes]) -> None:
+        self._signal(signal.SIGKILL, records.Change.GRACE_KILL, only=process)
+
+    def _signal(
+        self,
+        number: signal.Signals,
+        change: records.Change,
+        only: subprocess.Popen[bytes] | None = None,
+    ) -> subprocess.Popen[bytes] | None:
+        """Signal the running process, or none if it isn't the one of `only`.
+
+        Return the process that got the signal. `Popen.send_signal` does not
+        signal a process that has ended, whose pid may be used again.
+        """
+        with self._lock:
+            process = self._process
+            if process is None or process.returncode is not None:
+                return None
+            if only is not None and process is not only:
+                return None
+            self._add(change, process)
+            process.send_signal(number)
+            return process
+
+    def _add(
+        self,
+        change: records.Change,
+        process: subprocess.Popen[bytes],
+        code: int = 0,
+    ) -> None:
+        self._seen.incidents.append(
+            records.Incident(
+                self.name, change, time.monotonic(), process.pid, code
+            )
+        )
+
+    def _keep_running(self) -> None:
+        while (process := self._start_process()) is not None:
+            code = process.wait()
+            self._add(records.Change.END, process, code)
+            _set_bootstrap(self._settings, False)
+            time.sleep(RESTART_PAUSE_S)
+
+    def _start_process(self) -> subprocess.Popen[bytes] | None:
+        with self._lock, self.log_path.open("ab") as log:
+            if self._is_finishing:
+                return None
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "wisteriawall.platform", self._role],
+                env=os.environ
+                | {
+                    settings_lib.SETTINGS_VARIABLE: str(self._settings),
+                    "WISTERIAWALL_CLUSTER_KEY": KEY,
+                    "WISTERIAWALL_METRICS_PORT": "0",
+                    "PYTHONPATH": str(SOURCE_FOLDER),
+                },
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+            self._add(records.Change.START, self._process)
+            return self._process
+
+
+def _set_bootstrap(path: pathlib.Path, value: bool) -> None:
+    settings = json.loads(path.read_text())
+    settings["bootstrap"] = value
+    path.write_text(json.dumps(settings))
+
+
+@final
+class Fleet:
+    """All processes of the system in a soak.
+
+    Args:
+        folder: Folder of settings files, data folders and logs.
+        gateways: Number of gateways.
+        replicas: Number of control replicas.
+        list_address: Address of the list of runners.
+        seen: Records of what happens to the processes.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        gateways: int,
+        replicas: int,
+        list_address: str,
+        seen: records.Records,
+    ) -> None:
+        pid = os.getpid()
+        count = replicas + gateways
+        hosts = [
+            f"127.{1 + pid // 200 % 200}.{pid % 200}.{FIRST_HOST + number}"
+            for number in range(count)
+        ]
+        self._folder, self._list_address = folder, list_address
+        self._ports = find_ports(hosts)
+        self._seeds = [
+            f"{host}:{self._ports.control}" for host in hosts[:replicas][:3]
+        ]
+        self.replica_address_by_name = {
+            f"c{number}": f"{host}:{self._ports.control}"
+            for number, host in enumerate(hosts[:replicas], start=1)
+        }
+        self.gateway_address_by_name = {
+            f"g{number}": f"{host}:{self._ports.frontend}"
+            for number, host in enumerate(hosts[replicas:], start=1)
+        }
+        self.ready_address_by_name = {
+            f"g{number}": f"{host}:{self._ports.ready}"
+            for number, host in enumerate(hosts[replicas:], start=1)
+        }
+        (folder / "logs").mkdir(parents=True)
+        self.node_by_name = {
+            name: self._make_node(name, role, address, seen)
+            for name, role, address in self._programs()
+        }
+
+    def start(self) -> None:
+        """Start all processes."""
+        for node in self.node_by_name.values():
+            node.start()
+
+    def close(self) -> None:
+        """End all processes; fail if one is still running."""
+        for node in self.node_by_name.values():
+            node.finish()
+        for node in self.node_by_name.values():
+            node.join()
+
+    def log_lines(self, attempt: str) -> list[str]:
+        """Return the lines of all gateways' logs about an attempt."""
+        needle = f'"{attempt}"'.encode()
+        return [
+            f"{name}: {line.decode(errors='replace').rstrip()}"
+            for name in self.gateway_address_by_name
+            for line in self.node_by_name[name].log_path.open("rb")
+            if needle in line
+        ]
+
+    def _programs(self) -> Iterator[tuple[str, str, str]]:
+        for name, address in self.replica_address_by_name.items():
+            yield name, "control", address
+        for name, address in self.gateway_address_by_name.items():
+            yield name, "gateway", address
+
+    def _make_node(
+        self, name: str, role: str, address: str, seen: records.Records
+    ) -> Node:
+        host = address.rpartition(":")[0]
+        ports = self._ports
+        settings = {
+            "node_name": name,
+            "ip_address": host,
+            "zone": "z1",
+            "seeds": self._seeds,
+            "internal_ports": [
+                ports.internal,
+                ports.internal + INTERNAL_PORTS - 1,
+            ],
+            "cloud_api": {"address": self._list_address},
+            "listen_addresses": {
+                "frontend": f"{host}:{ports.frontend}",
+                "ready": f"{host}:{ports.ready}",
+                "control": f"{host}:{ports.control}",
+            },
+            "bootstrap": True,
+            "data_directory": str(self._folder / name)
+            if role == "control"
+            else None,
+            "bounds": {"grace_s": GRACE_S, "retry_budget_slack": 1_000},
+        }
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        return Node(
+            name=name,
+            role=role,
+            settings=path,
+            log=self._folder / "logs" / f"{name}.log",
+            seen=seen,
+        )
--- /dev/null
+++ b/testing/soak/lost.py
@@ -0,0 +1,142 @@
+"""Requests that were passed on to a runner and got no complete answer."""
+
+import collections
+from collections.abc import Iterator
+
+from soak import records
+
+# A process is undisturbed when nothing unplanned happened to it for so long.
+CONTACT_S = 3.0
+CONFIG_S = 2.0
+AFTER_GRACE_S = 1.0
+SENT_EARLY_S = 3.0
+WORKING_SHARE_OF_GRACE = 5 / 6
+ROUTE_TIMEOUT_S = 12.0
+# "At any time ... more than three times": so many a gateway are allowed.
+MAX_UNPLANNED = 3
+CUT_ENDINGS = (
+    records.Ending.RESET,
+    records.Ending.CLOSED,
+    records.Ending.UNANSWERED,
+)
+UNPLANNED = (
+    records.Change.KILL,
+    records.Change.FREEZE,
+    records.Change.THAW,
+)
+
+
+def is_unsound(arrival: records.Arrival) -> bool:
+    """Return whether a runner broke off or misbehaved in its answer."""
+    return bool(
+        arrival.misbehavior or arrival.ending is records.RunEnding.BROKE_OFF
+    )
+
+
+def find(
+    seen: records.Records,
+    arrivals_by_attempt: dict[str, list[records.Arrival]],
+    *,
+    grace_s: float,
+) -> Iterator[tuple[records.Call, str]]:
+    """Yield each lost request with the rule that it breaks."""
+    incidents_by_name: dict[str, list[records.Incident]] = (
+        collections.defaultdict(list)
+    )
+    for incident in seen.incidents:
+        incidents_by_name[incident.name].append(incident)
+    unplanned_by_gateway: dict[str, list[records.Call]] = (
+        collections.defaultdict(list)
+    )
+    for call in seen.calls:
+        arrival = _answering(call, arrivals_by_attempt[call.attempt])
+        if arrival is None or _is_excused(call, arrival, incidents_by_name):
+            continue
+        incidents = incidents_by_name[call.gateway]
+        change = _planned_work(call, incidents, grace_s)
+        if change is None:
+            unplanned_by_gateway[call.gateway].append(call)
+        elif not _was_long(call, arrival, incidents, grace_s):
+            yield (
+                call,
+                f"around planned work ({change}), passed on to a sound"
+                " runner, and the connection ends without a complete answer",
+            )
+    for calls in unplanned_by_gateway.values():
+        if len(calls) > MAX_UNPLANNED:
+            for call in calls:
+                yield (
+                    call,
+                    "at any time, passed on to a sound runner, and the"
+                    " connection is closed without an answer, more than"
+                    f" three times ({len(calls)})",
+                )
+
+
+def _answering(
+    call: records.Call, arrivals: list[records.Arrival]
+) -> records.Arrival | None:
+    """Return the last run of a request that was cut, None if there is none."""
+    if call.ending not in CUT_ENDINGS:
+        return None
+    runs = [arrival for arrival in arrivals if arrival.has_run]
+    return runs[-1] if runs else None
+
+
+def _is_excused(
+    call: records.Call,
+    arrival: records.Arrival,
+    incidents_by_name: dict[str, list[records.Incident]],
+) -> bool:
+    """Return whether the runner, a deadline or a disruption ended it."""
+    if is_unsound(arrival):
+        return True
+    if call.ended_s - call.started_s >= min(call.deadline_s, ROUTE_TIMEOUT_S):
+        return True
+    from_s = call.started_s - CONTACT_S
+    return any(
+        incident.at_s <= call.ended_s
+        and max(incident.at_s, incident.until_s) >= from_s
+        for name, changes in (
+            (call.gateway, UNPLANNED),
+            (
+                arrival.place,
+                (records.Change.DISTURBED, records.Change.RUNNER_ENDED),
+            ),
+        )
+        for incident in incidents_by_name[name]
+        if incident.change in changes
+    )
+
+
+def _planned_work(
+    call: records.Call, incidents: list[records.Incident], grace_s: float
+) -> records.Change | None:
+    """Return the planned work beside which a call ended."""
+    for incident in incidents:
+        since_s = call.ended_s - incident.at_s
+        match incident.change:
+            case records.Change.TERM if 0 <= since_s <= grace_s + AFTER_GRACE_S:
+                return incident.change
+            case records.Change.HUP if (
+                since_s >= 0 and call.sent_s <= incident.at_s + CONFIG_S
+            ):
+                return incident.change
+    return None
+
+
+def _was_long(
+    call: records.Call,
+    arrival: records.Arrival,
+    incidents: list[records.Incident],
+    grace_s: float,
+) -> bool:
+    """Return whether the runner worked on into the grace period's end."""
+    return any(
+        call.sent_s <= term.at_s + SENT_EARLY_S
+        and term.at_s + grace_s * WORKING_SHARE_OF_GRACE
+        <= arrival.ended_s
+        <= term.at_s + grace_s + AFTER_GRACE_S
+        for term in incidents
+        if term.change is records.Change.TERM
+    )
--- /dev/null
+++ b/testing/soak/misbehavior.py
@@ -0,0 +1,97 @@
+"""How a stand-in runner answers, drawn from the seed and the attempt id."""
+
+import enum
+import random
+from typing import final
+
+from soak import records
+
+NOT_EXECUTED = "X-Wisteriawall-Not-Executed"
+GARBAGE = (
+    b"\x16\x03\x01\x00*\x02\x00\x00\r\n",
+    b"HTTP/1.1 OK 200\r\n\r\n",
+    b"\r\n\r\nnothing\r\n\r\n",
+    b"HTTP/1.1 2000000 Fine\r\nContent-Length: 0\r\n\r\n",
+)
+LATE_SHARE = 0.25
+FAULT_SHARE = 0.06
+REJECTION_SHARE = 0.03
+
+
+@final
+class Manner(enum.StrEnum):
+    """How the answer to a request is sent."""
+
+    PLAIN = "plain"
+    CLOSE = "with Connection: close"
+    SPLIT = "in small writes"
+    SLOW = "slow"
+    # Rejections are proper: the request does not run.
+    REJECTED = "rejected"
+    # Faults, from here on.
+    GARBAGE = "bytes that are no answer"
+    TRUNCATED = "truncated"
+    RESET = "reset after the run"
+    STALLED = "stalled until the gateway leaves"
+
+
+FAULTS = (Manner.GARBAGE, Manner.TRUNCATED, Manner.RESET, Manner.STALLED)
+SOUND = (Manner.CLOSE, Manner.SPLIT, Manner.SLOW)
+
+
+@final
+class Late(enum.StrEnum):
+    """What follows an answer once the next request has arrived."""
+
+    NOTHING = ""
+    AGAIN = "the previous answer again"
+    HEAD = "the head of the previous answer"
+    INTERIM = "an interim answer"
+    ERROR = "an error without an attempt id"
+    REJECTION = "a rejection of an older attempt"
+    GARBAGE = "bytes that are no answer"
+
+
+def draw_manner(chance: random.Random, *, is_stream: bool) -> Manner:
+    """Draw how a request is answered."""
+    drawn = chance.random()
+    if drawn < FAULT_SHARE:
+        faults = FAULTS if is_stream else FAULTS[:3]
+        return chance.choice(faults)
+    if drawn < FAULT_SHARE + REJECTION_SHARE:
+        return Manner.REJECTED
+    if drawn < 0.35:
+        return chance.choice(SOUND)
+    return Manner.PLAIN
+
+
+def draw_late(chance: random.Random) -> Late:
+    """Draw what follows an answer."""
+    if chance.random() >= LATE_SHARE:
+        return Late.NOTHING
+    return chance.choice(list(Late)[1:])
+
+
+def late_bytes(
+    late: Late, *, attempt: str, answer: bytes, chance: random.Random
+) -> bytes:
+    """Return what is sent after `answer`, the whole answer to `attempt`."""
+    named = f"{records.ATTEMPT_ID}: {attempt}\r\n"
+    match late:
+        case Late.NOTHING:
+            return b""
+        case Late.AGAIN:
+            return answer
+        case Late.HEAD:
+            return answer[: answer.find(b"\r\n\r\n") + 4]
+        case Late.INTERIM:
+            return f"HTTP/1.1 103 Early Hints\r\n{named}\r\n".encode()
+        case Late.ERROR:
+            return b"HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad"
+        case Late.REJECTION:
+            return (
+                f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n{named}"
+                "Content-Length: 0\r\n\r\n"
+            ).encode()
+        case Late.GARBAGE:
+            return chance.choice(GARBAGE)
--- /dev/null
+++ b/testing/soak/operators.py
@@ -0,0 +1,201 @@
+"""Operators that publish configurations and read them back."""
+
+import json
+import random
+import threading
+import time
+from typing import Any
+from typing import final
+
+from support import platform_site
+import urllib3
+
+from soak import records
+from soak import schedule
+
+CALL_TIMEOUT_S = 1.0
+MAX_REDIRECTS = 2
+RETRY_PAUSE_S = 0.1
+READ_GAP_S = (0.02, 0.2)
+# Longer than any route is unavailable while processes restart.
+ACKNOWLEDGEMENT_TIMEOUT_S = 20.0
+ROUTE_TIMEOUT_MS = 12_000
+
+
+@final
+class Configuration:
+    """The configuration that the operator wants, changed by faults."""
+
+    def __init__(self) -> None:
+        """Start with the base routes."""
+        self.version = 1
+        self._extra: set[int] = set()
+        self._weights = (50, 51)
+        self._timeout_ms = ROUTE_TIMEOUT_MS
+
+    def change(
+        self,
+        fault: schedule.ToggleRoute | schedule.SetWeights | schedule.SetTimeout,
+    ) -> None:
+        """Apply a change; the version grows by an uneven step."""
+        self.version += 1 + self.version % 3
+        match fault:
+            case schedule.ToggleRoute(number=number):
+                self._extra ^= {number}
+            case schedule.SetWeights(weights=weights):
+                self._weights = weights
+            case schedule.SetTimeout(timeout_ms=timeout_ms):
+                self._timeout_ms = timeout_ms
+
+    def document(self) -> dict[str, Any]:
+        """Return the configuration in the operators' format."""
+        document = platform_site.document(self.version)
+        routes = [
+            route | {"timeout_ms": ROUTE_TIMEOUT_MS}
+            for route in document["routes"]
+        ]
+        weighted = [
+            {"service": name, "weight": weight}
+            for name, weight in zip(
+                ("shop", "store"), self._weights, strict=True
+            )
+        ]
+        split = platform_site.route(
+            "/split/", "read_only", "shop", timeout_ms=self._timeout_ms
+        )
+        del split["service"]
+        routes.append(split | {"weighted_services": weighted})
+        routes += [
+            platform_site.route(f"/extra-{number}/", "read_only", "shop")
+            for number in sorted(self._extra)
+        ]
+        services = [
+            service | {"connection_limit": 400}
+            for service in document["services"]
+        ]
+        store = services[0] | {"name": "store"}
+        return document | {"routes": routes, "services": [*services, store]}
+
+
+@final
+class Operator:
+    """Publishes configurations and reads them at all replicas.
+
+    Args:
+        seed: Seed of the choice of replicas.
+        address_by_replica: Operator address of each replica.
+        seen: Records of its calls.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        address_by_replica: dict[str, str],
+        seen: records.Records,
+    ) -> None:
+        self._chance = random.Random(f"{seed}/operator")
+        self._address_by_replica = address_by_replica
+        self._replica_by_address = {
+            address: name for name, address in address_by_replica.items()
+        }
+        self._seen = seen
+        self._pool = urllib3.PoolManager(retries=False)
+        self._stopping = threading.Event()
+        self._reader = threading.Thread(target=self._keep_reading, daemon=True)
+        self._writers: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Start to read the configuration."""
+        self._reader.start()
+
+    def stop(self) -> None:
+        """Wait for the end of all calls."""
+        for writer in self._writers:
+            writer.join()
+        self._stopping.set()
+        self._reader.join()
+
+    def publish(self, document: dict[str, Any]) -> None:
+        """Send a configuration until it is acknowledged, in a thread."""
+        writer = threading.Thread(target=self._publish, args=(document,))
+        writer.start()
+        self._writers.append(writer)
+
+    def publish_first(self, document: dict[str, Any]) -> None:
+        """Send a configuration until it is acknowledged."""
+        self._publish(document)
+
+    def read_last(self) -> bool:
+        """Read the configuration at the end; return whether it came."""
+        deadline_s = time.monotonic() + ACKNOWLEDGEMENT_TIMEOUT_S
+        waiting = set(self._address_by_replica)
+        while waiting and time.monotonic() < deadline_s:
+            for name in sorted(waiting):
+                if self._read(self._address_by_replica[name], is_final=True):
+                    waiting.discard(name)
+            time.sleep(RETRY_PAUSE_S)
+        return not waiting
+
+    def _publish(self, document: dict[str, Any]) -> None:
+        body = json.dumps(document).encode()
+        content = json.dumps(document, sort_keys=True)
+        sent_s = time.monotonic()
+        deadline_s = sent_s + ACKNOWLEDGEMENT_TIMEOUT_S
+        acknowledged_s = 0.0
+        while not acknowledged_s and time.monotonic() < deadline_s:
+            address = self._chance.choice([*self._replica_by_address])
+            response = self._call(
+                "POST", f"http://{address}/Configuration.Put", body
+            )
+            if response is not None and response.status == 200:
+                acknowledged_s = time.monotonic()
+            else:
+                time.sleep(RETRY_PAUSE_S)
+        self._seen.publications.append(
+            records.Publication(
+                document["version"], content, sent_s, acknowledged_s
+            )
+        )
+
+    def _keep_reading(self) -> None:
+        while not self._stopping.wait(self._chance.uniform(*READ_GAP_S)):
+            self._read(self._chance.choice([*self._replica_by_address]))
+
+    def _read(self, address: str, *, is_final: bool = False) -> bool:
+        sent_s = time.monotonic()
+        response = self._call("GET", f"http://{address}/Configuration.Get")
+        if response is None or response.status != 200:
+            return False
+        document = json.loads(response.data)
+        self._seen.readings.append(
+            records.Reading(
+                self._replica_by_address[address],
+                document["version"],
+                json.dumps(document, sort_keys=True),
+                sent_s,
+                time.monotonic(),
+                is_final,
+            )
+        )
+        return True
+
+    def _call(
+        self, method: str, url: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse | None:
+        for _ in range(MAX_REDIRECTS + 1):
+            try:
+                response = self._pool.request(
+                    method,
+                    url,
+                    body=body,
+                    timeout=CALL_TIMEOUT_S,
+                    redirect=False,
+                )
+            except urllib3.exceptions.HTTPError:
+                # A lost call is sent again, to any replica.
+                return None
+            if response.status != 307:
+                return response
+            url = response.headers["Location"]
+        return None
--- /dev/null
+++ b/testing/soak/proxy.py
@@ -0,0 +1,181 @@
+"""Proxy between gateways and runners that disturbs connections."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import threading
+import time
+from typing import final
+
+from soak import records
+
+RELAY_BYTES = 65_536
+BACKLOG = 256
+
+
+@final
+class Disturbance(enum.StrEnum):
+    """What is done to the connections of a runner."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    # Nothing more reaches the gateway, the other direction works.
+    CUT_ANSWERS = "cut towards the gateway"
+    # Nothing more reaches the runner, the other direction works.
+    CUT_REQUESTS = "cut towards the runner"
+    # Open connections stay open without a byte, new ones work.
+    SILENCE = "silence"
+
+
+@final
+class _Link:
+    """One proxied address and its open connections."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.delay_s = 0.0
+        self.relays: set[_Relay] = set()
+
+
+@final
+class _Relay:
+    """The two directions of one connection; `cut` names the stopped ones."""
+
+    def __init__(
+        self, gateway: asyncio.StreamWriter, runner: asyncio.StreamWriter
+    ) -> None:
+        self.writers = (gateway, runner)
+        self.cut: set[Disturbance] = set()
+
+    def reset(self) -> None:
+        """Reset both connections."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+@final
+class Proxy:
+    """Relays connections in one thread.
+
+    Args:
+        seen: Records that get each disturbance.
+    """
+
+    def __init__(self, *, seen: records.Records) -> None:
+        self._seen = seen
+        self._loop = asyncio.new_event_loop()
+        self._link_by_address: dict[str, _Link] = {}
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """End all connections."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+    def add(self, target: str) -> str:
+        """Return a new address whose connections go to `target`."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        link = self._link_by_address[address] = _Link(target)
+        asyncio.run_coroutine_threadsafe(
+            asyncio.start_server(
+                lambda reader, writer: self._serve(link, reader, writer),
+                sock=listener,
+            ),
+            self._loop,
+        ).result()
+        return address
+
+    def disturb(
+        self, address: str, runner: str, what: Disturbance, for_s: float
+    ) -> None:
+        """Disturb the connections of an address for some seconds."""
+        now_s = time.monotonic()
+        self._seen.incidents.append(
+            records.Incident(
+                runner,
+                records.Change.DISTURBED,
+                now_s,
+                until_s=now_s + for_s,
+            )
+        )
+        link = self._link_by_address[address]
+        self._loop.call_soon_threadsafe(self._disturb, link, what, for_s)
+
+    def _disturb(self, link: _Link, what: Disturbance, for_s: float) -> None:
+        match what:
+            case Disturbance.DELAY:
+                link.delay_s = 0.2
+            case Disturbance.RESET:
+                for relay in list(link.relays):
+                    relay.reset()
+            case Disturbance.CUT_ANSWERS | Disturbance.CUT_REQUESTS:
+                for relay in link.relays:
+                    relay.cut.add(what)
+            case Disturbance.SILENCE:
+                for relay in link.relays:
+                    relay.cut |= {
+                        Disturbance.CUT_ANSWERS,
+                        Disturbance.CUT_REQUESTS,
+                    }
+        self._loop.call_later(for_s, self._restore, link, what)
+
+    def _restore(self, link: _Link, what: Disturbance) -> None:
+        """End a disturbance; bytes that were held up are lost."""
+        link.delay_s = 0.0
+        if what is not Disturbance.DELAY:
+            for relay in list(link.relays):
+                if relay.cut:
+                    relay.reset()
+
+    async def _serve(
+        self,
+        link: _Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*link.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        relay = _Relay(writer, far_writer)
+        link.relays.add(relay)
+        try:
+            await asyncio.gather(
+                self._relay(
+                    link, relay, reader, far_writer, Disturbance.CUT_REQUESTS
+                ),
+                self._relay(
+                    link, relay, far_reader, writer, Disturbance.CUT_ANSWERS
+                ),
+            )
+        except OSError:
+            relay.reset()
+        finally:
+            link.relays.discard(relay)
+            for end in relay.writers:
+                end.close()
+
+    async def _relay(
+        self,
+        link: _Link,
+        relay: _Relay,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Disturbance,
+    ) -> None:
+        while data := await reader.read(RELAY_BYTES):
+            if link.delay_s:
+                await asyncio.sleep(link.delay_s)
+            if direction in relay.cut:
+                continue
+            writer.write(data)
+            await writer.drain()
+        # The other direction may not be half closed: a gateway or runner that
+        # closes its connection wants no more bytes.
+        with contextlib.suppress(OSError):
+            if direction not in relay.cut:
+                writer.close()
+                await writer.wait_closed()
--- /dev/null
+++ b/testing/soak/run.py
@@ -0,0 +1,314 @@
+"""Plays a soak and judges it."""
+
+import argparse
+import collections
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import sys
+import tempfile
+import time
+from typing import final
+
+import urllib3
+
+from soak import callers
+from soak import checks
+from soak import fleet
+from soak import operators
+from soak import proxy
+from soak import records
+from soak import runners
+from soak import schedule
+
+REPLICAS = 3
+CALLERS_PER_GATEWAY = 8
+LAST_CALLS_S = 4.0
+READY_TIMEOUT_S = 60.0
+FIRST_RUNNERS = (
+    ("shop", ""),
+    ("shop", ""),
+    ("shop", ""),
+    ("store", ""),
+    ("model", "prefill"),
+    ("model", "prefill"),
+    ("model", "decode"),
+    ("model", "decode"),
+)
+MAX_FINDINGS_PRINTED = 40
+
+
+@final
+class Soak:
+    """One soak: the processes, their surroundings and a schedule.
+
+    Args:
+        seed: Seed of the schedule, the callers and the runners.
+        duration_s: Time during which faults begin.
+        gateways: Number of gateways.
+        caller_count: Number of callers.
+        folder: Folder of settings files, data folders and logs.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        duration_s: float,
+        gateways: int,
+        caller_count: int,
+        folder: pathlib.Path,
+    ) -> None:
+        self.seen = records.Records()
+        self.seed = seed
+        self._runners: list[runners.StandInRunner] = []
+        self._handles = runners.HandleStore()
+        self._proxy = proxy.Proxy(seen=self.seen)
+        self._list = fleet.RunnerList(
+            lambda: [r.entry() for r in self._runners if r.is_listed]
+        )
+        self._leaving: list[tuple[float, runners.StandInRunner]] = []
+        self.fleet = fleet.Fleet(
+            folder=folder,
+            gateways=gateways,
+            replicas=REPLICAS,
+            list_address=self._list.address,
+            seen=self.seen,
+        )
+        self._configuration = operators.Configuration()
+        self._operator = operators.Operator(
+            seed=seed,
+            address_by_replica=self.fleet.replica_address_by_name,
+            seen=self.seen,
+        )
+        self._callers = [
+            callers.Caller(
+                number=number,
+                seed=seed,
+                address_by_gateway=self.fleet.gateway_address_by_name,
+                seen=self.seen,
+            )
+            for number in range(caller_count)
+        ]
+        self.schedule = schedule.draw(
+            seed,
+            duration_s=duration_s,
+            scope=schedule.Scope(
+                gateways=tuple(self.fleet.gateway_address_by_name),
+                replicas=tuple(self.fleet.replica_address_by_name),
+                runners=len(FIRST_RUNNERS),
+            ),
+        )
+
+    def play(self) -> None:
+        """Play the schedule; all processes have ended afterwards."""
+        for service, stage in FIRST_RUNNERS:
+            self._add_runner(service, stage)
+        self.fleet.start()
+        try:
+            self._operator.publish_first(self._configuration.document())
+            self._wait_until_ready()
+            self._operator.start()
+            for caller in self._callers:
+                caller.start()
+            self._play_schedule()
+            for caller in self._callers:
+                caller.stop()
+            last_s = time.monotonic() + LAST_CALLS_S
+            for caller in self._callers:
+                caller.join(max(0.1, last_s - time.monotonic()))
+            self._operator.stop()
+            self._operator.read_last()
+        finally:
+            self.fleet.close()
+            self._close()
+
+    def _close(self) -> None:
+        for runner in self._runners:
+            runner.close()
+        self._list.close()
+        self._proxy.close()
+
+    def _wait_until_ready(self) -> None:
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        waiting = set(self.fleet.ready_address_by_name.values())
+        while waiting:
+            if time.monotonic() > deadline_s:
+                raise AssertionError(f"gateways not ready: {sorted(waiting)}")
+            waiting = {a for a in waiting if not _is_ready(a)}
+            time.sleep(0.05)
+
+    def _play_schedule(self) -> None:
+        start_s = time.monotonic()
+        for timed in self.schedule:
+            self._pause_until(start_s + timed.at_s)
+            self._apply(timed.fault)
+        # Runners that drain leave before the end.
+        self._pause_until(
+            max((at_s for at_s, _ in self._leaving), default=0.0) + 0.1
+        )
+
+    def _pause_until(self, until_s: float) -> None:
+        while True:
+            now_s = time.monotonic()
+            for entry in [e for e in self._leaving if e[0] <= now_s]:
+                self._leaving.remove(entry)
+                entry[1].close()
+            if now_s >= until_s:
+                return
+            time.sleep(min(0.05, until_s - now_s))
+
+    def _apply(self, fault: schedule.Fault) -> None:
+        node_by_name = self.fleet.node_by_name
+        match fault:
+            case schedule.Terminate(process=name):
+                node_by_name[name].terminate()
+            case schedule.Reload(process=name):
+                node_by_name[name].reload()
+            case schedule.Freeze(process=name, for_s=for_s):
+                node_by_name[name].freeze(for_s)
+            case schedule.Kill(process=name):
+                node_by_name[name].kill()
+            case (
+                schedule.ToggleRoute()
+                | schedule.SetWeights()
+                | schedule.SetTimeout()
+            ):
+                self._configuration.change(fault)
+                self._operator.publish(self._configuration.document())
+            case _:
+                self._apply_to_runner(fault)
+
+    def _apply_to_runner(self, fault: schedule.Fault) -> None:
+        match fault:
+            case schedule.AddRunner(service=service, stage=stage):
+                self._add_runner(service, stage)
+            case schedule.RestartRunner(index=index):
+                if self._runners[index].is_listed:
+                    self._runners[index].restart()
+            case schedule.DrainRunner(index=index, leave_after_s=after_s):
+                self._drain_runner(self._runners[index], after_s)
+            case schedule.DisturbLink(index=index, what=what, for_s=for_s):
+                runner = self._runners[index]
+                self._proxy.disturb(
+                    runner.listed_address, runner.name, what, for_s
+                )
+
+    def _add_runner(self, service: str, stage: str) -> None:
+        runner = runners.StandInRunner(
+            name=f"r{len(self._runners)}",
+            service=service,
+            stage=stage,
+            seed=self.seed,
+            seen=self.seen,
+            handles=self._handles,
+        )
+        runner.listed_address = self._proxy.add(runner.address)
+        self._runners.append(runner)
+
+    def _drain_runner(
+        self, runner: runners.StandInRunner, leave_after_s: float
+    ) -> None:
+        """Drain a runner unless it is the last one of its kind."""
+        others = [
+            r
+            for r in self._runners
+            if (r.service, r.stage) == (runner.service, runner.stage)
+            and r.state == "ready"
+            and r.is_listed
+            and r is not runner
+        ]
+        if others and runner.is_listed and runner.state == "ready":
+            runner.state = "draining"
+            self._leaving.append((time.monotonic() + leave_after_s, runner))
+
+
+def _is_ready(address: str) -> bool:
+    try:
+        response = urllib3.request(
+            "GET", f"http://{address}/readiness", retries=False, timeout=1.0
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return response.status == 200
+
+
+def play(
+    *,
+    seed: int,
+    duration_s: float,
+    gateways: int,
+    caller_count: int,
+    folder: pathlib.Path,
+) -> list[checks.Finding]:
+    """Play a soak, print its report and return the findings."""
+    started_s = time.monotonic()
+    soak = Soak(
+        seed=seed,
+        duration_s=duration_s,
+        gateways=gateways,
+        caller_count=caller_count,
+        folder=folder,
+    )
+    soak.play()
+    findings = checks.judge(soak.seen)
+    for line in report(soak, findings, started_s):
+        print(line)
+    return findings
+
+
+def report(
+    soak: Soak, findings: list[checks.Finding], started_s: float
+) -> Iterator[str]:
+    """Yield the lines of a report."""
+    seen = soak.seen
+    yield f"seed: {soak.seed}"
+    for title, values in (
+        ("faults", [type(t.fault).__name__ for t in soak.schedule]),
+        ("calls", [call.kind.value for call in seen.calls]),
+        ("ended", [call.ending.value for call in seen.calls]),
+        ("statuses", [str(call.status) for call in seen.calls if call.status]),
+        ("runs", [arrival.ending.value for arrival in seen.arrivals]),
+        ("runners' faults", [a.misbehavior for a in seen.arrivals]),
+    ):
+        counts = collections.Counter(value for value in values if value)
+        text = ", ".join(f"{n} {v}" for v, n in counts.most_common())
+        yield f"{title}: {text}"
+    yield f"time: {time.monotonic() - started_s:.1f} s"
+    counts = collections.Counter(finding.rule for finding in findings)
+    yield "findings: " + ", ".join(
+        f"{rule} {counts[rule]}" for rule in checks.RULES
+    )
+    for finding in findings[:MAX_FINDINGS_PRINTED]:
+        yield ""
+        yield f"{finding.rule} {finding.attempt}: {finding.text}"
+        yield from finding.lines
+        yield from soak.fleet.log_lines(finding.attempt)
+
+
+def main() -> int:
+    """Play a soak from the command line; 1 if a rule was broken."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--for", type=float, default=20.0, dest="duration_s")
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=0)
+    parser.add_argument("--keep", type=pathlib.Path)
+    arguments = parser.parse_args()
+    with contextlib.ExitStack() as stack:
+        folder = arguments.keep or pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory(prefix="soak-"))
+        )
+        findings = play(
+            seed=arguments.seed,
+            duration_s=arguments.duration_s,
+            gateways=arguments.gateways,
+            caller_count=arguments.callers
+            or CALLERS_PER_GATEWAY * arguments.gateways,
+            folder=folder,
+        )
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testing/soak/schedule.py
@@ -0,0 +1,295 @@
+"""Timed faults of a soak, drawn from a seed."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import random
+from typing import final
+
+from soak import proxy
+
+ROLLING_GAP_S = (0.5, 2.0)
+FREEZE_S = (0.5, 4.0)
+BURST_GAP_S = (0.02, 0.4)
+LEAVE_AFTER_S = (0.5, 3.0)
+SERIES_GAP_S = (0.3, 1.5)
+MAX_CHANGES = 8
+EXTRA_ROUTES = 6
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terminate:
+    """SIGTERM, SIGKILL at the end of the grace period, and a restart."""
+
+    process: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reload:
+    """SIGHUP."""
+
+    process: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freeze:
+    """SIGSTOP, and SIGCONT some seconds later."""
+
+    process: str
+    for_s: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kill:
+    """SIGKILL and a restart."""
+
+    process: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToggleRoute:
+    """Add a route to the configuration, or remove it."""
+
+    number: int
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetWeights:
+    """Split the requests of the split route between two services."""
+
+    weights: tuple[int, int]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetTimeout:
+    """Set the timeout of the split route."""
+
+    timeout_ms: int
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainRunner:
+    """List a runner as draining, then leave it out of the list and end it."""
+
+    index: int
+    leave_after_s: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartRunner:
+    """Start a runner again at its address, under a new identifier."""
+
+    index: int
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddRunner:
+    """Add a runner."""
+
+    service: str
+    stage: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DisturbLink:
+    """Disturb the connections between the gateways and a runner."""
+
+    index: int
+    what: proxy.Disturbance
+    for_s: float
+
+
+Fault = (
+    Terminate
+    | Reload
+    | Freeze
+    | Kill
+    | ToggleRoute
+    | SetWeights
+    | SetTimeout
+    | DrainRunner
+    | RestartRunner
+    | AddRunner
+    | DisturbLink
+)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timed:
+    """A fault and its time, in seconds from the start of the soak."""
+
+    at_s: float
+    fault: Fault
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """What a schedule may disturb."""
+
+    gateways: tuple[str, ...]
+    replicas: tuple[str, ...]
+    runners: int
+
+
+Series = Callable[[random.Random, Scope], Iterator[Timed]]
+
+
+def draw(seed: int, *, duration_s: float, scope: Scope) -> tuple[Timed, ...]:
+    """Return the faults of a soak by time; each series starts on its own.
+
+    The same seed and scope give the same schedule.
+    """
+    chance = random.Random(seed)
+    timed: list[Timed] = []
+    start_s = chance.uniform(0.5, 1.0)
+    # Every soak has the series that belong to planned work.
+    queue = list(PLANNED_SERIES)
+    chance.shuffle(queue)
+    while start_s < duration_s:
+        series = queue.pop() if queue else chance.choice(ALL_SERIES)
+        timed += [
+            Timed(start_s + fault.at_s, fault.fault)
+            for fault in series(chance, scope)
+        ]
+        start_s += chance.uniform(*SERIES_GAP_S)
+    in_time = (fault for fault in timed if fault.at_s < duration_s)
+    return tuple(sorted(in_time, key=lambda fault: fault.at_s))
+
+
+def _some_gateways(chance: random.Random, scope: Scope) -> list[str]:
+    most = max(1, len(scope.gateways) * 2 // 3)
+    return chance.sample(scope.gateways, chance.randint(1, most))
+
+
+def _rolling_restart(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    at_s = 0.0
+    for gateway in _some_gateways(chance, scope):
+        yield Timed(at_s, Terminate(gateway))
+        at_s += chance.uniform(*ROLLING_GAP_S)
+
+
+def _double_term(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    gateway = chance.choice(scope.gateways)
+    yield Timed(0.0, Terminate(gateway))
+    yield Timed(chance.uniform(0.0, 3.0), Terminate(gateway))
+
+
+def _reload_while_stopping(
+    chance: random.Random, scope: Scope
+) -> Iterator[Timed]:
+    gateway = chance.choice(scope.gateways)
+    yield Timed(0.0, Terminate(gateway))
+    for _ in range(chance.randint(1, 3)):
+        yield Timed(chance.uniform(0.0, 1.0), Reload(gateway))
+
+
+def _reloads(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    processes = (*scope.gateways, *scope.replicas)
+    for _ in range(chance.randint(2, 6)):
+        yield Timed(chance.uniform(0.0, 2.0), Reload(chance.choice(processes)))
+
+
+def _freeze(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    process = chance.choice((*scope.gateways, *scope.replicas))
+    yield Timed(0.0, Freeze(process, chance.uniform(*FREEZE_S)))
+
+
+def _kill(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    yield Timed(0.0, Kill(chance.choice((*scope.gateways, *scope.replicas))))
+
+
+def _restart_replicas(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    at_s = 0.0
+    for replica in scope.replicas:
+        yield Timed(at_s, Terminate(replica))
+        at_s += chance.uniform(*ROLLING_GAP_S)
+
+
+def _draw_change(chance: random.Random) -> Fault:
+    match chance.randrange(4):
+        case 0:
+            first = chance.randint(0, 100)
+            return SetWeights((first, 101 - first))
+        case 1:
+            return SetTimeout(chance.choice((4_000, 8_000, 12_000)))
+        case _:
+            return ToggleRoute(chance.randrange(EXTRA_ROUTES))
+
+
+def _changes(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    del scope  # There is one configuration.
+    at_s = 0.0
+    for _ in range(chance.randint(2, MAX_CHANGES)):
+        yield Timed(at_s, _draw_change(chance))
+        at_s += chance.uniform(*BURST_GAP_S)
+
+
+def _changes_while_stopping(
+    chance: random.Random, scope: Scope
+) -> Iterator[Timed]:
+    yield from _changes(chance, scope)
+    yield from _rolling_restart(chance, scope)
+
+
+def _drain_runner(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    index = chance.randrange(scope.runners)
+    yield Timed(0.0, DrainRunner(index, chance.uniform(*LEAVE_AFTER_S)))
+
+
+def _restart_runner(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    for _ in range(chance.randint(1, 2)):
+        index = chance.randrange(scope.runners)
+        yield Timed(chance.uniform(0.0, 1.0), RestartRunner(index))
+
+
+def _add_runner(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    del scope  # Any number can be added.
+    service, stage = chance.choice(
+        (("shop", ""), ("model", "prefill"), ("model", "decode"))
+    )
+    yield Timed(0.0, AddRunner(service, stage))
+
+
+def _disturb_link(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    yield Timed(
+        0.0,
+        DisturbLink(
+            chance.randrange(scope.runners),
+            chance.choice(list(proxy.Disturbance)),
+            chance.uniform(*FREEZE_S),
+        ),
+    )
+
+
+PLANNED_SERIES: tuple[Series, ...] = (
+    _rolling_restart,
+    _double_term,
+    _reload_while_stopping,
+    _changes_while_stopping,
+)
+ALL_SERIES: tuple[Series, ...] = (
+    *PLANNED_SERIES,
+    _rolling_restart,
+    _reloads,
+    _freeze,
+    _kill,
+    _restart_replicas,
+    _changes,
+    _drain_runner,
+    _restart_runner,
+    _add_runner,
+    _disturb_link,
+)
