--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -95,6 +95,7 @@
         f" {arrival.at_s:.3f} to {arrival.ended_s:.3f}, run"
         f" {arrival.has_run}, {arrival.ending}, status {arrival.status},"
         f" {arrival.misbehavior or 'sound'},"
+        f" after {arrival.preceded_by or 'nothing'},"
         f" stage {headers.get(runners.STAGE, '-')},"
         f" handle {headers.get(runners.KV_SOURCE, '-')},"
         f" after event {headers.get(runners.LAST_EVENT_ID, '-')}"
--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -19,11 +19,7 @@
     records.Ending.CLOSED,
     records.Ending.UNANSWERED,
 )
-UNPLANNED = (
-    records.Change.KILL,
-    records.Change.FREEZE,
-    records.Change.THAW,
-)
+UNPLANNED = (records.Change.KILL, records.Change.FREEZE, records.Change.THAW)
 
 
 def is_unsound(arrival: records.Arrival) -> bool:
--- a/testing/soak/misbehavior.py
+++ b/testing/soak/misbehavior.py
@@ -13,7 +13,6 @@
     b"\r\n\r\nnothing\r\n\r\n",
     b"HTTP/1.1 2000000 Fine\r\nContent-Length: 0\r\n\r\n",
 )
-LATE_SHARE = 0.25
 FAULT_SHARE = 0.06
 REJECTION_SHARE = 0.03
 
@@ -36,6 +35,8 @@
 
 
 FAULTS = (Manner.GARBAGE, Manner.TRUNCATED, Manner.RESET, Manner.STALLED)
+# A stalled stream is the longest piece of work that a gateway can have.
+STREAM_FAULTS = (*FAULTS, Manner.STALLED, Manner.STALLED)
 SOUND = (Manner.CLOSE, Manner.SPLIT, Manner.SLOW)
 
 
@@ -56,8 +57,7 @@
     """Draw how a request is answered."""
     drawn = chance.random()
     if drawn < FAULT_SHARE:
-        faults = FAULTS if is_stream else FAULTS[:3]
-        return chance.choice(faults)
+        return chance.choice(STREAM_FAULTS if is_stream else FAULTS[:3])
     if drawn < FAULT_SHARE + REJECTION_SHARE:
         return Manner.REJECTED
     if drawn < 0.35:
@@ -65,9 +65,9 @@
     return Manner.PLAIN
 
 
-def draw_late(chance: random.Random) -> Late:
-    """Draw what follows an answer."""
-    if chance.random() >= LATE_SHARE:
+def draw_late(chance: random.Random, *, share: float) -> Late:
+    """Draw what follows an answer; `share` of all answers get something."""
+    if chance.random() >= share:
         return Late.NOTHING
     return chance.choice(list(Late)[1:])
 
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -20,6 +20,7 @@
 # Longer than any route is unavailable while processes restart.
 ACKNOWLEDGEMENT_TIMEOUT_S = 20.0
 ROUTE_TIMEOUT_MS = 12_000
+ROUTE_TARGET_MS = 4_000
 
 
 @final
@@ -51,7 +52,12 @@
         """Return the configuration in the operators' format."""
         document = platform_site.document(self.version)
         routes = [
-            route | {"timeout_ms": ROUTE_TIMEOUT_MS}
+            route
+            | {
+                "timeout_ms": ROUTE_TIMEOUT_MS,
+                # Prompts are not turned away while runners are slow.
+                "target_latency_ms": ROUTE_TARGET_MS,
+            }
             for route in document["routes"]
         ]
         weighted = [
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -94,10 +94,7 @@
         now_s = time.monotonic()
         self._seen.incidents.append(
             records.Incident(
-                runner,
-                records.Change.DISTURBED,
-                now_s,
-                until_s=now_s + for_s,
+                runner, records.Change.DISTURBED, now_s, until_s=now_s + for_s
             )
         )
         link = self._link_by_address[address]
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -113,6 +113,8 @@
     # Number of the last event of a stream.
     last_event: int = 0
     misbehavior: str = ""
+    # What the runner sent before this answer, when the request had arrived.
+    preceded_by: str = ""
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -22,7 +22,8 @@
 from soak import schedule
 
 REPLICAS = 3
-CALLERS_PER_GATEWAY = 8
+CALLERS_PER_GATEWAY = 12
+LATE_SHARE = 0.25
 LAST_CALLS_S = 4.0
 READY_TIMEOUT_S = 60.0
 FIRST_RUNNERS = (
@@ -45,6 +46,7 @@
     Args:
         seed: Seed of the schedule, the callers and the runners.
         duration_s: Time during which faults begin.
+        late_share: Share of runners' answers that something late follows.
         gateways: Number of gateways.
         caller_count: Number of callers.
         folder: Folder of settings files, data folders and logs.
@@ -55,12 +57,14 @@
         *,
         seed: int,
         duration_s: float,
+        late_share: float,
         gateways: int,
         caller_count: int,
         folder: pathlib.Path,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
+        self._late_share = late_share
         self._runners: list[runners.StandInRunner] = []
         self._handles = runners.HandleStore()
         self._proxy = proxy.Proxy(seen=self.seen)
@@ -200,6 +204,7 @@
             service=service,
             stage=stage,
             seed=self.seed,
+            late_share=self._late_share,
             seen=self.seen,
             handles=self._handles,
         )
@@ -237,6 +242,7 @@
     *,
     seed: int,
     duration_s: float,
+    late_share: float = LATE_SHARE,
     gateways: int,
     caller_count: int,
     folder: pathlib.Path,
@@ -246,6 +252,7 @@
     soak = Soak(
         seed=seed,
         duration_s=duration_s,
+        late_share=late_share,
         gateways=gateways,
         caller_count=caller_count,
         folder=folder,
@@ -270,6 +277,7 @@
         ("statuses", [str(call.status) for call in seen.calls if call.status]),
         ("runs", [arrival.ending.value for arrival in seen.arrivals]),
         ("runners' faults", [a.misbehavior for a in seen.arrivals]),
+        ("before an answer", [a.preceded_by for a in seen.arrivals]),
     ):
         counts = collections.Counter(value for value in values if value)
         text = ", ".join(f"{n} {v}" for v, n in counts.most_common())
@@ -293,6 +301,7 @@
     parser.add_argument("--for", type=float, default=20.0, dest="duration_s")
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--callers", type=int, default=0)
+    parser.add_argument("--late", type=float, default=LATE_SHARE)
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     with contextlib.ExitStack() as stack:
@@ -302,6 +311,7 @@
         findings = play(
             seed=arguments.seed,
             duration_s=arguments.duration_s,
+            late_share=arguments.late,
             gateways=arguments.gateways,
             caller_count=arguments.callers
             or CALLERS_PER_GATEWAY * arguments.gateways,
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -64,6 +64,7 @@
         service: Service that it runs requests of.
         stage: `prefill` or `decode`; empty for a plain service.
         seed: Seed of its misbehavior.
+        late_share: Share of answers after which something late follows.
         seen: Records of what it sees.
         handles: Handles that all runners share.
     """
@@ -75,10 +76,12 @@
         service: str,
         stage: str,
         seed: int,
+        late_share: float,
         seen: records.Records,
         handles: HandleStore,
     ) -> None:
         self.name, self.service, self.stage = name, service, stage
+        self.late_share = late_share
         self.state = "ready"
         self.is_listed = True
         self._seed, self._seen, self._handles = seed, seen, handles
@@ -218,7 +221,8 @@
         self._runner = runner
         self._connection = connection
         self._reader = wire.Reader(connection)
-        self._late = b""
+        self._late = misbehavior.Late.NOTHING
+        self._late_bytes = b""
         self._sent = b""
 
     def serve(self) -> None:
@@ -236,8 +240,9 @@
         self, first: bytes, headers: dict[str, str], body: bytes
     ) -> bool:
         arrival, chance = self._runner.start_arrival(first, headers, body)
-        if self._late:
-            self._connection.sendall(self._late)
+        arrival.preceded_by = self._late
+        if self._late_bytes:
+            self._connection.sendall(self._late_bytes)
         self._sent = b""
         try:
             is_kept = self._answer(arrival, chance)
@@ -246,8 +251,11 @@
             raise
         finally:
             arrival.ended_s = time.monotonic()
-        self._late = misbehavior.late_bytes(
-            misbehavior.draw_late(chance),
+        self._late = misbehavior.draw_late(
+            chance, share=self._runner.late_share
+        )
+        self._late_bytes = misbehavior.late_bytes(
+            self._late,
             attempt=arrival.attempt,
             answer=self._sent,
             chance=chance,
@@ -403,10 +411,7 @@
         return manner is not misbehavior.Manner.CLOSE
 
     def _stop_stream(
-        self,
-        arrival: records.Arrival,
-        manner: misbehavior.Manner,
-        event: bytes,
+        self, arrival: records.Arrival, manner: misbehavior.Manner, event: bytes
     ) -> bool:
         match manner:
             case misbehavior.Manner.STALLED:
--- /dev/null
+++ b/testing/soak/test_soak.py
@@ -0,0 +1,435 @@
+"""Seeded soaks, and tests of the soak's own schedule and checks."""
+
+from collections.abc import Callable
+import dataclasses
+import pathlib
+import random
+from typing import Any
+
+import pytest
+
+from soak import checks
+from soak import misbehavior
+from soak import records
+from soak import run
+from soak import runners
+from soak import schedule
+
+LOOKUP, PAYMENT, STREAM, RESUMABLE = records.Kind
+SCOPE = schedule.Scope(
+    gateways=("g1", "g2", "g3"), replicas=("c1", "c2", "c3"), runners=8
+)
+RUN = "a1/i-r1-1/7"
+EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_promises_hold_under_faults(seed: int, tmp_path: pathlib.Path) -> None:
+    findings = run.play(
+        seed=seed, duration_s=8.0, gateways=3, caller_count=30, folder=tmp_path
+    )
+    assert [(f.rule, f.attempt, f.text) for f in findings] == []
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_same_seed_gives_the_same_schedule(seed: int) -> None:
+    first, second = (
+        schedule.draw(seed, duration_s=30.0, scope=SCOPE) for _ in range(2)
+    )
+    assert first == second
+    assert first != schedule.draw(seed + 1, duration_s=30.0, scope=SCOPE)
+
+
+def test_schedules_contain_every_fault() -> None:
+    kinds = {
+        type(timed.fault)
+        for seed in range(20)
+        for timed in schedule.draw(seed, duration_s=30.0, scope=SCOPE)
+    }
+    assert kinds == set(schedule.Fault.__args__)
+
+
+def test_same_attempt_gets_the_same_misbehavior() -> None:
+    first, second = (
+        [
+            misbehavior.draw_manner(
+                random.Random(f"1/a{number}"), is_stream=True
+            )
+            for number in range(200)
+        ]
+        for _ in range(2)
+    )
+    assert first == second
+    assert set(first) == set(misbehavior.Manner)
+
+
+def _sound_records(kind: records.Kind) -> records.Records:
+    """Return a call of `kind` that a runner answered, and a publication."""
+    answer = EVENTS if kind.is_stream else b"answer"
+    method, body = "POST", b"body"
+    seen = records.Records()
+    seen.calls.append(
+        records.Call(
+            attempt="a1",
+            kind=kind,
+            gateway="g1",
+            connection=1,
+            use=1,
+            method=method,
+            target="/pay/1",
+            header_by_name={"X-Wisteriawall-Model": "m"},
+            body=body,
+            deadline_s=15.0,
+            started_s=100.0,
+            sent_s=100.0,
+            first_byte_s=100.1,
+            ended_s=100.2,
+            ending=records.Ending.COMPLETE,
+            status=200,
+            answer_header_by_name={
+                records.SEAL: "seal-1",
+                records.ATTEMPT_ID: "a1",
+            },
+            answer=answer,
+        )
+    )
+    seen.arrivals.append(
+        records.Arrival(
+            attempt="a1",
+            runner="i-r1-1",
+            place="r1",
+            stage="",
+            service="shop",
+            method=method,
+            target="/pay/1",
+            header_by_name={
+                "x-wisteriawall-model": "m",
+                runners.KV_SOURCE: "127.0.0.1:1/h1",
+            },
+            body=body,
+            at_s=100.05,
+            has_run=True,
+            ending=records.RunEnding.ANSWERED,
+            ended_s=100.15,
+            status=200,
+            seal="seal-1",
+            answer=answer,
+            last_event=3,
+        )
+    )
+    seen.attempt_by_handle = {"h1": "a1", "h2": "a2"}
+    seen.publications.append(records.Publication(4, "four", 90.0, 91.0))
+    seen.readings.append(
+        records.Reading("c1", 4, "four", 110.0, 110.1, is_final=True)
+    )
+    for change, at_s in (
+        (records.Change.START, 80.0),
+        (records.Change.TERM, 99.0),
+        (records.Change.END, 101.0),
+    ):
+        seen.incidents.append(records.Incident("g1", change, at_s, 77))
+    return seen
+
+
+@pytest.mark.parametrize("kind", list(records.Kind))
+def test_sound_records_break_no_rule(kind: records.Kind) -> None:
+    assert checks.judge(_sound_records(kind)) == []
+
+
+def _change_call(**values: Any) -> Callable[[records.Records], None]:
+    def change(seen: records.Records) -> None:
+        seen.calls[0] = dataclasses.replace(seen.calls[0], **values)
+
+    return change
+
+
+def _change_arrival(**values: Any) -> Callable[[records.Records], None]:
+    def change(seen: records.Records) -> None:
+        seen.arrivals[0] = dataclasses.replace(seen.arrivals[0], **values)
+
+    return change
+
+
+def _run_again(seen: records.Records) -> None:
+    seen.arrivals.append(dataclasses.replace(seen.arrivals[0], seal="seal-2"))
+
+
+def _use_handle_of_another(seen: records.Records) -> None:
+    seen.arrivals[0].header_by_name[runners.KV_SOURCE] = "127.0.0.1:1/h2"
+
+
+def _use_unknown_handle(seen: records.Records) -> None:
+    seen.arrivals[0].header_by_name[runners.KV_SOURCE] = "127.0.0.1:1/h9"
+
+
+def _cut_at_any_time(seen: records.Records) -> None:
+    """Cut four requests without planned work."""
+    seen.incidents[1] = dataclasses.replace(seen.incidents[1], at_s=200.0)
+    seen.incidents[2] = dataclasses.replace(seen.incidents[2], at_s=201.0)
+    for name in ("a2", "a3", "a4", "a5"):
+        seen.calls.append(
+            dataclasses.replace(
+                seen.calls[0],
+                attempt=name,
+                ending=records.Ending.UNANSWERED,
+                status=0,
+                answer=b"",
+            )
+        )
+        seen.arrivals.append(
+            dataclasses.replace(
+                seen.arrivals[0],
+                attempt=name,
+                header_by_name={"x-wisteriawall-model": "m"},
+            )
+        )
+
+
+def _add_reading(
+    version: int, content: str, *, at_s: float = 100.0, is_final: bool = False
+) -> Callable[[records.Records], None]:
+    def change(seen: records.Records) -> None:
+        seen.publications.append(records.Publication(2, "two", 80.0, 81.0))
+        seen.readings.append(
+            records.Reading("c2", version, content, at_s, at_s, is_final)
+        )
+
+    return change
+
+
+def _end(
+    change: records.Change | None = None, code: int = 0
+) -> Callable[[records.Records], None]:
+    def replace(seen: records.Records) -> None:
+        seen.incidents[2] = dataclasses.replace(seen.incidents[2], code=code)
+        if change is not None:
+            seen.incidents.append(records.Incident("g1", change, 107.0, 77))
+
+    return replace
+
+
+UNANSWERED = {"ending": records.Ending.UNANSWERED, "status": 0, "answer": b""}
+
+
+@pytest.mark.parametrize(
+    ("rule", "kind", "change"),
+    [
+        pytest.param(rule, kind, change, id=name)
+        for name, rule, kind, change in (
+            (
+                "success-without-a-seal",
+                "MIXED",
+                PAYMENT,
+                _change_call(answer_header_by_name={}),
+            ),
+            (
+                "answer-of-another-request",
+                "MIXED",
+                PAYMENT,
+                _change_call(
+                    answer_header_by_name={
+                        records.SEAL: "seal-1",
+                        records.ATTEMPT_ID: "a9",
+                    }
+                ),
+            ),
+            (
+                "body-of-another-request",
+                "MIXED",
+                PAYMENT,
+                _change_call(answer=b"other"),
+            ),
+            (
+                "truncated-answer-that-looks-complete",
+                "MIXED",
+                PAYMENT,
+                _change_call(answer=b"ans"),
+            ),
+            (
+                "success-of-a-failure",
+                "MIXED",
+                PAYMENT,
+                _change_arrival(status=500),
+            ),
+            (
+                "bytes-without-a-request",
+                "MIXED",
+                LOOKUP,
+                _change_call(surplus=b"HTTP/1.1 200 OK\r\n"),
+            ),
+            (
+                "bytes-that-are-no-answer",
+                "MIXED",
+                LOOKUP,
+                _change_call(ending=records.Ending.MALFORMED, status=0),
+            ),
+            (
+                "handle-of-another-request",
+                "MIXED",
+                STREAM,
+                _use_handle_of_another,
+            ),
+            ("payment-twice", "TWICE", PAYMENT, _run_again),
+            ("stream-twice", "TWICE", STREAM, _run_again),
+            *(
+                (
+                    f"refused-with-{status}",
+                    "REFUSED",
+                    PAYMENT,
+                    _change_call(
+                        status=status, answer_header_by_name={}, answer=b""
+                    ),
+                )
+                for status in checks.NOT_RUN_STATUSES
+            ),
+            *(
+                (
+                    f"changed-{next(iter(values))}",
+                    "UNASKED",
+                    LOOKUP,
+                    _change_arrival(**values),
+                )
+                for values in (
+                    {"method": "PUT"},
+                    {"target": "/pay/2"},
+                    {"body": b"bodybody"},
+                    {"header_by_name": {"x-wisteriawall-model": "n"}},
+                )
+            ),
+            (
+                "unknown-request",
+                "UNASKED",
+                LOOKUP,
+                lambda seen: seen.arrivals.append(
+                    dataclasses.replace(
+                        seen.arrivals[0], attempt="", header_by_name={}
+                    )
+                ),
+            ),
+            ("handle-of-a-caller", "UNASKED", STREAM, _use_unknown_handle),
+            ("cut-around-sigterm", "LOST", PAYMENT, _change_call(**UNANSWERED)),
+            (
+                "reset-within-a-stream",
+                "LOST",
+                STREAM,
+                _change_call(ending=records.Ending.RESET, answer=EVENTS[:9]),
+            ),
+            ("cut-at-any-time", "LOST", LOOKUP, _cut_at_any_time),
+            (
+                "missing-event",
+                "ORDER",
+                RESUMABLE,
+                _change_call(
+                    answer=EVENTS.replace(runners.event_bytes(2, RUN), b"")
+                ),
+            ),
+            (
+                "event-twice",
+                "ORDER",
+                RESUMABLE,
+                _change_call(answer=EVENTS + runners.event_bytes(3, RUN)),
+            ),
+            (
+                "end-before-the-last-event",
+                "ORDER",
+                RESUMABLE,
+                _change_arrival(last_event=4),
+            ),
+            (
+                "event-of-another-run",
+                "ORDER",
+                RESUMABLE,
+                _change_call(answer=EVENTS.replace(b"i-r1-1/7", b"i-r1-1/8")),
+            ),
+            ("older-version", "CONFIG", LOOKUP, _add_reading(2, "two")),
+            ("other-content", "CONFIG", LOOKUP, _add_reading(4, "five")),
+            (
+                "older-version-at-the-end",
+                "CONFIG",
+                LOOKUP,
+                _add_reading(2, "two", at_s=91.0, is_final=True),
+            ),
+            (
+                "nothing-at-the-end",
+                "CONFIG",
+                LOOKUP,
+                lambda seen: seen.readings.clear(),
+            ),
+            (
+                "outlived-the-grace-period",
+                "STOP",
+                LOOKUP,
+                _end(records.Change.GRACE_KILL, -9),
+            ),
+            ("ended-with-a-failure", "STOP", LOOKUP, _end(code=1)),
+            (
+                "ended-by-itself",
+                "STOP",
+                LOOKUP,
+                lambda seen: seen.incidents.pop(1),
+            ),
+            (
+                "still-running",
+                "STOP",
+                LOOKUP,
+                lambda seen: seen.incidents.pop(2),
+            ),
+        )
+    ],
+)
+def test_check_fails_on_a_broken_rule(
+    rule: str, kind: records.Kind, change: Callable[[records.Records], object]
+) -> None:
+    seen = _sound_records(kind)
+    change(seen)
+    assert {finding.rule for finding in checks.judge(seen)} == {rule}
+
+
+def _break_off(seen: records.Records) -> None:
+    seen.arrivals[0].ending = records.RunEnding.BROKE_OFF
+
+
+def _work_into_the_end(seen: records.Records) -> None:
+    seen.arrivals[0].ended_s = 106.0
+    seen.calls[0].ended_s = 106.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param(_break_off, id="runner-broke-off"),
+        pytest.param(
+            _change_arrival(misbehavior="stalled"), id="runner-misbehaved"
+        ),
+        pytest.param(_work_into_the_end, id="worked-into-the-end-of-grace"),
+        pytest.param(_change_call(**UNANSWERED, ended_s=115.0), id="deadline"),
+        pytest.param(
+            lambda seen: seen.incidents.append(
+                records.Incident("g1", records.Change.KILL, 100.1, 77)
+            ),
+            id="gateway-killed",
+        ),
+        pytest.param(
+            lambda seen: seen.incidents.append(
+                records.Incident(
+                    "r1", records.Change.DISTURBED, 98.0, until_s=99.0
+                )
+            ),
+            id="link-disturbed",
+        ),
+        pytest.param(
+            _change_call(ending=records.Ending.LEFT), id="caller-left"
+        ),
+        pytest.param(
+            _change_arrival(has_run=False, ending=records.RunEnding.REJECTED),
+            id="not-passed-on",
+        ),
+    ],
+)
+def test_request_that_the_rule_excuses_is_not_lost(
+    change: Callable[[records.Records], object],
+) -> None:
+    seen = _sound_records(PAYMENT)
+    _change_call(**UNANSWERED)(seen)
+    change(seen)
+    assert [f.text for f in checks.judge(seen) if f.rule == "LOST"] == []
