--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 PYTHON ?= python3
 SEED ?= 1
+FOR ?= 20
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test test-long binary check format bench capacity docs docs-check clean
+.PHONY: demo test test-long binary check format bench soak capacity docs docs-check clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +35,9 @@
 bench: $(STAMP)
 	PYTHONPATH=testing $(BIN)/python -m bench
 
+soak: $(STAMP)
+	PYTHONPATH=testing $(BIN)/python -m soak --seed $(SEED) --for $(FOR)
+
 docs: $(STAMP)
 	$(BIN)/python -m tools.settings_reference
 
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -11,6 +11,7 @@
 from support import platform_site
 
 from soak import records
+from soak import schedule
 from soak import wire
 
 CONNECT_TIMEOUT_S = 1.0
@@ -28,8 +29,12 @@
     records.Kind.STREAM: "/talk/",
     records.Kind.RESUMABLE: "/resume/",
 }
+PROBED_PATHS = (
+    "/split/",
+    *(f"/extra-{number}/" for number in range(schedule.EXTRA_ROUTES)),
+)
 KINDS = tuple(records.Kind)
-KIND_WEIGHTS = (3, 4, 2, 2)
+KIND_WEIGHTS = (3, 4, 2, 2, 1)
 
 
 @final
@@ -128,7 +133,8 @@
         self._calls += 1
         attempt = f"a{self._number:03}x{self._calls:05}"
         size = chance.choice((0, 20, 500, 20_000))
-        is_post = kind is not records.Kind.LOOKUP
+        is_post = kind not in (records.Kind.LOOKUP, records.Kind.PROBE)
+        path = PATH_BY_KIND.get(kind) or chance.choice(PROBED_PATHS)
         header_by_name = {
             "Host": platform_site.HOST,
             platform_site.ATTEMPT_ID: attempt,
@@ -145,7 +151,7 @@
             connection=0,
             use=0,
             method="POST" if is_post else "GET",
-            target=f"{PATH_BY_KIND[kind]}{attempt}?q={chance.randrange(99)}",
+            target=f"{path}{attempt}?q={chance.randrange(99)}",
             header_by_name=header_by_name,
             body=f"{attempt}:{'b' * size}".encode() if is_post else b"",
             deadline_s=DEADLINE_S,
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -11,6 +11,7 @@
 
 from soak import fleet
 from soak import lost
+from soak import readings
 from soak import records
 from soak import runners
 
@@ -22,10 +23,9 @@
     "LOST",
     "ORDER",
     "CONFIG",
+    "DENIED",
     "STOP",
 )
-CONFIG_S = 2.0
-BACK_S = 0.25
 # A SIGTERM before the program handles it ends it with this code.
 STARTUP_S = 10.0
 TERMINATED_CODE = -15
@@ -112,7 +112,7 @@
         _check_requests,
         _check_lost,
         _check_streams,
-        _check_readings,
+        _check_configurations,
         _check_stops,
     )
     return [finding for check in checks for finding in check(evidence)]
@@ -286,43 +286,18 @@
             return
 
 
-def _check_readings(evidence: _Evidence) -> Iterator[Finding]:
-    seen = evidence.seen
-    content_by_version = {p.version: p.content for p in seen.publications}
-    readings = sorted(seen.readings, key=lambda reading: reading.sent_s)
-    for reading in readings:
-        acknowledged = [
-            p.version
-            for p in seen.publications
-            if p.acknowledged_s
-            and (
-                reading.is_final or p.acknowledged_s + CONFIG_S < reading.sent_s
-            )
-        ]
-        earlier = [
-            r.version
-            for r in readings
-            if r.ended_s
-            + (BACK_S if r.replica == reading.replica else CONFIG_S)
-            < reading.sent_s
-        ]
-        newest = max((*acknowledged, *earlier), default=0)
-        if reading.version < newest:
-            yield Finding(
-                "CONFIG",
-                f"version {reading.version}",
-                "a read of the configuration is answered with an older"
-                f" version than {newest}, by {reading.replica}, sent"
-                f" {reading.sent_s:.3f}",
-            )
-        if content_by_version.get(reading.version) != reading.content:
-            yield Finding(
-                "CONFIG",
-                f"version {reading.version}",
-                "read back, it isn't what was sent under its number",
-            )
-    if seen.publications and not any(r.is_final for r in readings):
-        yield Finding("CONFIG", "at the end", "the configuration doesn't come")
+def _check_configurations(evidence: _Evidence) -> Iterator[Finding]:
+    for version, text in readings.find_stale(evidence.seen):
+        yield Finding("CONFIG", version, text)
+    ran = {
+        attempt
+        for attempt, arrivals in evidence.arrivals_by_attempt.items()
+        if any(arrival.has_run for arrival in arrivals)
+    }
+    for call, text in readings.find_disobeyed(evidence.seen, ran):
+        yield evidence.finding("CONFIG", call.attempt, text)
+    for call, text in readings.find_denied(evidence.seen):
+        yield evidence.finding("DENIED", call.attempt, text)
 
 
 def _check_stops(evidence: _Evidence) -> Iterator[Finding]:
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -160,7 +160,11 @@
                 time.sleep(RETRY_PAUSE_S)
         self._seen.publications.append(
             records.Publication(
-                document["version"], content, sent_s, acknowledged_s
+                document["version"],
+                content,
+                sent_s,
+                acknowledged_s,
+                frozenset(r["path_prefix"] for r in document["routes"]),
             )
         )
 
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -20,11 +20,13 @@
     PAYMENT = "payment"
     STREAM = "stream"
     RESUMABLE = "resumable stream"
+    # A lookup on a route that may have been added or removed.
+    PROBE = "probe"
 
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request of this kind may run more than once."""
-        return self in (Kind.LOOKUP, Kind.RESUMABLE)
+        return self in (Kind.LOOKUP, Kind.RESUMABLE, Kind.PROBE)
 
     @property
     def is_stream(self) -> bool:
@@ -155,6 +157,8 @@
     content: str
     sent_s: float
     acknowledged_s: float = 0.0
+    # Prefixes of the routes.
+    prefixes: frozenset[str] = frozenset()
 
 
 @final
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -211,6 +211,11 @@
     yield Timed(0.0, Kill(chance.choice((*scope.gateways, *scope.replicas))))
 
 
+def _kill_core(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    for replica in scope.replicas:
+        yield Timed(chance.uniform(0.0, 0.05), Kill(replica))
+
+
 def _restart_replicas(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     at_s = 0.0
     for replica in scope.replicas:
@@ -286,6 +291,7 @@
     _reloads,
     _freeze,
     _kill,
+    _kill_core,
     _restart_replicas,
     _changes,
     _drain_runner,
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -10,12 +10,13 @@
 
 from soak import checks
 from soak import misbehavior
+from soak import readings
 from soak import records
 from soak import run
 from soak import runners
 from soak import schedule
 
-LOOKUP, PAYMENT, STREAM, RESUMABLE = records.Kind
+LOOKUP, PAYMENT, STREAM, RESUMABLE, PROBE = records.Kind
 SCOPE = schedule.Scope(
     gateways=("g1", "g2", "g3"), replicas=("c1", "c2", "c3"), runners=8
 )
@@ -197,6 +198,41 @@
     return change
 
 
+def _probe(
+    prefix: str, prefixes: frozenset[str], *, status: int
+) -> Callable[[records.Records], None]:
+    def change(seen: records.Records) -> None:
+        seen.incidents[1:] = []
+        seen.incidents.append(
+            records.Incident("g1", records.Change.KILL, 190.0, 77)
+        )
+        seen.incidents.append(
+            records.Incident("g1", records.Change.END, 190.0, 77)
+        )
+        seen.publications = [
+            dataclasses.replace(seen.publications[0], prefixes=prefixes)
+        ]
+        _change_call(target=prefix)(seen)
+        _change_arrival(target=prefix)(seen)
+        if status != seen.calls[0].status:
+            _change_call(status=status, answer_header_by_name={})(seen)
+            seen.arrivals.clear()
+
+    return change
+
+
+def _deny(seen: records.Records) -> None:
+    for number in range(readings.MAX_DENIED + 1):
+        seen.calls.append(
+            dataclasses.replace(
+                seen.calls[0],
+                attempt=f"b{number}",
+                status=404,
+                answer_header_by_name={},
+            )
+        )
+
+
 def _end(
     change: records.Change | None = None, code: int = 0
 ) -> Callable[[records.Records], None]:
@@ -355,6 +391,19 @@
                 LOOKUP,
                 lambda seen: seen.readings.clear(),
             ),
+            (
+                "added-route-refused",
+                "CONFIG",
+                PROBE,
+                _probe("/extra-1/", frozenset({"/extra-1/"}), status=404),
+            ),
+            (
+                "dropped-route-runs",
+                "CONFIG",
+                PROBE,
+                _probe("/extra-1/", frozenset(), status=200),
+            ),
+            ("proper-requests-denied", "DENIED", LOOKUP, _deny),
             (
                 "outlived-the-grace-period",
                 "STOP",
