--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -118,6 +118,11 @@
     return [finding for check in checks for finding in check(evidence)]
 
 
+def held_calls(seen: records.Records) -> list[records.Call]:
+    """Return requests that may be lost, depending on the gateway's log."""
+    return list(lost.find_held(seen, _Evidence(seen).arrivals_by_attempt))
+
+
 def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
         arrivals = evidence.arrivals_by_attempt[call.attempt]
@@ -328,7 +333,8 @@
         return f"ended by itself, with code {ends[0].code}"
     if records.Change.GRACE_KILL in changes:
         frozen = any(
-            i.change is records.Change.THAW and i.at_s > terms[0].at_s
+            i.change in (records.Change.FREEZE, records.Change.THAW)
+            and i.at_s > terms[0].at_s
             for i in incidents
         )
         return "" if frozen else "still ran at the end of the grace period"
--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -8,6 +8,7 @@
 # A process is undisturbed when nothing unplanned happened to it for so long.
 CONTACT_S = 3.0
 CONFIG_S = 2.0
+LOST_S = 0.2
 AFTER_GRACE_S = 1.0
 SENT_EARLY_S = 3.0
 WORKING_SHARE_OF_GRACE = 5 / 6
@@ -69,14 +70,37 @@
                 )
 
 
+def find_held(
+    seen: records.Records,
+    arrivals_by_attempt: dict[str, list[records.Arrival]],
+) -> Iterator[records.Call]:
+    """Yield requests that were cut late and not passed on.
+
+    They are lost if the gateway has read them, which only its log shows.
+    """
+    for call in seen.calls:
+        if (
+            call.ending in CUT_ENDINGS
+            and call.sent_s
+            and call.ended_s > call.sent_s + LOST_S
+            and not arrivals_by_attempt[call.attempt]
+            and not any(
+                incident.name == call.gateway
+                and incident.change in UNPLANNED
+                and call.started_s - CONTACT_S <= incident.at_s <= call.ended_s
+                for incident in seen.incidents
+            )
+        ):
+            yield call
+
+
 def _answering(
     call: records.Call, arrivals: list[records.Arrival]
 ) -> records.Arrival | None:
-    """Return the last run of a request that was cut, None if there is none."""
-    if call.ending not in CUT_ENDINGS:
+    """Return the last arrival of a request that was cut, None without one."""
+    if call.ending not in CUT_ENDINGS or not arrivals:
         return None
-    runs = [arrival for arrival in arrivals if arrival.has_run]
-    return runs[-1] if runs else None
+    return arrivals[-1]
 
 
 def _is_excused(
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -4,6 +4,8 @@
 import collections
 from collections.abc import Iterator
 import contextlib
+import dataclasses
+import json
 import pathlib
 import sys
 import tempfile
@@ -37,6 +39,7 @@
     ("model", "decode"),
 )
 MAX_FINDINGS_PRINTED = 40
+MAX_DUMPED_LENGTH = 200
 
 
 @final
@@ -258,6 +261,7 @@
         folder=folder,
     )
     soak.play()
+    dump(soak.seen, folder / "records.jsonl")
     findings = checks.judge(soak.seen)
     for line in report(soak, findings, started_s):
         print(line)
@@ -287,6 +291,10 @@
     yield "findings: " + ", ".join(
         f"{rule} {counts[rule]}" for rule in checks.RULES
     )
+    held = checks.held_calls(seen)
+    yield f"cut without having been passed on, over 0.2 s old: {len(held)}"
+    for call in held[:MAX_FINDINGS_PRINTED]:
+        yield from soak.fleet.log_lines(call.attempt)
     for finding in findings[:MAX_FINDINGS_PRINTED]:
         yield ""
         yield f"{finding.rule} {finding.attempt}: {finding.text}"
@@ -294,6 +302,26 @@
         yield from soak.fleet.log_lines(finding.attempt)
 
 
+def dump(seen: records.Records, path: pathlib.Path) -> None:
+    """Write all records as JSON lines; long values are shortened."""
+    with path.open("w") as file:
+        for group in (
+            seen.calls,
+            seen.arrivals,
+            seen.incidents,
+            seen.publications,
+            seen.readings,
+        ):
+            for record in group:
+                fields = dataclasses.asdict(record)
+                fields["record"] = type(record).__name__
+                file.write(json.dumps(fields, default=_shorten) + "\n")
+
+
+def _shorten(value: object) -> str:
+    return repr(value)[:MAX_DUMPED_LENGTH]
+
+
 def main() -> int:
     """Play a soak from the command line; 1 if a rule was broken."""
     parser = argparse.ArgumentParser(prog="soak")
