--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -10,6 +10,7 @@
 
 from support import platform_site
 
+from soak import operators
 from soak import records
 from soak import schedule
 from soak import wire
@@ -18,6 +19,11 @@
 # Generous, so that the verdict does not depend on the speed of the machine.
 DEADLINE_S = 15.0
 THINK_S = (0.0, 0.15)
+IDLE_SHARE = 0.03
+# Four fifths of the idle time after which a gateway may close a connection.
+MAX_IDLE_S = 0.8 * operators.IDLE_MS / 1_000
+SLOW_BODY_SHARE = 0.3
+MAX_CHUNK_PAUSE_S = 0.5
 RECONNECT_PAUSE_S = 0.1
 SHORT_PATIENCE_S = 2.0
 PROMPT_TOKENS = 9_000
@@ -94,7 +100,7 @@
             self._thread.join(timeout_s)
 
     def _run(self) -> None:
-        while not self._stopping.wait(self._chance.uniform(*THINK_S)):
+        while not self._stopping.wait(self._think_s()):
             call = self._make_call()
             connection = self._connection or self._connect()
             if connection is None:
@@ -113,6 +119,11 @@
         if self._connection is not None:
             self._connection.close()
 
+    def _think_s(self) -> float:
+        if self._chance.random() < IDLE_SHARE:
+            return self._chance.uniform(0.0, MAX_IDLE_S)
+        return self._chance.uniform(*THINK_S)
+
     def _connect(self) -> "_Connection | None":
         name = self._chance.choice(list(self._address_by_gateway))
         host, _, port = self._address_by_gateway[name].rpartition(":")
@@ -271,7 +282,10 @@
             headers["Transfer-Encoding"] = "chunked"
             self._socket.sendall(wire.format_head(first, headers))
             middle = len(call.body) // 2
+            is_slow = chance.random() < SLOW_BODY_SHARE
             for part in (call.body[:middle], call.body[middle:], b""):
+                if is_slow:
+                    time.sleep(chance.uniform(0.0, MAX_CHUNK_PAUSE_S))
                 self._socket.sendall(wire.chunk(part))
         else:
             if call.method == "POST":
--- a/testing/soak/misbehavior.py
+++ b/testing/soak/misbehavior.py
@@ -37,6 +37,8 @@
 FAULTS = (Manner.GARBAGE, Manner.TRUNCATED, Manner.RESET, Manner.STALLED)
 # A stalled stream is the longest piece of work that a gateway can have.
 STREAM_FAULTS = (*FAULTS, Manner.STALLED, Manner.STALLED)
+# An answer that ends with its connection is truncated by a reset.
+CLOSING = (Manner.CLOSE, Manner.TRUNCATED)
 SOUND = (Manner.CLOSE, Manner.SPLIT, Manner.SLOW)
 
 
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -21,6 +21,7 @@
 ACKNOWLEDGEMENT_TIMEOUT_S = 20.0
 ROUTE_TIMEOUT_MS = 12_000
 ROUTE_TARGET_MS = 4_000
+IDLE_MS = 2_000
 
 
 @final
@@ -80,7 +81,11 @@
             for service in document["services"]
         ]
         store = services[0] | {"name": "store"}
-        return document | {"routes": routes, "services": [*services, store]}
+        return document | {
+            "routes": routes,
+            "services": [*services, store],
+            "limits": document["limits"] | {"idle_ms": IDLE_MS},
+        }
 
 
 @final
--- a/testing/soak/readings.py
+++ b/testing/soak/readings.py
@@ -73,7 +73,11 @@
         allowed = _allowed(seen, call)
         if allowed is None:
             continue
-        if call.status == NOT_FOUND_STATUS and allowed:
+        is_denied = (
+            call.status == NOT_FOUND_STATUS
+            and records.SEAL not in call.answer_header_by_name
+        )
+        if is_denied and allowed:
             yield call, "refused with 404 though the route is there"
         if call.attempt in ran_attempts and not allowed:
             yield call, "run with a dropped route"
@@ -122,6 +126,7 @@
         call
         for call in seen.calls
         if call.status in DENIED_STATUSES
+        and records.SEAL not in call.answer_header_by_name
         and call.kind is not records.Kind.PROBE
     ]
     if len(denied) > MAX_DENIED:
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -18,6 +18,8 @@
 HANDLE_LIFETIME_S = 5.0
 MAX_STREAM_S = 3.0
 SLOW_ANSWER_S = 1.5
+FAILURE_SHARE = 0.04
+IDLE_TIMEOUT_S = (1.0, 6.0)
 SPLIT_PAUSE_S = 0.005
 SPLIT_PIECES = 8
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
@@ -82,6 +84,9 @@
     ) -> None:
         self.name, self.service, self.stage = name, service, stage
         self.late_share = late_share
+        self.idle_timeout_s = random.Random(f"{seed}/{name}").uniform(
+            *IDLE_TIMEOUT_S
+        )
         self.state = "ready"
         self.is_listed = True
         self._seed, self._seen, self._handles = seed, seen, handles
@@ -227,7 +232,12 @@
 
     def serve(self) -> None:
         """Answer requests until the connection ends."""
-        while not self._reader.is_at_end():
+        while True:
+            # An idle connection is closed, also when a request is under way.
+            self._connection.settimeout(self._runner.idle_timeout_s)
+            if self._reader.is_at_end():
+                return
+            self._connection.settimeout(None)
             first, headers = self._reader.read_head()
             body = self._reader.read_body(headers, default=0)
             if records.ATTEMPT_ID not in headers:
@@ -324,7 +334,7 @@
             "X-Wisteriawall-Attempt-Id": arrival.attempt,
             "X-Wisteriawall-Response-Seal": arrival.seal,
         }
-        if manner is misbehavior.Manner.CLOSE:
+        if manner in misbehavior.CLOSING:
             head["Connection"] = "close"
         return head
 
@@ -335,34 +345,25 @@
         body: bytes,
         chance: random.Random,
     ) -> bool:
-        status = "500 Error" if chance.random() < 0.03 else "200 OK"
+        status = "200 OK"
+        if chance.random() < FAILURE_SHARE and arrival.has_run:
+            status = chance.choice(("500 Error", "404 Not Found"))
         head = self._head(arrival, manner, status)
         arrival.answer = body
         if manner is misbehavior.Manner.SLOW:
             time.sleep(chance.uniform(0, SLOW_ANSWER_S))
-        is_kept = manner is not misbehavior.Manner.CLOSE
-        if is_kept or chance.random() < 0.5:
-            if chance.random() < 0.5:
-                head["Content-Length"] = str(len(body))
-                data = body
-            else:
-                head["Transfer-Encoding"] = "chunked"
-                middle = len(body) // 2
-                parts = (body[:middle], body[middle:], b"")
-                data = b"".join(wire.chunk(part) for part in parts)
-        else:
-            data = body
-        message = wire.format_head(f"HTTP/1.1 {status}", head) + data
+        framing = chance.choice(("length", "chunked"))
+        if "Connection" in head and chance.random() < 0.5:
+            framing = "end of the connection"
+        message = _frame(status, head, body, framing)
         match manner:
             case misbehavior.Manner.GARBAGE:
                 self._write(chance.choice(misbehavior.GARBAGE))
                 return self._break_off(arrival)
             case misbehavior.Manner.TRUNCATED:
-                # At least the last byte of a body with a length is missing.
-                head["Content-Length"] = str(len(body))
-                head.pop("Transfer-Encoding", None)
-                whole = wire.format_head(f"HTTP/1.1 {status}", head) + body
-                self._write(whole[: -chance.randint(1, len(body))])
+                if framing == "end of the connection":
+                    _reset_on_close(self._connection)
+                self._write(message[: -chance.randint(1, len(body))])
                 return self._break_off(arrival)
             case misbehavior.Manner.RESET:
                 _reset_on_close(self._connection)
@@ -372,7 +373,7 @@
             case _:
                 self._write(message)
         arrival.ending = records.RunEnding.ANSWERED
-        return is_kept
+        return "Connection" not in head
 
     def _send_stream(
         self,
@@ -408,7 +409,7 @@
             time.sleep(pause_s)
         self._write(wire.chunk(b""))
         arrival.ending = records.RunEnding.ANSWERED
-        return manner is not misbehavior.Manner.CLOSE
+        return "Connection" not in head
 
     def _stop_stream(
         self, arrival: records.Arrival, manner: misbehavior.Manner, event: bytes
@@ -440,6 +441,21 @@
         self._connection.sendall(data)
 
 
+def _frame(
+    status: str, head: dict[str, str], body: bytes, framing: str
+) -> bytes:
+    """Return a whole answer."""
+    match framing:
+        case "length":
+            head = head | {"Content-Length": str(len(body))}
+        case "chunked":
+            head = head | {"Transfer-Encoding": "chunked"}
+            middle = len(body) // 2
+            parts = (body[:middle], body[middle:], b"")
+            body = b"".join(map(wire.chunk, parts))
+    return wire.format_head(f"HTTP/1.1 {status}", head) + body
+
+
 def _reset_on_close(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.setsockopt(
