--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -97,10 +97,15 @@
 def _answering(
     call: records.Call, arrivals: list[records.Arrival]
 ) -> records.Arrival | None:
-    """Return the last arrival of a request that was cut, None without one."""
+    """Return the arrival that answers a request that was cut, if any does.
+
+    It is the last run. Where a runner broke off and its request was rejected
+    elsewhere, the runner ended it; without a run, the last rejection counts.
+    """
     if call.ending not in CUT_ENDINGS or not arrivals:
         return None
-    return arrivals[-1]
+    runs = [arrival for arrival in arrivals if arrival.has_run]
+    return runs[-1] if runs else arrivals[-1]
 
 
 def _is_excused(
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -12,6 +12,7 @@
 
 RELAY_BYTES = 65_536
 BACKLOG = 256
+RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 
 
 @final
@@ -52,7 +53,7 @@
     def reset(self) -> None:
         """Reset both connections."""
         for writer in self.writers:
-            writer.transport.abort()
+            _reset(writer)
 
 
 @final
@@ -135,7 +136,7 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(*link.target)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         relay = _Relay(writer, far_writer)
         link.relays.add(relay)
@@ -176,3 +177,12 @@
             if direction not in relay.cut:
                 writer.close()
                 await writer.wait_closed()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; `abort` alone closes it as if it had ended."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+    writer.transport.abort()
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -11,6 +11,7 @@
 from typing import final
 
 from soak import misbehavior
+from soak import proxy
 from soak import records
 from soak import wire
 
@@ -22,7 +23,6 @@
 IDLE_TIMEOUT_S = (1.0, 6.0)
 SPLIT_PAUSE_S = 0.005
 SPLIT_PIECES = 8
-RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 EXPECT_INSTANCE = "x-wisteriawall-expect-instance"
 KV_SOURCE = "x-wisteriawall-kv-cache-source"
 STAGE = "x-wisteriawall-serving-stage"
@@ -459,5 +459,5 @@
 def _reset_on_close(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            socket.SOL_SOCKET, socket.SO_LINGER, proxy.RESET_ON_CLOSE
         )
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -22,6 +22,11 @@
 )
 RUN = "a1/i-r1-1/7"
 EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
+UNANSWERED = {
+    "ending": records.Ending.UNANSWERED,
+    "status": 0,
+    "answer": b"",
+}
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -163,6 +168,11 @@
     seen.arrivals[0].header_by_name[runners.KV_SOURCE] = "127.0.0.1:1/h9"
 
 
+def _cut_rejected(seen: records.Records) -> None:
+    _change_call(**UNANSWERED)(seen)
+    _change_arrival(has_run=False, ending=records.RunEnding.REJECTED)(seen)
+
+
 def _cut_at_any_time(seen: records.Records) -> None:
     """Cut four requests without planned work."""
     seen.incidents[1] = dataclasses.replace(seen.incidents[1], at_s=200.0)
@@ -350,6 +360,7 @@
                 STREAM,
                 _change_call(ending=records.Ending.RESET, answer=EVENTS[:9]),
             ),
+            ("rejected-and-cut", "LOST", PAYMENT, _cut_rejected),
             ("cut-at-any-time", "LOST", LOOKUP, _cut_at_any_time),
             (
                 "missing-event",
