--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -47,6 +47,8 @@
     attempt: str
     text: str
     lines: tuple[str, ...] = ()
+    # What runners sent before their answers to this request.
+    preceded_by: str = ""
 
 
 @final
@@ -74,7 +76,10 @@
                 if i.name == call.gateway
                 and call.started_s - 10 <= i.at_s <= call.ended_s + 10
             ]
-        return Finding(rule, attempt, text, tuple(lines))
+        before = {a.preceded_by for a in self.arrivals_by_attempt[attempt]}
+        return Finding(
+            rule, attempt, text, tuple(lines), ", ".join(sorted(before - {""}))
+        )
 
 
 def _describe_call(call: records.Call) -> str:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -291,6 +291,11 @@
     yield "findings: " + ", ".join(
         f"{rule} {counts[rule]}" for rule in checks.RULES
     )
+    causes = collections.Counter(
+        (finding.rule, finding.preceded_by) for finding in findings
+    )
+    for (rule, preceded_by), count in sorted(causes.items()):
+        yield f"  {rule} {count}, after {preceded_by or 'nothing'}"
     held = checks.held_calls(seen)
     yield f"cut without having been passed on, over 0.2 s old: {len(held)}"
     for call in held[:MAX_FINDINGS_PRINTED]:
