--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -23,6 +23,7 @@
 GRACE_S = 8.0
 KEY = "6f" * 32
 FIRST_HOST = 2
+HOSTS_PER_BLOCK = 250
 INTERNAL_PORTS = 8
 RESTART_PAUSE_S = 0.05
 SOURCE_FOLDER = pathlib.Path(wisteriawall.__file__).parent.parent
@@ -88,6 +89,14 @@
             return Ports(first, first + 1, first + 2, first + 3)
 
 
+def _host(number: int) -> str:
+    """Return a loopback address that other runs at the same time don't use."""
+    pid = os.getpid()
+    block, last = divmod(number, HOSTS_PER_BLOCK)
+    network = (1 + pid // 200 % 200 + block) % 255
+    return f"127.{network}.{pid % 200}.{FIRST_HOST + last}"
+
+
 def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
@@ -260,12 +269,7 @@
         list_address: str,
         seen: records.Records,
     ) -> None:
-        pid = os.getpid()
-        count = replicas + gateways
-        hosts = [
-            f"127.{1 + pid // 200 % 200}.{pid % 200}.{FIRST_HOST + number}"
-            for number in range(count)
-        ]
+        hosts = [_host(number) for number in range(replicas + gateways)]
         self._folder, self._list_address = folder, list_address
         self._ports = find_ports(hosts)
         self._seeds = [
