--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -38,7 +38,7 @@
     ("model", "decode"),
     ("model", "decode"),
 )
-MAX_FINDINGS_PRINTED = 40
+MAX_FINDINGS_DESCRIBED = 40
 MAX_DUMPED_LENGTH = 200
 
 
@@ -298,13 +298,14 @@
         yield f"  {rule} {count}, after {preceded_by or 'nothing'}"
     held = checks.held_calls(seen)
     yield f"cut without having been passed on, over 0.2 s old: {len(held)}"
-    for call in held[:MAX_FINDINGS_PRINTED]:
+    for call in held[:MAX_FINDINGS_DESCRIBED]:
         yield from soak.fleet.log_lines(call.attempt)
-    for finding in findings[:MAX_FINDINGS_PRINTED]:
-        yield ""
+    for number, finding in enumerate(findings):
         yield f"{finding.rule} {finding.attempt}: {finding.text}"
-        yield from finding.lines
-        yield from soak.fleet.log_lines(finding.attempt)
+        if number < MAX_FINDINGS_DESCRIBED:
+            yield from finding.lines
+            yield from soak.fleet.log_lines(finding.attempt)
+            yield ""
 
 
 def dump(seen: records.Records, path: pathlib.Path) -> None:
