--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -363,7 +363,10 @@
             case misbehavior.Manner.TRUNCATED:
                 if framing == "end of the connection":
                     _reset_on_close(self._connection)
-                self._write(message[: -chance.randint(1, len(body))])
+                # A chunked body is complete once its last chunk has come.
+                end = len(wire.chunk(b"")) if framing == "chunked" else 1
+                cut = chance.randint(end, end + len(body) - 1)
+                self._write(message[:-cut])
                 return self._break_off(arrival)
             case misbehavior.Manner.RESET:
                 _reset_on_close(self._connection)
