--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 import dataclasses
 import re
+import signal
 from typing import final
 
 from soak import fleet
@@ -26,9 +27,12 @@
     "DENIED",
     "STOP",
 )
-# A SIGTERM before the program handles it ends it with this code.
+# A signal before the program handles it ends it with one of these codes. It
+# ignores SIGHUP from its first instruction on.
 STARTUP_S = 10.0
-TERMINATED_CODE = -15
+INTERPRETER_STARTUP_S = 2.0
+TERMINATED_CODE = -signal.SIGTERM
+HUNG_UP_CODE = -signal.SIGHUP
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 PROMPT_HEADERS = (
     "X-Wisteriawall-Model",
@@ -331,7 +335,7 @@
     ends = [i for i in incidents if i.change is records.Change.END]
     if not ends:
         return "is still running at the end"
-    if records.Change.KILL in changes:
+    if records.Change.KILL in changes or _was_starting(incidents, ends[0]):
         return ""
     terms = [i for i in incidents if i.change is records.Change.TERM]
     if not terms:
@@ -344,7 +348,21 @@
         )
         return "" if frozen else "still ran at the end of the grace period"
     code = ends[0].code
-    started_s = min(incident.at_s for incident in incidents)
-    if code == TERMINATED_CODE and terms[0].at_s < started_s + STARTUP_S:
-        return ""
     return f"ended with code {code} after SIGTERM" if code else ""
+
+
+def _was_starting(
+    incidents: list[records.Incident], end: records.Incident
+) -> bool:
+    """Return whether a signal came before the program could handle it."""
+    started_s = min(incident.at_s for incident in incidents)
+    startup_s_by_code = {
+        TERMINATED_CODE: (records.Change.TERM, STARTUP_S),
+        HUNG_UP_CODE: (records.Change.HUP, INTERPRETER_STARTUP_S),
+    }
+    if end.code not in startup_s_by_code:
+        return False
+    change, startup_s = startup_s_by_code[end.code]
+    return any(
+        i.change is change and i.at_s < started_s + startup_s for i in incidents
+    )
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -25,6 +25,7 @@
 FIRST_HOST = 2
 HOSTS_PER_BLOCK = 250
 INTERNAL_PORTS = 8
+ABORT_S = 0.3
 RESTART_PAUSE_S = 0.05
 SOURCE_FOLDER = pathlib.Path(wisteriawall.__file__).parent.parent
 
@@ -106,6 +107,53 @@
     return True
 
 
+@final
+class _Program:
+    """A process of the system. Signals go to it alone, never to a later pid."""
+
+    def __init__(
+        self, role: str, settings: pathlib.Path, log_path: pathlib.Path
+    ) -> None:
+        with log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "wisteriawall.platform", role],
+                env=os.environ
+                | {
+                    settings_lib.SETTINGS_VARIABLE: str(settings),
+                    "WISTERIAWALL_CLUSTER_KEY": KEY,
+                    "WISTERIAWALL_METRICS_PORT": "0",
+                    "PYTHONPATH": str(SOURCE_FOLDER),
+                    # SIGABRT writes the stacks of all threads to the log.
+                    "PYTHONFAULTHANDLER": "1",
+                },
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.pid = self._process.pid
+        self._pidfd = os.pidfd_open(self.pid)
+        self._is_open = True
+
+    def signal(self, number: signal.Signals) -> bool:
+        """Send a signal; return whether the process was there."""
+        if not self._is_open:
+            return False
+        try:
+            signal.pidfd_send_signal(self._pidfd, number)
+        except ProcessLookupError:
+            return False
+        return True
+
+    def wait(self) -> int:
+        """Wait for the end; return the exit code."""
+        return self._process.wait()
+
+    def close(self) -> None:
+        """Send no more signals."""
+        self._is_open = False
+        os.close(self._pidfd)
+
+
 @final
 class Node:
     """One program on its own address, restarted as soon as it ends.
@@ -132,7 +180,7 @@
         self._role, self._settings, self._seen = role, settings, seen
         self._is_finishing = False
         self._lock = threading.Lock()
-        self._process: subprocess.Popen[bytes] | None = None
+        self._program: _Program | None = None
         self._watcher = threading.Thread(target=self._keep_running)
 
     def start(self) -> None:
@@ -153,9 +201,9 @@
 
     def terminate(self) -> None:
         """Send SIGTERM, and SIGKILL at the end of the grace period."""
-        process = self._signal(signal.SIGTERM, records.Change.TERM)
-        if process is not None:
-            timer = threading.Timer(GRACE_S, self._end_grace, (process,))
+        program = self._signal(signal.SIGTERM, records.Change.TERM)
+        if program is not None:
+            timer = threading.Timer(GRACE_S, self._end_grace, (program,))
             timer.daemon = True
             timer.start()
 
@@ -169,77 +217,72 @@
 
     def freeze(self, for_s: float) -> None:
         """Send SIGSTOP, and SIGCONT to the same process later."""
-        process = self._signal(signal.SIGSTOP, records.Change.FREEZE)
-        if process is not None:
-            timer = threading.Timer(for_s, self._thaw, (process,))
+        program = self._signal(signal.SIGSTOP, records.Change.FREEZE)
+        if program is not None:
+            timer = threading.Timer(for_s, self._thaw, (program,))
             timer.daemon = True
             timer.start()
 
-    def _thaw(self, process: subprocess.Popen[bytes]) -> None:
-        self._signal(signal.SIGCONT, records.Change.THAW, only=process)
+    def _thaw(self, program: _Program) -> None:
+        self._signal(signal.SIGCONT, records.Change.THAW, only=program)
 
-    def _end_grace(self, process: subprocess.Popen[bytes]) -> None:
-        self._signal(signal.SIGKILL, records.Change.GRACE_KILL, only=process)
+    def _end_grace(self, program: _Program) -> None:
+        """Write the stacks of all threads to the log, then send SIGKILL."""
+        if self._signal(
+            signal.SIGABRT, records.Change.GRACE_KILL, only=program
+        ):
+            time.sleep(ABORT_S)
+            with self._lock:
+                program.signal(signal.SIGKILL)
 
     def _signal(
         self,
         number: signal.Signals,
         change: records.Change,
-        only: subprocess.Popen[bytes] | None = None,
-    ) -> subprocess.Popen[bytes] | None:
-        """Signal the running process, or none if it isn't the one of `only`.
+        only: _Program | None = None,
+    ) -> _Program | None:
+        """Signal the running program, or none if it isn't the one of `only`.
 
-        Return the process that got the signal. `Popen.send_signal` does not
-        signal a process that has ended, whose pid may be used again.
+        Return the program that got the signal.
         """
         with self._lock:
-            process = self._process
-            if process is None or process.returncode is not None:
+            program = self._program
+            if program is None or (only is not None and program is not only):
                 return None
-            if only is not None and process is not only:
+            at_s = time.monotonic()
+            if not program.signal(number):
                 return None
-            self._add(change, process)
-            process.send_signal(number)
-            return process
+            self._add(change, at_s, program)
+            return program
 
     def _add(
         self,
         change: records.Change,
-        process: subprocess.Popen[bytes],
+        at_s: float,
+        program: _Program,
         code: int = 0,
     ) -> None:
         self._seen.incidents.append(
-            records.Incident(
-                self.name, change, time.monotonic(), process.pid, code
-            )
+            records.Incident(self.name, change, at_s, program.pid, code)
         )
 
     def _keep_running(self) -> None:
-        while (process := self._start_process()) is not None:
-            code = process.wait()
-            self._add(records.Change.END, process, code)
+        while (program := self._start_program()) is not None:
+            code = program.wait()
+            with self._lock:
+                self._add(records.Change.END, time.monotonic(), program, code)
+                program.close()
             _set_bootstrap(self._settings, False)
             time.sleep(RESTART_PAUSE_S)
 
-    def _start_process(self) -> subprocess.Popen[bytes] | None:
-        with self._lock, self.log_path.open("ab") as log:
+    def _start_program(self) -> _Program | None:
+        with self._lock:
             if self._is_finishing:
                 return None
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "wisteriawall.platform", self._role],
-                env=os.environ
-                | {
-                    settings_lib.SETTINGS_VARIABLE: str(self._settings),
-                    "WISTERIAWALL_CLUSTER_KEY": KEY,
-                    "WISTERIAWALL_METRICS_PORT": "0",
-                    "PYTHONPATH": str(SOURCE_FOLDER),
-                },
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-            self._add(records.Change.START, self._process)
-            return self._process
+            at_s = time.monotonic()
+            self._program = _Program(self._role, self._settings, self.log_path)
+            self._add(records.Change.START, at_s, self._program)
+            return self._program
 
 
 def _set_bootstrap(path: pathlib.Path, value: bool) -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -414,6 +414,8 @@
                 PROBE,
                 _probe("/extra-1/", frozenset(), status=200),
             ),
+            ("ended-by-sigterm", "STOP", LOOKUP, _end(code=-15)),
+            ("ended-by-sighup", "STOP", LOOKUP, _end(code=-1)),
             ("proper-requests-denied", "DENIED", LOOKUP, _deny),
             (
                 "outlived-the-grace-period",
