--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import threading
@@ -361,6 +362,8 @@
     parser.add_argument("--late", type=float, default=LATE_SHARE)
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
+    # So that the processes are ended if the soak is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     with contextlib.ExitStack() as stack:
         folder = arguments.keep or pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory(prefix="soak-"))
