--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -91,6 +91,8 @@
         self.is_listed = True
         self._seed, self._seen, self._handles = seed, seen, handles
         self._starts = 1
+        # Grows when all work ends.
+        self.generation = 0
         self._born_ms = round(time.time() * 1_000)
         self._open: set[socket.socket] = set()
         self._arrivals_by_attempt: dict[str, int] = {}
@@ -137,10 +139,12 @@
                 self.name, records.Change.RUNNER_ENDED, time.monotonic()
             )
         )
+        self.generation += 1
         for connection in list(self._open):
             _reset_on_close(connection)
+            # Wakes the thread, which then closes the connection.
             with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
+                connection.shutdown(socket.SHUT_RD)
 
     def close(self) -> None:
         """Release the address and every connection."""
@@ -225,6 +229,7 @@
     ) -> None:
         self._runner = runner
         self._connection = connection
+        self._generation = runner.generation
         self._reader = wire.Reader(connection)
         self._late = misbehavior.Late.NOTHING
         self._late_bytes = b""
@@ -334,7 +339,8 @@
             "X-Wisteriawall-Attempt-Id": arrival.attempt,
             "X-Wisteriawall-Response-Seal": arrival.seal,
         }
-        if manner in misbehavior.CLOSING:
+        is_leaving = self._runner.state == "draining"
+        if is_leaving or manner in misbehavior.CLOSING:
             head["Connection"] = "close"
         return head
 
@@ -440,6 +446,8 @@
             time.sleep(SPLIT_PAUSE_S)
 
     def _write(self, data: bytes) -> None:
+        if self._runner.generation != self._generation:
+            raise ConnectionResetError("the runner ended")
         self._sent += data
         self._connection.sendall(data)
 
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -11,7 +11,7 @@
 ROLLING_GAP_S = (0.5, 2.0)
 FREEZE_S = (0.5, 4.0)
 BURST_GAP_S = (0.02, 0.4)
-LEAVE_AFTER_S = (0.5, 3.0)
+LEAVE_AFTER_S = (0.5, 5.0)
 SERIES_GAP_S = (0.3, 1.5)
 MAX_CHANGES = 8
 EXTRA_ROUTES = 6
