--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -6,7 +6,6 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
-import re
 import signal
 from typing import final
 
@@ -39,7 +38,6 @@
     "X-Wisteriawall-Token-Counts",
     "X-Wisteriawall-Prompt-Prefix",
 )
-EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) t\d+\n\n")
 
 
 @final
@@ -277,7 +275,7 @@
 def _stream_faults(
     call: records.Call, arrivals: list[records.Arrival]
 ) -> Iterator[str]:
-    events = list(EVENT.finditer(call.answer))
+    events = list(runners.EVENT.finditer(call.answer))
     is_complete = call.ending is records.Ending.COMPLETE
     whole = b"".join(event[0] for event in events)
     rest = call.answer[len(whole) :]
--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from soak import records
+from soak import runners
 
 # A process is undisturbed when nothing unplanned happened to it for so long.
 CONTACT_S = 3.0
@@ -99,11 +100,19 @@
 ) -> records.Arrival | None:
     """Return the arrival that answers a request that was cut, if any does.
 
-    It is the last run. Where a runner broke off and its request was rejected
-    elsewhere, the runner ended it; without a run, the last rejection counts.
+    Of a stream that is the run that made its last event, or its head: where
+    that runner broke off, the gateway may resume the stream but need not.
+    Otherwise it is the last run; without a run, the last rejection counts.
     """
     if call.ending not in CUT_ENDINGS or not arrivals:
         return None
+    events = runners.EVENT.findall(call.answer)
+    seal = call.answer_header_by_name.get(records.SEAL)
+    for arrival in arrivals:
+        if events and events[-1][1] in arrival.answer:
+            return arrival
+        if not events and seal and arrival.seal == seal:
+            return arrival
     runs = [arrival for arrival in arrivals if arrival.has_run]
     return runs[-1] if runs else arrivals[-1]
 
--- a/testing/soak/misbehavior.py
+++ b/testing/soak/misbehavior.py
@@ -13,8 +13,9 @@
     b"\r\n\r\nnothing\r\n\r\n",
     b"HTTP/1.1 2000000 Fine\r\nContent-Length: 0\r\n\r\n",
 )
-FAULT_SHARE = 0.06
+FAULT_SHARE = 0.08
 REJECTION_SHARE = 0.03
+SOUND_SHARE = 0.35
 
 
 @final
@@ -30,11 +31,18 @@
     # Faults, from here on.
     GARBAGE = "bytes that are no answer"
     TRUNCATED = "truncated"
+    HEAD_CUT = "closed within the head"
     RESET = "reset after the run"
     STALLED = "stalled until the gateway leaves"
 
 
-FAULTS = (Manner.GARBAGE, Manner.TRUNCATED, Manner.RESET, Manner.STALLED)
+PLAIN_FAULTS = (
+    Manner.GARBAGE,
+    Manner.TRUNCATED,
+    Manner.HEAD_CUT,
+    Manner.RESET,
+)
+FAULTS = (*PLAIN_FAULTS, Manner.STALLED)
 # A stalled stream is the longest piece of work that a gateway can have.
 STREAM_FAULTS = (*FAULTS, Manner.STALLED, Manner.STALLED)
 # An answer that ends with its connection is truncated by a reset.
@@ -59,10 +67,10 @@
     """Draw how a request is answered."""
     drawn = chance.random()
     if drawn < FAULT_SHARE:
-        return chance.choice(STREAM_FAULTS if is_stream else FAULTS[:3])
+        return chance.choice(STREAM_FAULTS if is_stream else PLAIN_FAULTS)
     if drawn < FAULT_SHARE + REJECTION_SHARE:
         return Manner.REJECTED
-    if drawn < 0.35:
+    if drawn < SOUND_SHARE:
         return chance.choice(SOUND)
     return Manner.PLAIN
 
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import random
+import re
 import socket
 import threading
 import time
@@ -34,6 +35,9 @@
     return f"id: {number}\ndata: {run} t{number}\n\n".encode()
 
 
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) t\d+\n\n")
+
+
 @final
 class HandleStore:
     """Transfer handles of prefilled prompts; each can be used once."""
@@ -374,6 +378,8 @@
                 cut = chance.randint(end, end + len(body) - 1)
                 self._write(message[:-cut])
                 return self._break_off(arrival)
+            case misbehavior.Manner.HEAD_CUT:
+                return self._cut_head(arrival, message, chance)
             case misbehavior.Manner.RESET:
                 _reset_on_close(self._connection)
                 return self._break_off(arrival)
@@ -405,7 +411,10 @@
         if manner is misbehavior.Manner.GARBAGE:
             self._write(chance.choice(misbehavior.GARBAGE))
             return self._break_off(arrival)
-        self._write(wire.format_head(first_line, head))
+        whole_head = wire.format_head(first_line, head)
+        if manner is misbehavior.Manner.HEAD_CUT:
+            return self._cut_head(arrival, whole_head, chance)
+        self._write(whole_head)
         for number in range(start, length + 1):
             event = event_bytes(number, run)
             arrival.answer += event
@@ -435,6 +444,13 @@
                 self._write(wire.chunk(event[: len(event) // 2]))
         return self._break_off(arrival)
 
+    def _cut_head(
+        self, arrival: records.Arrival, message: bytes, chance: random.Random
+    ) -> bool:
+        end = message.find(b"\r\n\r\n")
+        self._write(message[: chance.randint(1, end)])
+        return self._break_off(arrival)
+
     def _break_off(self, arrival: records.Arrival) -> bool:
         arrival.ending = records.RunEnding.BROKE_OFF
         return False
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -61,7 +61,7 @@
             misbehavior.draw_manner(
                 random.Random(f"1/a{number}"), is_stream=True
             )
-            for number in range(200)
+            for number in range(2_000)
         ]
         for _ in range(2)
     )
@@ -168,6 +168,26 @@
     seen.arrivals[0].header_by_name[runners.KV_SOURCE] = "127.0.0.1:1/h9"
 
 
+def _cut_resumed(seen: records.Records) -> None:
+    """Break off the first run, and cut the second one after its event."""
+    first = seen.arrivals[0]
+    first.ending = records.RunEnding.BROKE_OFF
+    first.answer = runners.event_bytes(1, RUN)
+    second = runners.event_bytes(2, "a1/i-r2-1/8")
+    seen.arrivals.append(
+        dataclasses.replace(
+            first,
+            place="r2",
+            ending=records.RunEnding.ABANDONED,
+            seal="seal-2",
+            answer=second,
+        )
+    )
+    _change_call(ending=records.Ending.RESET, answer=first.answer + second)(
+        seen
+    )
+
+
 def _cut_rejected(seen: records.Records) -> None:
     _change_call(**UNANSWERED)(seen)
     _change_arrival(has_run=False, ending=records.RunEnding.REJECTED)(seen)
@@ -360,6 +380,7 @@
                 STREAM,
                 _change_call(ending=records.Ending.RESET, answer=EVENTS[:9]),
             ),
+            ("cut-within-a-resumed-stream", "LOST", RESUMABLE, _cut_resumed),
             ("rejected-and-cut", "LOST", PAYMENT, _cut_rejected),
             ("cut-at-any-time", "LOST", LOOKUP, _cut_at_any_time),
             (
