--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -30,6 +30,8 @@
 # ignores SIGHUP from its first instruction on.
 STARTUP_S = 10.0
 INTERPRETER_STARTUP_S = 2.0
+# Longest time until the end of such a process is seen.
+DEATH_S = 1.0
 TERMINATED_CODE = -signal.SIGTERM
 HUNG_UP_CODE = -signal.SIGHUP
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -361,6 +363,7 @@
     if end.code not in startup_s_by_code:
         return False
     change, startup_s = startup_s_by_code[end.code]
-    return any(
-        i.change is change and i.at_s < started_s + startup_s for i in incidents
+    first_s = min(
+        (i.at_s for i in incidents if i.change is change), default=end.at_s
     )
+    return first_s < started_s + startup_s and end.at_s < first_s + DEATH_S
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -277,6 +277,12 @@
 UNANSWERED = {"ending": records.Ending.UNANSWERED, "status": 0, "answer": b""}
 
 
+def _end_young(seen: records.Records) -> None:
+    """End by SIGTERM, some seconds after an earlier one."""
+    seen.incidents[0] = dataclasses.replace(seen.incidents[0], at_s=97.0)
+    _end(code=-15)(seen)
+
+
 @pytest.mark.parametrize(
     ("rule", "kind", "change"),
     [
@@ -436,6 +442,7 @@
                 _probe("/extra-1/", frozenset(), status=200),
             ),
             ("ended-by-sigterm", "STOP", LOOKUP, _end(code=-15)),
+            ("ended-by-a-second-sigterm", "STOP", LOOKUP, _end_young),
             ("ended-by-sighup", "STOP", LOOKUP, _end(code=-1)),
             ("proper-requests-denied", "DENIED", LOOKUP, _deny),
             (
