--- a/testing/control/test_joining.py
+++ b/testing/control/test_joining.py
@@ -18,6 +18,8 @@
 
 KEY = b"k" * 32
 WAIT_S = 20.0
+# Outgoing connections leave from 127.0.0.1 and may take a free port there.
+NETWORK = cluster.unused_loopback_address().rpartition(".")[0]
 
 
 class Replica:
@@ -93,8 +95,8 @@
 
 
 def test_new_replica_becomes_a_voter(start: Callable[..., Replica]) -> None:
-    founder = start("c1", "127.0.0.1")
-    joined = start("c2", "127.0.0.2", founder.rpc)
+    founder = start("c1", f"{NETWORK}.1")
+    joined = start("c2", f"{NETWORK}.2", founder.rpc)
     wait_for_voters(founder, {"c1", "c2"})
     wait_for_voters(joined, {"c1", "c2"})
 
@@ -102,10 +104,10 @@
 def test_replica_with_an_emptied_folder_replaces_the_one_on_its_host(
     start: Callable[..., Replica],
 ) -> None:
-    founder = start("c1", "127.0.0.1")
-    start("c2", "127.0.0.2", founder.rpc)
-    lost = start("c3", "127.0.0.3", founder.rpc)
+    founder = start("c1", f"{NETWORK}.1")
+    start("c2", f"{NETWORK}.2", founder.rpc)
+    lost = start("c3", f"{NETWORK}.3", founder.rpc)
     wait_for_voters(founder, {"c1", "c2", "c3"})
     lost.close()
-    start("c3-again", "127.0.0.3", founder.rpc)
+    start("c3-again", f"{NETWORK}.3", founder.rpc)
     wait_for_voters(founder, {"c1", "c2", "c3-again"})
