Reject a response whose connection ends within its head

Cause: http.client takes the end of the connection for the end of the headers. If the id had arrived, the rest was a response without a length, whose body ends with the connection.

The connection's reader knows that it met the end while the head was read. Four new cases fail on the code before and pass now.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -117,6 +117,10 @@
                 _as_socket(self._reader), debuglevel, method
             )
             response.begin()
+            if self._raw_reader.at_end:
+                # http.client takes the end of the connection for the end of
+                # the headers.
+                raise http.client.IncompleteRead(b"")
             if self._is_expected(response):
                 self._is_last_response = response.will_close
                 # http.client would close the socket now, and leave the rest of
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -163,6 +163,30 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize(
+    "first",
+    [
+        pytest.param(b"HTTP/1.1 200 OK", id="within-the-status-line"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n", id="after-the-status-line"),
+        pytest.param(
+            f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nContent-L".encode(),
+            id="within-a-header",
+        ),
+        pytest.param(
+            f"HTTP/1.1 200 OK\r\n{ID}: r0\r\n".encode(), id="after-a-header"
+        ),
+    ],
+)
+def test_response_that_ends_within_its_head_is_not_complete(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    first: bytes,
+) -> None:
+    server.script = [first]
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r0")
+
+
 def test_first_response_of_a_connection_must_not_name_another_request(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
