--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -14,6 +14,7 @@
 from soak import readings
 from soak import records
 from soak import runners
+from soak import wire
 
 RULES = (
     "MIXED",
@@ -34,6 +35,7 @@
 DEATH_S = 1.0
 TERMINATED_CODE = -signal.SIGTERM
 HUNG_UP_CODE = -signal.SIGHUP
+MIN_FAILURE_STATUS = 400
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 PROMPT_HEADERS = (
     "X-Wisteriawall-Model",
@@ -132,6 +134,15 @@
     return list(lost.find_held(seen, _Evidence(seen).arrivals_by_attempt))
 
 
+def is_failure(surplus: bytes) -> bool:
+    """Return whether bytes without a request are an answer that is a failure.
+
+    The rule is about "a success on a connection with no request waiting".
+    """
+    match = wire.STATUS_LINE.match(surplus)
+    return match is not None and int(match[1]) >= MIN_FAILURE_STATUS
+
+
 def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
         arrivals = evidence.arrivals_by_attempt[call.attempt]
@@ -142,7 +153,7 @@
 def _answer_faults(
     call: records.Call, arrivals: list[records.Arrival]
 ) -> Iterator[str]:
-    if call.surplus:
+    if call.surplus and not is_failure(call.surplus):
         yield (
             "a success on a connection with no request waiting, or bytes"
             f" that are no answer: {call.surplus[:80]!r}"
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -318,6 +318,8 @@
     )
     for (rule, preceded_by), count in sorted(causes.items()):
         yield f"  {rule} {count}, after {preceded_by or 'nothing'}"
+    early = sum(checks.is_failure(call.surplus) for call in seen.calls)
+    yield f"failures sent without a request: {early}"
     held = checks.held_calls(seen)
     yield f"cut without having been passed on, over 0.2 s old: {len(held)}"
     for call in held[:MAX_DESCRIBED_PER_RULE]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -329,6 +329,12 @@
                 LOOKUP,
                 _change_call(surplus=b"HTTP/1.1 200 OK\r\n"),
             ),
+            (
+                "bytes-that-are-no-answer-without-a-request",
+                "MIXED",
+                LOOKUP,
+                _change_call(surplus=b"event: 3"),
+            ),
             (
                 "bytes-that-are-no-answer",
                 "MIXED",
