--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -164,6 +164,9 @@
                     yield data
         except EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
+        if self._cancelled:
+            # To a response without a length, the shutdown looks like its end.
+            raise Broken("cancelled")
 
     def release(self) -> None:
         """Return the connection to the pool after the complete response.
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -214,3 +214,27 @@
     with pytest.raises(http_exchange.Broken) as caught:
         exchange(pool, server, "r0", deadline_ms=500)
     assert caught.value.timed_out
+
+
+def test_cancelled_response_without_a_length_is_not_complete(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    server.script = [
+        f"HTTP/1.1 200 OK\r\n{ID}: r0\r\n\r\nbegin".encode(),
+        b"never sent",
+    ]
+    sent = http_exchange.HttpExchange(pool)
+    sent.send(
+        server.address,
+        method="GET",
+        target="/",
+        headers={"Host": "h"},
+        body=None,
+        timeout_s=WAIT_MS / 1_000,
+    )
+    chunks = sent.body_chunks()
+    assert next(chunks) == b"begin"
+    sent.cancel()
+    with pytest.raises(http_exchange.Broken):
+        next(chunks)
+    sent.close()
