--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	MYPYPATH=src:testing $(BIN)/mypy -p tools -p bench -p support
+	MYPYPATH=src:testing $(BIN)/mypy -p tools -p bench -p support -p soak
 
 format: $(STAMP)
 	$(BIN)/ruff format .
