Send the end of an answer before its connection is closed

Bytes that are unread at a close, or arrive after it, make the kernel send a reset, and discard what is left of the answer in the send queue: a caller that reads slowly and sends its next request early lost the end of a complete answer.

close() now shuts down writing, then discards input until the answer is sent, up to 0.5 s. A connection with nothing unsent and nothing unread is closed at once, as before.

--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -4,13 +4,16 @@
 report callers that disconnect.
 """
 
+import array
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import errno
+import fcntl
 import logging
 import os
+import select
 import socket
 import struct
 import time
@@ -52,6 +55,11 @@
 }
 OVERLOAD_RETRY_AFTER_S = 1
 MAX_DISCARDED_BYTES = 65_536
+# Longest wait for the end of a response to be sent, and interval of the checks.
+MAX_LINGER_MS = 500
+LINGER_POLL_MS = 10
+# Linux's ioctl for the number of bytes in the send queue that are not sent yet.
+SIOCOUTQNSD = 0x894B
 
 
 @final
@@ -169,6 +177,12 @@
                 raise
 
 
+def _unsent_bytes(connection: socket.socket) -> int:
+    count = array.array("i", [0])
+    fcntl.ioctl(connection, SIOCOUTQNSD, count)
+    return count[0]
+
+
 @final
 class ServerConnection(cheroot_server.HTTPConnection):
     """Server connection that sets a read deadline for each request."""
@@ -196,6 +210,7 @@
     def close(self) -> None:
         """Close the connection, with a reset if its response was aborted."""
         if self.caller is None or not self.caller.aborted:
+            self._finish_sending()
             super().close()
             return
         # Cheroot's `close` shuts the socket down first. A response body whose
@@ -209,6 +224,27 @@
         if caller is not None:
             caller.cut()
 
+    def _finish_sending(self) -> None:
+        """Discard input until the response is sent, for `MAX_LINGER_MS`.
+
+        Input that is unread at the close, or arrives after it, makes the kernel
+        send a reset and discard the rest of the response.
+        """
+        end_ms = clock.monotonic_ms() + MAX_LINGER_MS
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.setblocking(False)
+            readable = select.poll()
+            readable.register(self.socket, select.POLLIN)
+            wait_ms = 0
+            while clock.monotonic_ms() < end_ms:
+                if readable.poll(wait_ms):
+                    if not self.socket.recv(MAX_DISCARDED_BYTES):
+                        return
+                elif not _unsent_bytes(self.socket):
+                    return
+                wait_ms = LINGER_POLL_MS
+
     def close_unserved(self) -> None:
         """Close without serving; refuse a request that has begun to arrive."""
         if self._has_input():
