Stop a gateway's servers at the same time, within the grace period

After the last answer the gateway stopped its readiness and metrics servers, which takes up to 500 ms for the accept loop and 250 ms for the connection monitor each, after the same 250 ms for the callers' server: together more than the 750 ms that are reserved, so that a process with a stalled answer was killed at the end of its grace period.

These servers now stop beside the callers' server, and a stop wakes the connection monitor. The balancer gets no answer from the readiness server from then on, which it takes for not ready, as it did the 503 before.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -192,19 +192,20 @@
         response_timeout_s = (
             max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
         )
-        self._http.stop(
-            response_timeout_s=response_timeout_s,
-            on_timeout=self._stop_timed_out,
-        )
-        self._stopping.set()
-        # Concurrently, since each server takes up to 500 ms to stop.
+        # Concurrently, since stopping a server takes up to 500 ms. Without its
+        # answers the balancer takes the gateway for not ready, as before.
         with futures.ThreadPoolExecutor() as pool:
             closing = [
                 pool.submit(close)
                 for close in (self._ready.stop, self._metrics.close)
             ]
+            self._http.stop(
+                response_timeout_s=response_timeout_s,
+                on_timeout=self._stop_timed_out,
+            )
         for closed in closing:
             closed.result()
+        self._stopping.set()
         self._peer_load.close()
         self._control.close()
         self._pool.close()
--- a/src/wisteriawall/web/connection_monitor.py
+++ b/src/wisteriawall/web/connection_monitor.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import os
 import select
 import socket
 import threading
@@ -26,6 +27,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._epoll = select.epoll()
+        self._wakeup = os.eventfd(0)
+        self._epoll.register(self._wakeup, select.EPOLLIN)
         self._on_disconnect_by_fd: dict[int, Callable[[], None]] = {}
         self._deadline_s_by_socket: dict[socket.socket, float] = {}
         self._stopped = False
@@ -40,9 +43,11 @@
     def stop(self) -> None:
         """Stop the monitor thread."""
         self._stopped = True
+        os.eventfd_write(self._wakeup, 1)
         if self._thread.is_alive():
             self._thread.join(timeout=5.0)
         self._epoll.close()
+        os.close(self._wakeup)
 
     def set_read_deadline(
         self, connection: socket.socket, *, seconds: float
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -7,6 +7,8 @@
 import pytest
 from support import platform_site as sites
 
+from wisteriawall import clock
+
 
 class Caller:
     """A caller that keeps its connection to the gateway open."""
@@ -96,3 +98,21 @@
     stopping.join(sites.WAIT_S)
     assert serving.runners[0].runs_by_attempt["a2"] == 0
     assert serving.decisions("a2")[-1]["reason"] == "stopping"
+
+
+def test_stop_with_a_stalled_answer_ends_within_the_grace_period(
+    serving: sites.Site,
+) -> None:
+    """The servers that stopped one after another needed more time."""
+    streaming = Caller(serving)
+    streaming.send("a1", "/talk/")
+    answer = streaming.read()
+    started_ms = clock.monotonic_ms()
+    stopping = start_stop(serving)
+    with pytest.raises(ConnectionResetError):
+        answer.read()
+    stopping.join(sites.WAIT_S)
+    assert clock.monotonic_ms() - started_ms < sites.GRACE_MS
+    lines = serving.decisions("a1")
+    assert "still-open" in [line["decision"] for line in lines]
+    assert not lines[-1]["whole"]
