Let the connection monitor be stopped twice

A second stop of a server wrote to a closed descriptor since the monitor is woken by one: seven warnings in testing/web.

--- a/src/wisteriawall/web/connection_monitor.py
+++ b/src/wisteriawall/web/connection_monitor.py
@@ -41,8 +41,11 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop the monitor thread."""
-        self._stopped = True
+        """Stop the monitor thread; a second call has no effect."""
+        with self._lock:
+            if self._stopped:
+                return
+            self._stopped = True
         os.eventfd_write(self._wakeup, 1)
         if self._thread.is_alive():
             self._thread.join(timeout=5.0)
