--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -194,8 +194,8 @@
         response_timeout_s = (
             max(0, self._grace_ms - EXIT_RESERVE_MS - elapsed_ms) / MS_PER_S
         )
-        # Concurrently, since each server takes up to 500 ms to stop, and the
-        # answers in progress may need the time that is left.
+        # Concurrently, since stopping a server takes up to 500 ms. Without its
+        # answers the balancer takes the gateway for not ready, as before.
         with futures.ThreadPoolExecutor() as pool:
             closing = [
                 pool.submit(close)
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -122,3 +122,16 @@
     assert answer.read().count(b"data:") == 4
     stopping.join(sites.WAIT_S)
     assert not stopping.is_alive()
+
+
+def test_stop_cuts_a_stalled_answer_and_logs_it(serving: sites.Site) -> None:
+    streaming = Caller(serving)
+    streaming.send("a1", "/talk/")
+    answer = streaming.read()
+    stopping = start_stop(serving)
+    with pytest.raises(ConnectionResetError):
+        answer.read()
+    stopping.join(sites.WAIT_S)
+    lines = serving.decisions("a1")
+    assert "still-open" in [line["decision"] for line in lines]
+    assert not lines[-1]["whole"]
