--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -118,7 +118,7 @@
     def cancel(self) -> None:
         """Abort the current exchange and all later ones, from any thread.
 
-        Called when the caller disconnects.
+        Called when the caller disconnects or a stop cuts the answer.
         """
         with self._lock:
             self._cancelled = True
@@ -414,7 +414,7 @@
         runner_failed: bool = True,
     ) -> list[events.Effect]:
         if self._cancelled:
-            self._abort("the caller disconnected")
+            self._abort("the caller disconnected, or the gateway's stop cut it")
         failed = events.PhaseFailed(
             request_id=self._request.request_id,
             run=run,
