Count a signal to a frozen process from its thaw in the soak

That is the case which the STOP check excuses for a process that starts; it counted the time from the signal, not the thaw. An end that comes longer after the thaw still fails the check (new cases).

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -377,4 +377,18 @@
     first_s = min(
         (i.at_s for i in incidents if i.change is change), default=end.at_s
     )
-    return first_s < started_s + startup_s and end.at_s < first_s + DEATH_S
+    acted_s = _thawed_s(incidents, first_s)
+    return first_s < started_s + startup_s and end.at_s < acted_s + DEATH_S
+
+
+def _thawed_s(incidents: list[records.Incident], signal_s: float) -> float:
+    """Return when a signal reaches a process: at its thaw if it is frozen."""
+    frozen = False
+    for incident in sorted(incidents, key=lambda i: i.at_s):
+        if incident.change is records.Change.FREEZE:
+            frozen = incident.at_s < signal_s
+        elif incident.change is records.Change.THAW:
+            if frozen and incident.at_s > signal_s:
+                return incident.at_s
+            frozen = False
+    return signal_s
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -526,3 +526,25 @@
     _change_call(**UNANSWERED)(seen)
     change(seen)
     assert [f.text for f in checks.judge(seen) if f.rule == "LOST"] == []
+
+
+@pytest.mark.parametrize(
+    ("thawed_s", "rules"),
+    [
+        pytest.param(100.9, [], id="at-the-thaw"),
+        pytest.param(99.2, ["STOP"], id="long-after-the-thaw"),
+    ],
+)
+def test_starting_process_may_end_by_a_signal_once_it_is_thawed(
+    thawed_s: float, rules: list[str]
+) -> None:
+    seen = _sound_records(LOOKUP)
+    seen.incidents[0] = dataclasses.replace(seen.incidents[0], at_s=98.5)
+    for change, at_s in (
+        (records.Change.FREEZE, 98.8),
+        (records.Change.THAW, thawed_s),
+    ):
+        seen.incidents.append(records.Incident("g1", change, at_s, 77))
+    _end(code=-15)(seen)
+    found = [f.rule for f in checks.judge(seen) if f.rule == "STOP"]
+    assert found == rules
