--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -52,6 +52,8 @@
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
 POLL_END_TIMEOUT_S = 1.0
+# A balancer's connection without a request would keep a thread busy.
+READY_STOP_TIMEOUT_S = 0.5
 CALLER_THREADS = 96
 READY_THREADS = 2
 
@@ -198,8 +200,10 @@
         # answers the balancer takes the gateway for not ready, as before.
         with futures.ThreadPoolExecutor() as pool:
             closing = [
-                pool.submit(close)
-                for close in (self._ready.stop, self._metrics.close)
+                pool.submit(
+                    self._ready.stop, response_timeout_s=READY_STOP_TIMEOUT_S
+                ),
+                pool.submit(self._metrics.close),
             ]
             self._http.stop(
                 response_timeout_s=response_timeout_s,
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -8,6 +8,9 @@
 import pytest
 from support import platform_site as sites
 
+from wisteriawall.gateway import shell as gateway_shell
+from wisteriawall.web import server as server_lib
+
 
 class Caller:
     """A caller that keeps its connection to the gateway open."""
@@ -135,3 +138,23 @@
     lines = serving.decisions("a1")
     assert "still-open" in [line["decision"] for line in lines]
     assert not lines[-1]["whole"]
+
+
+def test_balancer_connection_without_a_request_does_not_delay_the_stop(
+    serving: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server_lib, "REQUEST_READ_TIMEOUT_S", 60.0)
+    timeouts_s = []
+    stop = serving.gateway._ready.stop
+
+    def record_timeout(*, response_timeout_s: float) -> None:
+        timeouts_s.append(response_timeout_s)
+        stop(response_timeout_s=response_timeout_s)
+
+    monkeypatch.setattr(serving.gateway._ready, "stop", record_timeout)
+    host, _, port = serving.gateway.ready_address.rpartition(":")
+    with socket.create_connection((host, int(port))):
+        stopping = start_stop(serving)
+        stopping.join(sites.WAIT_S)
+    assert not stopping.is_alive()
+    assert max(timeouts_s) * 1_000 < gateway_shell.EXIT_RESERVE_MS
