Close idle connections without waiting, and count a stop from its start

Idle connections have no unread input, so the kernel delivers the rest without that wait. The deadline of a stop is fixed when it begins.

--- a/src/wisteriawall/web/idle_connections.py
+++ b/src/wisteriawall/web/idle_connections.py
@@ -88,4 +88,4 @@
         ]
         for fd, conn in expired:
             self._selector.unregister(fd)
-            conn.close()
+            conn.close_idle()
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -53,6 +53,7 @@
 MAX_QUEUED_CONNECTIONS = 64
 REQUEST_READ_TIMEOUT_S = 10.0
 RESPONSE_TIMEOUT_S = 5.0
+MS_PER_S = 1_000
 
 
 @final
@@ -151,7 +152,9 @@
         self.disable_keep_alive()
         if on_timeout is not None:
             self._workers.on_timeout = on_timeout
-        self._server.shutdown_timeout = response_timeout_s
+        self._workers.stop_deadline_ms = clock.monotonic_ms() + round(
+            response_timeout_s * MS_PER_S
+        )
         self._server.stop()
         self._thread.join(timeout=5.0)
         self._monitor.stop()
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -250,7 +250,11 @@
         if self._has_input():
             self.refuse()
         else:
-            self.close()
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close without waiting; the kernel sends the rest of the response."""
+        super().close()
 
     def _has_input(self) -> bool:
         if self.rfile.has_data():
--- a/src/wisteriawall/web/worker_pool.py
+++ b/src/wisteriawall/web/worker_pool.py
@@ -43,6 +43,9 @@
         self._max_queued = max_queued
         self._lock = threading.Lock()
         self._stopping = False
+        # When responses in progress are cut, on the monotonic clock; None for
+        # the timeout of `stop`.
+        self.stop_deadline_ms: int | None = None
         # Called once if responses are still in progress when the time to stop
         # is over, before they are cut.
         self.on_timeout: Callable[[], None] = lambda: None
@@ -65,13 +68,15 @@
             self._queue.put_nowait(obj)
 
     def stop(self, timeout: float | None = None) -> None:
-        """End the threads, and cut what is in progress after `timeout` seconds.
+        """End the threads, and cut what is in progress at the deadline.
 
         A cut response ends with a reset of its connection. Connections that
         wait for a thread are refused at once.
         """
-        timeout_ms = 0 if timeout is None else round(timeout * MS_PER_S)
-        deadline_ms = clock.monotonic_ms() + timeout_ms
+        deadline_ms = self.stop_deadline_ms
+        if deadline_ms is None:
+            timeout_ms = 0 if timeout is None else round(timeout * MS_PER_S)
+            deadline_ms = clock.monotonic_ms() + timeout_ms
         # A worker that fails stops the server in its own thread.
         workers = [
             worker
--- a/testing/web/test_stop.py
+++ b/testing/web/test_stop.py
@@ -7,6 +7,7 @@
 from support import http_harness
 
 from wisteriawall.web import server as server_lib
+from wisteriawall.web import server_connection
 
 
 def test_stalled_answer_does_not_keep_the_stop_from_returning(
@@ -170,3 +171,29 @@
     environ: server_lib.Environ, start_response: server_lib.StartResponse
 ) -> server_lib.Response:
     return server_lib.send_response(start_response, status=200, body=b"{}")
+
+
+def test_stop_does_not_wait_for_idle_callers_that_read_slowly(
+    harness: http_harness.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The end of each of their answers is still in its send queue."""
+    monkeypatch.setattr(server_connection, "MAX_LINGER_MS", 60_000)
+    body = 600_000 * b"x"
+
+    def answer(
+        environ: server_lib.Environ, start_response: server_lib.StartResponse
+    ) -> server_lib.Response:
+        server_lib.read_body(environ)
+        return server_lib.send_response(start_response, status=200, body=body)
+
+    server = harness.serve(answer)
+    callers = [harness.call(server) for _ in range(4)]
+    for caller in callers:
+        caller.send()
+        caller.read_head()
+    http_harness.wait_until(
+        lambda: server.busy_worker_threads == 0, "the end of the answers"
+    )
+    stopping = harness.stop(server, response_timeout_s=0.2)
+    assert not stopping.is_alive()
+    assert [caller.read_to_end() for caller in callers] == 4 * [body]
