Reject response heads that are read only in part, and bound the skipping

Two more on the same path: a late head without its body took the next response for that body and held the request to its deadline, now for 0.5 s at most; and a late response to HEAD, whose length says nothing, would take the next response for its body, so that such a connection isn't reused.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -20,6 +20,8 @@
 
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+# A late head without its body takes the next response for that body.
+SKIP_TIMEOUT_MS = 500
 CHUNK_BYTES = 64 * 1024
 MS_PER_S = 1_000
 # Setting a socket's timeout is a system call, so it is set again only after the
@@ -121,17 +123,41 @@
                 # http.client takes the end of the connection for the end of
                 # the headers.
                 raise http.client.IncompleteRead(b"")
+            _check_head(response)
             if self._is_expected(response):
-                self._is_last_response = response.will_close
+                # A late response to HEAD has no body, which the next request's
+                # method doesn't tell.
+                self._is_last_response = response.will_close or method == "HEAD"
                 # http.client would close the socket now, and leave the rest of
                 # the response to a buffer of its own.
                 response.will_close = False
                 return response
-            _skip_body(response)
+            self._skip(response)
         raise UnidentifiedResponse(
             f"more than {MAX_SKIPPED_RESPONSES} responses to other requests"
         )
 
+    def _skip(self, response: http.client.HTTPResponse) -> None:
+        """Read and drop a response to another request.
+
+        Raises:
+            UnidentifiedResponse: Its end is unknown, far away or late.
+        """
+        deadline_at_ms, timeout_s = self.deadline_at_ms, self.sock.gettimeout()
+        skipped_by_ms = clock.monotonic_ms() + SKIP_TIMEOUT_MS
+        self.deadline_at_ms = min(
+            deadline_at_ms or skipped_by_ms, skipped_by_ms
+        )
+        try:
+            _skip_body(response)
+        except TimeoutError as error:
+            raise UnidentifiedResponse(
+                "the response to another request does not end"
+            ) from error
+        finally:
+            self.deadline_at_ms = deadline_at_ms
+            self.sock.settimeout(timeout_s)
+
     def _is_expected(self, response: http.client.HTTPResponse) -> bool:
         """Return whether a response is the final one to the last request.
 
@@ -216,6 +242,26 @@
     return reader
 
 
+def _check_head(response: http.client.HTTPResponse) -> None:
+    """Reject a head that http.client reads only in part.
+
+    Raises:
+        http.client.HTTPException: A line is no header, or the length of the
+            body is unclear.
+    """
+    lengths = set(response.headers.get_all("Content-Length", []))
+    encodings = response.headers.get_all("Transfer-Encoding", [])
+    is_malformed = (
+        # What follows a malformed line is the payload of the parsed headers.
+        bool(response.headers.defects or response.headers.get_payload())
+        or len(lengths) > 1
+        or not all(length.strip().isdecimal() for length in lengths)
+        or [e.strip().lower() for e in encodings] not in ([], ["chunked"])
+    )
+    if is_malformed:
+        raise http.client.HTTPException("the head of the response is malformed")
+
+
 def _skip_body(response: http.client.HTTPResponse) -> None:
     """Read and drop the body of a response to an earlier request.
 
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -45,6 +45,7 @@
     request_id: str,
     mismatches: list[str | None] | None = None,
     deadline_ms: int = WAIT_MS,
+    method: str = "GET",
 ) -> bytes:
     """Send a request and return the body of its response."""
 
@@ -56,7 +57,7 @@
     try:
         sent.send(
             server.address,
-            method="GET",
+            method=method,
             target="/",
             headers={"Host": "h"},
             body=None,
@@ -187,6 +188,50 @@
         exchange(pool, server, "r0")
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        pytest.param("no header", id="line-without-a-colon"),
+        pytest.param("Content-Length: 1O", id="length-not-a-number"),
+        pytest.param("Content-Length: -10", id="negative-length"),
+        pytest.param("Content-Length: 4", id="two-lengths"),
+        pytest.param("Transfer-Encoding: gzip", id="unknown-encoding"),
+    ],
+)
+def test_malformed_head_makes_no_response_look_complete(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    line: str,
+) -> None:
+    server.script = [
+        f"HTTP/1.1 200 OK\r\n{ID}: r0\r\n{line}\r\n"
+        "Content-Length: 10\r\n\r\nbegin".encode()
+    ]
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r0")
+
+
+def test_late_head_alone_does_not_hold_a_request_to_its_deadline(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    late = f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nContent-Length: 9999\r\n\r\n"
+    server.script = [answer("r0"), late.encode() + answer("r1"), b""]
+    exchange(pool, server, "r0")
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r1")
+    assert not caught.value.timed_out
+
+
+def test_connection_that_carried_a_head_request_is_not_reused(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """A late response to it has a length but no body."""
+    server.script = [answer("r0"), answer("r1", b"one")]
+    assert exchange(pool, server, "r0", method="HEAD") == b""
+    assert exchange(pool, server, "r1") == b"one"
+    assert server.connections == 2
+
+
 def test_first_response_of_a_connection_must_not_name_another_request(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
