Wait until a paused leader has stopped before the test's requests

test_leader_paused_past_its_lease_changes_nothing failed once on a busy machine: its read at the paused leader gave 1 (expected 2 or unavailable).

Cause: the test. SIGSTOP takes effect after send_signal has returned; until then the leader answers, and 1 is right, because the read precedes the patch. The reducer reads the clock after it has taken a request from the queue, so a request that arrives in the pause is checked against the time after it.

The test now waits for the stop. It also sends reads after the newer number was acknowledged, which must not give the old one; it had none before.

--- a/testing/processes/test_consensus.py
+++ b/testing/processes/test_consensus.py
@@ -5,7 +5,9 @@
 
 from concurrent import futures
 import contextlib
+import os
 import signal
+import subprocess
 import time
 
 import msgspec
@@ -15,6 +17,7 @@
 
 # Twice the longest lease, so that a paused leader's lease has expired.
 PAST_LEASE_S = 1.0
+LATER_READS = 4
 
 
 @pytest.fixture
@@ -98,6 +101,20 @@
     assert configuration_number(control_cluster, survivor) == number
 
 
+def pause(process: subprocess.Popen[str]) -> None:
+    """Stop a process, and wait until none of its threads runs.
+
+    SIGSTOP alone returns earlier: the threads may still answer requests that
+    are sent after it.
+    """
+    process.send_signal(signal.SIGSTOP)
+    state = os.waitid(
+        os.P_PID, process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT
+    )
+    assert state is not None
+    assert state.si_code == os.CLD_STOPPED
+
+
 def test_leader_paused_past_its_lease_changes_nothing(
     control_cluster: process_cluster.ProcessCluster,
 ) -> None:
@@ -107,10 +124,10 @@
     paused = control_cluster.wait_for_leader()
     other = next(n for n in process_cluster.REPLICAS if n != paused)
     process = control_cluster.process_by_name[paused]
-    process.send_signal(signal.SIGSTOP)
+    pause(process)
     try:
         with futures.ThreadPoolExecutor() as executor:
-            # Both requests wait in the paused process until it resumes.
+            # All requests wait in the paused process until it resumes.
             delayed_read = executor.submit(
                 configuration_number, control_cluster, paused
             )
@@ -124,8 +141,14 @@
             newer_number = patch_until_accepted(
                 control_cluster, number, at=other, patch_id="after"
             )
+            # Sent after the newer configuration was acknowledged.
+            later_reads = [
+                executor.submit(configuration_number, control_cluster, paused)
+                for _ in range(LATER_READS)
+            ]
             process.send_signal(signal.SIGCONT)
-            assert delayed_read.result() in (newer_number, -1)
+            for read in (delayed_read, *later_reads):
+                assert read.result() in (newer_number, -1)
             assert delayed_patch.result().status in (412, 503)
     finally:
         process.send_signal(signal.SIGCONT)
