Serve the configuration history only while it is current

GET /v1/config/history at a replica that was cut off or paused gave the versions that it knew, however old, as the newest ones: after number 2 was acknowledged, a former leader still listed 1 as the newest (in the simulated cluster; not seen at a caller).

Cause: the read of the history had no check of the state's age, unlike those of the configuration and the table. It has the same check now: the request is forwarded to the leader, or answered 503 if none is known.

test_former_leader_answers_no_read_with_the_old_number: 2 of 4 cases failed before (history, isolated and paused), all 4 pass. testing/control without the Raft model and testing/operator pass (248 tests).

--- a/src/wisteriawall/control/reads.py
+++ b/src/wisteriawall/control/reads.py
@@ -16,6 +16,7 @@
 __all__ = [
     "is_state_current",
     "read_config",
+    "read_history",
     "read_status",
     "read_table",
     "renew_lease",
@@ -77,6 +78,15 @@
     return events.ConfigReply(found)
 
 
+def read_history(
+    control: replica_state.ReplicaState, limit: int, now_ms: int
+) -> events.Reply:
+    """Return the newest `limit` configuration versions, newest first."""
+    if not is_state_current(control, now_ms):
+        return redirect.to_leader(control.raft)
+    return events.HistoryReply(control.ledger.history[: -limit - 1 : -1])
+
+
 def read_table(
     control: replica_state.ReplicaState, now_ms: int
 ) -> events.Reply:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -201,9 +201,7 @@
         case events.ConfigRequest(number):
             reply = reads.read_config(control, number, event.now_ms)
         case events.HistoryRequest(limit):
-            reply = events.HistoryReply(
-                control.ledger.history[: -limit - 1 : -1]
-            )
+            reply = reads.read_history(control, limit, event.now_ms)
         case gateway_messages.FollowRequest() as follow:
             reply = gateway_updates_lib.follow(
                 control.gateway_updates,
--- a/testing/control/test_invariants.py
+++ b/testing/control/test_invariants.py
@@ -557,6 +557,29 @@
         assert process.lease_until_ms <= now_ms + process.clock_offset_ms
 
 
+@pytest.mark.parametrize("disturbance", ["isolated", "paused"])
+@pytest.mark.parametrize(
+    "read",
+    [
+        pytest.param(events.ConfigRequest(None), id="config"),
+        pytest.param(events.HistoryRequest(10), id="history"),
+    ],
+)
+def test_former_leader_answers_no_read_with_the_old_number(
+    cluster: SimulatedCluster, disturbance: str, read: events.Request
+) -> None:
+    [leader] = cluster.leaders()
+    disturbed = {"isolated": cluster.isolated, "paused": cluster.paused}
+    disturbed[disturbance].add(leader)
+    cluster.run(3_000)
+    patch_calls = cluster.patch("p", {"capacity_pieces": 11})
+    cluster.run(4_000)
+    assert isinstance(leader_reply(cluster, patch_calls), events.PatchReply)
+    call_id = cluster.call(leader, read, None)
+    reply = cluster.reply_by_call_id[call_id]
+    assert isinstance(reply, control_messages.NotLeader)
+
+
 def test_claim_of_a_lost_entry_becomes_unknown(
     cluster: SimulatedCluster,
 ) -> None:
