--- a/testing/wire/test_malformed_bytes.py
+++ b/testing/wire/test_malformed_bytes.py
@@ -29,13 +29,15 @@
 
 def _send_and_close(address: str, data: bytes) -> None:
     host, _, port = address.rpartition(":")
-    with socket.create_connection((host, int(port))) as connection:
+    with (
+        socket.create_connection((host, int(port))) as connection,
         # The server may reset the connection at any time.
-        with contextlib.suppress(OSError):
-            connection.sendall(data)
-            connection.shutdown(socket.SHUT_WR)
-            while connection.recv(65_536):
-                pass
+        contextlib.suppress(OSError),
+    ):
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(65_536):
+            pass
 
 
 @pytest.mark.parametrize("data", BYTES)
