Read signals from a pipe, so that none is lost

What callers saw: a process that had got SIGTERM went on serving until it was killed, and its open responses were cut.

Cause: the main thread waited in SimpleQueue.get, which a handler in Python fed. Handlers run in the main thread only, once it executes bytecode. A signal that arrived between the last check for signals and the system call that waits, or that the kernel delivered to another thread because the main thread already had one pending, only set a flag, and the main thread slept until the next signal.

Change: signal.set_wakeup_fd writes the number of each signal to a pipe, in whichever thread it arrives, and the main thread reads the pipe.

--- a/src/wisteriawall/commands/lifecycle.py
+++ b/src/wisteriawall/commands/lifecycle.py
@@ -1,11 +1,13 @@
 """Check a program's settings, and run it until a signal stops it."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextvars
 import logging
-import queue
+import os
 import signal
 import time
+import types
 from typing import Protocol
 
 from wisteriawall import errors
@@ -22,6 +24,8 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD = signal.SIGHUP
+# Capacity of a pipe: one read returns all signals that have arrived.
+PIPE_BYTES = 65_536
 
 # Whether `check` exits instead of returning; set by `check-settings`.
 check_only: contextvars.ContextVar[bool] = contextvars.ContextVar(
@@ -83,16 +87,12 @@
         ready_message: Printed after the start; empty prints nothing.
         reload: Called after SIGHUP, to read the settings again.
     """
-    # `put` of this queue may interrupt `get` in the same thread, which is not
-    # true of the locks of `threading`.
-    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
     handled = [*STOP_SIGNALS] if reload is None else [*STOP_SIGNALS, RELOAD]
-    for signal_number in handled:
-        signal.signal(signal_number, lambda number, _: signals.put(number))
+    pipe = _open_signal_pipe(handled)
     start()
     if ready_message:
         print(ready_message, flush=True)
-    while _wait(signals).isdisjoint(STOP_SIGNALS):
+    while _wait(pipe).isdisjoint(STOP_SIGNALS):
         if reload is not None:
             _reload(reload)
     # Also during the exit of the interpreter, which restores the default of
@@ -102,12 +102,31 @@
     stop()
 
 
-def _wait(signals: queue.SimpleQueue[int]) -> set[int]:
+def _open_signal_pipe(handled: Iterable[signal.Signals]) -> int:
+    """Return a pipe that receives the number of each of these signals, a byte.
+
+    The interpreter writes it in whichever thread the kernel chooses. Waiting
+    for a handler would miss signals: handlers run in the main thread only, and
+    a signal that arrives in another thread, or just before the main thread
+    blocks, doesn't wake it.
+
+    The pipe stays open, as a signal that is being handled may still write.
+    """
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    signal.set_wakeup_fd(write_end)
+    for signal_number in handled:
+        signal.signal(signal_number, _do_nothing)
+    return read_end
+
+
+def _do_nothing(_number: int, _frame: types.FrameType | None) -> None:
+    """Replace the default action; the signal pipe reports the signal."""
+
+
+def _wait(pipe: int) -> set[int]:
     """Wait for a signal; return it and all others that have arrived."""
-    arrived = {signals.get()}
-    while not signals.empty():
-        arrived.add(signals.get())
-    return arrived
+    return set(os.read(pipe, PIPE_BYTES))
 
 
 def _reload(reload: Callable[[], None]) -> None:
