Tell two requests with one id apart in a gateway

Cause: the gateway's state was keyed by the caller's id. The end or the refusal of one request removed the entry of the other, whose next failure then had no effects: a response in chunks was ended as if it were complete, and a response that had not begun had no head.

Change: a request has a number in its process, and events, state and effects use it. The shell no longer looks its new request up by an id that another thread may remove. A response whose effects run out without an answer is aborted, so that it can't look complete.

The product's own entry makes its ids itself and is not affected.

--- a/src/wisteriawall/gateway/diagnostics.py
+++ b/src/wisteriawall/gateway/diagnostics.py
@@ -23,14 +23,14 @@
                 inputs={"error": event.error, "trace": event.trace},
             )
         case events.StopTimedOut(now_ms=now_ms):
-            for request in gateway.request_by_id.values():
+            for request in gateway.request_by_key.values():
                 yield _still_open(request, now_ms)
 
 
 def _foreign_answer(
     gateway: state_lib.Gateway, event: events.ForeignAnswer
 ) -> events.LogDecision:
-    request = gateway.request_by_id.get(event.request_id)
+    request = gateway.request_by_key.get(event.request_key)
     return events.LogDecision(
         decision="foreign-answer",
         request_id=event.request_id,
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -1,7 +1,9 @@
 """Events that change a gateway's state, and the effects that result.
 
 `now_ms` is the time of the event in milliseconds on the monotonic clock.
-`request_id` is the attempt id that the caller sent.
+`request_id` is the attempt id that the caller sent. `request_key` is the number
+of a request in its process: the caller may send a request again, with the same
+id, before the end of the first is noticed.
 """
 
 import dataclasses
@@ -44,6 +46,7 @@
     the process ends too soon for a new request.
     """
 
+    request_key: int
     request_id: str
     host: str
     path: str
@@ -62,7 +65,7 @@
     `transfer_handle`.
     """
 
-    request_id: str
+    request_key: int
     transfer_handle: str
     now_ms: int
 
@@ -72,7 +75,7 @@
 class AnswerStarted:
     """The first part of a runner's answer arrived."""
 
-    request_id: str
+    request_key: int
     now_ms: int
 
 
@@ -85,7 +88,7 @@
     another runner.
 
     Attributes:
-        request_id: The request.
+        request_key: The request.
         run: Whether the request may have run.
         reason: Description for the log and the caller.
         now_ms: Time of the failure.
@@ -95,7 +98,7 @@
         runner_failed: Whether the failure speaks against the runner.
     """
 
-    request_id: str
+    request_key: int
     run: refusal_lib.RunState
     reason: str
     now_ms: int
@@ -131,13 +134,15 @@
     """A runner's answer does not carry the id of the request.
 
     Attributes:
-        request_id: The request that was sent last on the connection.
+        request_key: The request that was sent last on the connection.
+        request_id: Its id.
         answer_id: Id in the answer; empty if it carries none.
         status: HTTP status of the answer.
         not_run: Whether the answer says that its request was not run.
         connection_requests: Number of requests sent on the connection so far.
     """
 
+    request_key: int
     request_id: str
     answer_id: str
     status: int
@@ -171,7 +176,7 @@
     `is_complete` tells whether the caller received the complete answer.
     """
 
-    request_id: str
+    request_key: int
     is_complete: bool
     now_ms: int
 
--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -20,7 +20,7 @@
 
     `reason` is the text for the log; it may differ from the refusal's message.
     """
-    gateway.request_by_id.pop(request.request_id, None)
+    gateway.request_by_key.pop(request.request_key, None)
     yield events.LogDecision(
         decision="refused",
         request_id=request.request_id,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -95,6 +95,7 @@
         yield events.Refuse(refusal=refusals.NO_ROUTE)
         return
     request = state_lib.Request(
+        request_key=event.request_key,
         request_id=event.request_id,
         head=event.head,
         route=route,
@@ -106,7 +107,7 @@
             event.request_id, route, event.head.prompt
         )
     request.earlier_wait_ms = _earlier_wait_ms(gateway, request)
-    gateway.request_by_id[event.request_id] = request
+    gateway.request_by_key[event.request_key] = request
     gateway.retries.add_request(event.now_ms)
     yield from placing.place(gateway, request, event.now_ms)
 
@@ -170,7 +171,7 @@
     The engine chosen at placement is used while it is listed and not draining,
     otherwise the decode engine with the shortest wait.
     """
-    request = gateway.request_by_id.get(event.request_id)
+    request = gateway.request_by_key.get(event.request_key)
     if request is None or request.current_send is None:
         return
     placement = request.placement
@@ -204,7 +205,7 @@
 def _handle_answer_start(
     gateway: state_lib.Gateway, event: events.AnswerStarted
 ) -> Iterator[events.Effect]:
-    request = gateway.request_by_id.get(event.request_id)
+    request = gateway.request_by_key.get(event.request_key)
     if (
         request is None
         or request.current_send is None
@@ -254,13 +255,13 @@
     gateway: state_lib.Gateway, event: events.PhaseFailed
 ) -> Iterator[events.Effect]:
     """Retry on another runner if allowed, otherwise end the request."""
-    request = gateway.request_by_id.get(event.request_id)
+    request = gateway.request_by_key.get(event.request_key)
     if request is None or request.current_send is None:
         return
     send = request.current_send
     yield events.LogDecision(
         decision="leg-failed",
-        request_id=event.request_id,
+        request_id=request.request_id,
         inputs={
             "upstream": send.upstream.upstream_id,
             "leg": send.phase.value,
@@ -271,7 +272,7 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
-    yield from _note_failure(gateway, send.upstream, event)
+    yield from _note_failure(gateway, request, event)
     run = event.run
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
@@ -325,12 +326,14 @@
 
 def _note_failure(
     gateway: state_lib.Gateway,
-    upstream: gateway_messages.Upstream,
+    request: state_lib.Request,
     event: events.PhaseFailed,
 ) -> Iterator[events.Effect]:
     """Avoid a runner that seems to be down, here and at other gateways."""
+    assert request.current_send is not None
     if not event.runner_failed:
         return
+    upstream = request.current_send.upstream
     upstream_id = upstream.upstream_id
     avoidance_ms = gateway.notices.note_failure(
         upstream.start_id, event.now_ms, unreachable=event.unreachable
@@ -339,7 +342,7 @@
         return
     yield events.LogDecision(
         decision="runner-avoided",
-        request_id=event.request_id,
+        request_id=request.request_id,
         inputs={
             "upstream": upstream_id,
             "avoided_ms": avoidance_ms,
@@ -376,12 +379,12 @@
 def _handle_end(
     gateway: state_lib.Gateway, event: events.Ended
 ) -> Iterator[events.Effect]:
-    request = gateway.request_by_id.pop(event.request_id, None)
+    request = gateway.request_by_key.pop(event.request_key, None)
     if request is None or request.current_send is None:
         return
     yield events.LogDecision(
         decision="ended",
-        request_id=event.request_id,
+        request_id=request.request_id,
         inputs={
             "upstream": request.current_send.upstream.upstream_id,
             "whole": event.is_complete,
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -53,9 +53,12 @@
 class CallerRequest:
     """A caller's request as it arrived, and what its route allows.
 
-    `target` is path and query. `deadline_at_ms` is on the monotonic clock.
+    `target` is path and query. `request_key` is the number of the request in
+    this process, `request_id` the caller's id. `deadline_at_ms` is on the
+    monotonic clock.
     """
 
+    request_key: int
     request_id: str
     method: str
     target: str
@@ -134,7 +137,7 @@
         """Report the end of the request, complete or not; called by WSGI."""
         self._chunk_iterator.close()
         ended = events.Ended(
-            request_id=self._request.request_id,
+            request_key=self._request.request_key,
             is_complete=self._complete,
             now_ms=clock.monotonic_ms(),
         )
@@ -153,6 +156,9 @@
                     effects = yield from self._run_phase(send)
                 case effect:
                     raise AssertionError(f"unexpected {type(effect).__name__}")
+        if not self._complete:
+            # Returning would mark the end of a response in chunks.
+            self._abort("the request was dropped without an answer")
 
     def _run_phase(
         self, send: protocol.Send
@@ -283,6 +289,7 @@
         )
         self._submit(
             events.ForeignAnswer(
+                request_key=self._request.request_key,
                 request_id=self._request.request_id,
                 answer_id=answer.attempt_id,
                 status=answer.status,
@@ -313,7 +320,7 @@
                 f"reading the prompt was answered {answer.status}",
             )
         prefill_done = events.PrefillDone(
-            request_id=self._request.request_id,
+            request_key=self._request.request_key,
             transfer_handle=prefill.transfer_handle,
             now_ms=clock.monotonic_ms(),
         )
@@ -399,7 +406,8 @@
     def _report_answer_started(self) -> None:
         self._submit(
             events.AnswerStarted(
-                request_id=self._request.request_id, now_ms=clock.monotonic_ms()
+                request_key=self._request.request_key,
+                now_ms=clock.monotonic_ms(),
             )
         )
 
@@ -416,7 +424,7 @@
         if self._cancelled:
             self._abort("the caller disconnected, or the gateway's stop cut it")
         failed = events.PhaseFailed(
-            request_id=self._request.request_id,
+            request_key=self._request.request_key,
             run=run,
             reason=reason,
             now_ms=clock.monotonic_ms(),
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from concurrent import futures
 import dataclasses
+import itertools
 import logging
 import random
 import threading
@@ -148,6 +149,7 @@
         self._pool = connection_pool.ConnectionPool(
             connect_timeout_s=CONNECT_TIMEOUT_S
         )
+        self._request_keys = itertools.count()
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
         self._arrivals_closed = False
@@ -287,9 +289,10 @@
             )
         body = server_lib.read_body(environ)
         target = environ["REQUEST_URI"]
-        request_id = head.attempt_id
+        request_key = next(self._request_keys)
         arrived = events.Arrived(
-            request_id=request_id,
+            request_key=request_key,
+            request_id=head.attempt_id,
             host=headers.get("Host", ""),
             path=target.partition("?")[0],
             head=head,
@@ -300,12 +303,13 @@
             too_late=self._arrivals_closed,
         )
         effects = self._submit(arrived)
-        accepted = self._gateway.request_by_id.get(request_id)
+        accepted = self._gateway.request_by_key.get(request_key)
         if accepted is None:
             return self._refuse_untracked(effects, start_response)
         route = accepted.route
         request = run_lib.CallerRequest(
-            request_id=request_id,
+            request_key=request_key,
+            request_id=head.attempt_id,
             method=environ["REQUEST_METHOD"],
             target=target,
             headers=headers,
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -33,6 +33,7 @@
 class Request:
     """A caller's request in progress.
 
+    `request_key` identifies it, as two requests in progress may have one id.
     `current_send` is the phase in progress, sent at `sent_ms`, and `placement`
     the forecast by which a prompt was placed. `attempts` is limited by the
     route's `max_attempts`; a successful prefill and a send whose runner could
@@ -43,6 +44,7 @@
     clock.
     """
 
+    request_key: int
     request_id: str
     head: protocol.RequestHead
     route: route_table.Route
@@ -98,7 +100,7 @@
     longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
-    request_by_id: dict[str, Request] = dataclasses.field(default_factory=dict)
+    request_by_key: dict[int, Request] = dataclasses.field(default_factory=dict)
 
     @property
     def table_number(self) -> int:
--- a/testing/gateway/test_notices.py
+++ b/testing/gateway/test_notices.py
@@ -85,6 +85,7 @@
         self.arrivals += 1
         effects = self.reduce(
             events.Arrived(
+                request_key=self.arrivals,
                 request_id=f"r{self.arrivals}",
                 host="h",
                 path="/pay/x",
@@ -160,6 +161,7 @@
     """A gateway without processor time reads requests late."""
     service = Service()
     arrived = events.Arrived(
+        request_key=1,
         request_id="r1",
         host="h",
         path="/pay/x",
@@ -243,10 +245,9 @@
     send = service.arrive(0)
     if send.upstream.upstream_id != "u1":
         send = service.arrive(0)
-    request_id = f"r{service.arrivals}"
     effects = service.reduce(
         events.PhaseFailed(
-            request_id=request_id,
+            request_key=service.arrivals,
             run=refusal_lib.RunState.UNKNOWN,
             reason="reset",
             now_ms=0,
--- a/testing/gateway/test_reducer.py
+++ b/testing/gateway/test_reducer.py
@@ -64,10 +64,10 @@
             ),
         )
         self.now_ms = 0
-        self.possible_runs_by_id: dict[str, int] = {}
-        self.attempts_by_id: dict[str, int] = {}
-        self.kind_by_id: dict[str, route_table.RequestKind] = {}
-        self.send_by_id: dict[str, protocol.Send] = {}
+        self.possible_runs_by_key: dict[int, int] = {}
+        self.attempts_by_key: dict[int, int] = {}
+        self.kind_by_key: dict[int, route_table.RequestKind] = {}
+        self.send_by_key: dict[int, protocol.Send] = {}
         self.list_sequences = [0]
 
     def reduce(self, event: events.Event) -> list[Any]:
@@ -79,24 +79,24 @@
             if not isinstance(effect, events.BroadcastLoad | events.LogDecision)
         ]
 
-    def check_effects(self, request_id: str, effects: list[Any]) -> None:
+    def check_effects(self, request_key: int, effects: list[Any]) -> None:
         """Check that the only effect is a permitted send or refusal."""
         assert len(effects) == 1
         match effects[0]:
             case protocol.Send() as send:
                 assert not send.upstream.leaving
-                self.send_by_id[request_id] = send
-                self.attempts_by_id[request_id] = (
-                    self.attempts_by_id.get(request_id, 0) + 1
+                self.send_by_key[request_key] = send
+                self.attempts_by_key[request_key] = (
+                    self.attempts_by_key.get(request_key, 0) + 1
                 )
-                assert self.attempts_by_id[request_id] <= 2
-                kind = self.kind_by_id[request_id]
+                assert self.attempts_by_key[request_key] <= 2
+                kind = self.kind_by_key[request_key]
                 if kind is not route_table.RequestKind.READ_ONLY:
-                    assert not self.possible_runs_by_id.get(request_id)
+                    assert not self.possible_runs_by_key.get(request_key)
             case events.Refuse(refusal=refusal):
                 if refusal.status in (408, 421, 429, 503):
-                    assert not self.possible_runs_by_id.get(request_id) or (
-                        self.kind_by_id.get(request_id)
+                    assert not self.possible_runs_by_key.get(request_key) or (
+                        self.kind_by_key.get(request_key)
                         is route_table.RequestKind.READ_ONLY
                     )
 
@@ -140,15 +140,18 @@
     @stateful.rule(kind=strategies.sampled_from(KINDS))
     def arrive(self, kind: route_table.RequestKind) -> None:
         """Receive a new request."""
-        request_id = f"r{len(self.kind_by_id)}"
-        self.kind_by_id[request_id] = kind
+        request_key = len(self.kind_by_key)
+        # Two requests have each id.
+        request_id = f"r{request_key // 2}"
+        self.kind_by_key[request_key] = kind
         head = protocol.RequestHead(
             attempt_id=request_id, remaining_ms=5_000, prompt=None
         )
         self.check_effects(
-            request_id,
+            request_key,
             self.reduce(
                 events.Arrived(
+                    request_key=request_key,
                     request_id=request_id,
                     host="h",
                     path=f"/{kind.value}/x",
@@ -158,33 +161,37 @@
             ),
         )
 
-    @stateful.precondition(lambda self: self.send_by_id)
+    @stateful.precondition(lambda self: self.send_by_key)
     @stateful.rule(data=strategies.data(), run=strategies.sampled_from(RUNS))
     def fail(self, data: Any, run: refusal_lib.RunState) -> None:
         """Fail the current phase of a request."""
-        request_id = data.draw(strategies.sampled_from(sorted(self.send_by_id)))
-        del self.send_by_id[request_id]
+        request_key = data.draw(
+            strategies.sampled_from(sorted(self.send_by_key))
+        )
+        del self.send_by_key[request_key]
         if run is refusal_lib.RunState.UNKNOWN:
-            self.possible_runs_by_id[request_id] = 1
+            self.possible_runs_by_key[request_key] = 1
         failed = events.PhaseFailed(
-            request_id=request_id, run=run, reason="", now_ms=self.now_ms
+            request_key=request_key, run=run, reason="", now_ms=self.now_ms
         )
-        self.check_effects(request_id, self.reduce(failed))
+        self.check_effects(request_key, self.reduce(failed))
 
-    @stateful.precondition(lambda self: self.send_by_id)
+    @stateful.precondition(lambda self: self.send_by_key)
     @stateful.rule(data=strategies.data())
     def end(self, data: Any) -> None:
         """Complete a request with its answer."""
-        request_id = data.draw(strategies.sampled_from(sorted(self.send_by_id)))
-        del self.send_by_id[request_id]
+        request_key = data.draw(
+            strategies.sampled_from(sorted(self.send_by_key))
+        )
+        del self.send_by_key[request_key]
         for event in (
-            events.AnswerStarted(request_id=request_id, now_ms=self.now_ms),
+            events.AnswerStarted(request_key=request_key, now_ms=self.now_ms),
             events.Ended(
-                request_id=request_id, is_complete=True, now_ms=self.now_ms
+                request_key=request_key, is_complete=True, now_ms=self.now_ms
             ),
         ):
             assert not self.reduce(event)
-        assert request_id not in self.gateway.request_by_id
+        assert request_key not in self.gateway.request_by_key
 
     @stateful.rule(passed_ms=strategies.integers(1, 3_000))
     def wait(self, passed_ms: int) -> None:
@@ -197,7 +204,7 @@
         in_flight = sum(
             load.in_flight for load in self.gateway.load_by_id.values()
         )
-        assert in_flight <= len(self.send_by_id)
+        assert in_flight <= len(self.send_by_key)
 
 
 TestGateway = GatewayMachine.TestCase
--- a/testing/gateway/test_run.py
+++ b/testing/gateway/test_run.py
@@ -60,6 +60,7 @@
     statuses: list[str] = []
     response = run_lib.ForwardedResponse(
         request=run_lib.CallerRequest(
+            request_key=1,
             request_id="a1",
             method="GET",
             target="/",
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -173,7 +173,7 @@
             case "hang":
                 self._wait_for_close(connection)
                 return False
-            case "stream" | "stream-cut" | "stream-slow":
+            case "stream" | "stream-cut" | "stream-slow" | "stream-slow-cut":
                 return self._stream(connection, head, headers_by_name)
             case _:
                 _send(connection, "200 OK", head, b"answer to " + body)
@@ -198,11 +198,11 @@
         )
         for number in range(first, 5):
             event = f"id: {number}\ndata: t{number}\n\n".encode()
-            if self.behavior == "stream-cut" and first == 1 and number == 3:
+            if self.behavior.endswith("cut") and first == 1 and number == 3:
                 _chunk(connection, event[:5])
                 return False
             _chunk(connection, event)
-            if self.behavior == "stream-slow" and number == 2:
+            if "slow" in self.behavior and number == 2:
                 self.finish.wait(WAIT_S)
         _chunk(connection, b"")
         return True
--- a/testing/support/replay.py
+++ b/testing/support/replay.py
@@ -225,7 +225,9 @@
                 self._start_next(engine, now_ms)
             case ("end", key, gateway):
                 ended = events.Ended(
-                    request_id=key, is_complete=True, now_ms=round(now_ms)
+                    request_key=_request_key(key),
+                    is_complete=True,
+                    now_ms=round(now_ms),
                 )
                 self._forward_updates(
                     gateway, reducer.reduce(gateway, ended), now_ms
@@ -241,13 +243,15 @@
     ) -> None:
         if send.phase is protocol.Phase.PREFILL:
             done = events.PrefillDone(
-                request_id=key, transfer_handle="h", now_ms=round(now_ms)
+                request_key=_request_key(key),
+                transfer_handle="h",
+                now_ms=round(now_ms),
             )
             self._reduce(gateway, key, request, done, now_ms)
             return
         self.result.first_token_ms_by_key[key] = now_ms - request.at_ms
         answer_started = events.AnswerStarted(
-            request_id=key, now_ms=round(now_ms)
+            request_key=_request_key(key), now_ms=round(now_ms)
         )
         self._reduce(gateway, key, request, answer_started, now_ms)
         self._schedule(now_ms + 300, ("end", key, gateway))
@@ -317,6 +321,11 @@
         )
 
 
+def _request_key(key: str) -> int:
+    """Return the number at the end of a request's id."""
+    return int(key.rpartition("-")[2])
+
+
 def _arrival(key: str, request: Request, now_ms: float) -> events.Arrived:
     prompt = protocol.PromptTokens(
         model="m",
@@ -325,6 +334,7 @@
         output_tokens=20,
     )
     return events.Arrived(
+        request_key=_request_key(key),
         request_id=key,
         host=HOST,
         path=f"/{request.route}/x",
