Do not pass on a success without a seal

Cause: the seal was read, but only decided about server errors.

Change: a success without a seal counts as a failed attempt that may have run: repeatable requests are sent to another runner, others end with 502. Answers to a prefill have no seal and are not passed on.

The two cases of test_failure_is_reported_with_its_status_and_run_count failed before. The scripted runner of gateway/test_run.py seals its answer now, as runners do.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -30,6 +30,7 @@
 Head: TypeAlias = urllib3.BaseHTTPResponse
 
 MS_PER_S = 1_000
+SUCCESS_STATUSES = range(200, 300)
 # Headers that apply to one connection only, see RFC 9110, section 7.6.1, and
 # headers that this server and the HTTP client handle themselves.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -238,6 +239,10 @@
             )
         if send.phase is protocol.Phase.PREFILL:
             return self._finish_prefill(exchange, answer)
+        if answer.status in SUCCESS_STATUSES and not answer.has_seal:
+            return self._report_failure(
+                refusal_lib.RunState.UNKNOWN, "a success without a seal"
+            )
         is_streamed = self._request.is_stream and head.status == 200
         if is_streamed:
             return (yield from self._relay_stream(exchange, head))
--- a/testing/gateway/test_run.py
+++ b/testing/gateway/test_run.py
@@ -14,6 +14,7 @@
 
 ATTEMPT_ID = platform_headers.ATTEMPT_ID
 NOT_EXECUTED = platform_headers.NOT_EXECUTED
+RESPONSE_SEAL = platform_headers.RESPONSE_SEAL
 WAIT_MS = 15_000
 
 
@@ -28,7 +29,7 @@
     head = f"{ATTEMPT_ID}: a1\r\nContent-Length: 2\r\n\r\n"
     server.script = [
         f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n{head}no".encode(),
-        f"HTTP/1.1 200 OK\r\n{head}ok".encode(),
+        f"HTTP/1.1 200 OK\r\n{RESPONSE_SEAL}: s\r\n{head}ok".encode(),
     ]
     return server
 
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -38,6 +38,8 @@
         pytest.param("reset", "/pay/", 502, 1, id="payment-reset"),
         pytest.param("reset", "/read/", 502, 2, id="lookup-reset"),
         pytest.param("foreign", "/pay/", 502, 1, id="payment-foreign-answer"),
+        pytest.param("unsealed", "/pay/", 502, 1, id="payment-unsealed"),
+        pytest.param("unsealed", "/read/", 502, 2, id="lookup-unsealed"),
         pytest.param("reject", "/pay/", 503, 0, id="payment-rejected"),
         pytest.param("hang", "/quick/", 504, 1, id="time-out-of-the-route"),
     ],
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -161,6 +161,7 @@
         head: str,
         body: bytes,
     ) -> bool:
+        attempt = headers_by_name.get(ATTEMPT_ID.lower(), "")
         match self.behavior:
             case "reset":
                 connection.reset_on_close()
@@ -170,6 +171,9 @@
             case "foreign":
                 other = f"{ATTEMPT_ID}: other\r\n{SEAL}: s\r\n"
                 _send(connection, "200 OK", other, b"of another")
+            case "unsealed":
+                head = f"{ATTEMPT_ID}: {attempt}\r\n"
+                _send(connection, "200 OK", head, b"answer to " + body)
             case "hang":
                 self._wait_for_close(connection)
                 return False
