Fail a response in chunks that ends before its last line

Change: while a response in chunks is read, the end of the connection is an error of the connection. It holds for the gateway, the entry and every other user of RunnerConnection, and for responses that are skipped.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -118,12 +118,14 @@
             response = http.client.HTTPResponse(
                 _as_socket(self._reader), debuglevel, method
             )
+            self._raw_reader.end_is_error = False
             response.begin()
             if self._raw_reader.at_end:
                 # http.client takes the end of the connection for the end of
                 # the headers.
                 raise http.client.IncompleteRead(b"")
             _check_head(response)
+            self._raw_reader.end_is_error = bool(response.chunked)
             if self._is_expected(response):
                 # A late response to HEAD has no body, which the next request's
                 # method doesn't tell.
@@ -188,7 +190,9 @@
 class _SocketReader(io.RawIOBase):
     """Reads a socket, until a deadline if there is one.
 
-    `at_end` is set once the peer has closed the connection.
+    `at_end` is set once the peer has closed the connection. The read that finds
+    this fails if `end_is_error` is set, since http.client takes a chunk size
+    that is cut after a zero for the last chunk.
     """
 
     def __init__(self, source: socket.socket) -> None:
@@ -196,6 +200,7 @@
         self._socket = source
         self.deadline_at_ms: int | None = None
         self.at_end = False
+        self.end_is_error = False
 
     def readable(self) -> bool:
         """Return True: this is a reader."""
@@ -205,7 +210,8 @@
         """Read into `buffer`; return None if a non-blocking read has no data.
 
         Raises:
-            OSError: The connection failed, or a timeout passed.
+            OSError: The connection failed or ended too early, or a timeout
+                passed.
         """
         if self.deadline_at_ms is not None:
             self._set_timeout(self.deadline_at_ms)
@@ -214,6 +220,8 @@
         except BlockingIOError:
             return None
         self.at_end = count == 0
+        if self.at_end and self.end_is_error:
+            raise ConnectionError("the connection ended within a response")
         return count
 
     def _set_timeout(self, deadline_at_ms: int) -> None:
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -261,6 +261,34 @@
     assert caught.value.timed_out
 
 
+@pytest.mark.parametrize(
+    ("end", "is_complete"),
+    [
+        pytest.param(b"0\r\n\r\n", True, id="complete"),
+        pytest.param(b"0\r\nX-Trailer: 1\r\n\r\n", True, id="trailer"),
+        pytest.param(b"0\r\nX-Trailer: 1\r\n", False, id="within-the-trailer"),
+        pytest.param(b"0\r\n", False, id="before-the-last-line"),
+        # It may have been followed by a digit other than zero.
+        pytest.param(b"0", False, id="within-a-size"),
+        pytest.param(b"", False, id="before-a-size"),
+        pytest.param(b"3\r\nde", False, id="within-a-chunk"),
+    ],
+)
+def test_response_in_chunks_that_ends_early_is_broken(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    end: bytes,
+    is_complete: bool,
+) -> None:
+    head = f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server.script = [head.encode() + b"3\r\nabc\r\n" + end]
+    if is_complete:
+        assert exchange(pool, server, "r0") == b"abc"
+        return
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r0")
+
+
 def test_cancelled_response_without_a_length_is_not_complete(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
