Read the answers of rare calls with RunnerConnection

Cause: calls with a connection of their own were read by urllib3 alone, which takes the end of the connection for the end of the headers, and drops what follows a malformed line.

Change: http_call sends its request on a RunnerConnection, which checks the head. The list of errors that an exchange raises exists once, beside it.

The cases half-a-head and line-without-a-colon failed before.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -15,7 +15,6 @@
 from wisteriawall.entry import parsing
 from wisteriawall.entry import sse
 from wisteriawall.web import connection_pool
-from wisteriawall.web import http_exchange
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import runner_connection
 from wisteriawall.wire import headers
@@ -145,7 +144,7 @@
         assert self._response is not None
         try:
             yield from self._response.stream(CHUNK_BYTES, decode_content=False)
-        except http_exchange.EXCHANGE_ERRORS as error:
+        except runner_connection.EXCHANGE_ERRORS as error:
             raise AnswerBroken(type(error).__name__) from error
 
     def _read_to_end(self) -> None:
@@ -207,7 +206,7 @@
             )
             self._response = connection.getresponse()
             agent_socket.settimeout(timeouts.idle_s)
-        except http_exchange.EXCHANGE_ERRORS as error:
+        except runner_connection.EXCHANGE_ERRORS as error:
             raise AttemptRefused(
                 refusal_lib.RunState.UNKNOWN, type(error).__name__
             ) from error
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
-import http.client
 import socket
 import threading
 from typing import final
@@ -22,15 +21,6 @@
 # A connection is reused only up to this long before the peer's keep-alive
 # timeout, so that the peer does not close it just as it is used.
 KEEP_ALIVE_MARGIN_MS = 1_000
-# What sending a request and reading its response raise if the connection fails
-# or the response is malformed. urllib3 does not wrap the exceptions of
-# http.client while it reads the head of a response.
-EXCHANGE_ERRORS = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
 # Headers that urllib3 adds unless told otherwise.
 SUPPRESSED_HEADERS = {
     name: urllib3.util.SKIP_HEADER
@@ -141,7 +131,7 @@
                 enforce_content_length=True,
             )
             self._response = connection.getresponse()
-        except EXCHANGE_ERRORS as error:
+        except runner_connection.EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
         return self._response
 
@@ -162,7 +152,7 @@
                     CHUNK_BYTES, decode_content=False
                 ):
                     yield data
-        except EXCHANGE_ERRORS as error:
+        except runner_connection.EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
         if self._cancelled:
             # To a response without a length, the shutdown looks like its end.
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -12,12 +12,27 @@
 from typing import Any
 from typing import final
 
+import urllib3
 import urllib3.connection
 
 from wisteriawall import clock
 
-__all__ = ["AnswerId", "RunnerConnection", "UnidentifiedResponse"]
-
+__all__ = [
+    "EXCHANGE_ERRORS",
+    "AnswerId",
+    "RunnerConnection",
+    "UnidentifiedResponse",
+]
+
+# What sending a request and reading its response raise if the connection fails
+# or the response is malformed. urllib3 does not wrap the exceptions of
+# http.client while it reads the head of a response.
+EXCHANGE_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 # A late head without its body takes the next response for that body.
--- a/src/wisteriawall/wire/http_call.py
+++ b/src/wisteriawall/wire/http_call.py
@@ -7,18 +7,16 @@
 """
 
 from collections.abc import Mapping
+import contextlib
 import dataclasses
-import http.client
 from typing import final
-
-import urllib3
+from urllib import parse
 
 from wisteriawall import errors
+from wisteriawall.web import runner_connection
 
 __all__ = ["CallFailed", "Response", "call"]
 
-FIRST_FINAL_STATUS = 200
-
 
 @final
 class CallFailed(errors.WisteriawallError):
@@ -49,7 +47,7 @@
 
     Args:
         method: HTTP method.
-        url: URL with scheme, host, path and query.
+        url: `http` URL with host, port, path and query.
         timeout_s: Longest time to connect, and again to wait for each part of
             the response.
         body: Request body.
@@ -60,23 +58,20 @@
             malformed or interim.
     """
     try:
-        with urllib3.PoolManager(retries=False, maxsize=1) as pool:
-            response = pool.request(
+        parts = parse.urlsplit(url)
+        connection = runner_connection.RunnerConnection(
+            parts.hostname or "", parts.port, timeout=timeout_s
+        )
+        with contextlib.closing(connection):
+            connection.request(
                 method,
-                url,
+                parts._replace(scheme="", netloc="").geturl(),
                 body=body,
                 headers=headers,
-                timeout=timeout_s,
-                redirect=False,
+                preload_content=False,
             )
-            data = response.data
-    except (
-        urllib3.exceptions.HTTPError,
-        http.client.HTTPException,
-        OSError,
-        ValueError,
-    ) as error:
+            response = connection.getresponse()
+            data = response.read()
+    except runner_connection.EXCHANGE_ERRORS as error:
         raise CallFailed(f"{type(error).__name__}: {error}") from error
-    if response.status < FIRST_FINAL_STATUS:
-        raise CallFailed(f"got only the interim status {response.status}")
     return Response(status=response.status, headers=response.headers, body=data)
--- a/testing/wire/test_http_call.py
+++ b/testing/wire/test_http_call.py
@@ -72,6 +72,14 @@
         pytest.param(b"HTTP/1.1 200 OK\r\n" + 101 * b"a: b\r\n", id="headers"),
         pytest.param(b"HTTP/1.1 " + 70_000 * b"2" + b"\r\n", id="long-line"),
         pytest.param(b"HTTP/1.1 103 Hints\r\n\r\n", id="interim"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+            id="half-a-head",
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 1\r\n\r\na",
+            id="line-without-a-colon",
+        ),
         pytest.param(
             stuttering_server.answer_bytes(b"ab", length=3), id="half-a-body"
         ),
