Count the requests of a connection where they are sent

entry/attempt.py and HttpExchange each raised RunnerConnection.request_count by hand, and HttpExchange kept a copy. The connection counts in `request` now, and `is_reusable`, which resets the timeouts, is the method `check_reusable`. No change of behavior.

--- a/src/wisteriawall/entry/attempt.py
+++ b/src/wisteriawall/entry/attempt.py
@@ -194,7 +194,6 @@
         agent_socket = connection.sock
         connection.timeout = timeouts.first_byte_s
         self._connection_reused = connection.request_count > 0
-        connection.request_count += 1
         try:
             connection.request(
                 request.method,
--- a/src/wisteriawall/web/connection_pool.py
+++ b/src/wisteriawall/web/connection_pool.py
@@ -114,7 +114,7 @@
         connections to `address`.
         """
         now_ms = clock.monotonic_ms()
-        reusable = connection.is_reusable
+        reusable = connection.check_reusable()
         with self._lock:
             idle = self._idle_by_address[address]
             has_room = not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -52,8 +52,6 @@
     """One HTTP request and its response, for a single use.
 
     `cancel` may be called in any thread, the other methods in one thread.
-    `connection_requests` is the number of requests that were sent on the
-    connection, this one included.
 
     Args:
         pool: Pool that connections are taken from and returned to.
@@ -67,7 +65,11 @@
         self._connection: runner_connection.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
-        self.connection_requests = 0
+
+    @property
+    def connection_requests(self) -> int:
+        """Return the number of requests sent on the connection so far."""
+        return self._connection.request_count if self._connection else 0
 
     def send(
         self,
@@ -117,9 +119,7 @@
             for name, marker in SUPPRESSED_HEADERS.items()
             if name not in headers
         }
-        connection.request_count += 1
         connection.answer_id = answer_id
-        self.connection_requests = connection.request_count
         try:
             connection.request(
                 method,
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -73,7 +73,7 @@
     All responses are read through one buffer. http.client uses a new buffer for
     each, which would lose what arrived together with the end of a response.
 
-    `request_count` is the number of requests that were sent. `answer_id` is the
+    `request_count` is the number of requests so far. `answer_id` is the
     id that the next response must have; with None, any response is taken for
     the next one. Reads fail within `MAX_OVERRUN_MS` after `deadline_at_ms`, on
     the monotonic clock; with None, the socket's own timeout holds for each.
@@ -100,9 +100,13 @@
     def deadline_at_ms(self, deadline_at_ms: int | None) -> None:
         self._raw_reader.deadline_at_ms = deadline_at_ms
 
-    @property
-    def is_reusable(self) -> bool:
-        """Whether another request may be sent.
+    def request(self, *args: Any, **options: Any) -> None:
+        """Send a request; arguments and errors are those of urllib3."""
+        self.request_count += 1
+        super().request(*args, **options)
+
+    def check_reusable(self) -> bool:
+        """Return whether another request may be sent; reset the timeouts.
 
         Call it after the last response was read completely. It is False if the
         server closes the connection or has sent more than that response.
