Count a process's startup time without the time that it was frozen

The trace: the fleet froze it 35 ms after its start, before its first instruction, sent SIGHUP 2.5 s later, and the process got the signal at its thaw. The check allows a signal within the first 2 s, and counted the frozen time as time to start, in which a process can't do anything. The same allowance now counts running time only; a process that was frozen after its start is still a finding.

test_frozen_process_does_not_get_on_with_its_start[frozen-in-its-first- instructions] failed before.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -63,18 +63,33 @@
 
     def __init__(self, seen: records.Records) -> None:
         self.seen = seen
-        self.call_by_attempt = {call.attempt: call for call in seen.calls}
-        self.arrivals_by_attempt: dict[str, list[records.Arrival]] = (
+        self._call_by_attempt = {call.attempt: call for call in seen.calls}
+        self._call_by_key = {call.key: call for call in seen.calls}
+        self.arrivals_by_key: dict[records.CallKey, list[records.Arrival]] = (
             collections.defaultdict(list)
         )
         for arrival in seen.arrivals:
-            self.arrivals_by_attempt[arrival.attempt].append(arrival)
+            self.arrivals_by_key[self.key(arrival)].append(arrival)
 
-    def finding(self, rule: str, attempt: str, text: str) -> Finding:
-        """Return a finding with all that was seen of the attempt."""
-        call = self.call_by_attempt.get(attempt)
+    def call(self, arrival: records.Arrival) -> records.Call | None:
+        """Return the call that an arrival belongs to, if there is one.
+
+        An arrival whose target was changed belongs to the call with its id.
+        """
+        return self._call_by_key.get(
+            (arrival.attempt, arrival.target)
+        ) or self._call_by_attempt.get(arrival.attempt)
+
+    def key(self, arrival: records.Arrival) -> records.CallKey:
+        """Return the key of an arrival's call, or else its own."""
+        call = self.call(arrival)
+        return (arrival.attempt, arrival.target) if call is None else call.key
+
+    def finding(self, rule: str, key: records.CallKey, text: str) -> Finding:
+        """Return a finding with all that was seen of a call."""
+        call = self._call_by_key.get(key)
         lines = [] if call is None else [_describe_call(call)]
-        lines += map(_describe_arrival, self.arrivals_by_attempt[attempt])
+        lines += map(_describe_arrival, self.arrivals_by_key[key])
         if call is not None:
             lines += [
                 f"  {i.name}: {i.change} at {i.at_s:.3f}, code {i.code}"
@@ -82,9 +97,9 @@
                 if i.name == call.gateway
                 and call.started_s - 10 <= i.at_s <= call.ended_s + 10
             ]
-        before = {a.preceded_by for a in self.arrivals_by_attempt[attempt]}
+        before = {a.preceded_by for a in self.arrivals_by_key[key]}
         return Finding(
-            rule, attempt, text, tuple(lines), ", ".join(sorted(before - {""}))
+            rule, key[0], text, tuple(lines), ", ".join(sorted(before - {""}))
         )
 
 
@@ -131,7 +146,7 @@
 
 def held_calls(seen: records.Records) -> list[records.Call]:
     """Return requests that may be lost, depending on the gateway's log."""
-    return list(lost.find_held(seen, _Evidence(seen).arrivals_by_attempt))
+    return list(lost.find_held(seen, _Evidence(seen).arrivals_by_key))
 
 
 def is_failure(surplus: bytes) -> bool:
@@ -145,9 +160,9 @@
 
 def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
-        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        arrivals = evidence.arrivals_by_key[call.key]
         for text in _answer_faults(call, arrivals):
-            yield evidence.finding("MIXED", call.attempt, text)
+            yield evidence.finding("MIXED", call.key, text)
 
 
 def _answer_faults(
@@ -205,13 +220,13 @@
         if owner is None:
             yield evidence.finding(
                 "UNASKED",
-                arrival.attempt,
+                evidence.key(arrival),
                 f"a KV cache source that no runner gave: {source}",
             )
         elif owner != arrival.attempt:
             yield evidence.finding(
                 "MIXED",
-                arrival.attempt,
+                evidence.key(arrival),
                 "a request goes on from the handle of another request:"
                 f" {handle} of {owner}",
             )
@@ -221,18 +236,18 @@
     for call in evidence.seen.calls:
         if call.kind.is_idempotent:
             continue
-        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        arrivals = evidence.arrivals_by_key[call.key]
         runs = sum(arrival.has_run for arrival in arrivals)
         if runs > 1:
             yield evidence.finding(
                 "TWICE",
-                call.attempt,
+                call.key,
                 f"a request that isn't idempotent runs {runs} times",
             )
         if runs and call.status in NOT_RUN_STATUSES:
             yield evidence.finding(
                 "REFUSED",
-                call.attempt,
+                call.key,
                 "a request that isn't idempotent is answered"
                 f" {call.status} and has run, or runs later",
             )
@@ -240,10 +255,10 @@
 
 def _check_requests(evidence: _Evidence) -> Iterator[Finding]:
     for arrival in evidence.seen.arrivals:
-        call = evidence.call_by_attempt.get(arrival.attempt)
+        call = evidence.call(arrival)
         if call is None:
             yield evidence.finding(
-                "UNASKED", arrival.attempt, "an id that no client sent"
+                "UNASKED", evidence.key(arrival), "an id that no client sent"
             )
             continue
         changed = [
@@ -265,24 +280,26 @@
         ]
         if changed:
             yield evidence.finding(
-                "UNASKED", arrival.attempt, f"changed: {', '.join(changed)}"
+                "UNASKED",
+                evidence.key(arrival),
+                f"changed: {', '.join(changed)}",
             )
 
 
 def _check_lost(evidence: _Evidence) -> Iterator[Finding]:
     for call, text in lost.find(
-        evidence.seen, evidence.arrivals_by_attempt, grace_s=fleet.GRACE_S
+        evidence.seen, evidence.arrivals_by_key, grace_s=fleet.GRACE_S
     ):
-        yield evidence.finding("LOST", call.attempt, text)
+        yield evidence.finding("LOST", call.key, text)
 
 
 def _check_streams(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
         if not call.kind.is_stream or call.status != 200:
             continue
-        arrivals = evidence.arrivals_by_attempt[call.attempt]
+        arrivals = evidence.arrivals_by_key[call.key]
         for text in _stream_faults(call, arrivals):
-            yield evidence.finding("ORDER", call.attempt, text)
+            yield evidence.finding("ORDER", call.key, text)
 
 
 def _stream_faults(
@@ -316,13 +333,13 @@
         yield Finding("CONFIG", version, text)
     ran = {
         attempt
-        for attempt, arrivals in evidence.arrivals_by_attempt.items()
+        for (attempt, _), arrivals in evidence.arrivals_by_key.items()
         if any(arrival.has_run for arrival in arrivals)
     }
     for call, text in readings.find_disobeyed(evidence.seen, ran):
-        yield evidence.finding("CONFIG", call.attempt, text)
+        yield evidence.finding("CONFIG", call.key, text)
     for call, text in readings.find_denied(evidence.seen):
-        yield evidence.finding("DENIED", call.attempt, text)
+        yield evidence.finding("DENIED", call.key, text)
 
 
 def _check_stops(evidence: _Evidence) -> Iterator[Finding]:
@@ -378,7 +395,20 @@
         (i.at_s for i in incidents if i.change is change), default=end.at_s
     )
     acted_s = _thawed_s(incidents, first_s)
-    return first_s < started_s + startup_s and end.at_s < acted_s + DEATH_S
+    ran_s = first_s - started_s - _frozen_s(incidents, first_s)
+    return ran_s < startup_s and end.at_s < acted_s + DEATH_S
+
+
+def _frozen_s(incidents: list[records.Incident], until_s: float) -> float:
+    """Return for how long a process was frozen before a time."""
+    frozen_s, since_s = 0.0, None
+    for incident in sorted(incidents, key=lambda i: i.at_s):
+        at_s = min(incident.at_s, until_s)
+        if incident.change is records.Change.FREEZE:
+            since_s = at_s
+        elif incident.change is records.Change.THAW and since_s is not None:
+            frozen_s, since_s = frozen_s + at_s - since_s, None
+    return frozen_s if since_s is None else frozen_s + until_s - since_s
 
 
 def _thawed_s(incidents: list[records.Incident], signal_s: float) -> float:
--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -33,7 +33,7 @@
 
 def find(
     seen: records.Records,
-    arrivals_by_attempt: dict[str, list[records.Arrival]],
+    arrivals_by_key: dict[records.CallKey, list[records.Arrival]],
     *,
     grace_s: float,
 ) -> Iterator[tuple[records.Call, str]]:
@@ -47,7 +47,7 @@
         collections.defaultdict(list)
     )
     for call in seen.calls:
-        arrival = _answering(call, arrivals_by_attempt[call.attempt])
+        arrival = _answering(call, arrivals_by_key[call.key])
         if arrival is None or _is_excused(call, arrival, incidents_by_name):
             continue
         incidents = incidents_by_name[call.gateway]
@@ -73,7 +73,7 @@
 
 def find_held(
     seen: records.Records,
-    arrivals_by_attempt: dict[str, list[records.Arrival]],
+    arrivals_by_key: dict[records.CallKey, list[records.Arrival]],
 ) -> Iterator[records.Call]:
     """Yield requests that were cut late and not passed on.
 
@@ -84,7 +84,7 @@
             call.ending in CUT_ENDINGS
             and call.sent_s
             and call.ended_s > call.sent_s + LOST_S
-            and not arrivals_by_attempt[call.attempt]
+            and not arrivals_by_key[call.key]
             and not any(
                 incident.name == call.gateway
                 and incident.change in UNPLANNED
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -59,6 +59,10 @@
     ABANDONED = "the gateway left"
 
 
+# Attempt id and target: a caller may send an attempt id again.
+CallKey = tuple[str, str]
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class Call:
@@ -88,6 +92,11 @@
     surplus: bytes = b""
     error: str = ""
 
+    @property
+    def key(self) -> CallKey:
+        """Return what no other call has."""
+        return self.attempt, self.target
+
 
 @final
 @dataclasses.dataclass(slots=True)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -548,3 +548,29 @@
     _end(code=-15)(seen)
     found = [f.rule for f in checks.judge(seen) if f.rule == "STOP"]
     assert found == rules
+
+
+@pytest.mark.parametrize(
+    ("frozen_s", "rules"),
+    [
+        pytest.param(95.1, [], id="frozen-in-its-first-instructions"),
+        pytest.param(97.4, ["STOP"], id="frozen-after-its-start"),
+    ],
+)
+def test_frozen_process_does_not_get_on_with_its_start(
+    frozen_s: float, rules: list[str]
+) -> None:
+    """A gateway frozen 35 ms after its start got SIGHUP 2.5 s later."""
+    seen = _sound_records(LOOKUP)
+    seen.incidents[:] = [
+        records.Incident("g1", change, at_s, 77, code=code)
+        for change, at_s, code in (
+            (records.Change.START, 95.0, 0),
+            (records.Change.FREEZE, frozen_s, 0),
+            (records.Change.HUP, 97.6, 0),
+            (records.Change.THAW, 98.0, 0),
+            (records.Change.END, 98.1, -1),
+        )
+    ]
+    found = [f.rule for f in checks.judge(seen) if f.rule == "STOP"]
+    assert found == rules
