Do not wait for the rest of a body as if it were a head

What callers saw: a lookup that a runner had answered stayed open, and was cut at the end of a stop (LOST).

Trace: the runner sent the head of its previous answer without the body before its answer. The gateway logged foreign-answer 4 ms after the send, and nothing until still-open 5.0 s later, although a skipped body may take 0.5 s only.

Cause: the skipped body took the first part of the answer. If that ended within the body of the answer, the rest has no end of a line, and http.client waits for one before it looks at the first bytes: until the request's deadline.

Change: the first bytes of each head are checked as they arrive. The new test failed before: the exchange ended at its deadline.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -43,6 +43,7 @@
 # deadline has come this much closer.
 MAX_OVERRUN_MS = 100
 FIRST_FINAL_STATUS = 200
+HTTP_NAME = b"HTTP/"
 
 
 @final
@@ -138,6 +139,7 @@
                 _as_socket(self._reader), debuglevel, method
             )
             self._raw_reader.end_is_error = False
+            self._check_start()
             response.begin()
             if self._raw_reader.at_end:
                 # http.client takes the end of the connection for the end of
@@ -158,6 +160,19 @@
             f"more than {MAX_SKIPPED_RESPONSES} responses to other requests"
         )
 
+    def _check_start(self) -> None:
+        """Reject bytes that don't start a head.
+
+        http.client waits for the end of the first line before it looks at it.
+
+        Raises:
+            http.client.BadStatusLine: The first bytes are no HTTP version.
+            OSError: The connection failed.
+        """
+        start = self._reader.peek(1)[: len(HTTP_NAME)]
+        if not HTTP_NAME.startswith(start):
+            raise http.client.BadStatusLine(repr(start))
+
     def _skip(self, response: http.client.HTTPResponse) -> None:
         """Read and drop a response to another request.
 
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -232,6 +232,26 @@
     assert server.connections == 2
 
 
+def test_rest_of_a_body_is_not_awaited_as_a_head(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """A late head without its body took a part of the response for that body.
+
+    The rest has no end of a line, so the request waited for its deadline.
+    """
+    response = answer("r1", b"one")
+    late_head = f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nContent-Length: "
+    server.script = [
+        answer("r0", b"zero"),
+        f"{late_head}{len(response) - 2}\r\n\r\n".encode() + response,
+        b"keeps the connection open",
+    ]
+    assert exchange(pool, server, "r0") == b"zero"
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r1", deadline_ms=2_000)
+    assert not caught.value.timed_out
+
+
 def test_first_response_of_a_connection_must_not_name_another_request(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
