Let the soak's callers send an id again, and stop a process at its reload

A caller that gives up a request now sends it again to the same gateway, with another target to tell the two apart, and closes the first connection later. A new planned series sends SIGTERM up to 20 ms after SIGHUP.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -29,6 +29,10 @@
 PROMPT_TOKENS = 9_000
 CHUNKED_SHARE = 0.3
 EARLY_LEAVER_SHARE = 0.05
+# Share of the requests that a caller gives up and sends again, and how much
+# later it closes the first connection. Payments are not sent again.
+RESENT_SHARE = 0.7
+CLOSED_LATE_S = (0.0, 0.3)
 PATH_BY_KIND = {
     records.Kind.LOOKUP: "/read/",
     records.Kind.PAYMENT: "/pay/",
@@ -102,30 +106,49 @@
     def _run(self) -> None:
         while not self._stopping.wait(self._think_s()):
             call = self._make_call()
-            connection = self._connection or self._connect()
-            if connection is None:
-                self._stopping.wait(RECONNECT_PAUSE_S)
-                continue
-            self._connection = connection
-            call.gateway = connection.gateway
-            call.connection = connection.number
-            connection.uses += 1
-            call.use = connection.uses
-            self._seen.calls.append(call)
-            is_open = connection.send(call, self._habits, self._chance)
-            if not is_open or not self._habits.keeps_connections:
-                connection.close()
-                self._connection = None
+            self._send(call)
+            if self._is_sent_again(call):
+                self._send(_copy(call), gateway=call.gateway)
         if self._connection is not None:
             self._connection.close()
 
+    def _send(self, call: records.Call, *, gateway: str = "") -> None:
+        connection = self._connection or self._connect(gateway)
+        if connection is None:
+            self._stopping.wait(RECONNECT_PAUSE_S)
+            return
+        self._connection = connection
+        call.gateway = connection.gateway
+        call.connection = connection.number
+        connection.uses += 1
+        call.use = connection.uses
+        self._seen.calls.append(call)
+        is_open = connection.send(call, self._habits, self._chance)
+        if not is_open or not self._habits.keeps_connections:
+            self._close()
+
+    def _is_sent_again(self, call: records.Call) -> bool:
+        return (
+            call.ending is records.Ending.LEFT
+            and call.kind is not records.Kind.PAYMENT
+            and not self._stopping.is_set()
+            and self._chance.random() < RESENT_SHARE
+        )
+
+    def _close(self) -> None:
+        """Close the connection; one that was left is closed somewhat later."""
+        connection, self._connection = self._connection, None
+        assert connection is not None
+        pause_s = self._chance.uniform(*CLOSED_LATE_S)
+        threading.Timer(pause_s, connection.close).start()
+
     def _think_s(self) -> float:
         if self._chance.random() < IDLE_SHARE:
             return self._chance.uniform(0.0, MAX_IDLE_S)
         return self._chance.uniform(*THINK_S)
 
-    def _connect(self) -> "_Connection | None":
-        name = self._chance.choice(list(self._address_by_gateway))
+    def _connect(self, gateway: str = "") -> "_Connection | None":
+        name = gateway or self._chance.choice(list(self._address_by_gateway))
         host, _, port = self._address_by_gateway[name].rpartition(":")
         try:
             return _Connection(
@@ -170,6 +193,23 @@
         )
 
 
+def _copy(call: records.Call) -> records.Call:
+    """Return a call with the same id; only its target tells it apart."""
+    return records.Call(
+        attempt=call.attempt,
+        kind=call.kind,
+        gateway="",
+        connection=0,
+        use=0,
+        method=call.method,
+        target=f"{call.target}&again",
+        header_by_name=call.header_by_name,
+        body=call.body,
+        deadline_s=call.deadline_s,
+        started_s=time.monotonic(),
+    )
+
+
 def _prompt_headers(chance: random.Random, attempt: str) -> dict[str, str]:
     header_by_name = {
         "X-Wisteriawall-Model": "m",
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -196,6 +196,13 @@
         yield Timed(chance.uniform(0.0, 1.0), Reload(gateway))
 
 
+def _term_after_reload(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    """Send SIGTERM while SIGHUP is being handled."""
+    process = chance.choice((*scope.gateways, *scope.replicas))
+    yield Timed(0.0, Reload(process))
+    yield Timed(chance.uniform(0.0, 0.02), Terminate(process))
+
+
 def _reloads(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     processes = (*scope.gateways, *scope.replicas)
     for _ in range(chance.randint(2, 6)):
@@ -283,6 +290,7 @@
     _rolling_restart,
     _double_term,
     _reload_while_stopping,
+    _term_after_reload,
     _changes_while_stopping,
 )
 ALL_SERIES: tuple[Series, ...] = (
