--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -29,8 +29,9 @@
 PROMPT_TOKENS = 9_000
 CHUNKED_SHARE = 0.3
 EARLY_LEAVER_SHARE = 0.05
-# Share of the requests that a caller gives up and sends again, and how much
-# later it closes the first connection. Payments are not sent again.
+# Share of the requests that a caller gives up and sends again with the same id,
+# though each attempt should have its own, and how much later it closes the
+# first connection. Payments are not sent again.
 RESENT_SHARE = 0.7
 CLOSED_LATE_S = (0.0, 0.3)
 PATH_BY_KIND = {
