Let the soak's callers break requests off and read slowly

A fiftieth of the requests ends before its last byte, and a tenth of the answers is read in small pieces with pauses. A request that was not sent completely must not reach a runner (UNASKED).

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -29,6 +29,12 @@
 PROMPT_TOKENS = 9_000
 CHUNKED_SHARE = 0.3
 EARLY_LEAVER_SHARE = 0.05
+# Share of the requests that are broken off before their end.
+HALF_SENT_SHARE = 0.02
+# Share of the answers that are read in small pieces, and the pause between two.
+SLOW_READER_SHARE = 0.1
+SLOW_READ_BYTES = 4_000
+SLOW_READ_PAUSE_S = 0.05
 # Share of the requests that a caller gives up and sends again with the same id,
 # though each attempt should have its own, and how much later it closes the
 # first connection. Payments are not sent again.
@@ -237,6 +243,7 @@
         self._reader = wire.Reader(self)
         self._patience_s = DEADLINE_S
         self._ends_s = 0.0
+        self._reads_slowly = False
         self._has_left = False
 
     def close(self) -> None:
@@ -255,6 +262,9 @@
         if remaining_s <= 0:
             raise TimeoutError
         self._socket.settimeout(min(self._patience_s, remaining_s))
+        if self._reads_slowly:
+            time.sleep(SLOW_READ_PAUSE_S)
+            size = min(size, SLOW_READ_BYTES)
         return self._socket.recv(size)
 
     def send(
@@ -265,6 +275,7 @@
         Return whether the connection can be used again.
         """
         self._patience_s = habits.patience_s
+        self._reads_slowly = chance.random() < SLOW_READER_SHARE
         if chance.random() < EARLY_LEAVER_SHARE:
             self._patience_s = chance.uniform(0.01, 0.5)
         call.started_s = time.monotonic()
@@ -314,22 +325,34 @@
             return self._reader.buffer
 
     def _write_request(self, call: records.Call, chance: random.Random) -> None:
+        """Send the request.
+
+        Raises:
+            OSError: The connection failed, or the caller left within it.
+        """
         headers = dict(call.header_by_name)
         self._socket.settimeout(call.deadline_s)
         first = f"{call.method} {call.target} HTTP/1.1"
+        pause_s = 0.0
         if call.body and chance.random() < CHUNKED_SHARE:
             headers["Transfer-Encoding"] = "chunked"
-            self._socket.sendall(wire.format_head(first, headers))
             middle = len(call.body) // 2
-            is_slow = chance.random() < SLOW_BODY_SHARE
-            for part in (call.body[:middle], call.body[middle:], b""):
-                if is_slow:
-                    time.sleep(chance.uniform(0.0, MAX_CHUNK_PAUSE_S))
-                self._socket.sendall(wire.chunk(part))
+            body = call.body[:middle], call.body[middle:], b""
+            parts = [wire.format_head(first, headers), *map(wire.chunk, body)]
+            if chance.random() < SLOW_BODY_SHARE:
+                pause_s = chance.uniform(0.0, MAX_CHUNK_PAUSE_S)
         else:
             if call.method == "POST":
                 headers["Content-Length"] = str(len(call.body))
-            self._socket.sendall(wire.format_head(first, headers) + call.body)
+            parts = [wire.format_head(first, headers) + call.body]
+        if chance.random() < HALF_SENT_SHARE:
+            data = b"".join(parts)
+            self._socket.sendall(data[: chance.randrange(1, len(data))])
+            self._has_left = True
+            raise ConnectionAbortedError("the caller left within its request")
+        for part in parts:
+            self._socket.sendall(part)
+            time.sleep(pause_s)
         call.sent_s = time.monotonic()
 
     def _read_answer(self, call: records.Call) -> bool:
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -261,6 +261,10 @@
                 "UNASKED", evidence.key(arrival), "an id that no client sent"
             )
             continue
+        if not call.sent_s:
+            yield evidence.finding(
+                "UNASKED", call.key, "a request that was not sent completely"
+            )
         changed = [
             name
             for name, sent, received in (
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -385,6 +385,7 @@
                 ),
             ),
             ("handle-of-a-caller", "UNASKED", STREAM, _use_unknown_handle),
+            ("not-sent-completely", "UNASKED", PAYMENT, _change_call(sent_s=0)),
             ("cut-around-sigterm", "LOST", PAYMENT, _change_call(**UNANSWERED)),
             (
                 "reset-within-a-stream",
