Fail cut chunks also behind "chunked" with a space at its end

Cause: the end of the connection was an error while http.client called the response chunked. It compares the whole value, urllib3 a part of it, and urllib3 decodes the chunks.

Change: it is an error whenever there is a Transfer-Encoding, which can only be chunked.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -146,7 +146,11 @@
                 # the headers.
                 raise http.client.IncompleteRead(b"")
             _check_head(response)
-            self._raw_reader.end_is_error = bool(response.chunked)
+            # Not `response.chunked`: http.client and urllib3 differ about
+            # spaces at the end of the value.
+            self._raw_reader.end_is_error = (
+                "Transfer-Encoding" in response.headers
+            )
             if self._is_expected(response):
                 # A late response to HEAD has no body, which the next request's
                 # method doesn't tell.
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -281,6 +281,14 @@
     assert caught.value.timed_out
 
 
+@pytest.mark.parametrize(
+    "encoding",
+    [
+        pytest.param("chunked", id="chunked"),
+        # urllib3 takes it for chunks, http.client does not.
+        pytest.param("Chunked\t", id="space-at-the-end"),
+    ],
+)
 @pytest.mark.parametrize(
     ("end", "is_complete"),
     [
@@ -297,10 +305,13 @@
 def test_response_in_chunks_that_ends_early_is_broken(
     pool: connection_pool.ConnectionPool,
     server: scripted_server.ScriptedServer,
+    encoding: str,
     end: bytes,
     is_complete: bool,
 ) -> None:
-    head = f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nTransfer-Encoding: chunked\r\n\r\n"
+    head = (
+        f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nTransfer-Encoding: {encoding}\r\n\r\n"
+    )
     server.script = [head.encode() + b"3\r\nabc\r\n" + end]
     if is_complete:
         assert exchange(pool, server, "r0") == b"abc"
