Reject a head that begins within another one

Cause: if the start is cut within a line of its head, the real status line becomes the rest of that line. The merged head has the first status and the headers of the real answer, among them the right id and seal.

Change: a head with a status line within its reason phrase or a value is malformed. A cut after a whole line was rejected before, as the real status line is no header.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -8,6 +8,7 @@
 import dataclasses
 import http.client
 import io
+import re
 import socket
 from typing import Any
 from typing import final
@@ -44,6 +45,8 @@
 MAX_OVERRUN_MS = 100
 FIRST_FINAL_STATUS = 200
 HTTP_NAME = b"HTTP/"
+# A head that is cut within a line is continued by the next status line.
+STATUS_LINE_START = re.compile(r"HTTP/\d\.\d \d{3}")
 
 
 @final
@@ -289,12 +292,17 @@
 
 
 def _check_head(response: http.client.HTTPResponse) -> None:
-    """Reject a head that http.client reads only in part.
+    """Reject a head that http.client reads only in part, or that is two.
 
     Raises:
-        http.client.HTTPException: A line is no header, or the length of the
-            body is unclear.
+        http.client.HTTPException: A line is no header, a line contains another
+            status line, or the length of the body is unclear.
     """
+    values = [response.reason, *response.headers.values()]
+    if any(STATUS_LINE_START.search(value) for value in values):
+        raise http.client.HTTPException(
+            "the head of the response begins within another one"
+        )
     lengths = set(response.headers.get_all("Content-Length", []))
     encodings = response.headers.get_all("Transfer-Encoding", [])
     is_malformed = (
