Do not pass on a promise that a runner did not make

What callers saw: a payment that a runner had run and answered 408, 429 or 503 was answered so by the gateway, which promises that it has not run and never will (REFUSED; the caller's retry would run it TWICE). Found by review.

Cause: only X-Wisteriawall-Not-Executed and 421 say that a runner did not run a request, but statuses below 500, and a sealed 503, were passed on as they came.

Change: 408, 429 and 503 without that statement count as a failed attempt that may have run, which ends as 502 or goes to another runner.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -31,6 +31,9 @@
 
 MS_PER_S = 1_000
 SUCCESS_STATUSES = range(200, 300)
+# By these a caller takes its request for not run. 421 of a runner always means
+# that, the others only beside its own statement.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # Headers that apply to one connection only, see RFC 9110, section 7.6.1, and
 # headers that this server and the HTTP client handle themselves.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -243,6 +246,12 @@
             return self._report_failure(
                 refusal_lib.RunState.UNKNOWN, "a success without a seal"
             )
+        if answer.status in NOT_RUN_STATUSES:
+            self._discard_body(exchange)
+            return self._report_failure(
+                refusal_lib.RunState.UNKNOWN,
+                f"answered {answer.status}, but may have run",
+            )
         is_streamed = self._request.is_stream and head.status == 200
         if is_streamed:
             return (yield from self._relay_stream(exchange, head))
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -38,6 +38,11 @@
         pytest.param("reset", "/pay/", 502, 1, id="payment-reset"),
         pytest.param("reset", "/read/", 502, 2, id="lookup-reset"),
         pytest.param("foreign", "/pay/", 502, 1, id="payment-foreign-answer"),
+        # Only X-Wisteriawall-Not-Executed says that a request did not run.
+        pytest.param("408 Timeout", "/pay/", 502, 1, id="payment-ran-408"),
+        pytest.param("429 Too Many", "/pay/", 502, 1, id="payment-ran-429"),
+        pytest.param("503 Unavailable", "/pay/", 502, 1, id="payment-ran-503"),
+        pytest.param("503 Unavailable", "/read/", 502, 2, id="lookup-ran-503"),
         pytest.param("unsealed", "/pay/", 502, 1, id="payment-unsealed"),
         pytest.param("unsealed", "/read/", 502, 2, id="lookup-unsealed"),
         pytest.param("reject", "/pay/", 503, 0, id="payment-rejected"),
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -168,6 +168,8 @@
                 return False
             case "fail":
                 _send(connection, "500 Internal Server Error", head, b"bad")
+            case "408 Timeout" | "429 Too Many" | "503 Unavailable":
+                _send(connection, self.behavior, head, b"ran nevertheless")
             case "foreign":
                 other = f"{ATTEMPT_ID}: other\r\n{SEAL}: s\r\n"
                 _send(connection, "200 OK", other, b"of another")
