Keep polling control after an unexpected error

What callers saw: a gateway that kept its routing table and list of runners for good, after one error of the thread that polls control other than a failed call (CONFIG, DRAIN, ROUTE; found by review). An address of a replica that can't be dialled is one: its error is NNG's.

Cause: the thread caught ControlUnavailable only, and ended on anything else.

Change: it logs any other error and polls again, as the reader of the list of runners does. platform/test_poll.py failed before: no new route within 15 s.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -408,32 +408,39 @@
 
     def _poll_control(self) -> None:
         while not self._stopping.wait(self._poll_interval_s()):
-            gateway = self._gateway
-            follow = gateway_messages.FollowRequest(
-                self._identity.name,
-                self._identity.incarnation,
-                self._peer_load.address,
-                gateway.table_number,
-                gateway.list_version,
-                self._draining,
-                self._peers_version,
-            )
             try:
-                reply = self._control.call(follow)
-            except control_client.ControlUnavailable as error:
-                if self._stopping.is_set():
-                    return
-                self._record_connection(False, str(error))
-                self._control.set_replicas(
-                    {
-                        **self._seed_address_by_replica,
-                        **self._control.address_by_replica,
-                    }
-                )
-                continue
-            self._record_connection(True, "")
-            if isinstance(reply, gateway_messages.Followed):
-                self._apply_reply(reply)
+                self._poll_once()
+            except Exception:
+                # Nothing but this thread would poll control again.
+                _LOG.exception("gateway: polling control failed, retrying")
+
+    def _poll_once(self) -> None:
+        gateway = self._gateway
+        follow = gateway_messages.FollowRequest(
+            self._identity.name,
+            self._identity.incarnation,
+            self._peer_load.address,
+            gateway.table_number,
+            gateway.list_version,
+            self._draining,
+            self._peers_version,
+        )
+        try:
+            reply = self._control.call(follow)
+        except control_client.ControlUnavailable as error:
+            if self._stopping.is_set():
+                return
+            self._record_connection(False, str(error))
+            self._control.set_replicas(
+                {
+                    **self._seed_address_by_replica,
+                    **self._control.address_by_replica,
+                }
+            )
+            return
+        self._record_connection(True, "")
+        if isinstance(reply, gateway_messages.Followed):
+            self._apply_reply(reply)
 
     def _poll_interval_s(self) -> float:
         """Return the time to the next poll, shorter while data is missing."""
