Let the soak's runners cut late heads, and judge BUDGET

A runner may send the start of an earlier answer's head, or of a rejection, before its answer. Requests that ran on more runners than their route allows count against BUDGET, except runners that ended or were cut off.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -19,6 +19,7 @@
 RULES = (
     "MIXED",
     "TWICE",
+    "BUDGET",
     "REFUSED",
     "UNASKED",
     "LOST",
@@ -36,6 +37,10 @@
 TERMINATED_CODE = -signal.SIGTERM
 HUNG_UP_CODE = -signal.SIGHUP
 MIN_FAILURE_STATUS = 400
+# Of each route of the soak.
+MAX_ATTEMPTS = 2
+# "More than three requests": so many may run on more runners.
+MAX_OVER_BUDGET = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 PROMPT_HEADERS = (
     "X-Wisteriawall-Model",
@@ -135,6 +140,7 @@
         _check_answers,
         _check_handles,
         _check_runs,
+        _check_budget,
         _check_requests,
         _check_lost,
         _check_streams,
@@ -253,6 +259,37 @@
             )
 
 
+def _check_budget(evidence: _Evidence) -> Iterator[Finding]:
+    # "Runners that ended or were cut off meanwhile don't count."
+    gone = {
+        incident.name
+        for incident in evidence.seen.incidents
+        if incident.change
+        in (records.Change.DISTURBED, records.Change.RUNNER_ENDED)
+    }
+    runners_by_key = {
+        key: {
+            arrival.runner
+            for arrival in arrivals
+            if arrival.has_run and arrival.place not in gone
+        }
+        for key, arrivals in evidence.arrivals_by_key.items()
+    }
+    over = {
+        key: used
+        for key, used in runners_by_key.items()
+        if len(used) > MAX_ATTEMPTS
+    }
+    if len(over) <= MAX_OVER_BUDGET:
+        return
+    for key, used in over.items():
+        yield evidence.finding(
+            "BUDGET",
+            key,
+            f"runs on more runners than its route allows: {sorted(used)}",
+        )
+
+
 def _check_requests(evidence: _Evidence) -> Iterator[Finding]:
     for arrival in evidence.seen.arrivals:
         call = evidence.call(arrival)
--- a/testing/soak/misbehavior.py
+++ b/testing/soak/misbehavior.py
@@ -57,9 +57,11 @@
     NOTHING = ""
     AGAIN = "the previous answer again"
     HEAD = "the head of the previous answer"
+    HEAD_START = "the start of the head of the previous answer"
     INTERIM = "an interim answer"
     ERROR = "an error without an attempt id"
     REJECTION = "a rejection of an older attempt"
+    REJECTION_START = "the start of a rejection of an older attempt"
     GARBAGE = "bytes that are no answer"
 
 
@@ -87,21 +89,32 @@
 ) -> bytes:
     """Return what is sent after `answer`, the whole answer to `attempt`."""
     named = f"{records.ATTEMPT_ID}: {attempt}\r\n"
+    head = answer[: answer.find(b"\r\n\r\n") + 4]
+    rejection = (
+        f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n{named}"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
     match late:
         case Late.NOTHING:
             return b""
         case Late.AGAIN:
             return answer
         case Late.HEAD:
-            return answer[: answer.find(b"\r\n\r\n") + 4]
+            return head
+        case Late.HEAD_START:
+            return _start(head, chance)
         case Late.INTERIM:
             return f"HTTP/1.1 103 Early Hints\r\n{named}\r\n".encode()
         case Late.ERROR:
             return b"HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad"
         case Late.REJECTION:
-            return (
-                f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n{named}"
-                "Content-Length: 0\r\n\r\n"
-            ).encode()
+            return rejection
+        case Late.REJECTION_START:
+            return _start(rejection, chance)
         case Late.GARBAGE:
             return chance.choice(GARBAGE)
+
+
+def _start(head: bytes, chance: random.Random) -> bytes:
+    """Return a part of a head that ends within a line or after one."""
+    return head[: chance.randint(1, max(1, len(head) - len(b"\r\n\r\n")))]
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -277,6 +277,28 @@
 UNANSWERED = {"ending": records.Ending.UNANSWERED, "status": 0, "answer": b""}
 
 
+def _exceed_budget(seen: records.Records) -> None:
+    """Run some lookups on three runners each, of which one answers."""
+    call, (arrival,) = seen.calls[0], seen.arrivals
+    del arrival.header_by_name[runners.KV_SOURCE]
+    del call.answer_header_by_name[records.ATTEMPT_ID]
+    for number in range(checks.MAX_OVER_BUDGET + 1):
+        attempt = f"b{number}"
+        seen.calls.append(
+            dataclasses.replace(call, attempt=attempt, target=f"/{attempt}")
+        )
+        for place in ("r1", "r2", "r3"):
+            seen.arrivals.append(
+                dataclasses.replace(
+                    arrival,
+                    attempt=attempt,
+                    target=f"/{attempt}",
+                    runner=f"i-{place}-1",
+                    place=place,
+                )
+            )
+
+
 def _end_young(seen: records.Records) -> None:
     """End by SIGTERM, some seconds after an earlier one."""
     seen.incidents[0] = dataclasses.replace(seen.incidents[0], at_s=97.0)
@@ -386,6 +408,7 @@
             ),
             ("handle-of-a-caller", "UNASKED", STREAM, _use_unknown_handle),
             ("not-sent-completely", "UNASKED", PAYMENT, _change_call(sent_s=0)),
+            ("more-runners-than-attempts", "BUDGET", LOOKUP, _exceed_budget),
             ("cut-around-sigterm", "LOST", PAYMENT, _change_call(**UNANSWERED)),
             (
                 "reset-within-a-stream",
