Make each removal of a log segment durable before the next

What was lost: after a loss of power a replica could refuse to start, with all that it had acknowledged ("LogDamaged: segment 3 after 1, expected segment 2"). Found by review.

If that of the second is kept and that of the first is lost, the segments have a gap.

Change: the folder is synced after each removal, oldest first. A removal that fails is now reported as StorageFailed, and no later record is written.

Evidence: in test_power_loss.py, two of the nine cases of segments that come back failed before with the message above; only the oldest of two removed segments comes back in these. The test of a failed removal failed before with an OSError.

--- a/src/wisteriawall/storage/durable_files.py
+++ b/src/wisteriawall/storage/durable_files.py
@@ -7,7 +7,13 @@
 
 from wisteriawall import errors
 
-__all__ = ["StorageFailed", "replace_file", "sync_folder", "write_all"]
+__all__ = [
+    "StorageFailed",
+    "remove_file",
+    "replace_file",
+    "sync_folder",
+    "write_all",
+]
 
 TEMPORARY_SUFFIX = ".tmp"
 
@@ -53,6 +59,20 @@
         raise StorageFailed(path, error) from error
 
 
+def remove_file(path: pathlib.Path) -> None:
+    """Remove the file at `path` durably.
+
+    Raises:
+        StorageFailed: A file operation failed. The file may be left, or come
+            back after a loss of power.
+    """
+    try:
+        path.unlink()
+        sync_folder(path.parent)
+    except OSError as error:
+        raise StorageFailed(path, error) from error
+
+
 def sync_folder(folder: pathlib.Path) -> None:
     """Make the creation, renaming and removal of files in `folder` durable."""
     descriptor = os.open(folder, os.O_RDONLY)
--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -136,10 +136,10 @@
         self.sync()
         try:
             snapshot_file.save(self._folder.path, snapshot)
+            self._remove_before(first_kept_index)
         except durable_files.StorageFailed as failure:
             self._failure = failure
             raise
-        self._remove_before(first_kept_index)
 
     def close(self) -> None:
         """Close the segment file and release the folder's lock."""
@@ -181,7 +181,11 @@
         self._written_bytes = len(data)
 
     def _remove_before(self, first_kept_index: int) -> None:
-        """Remove the oldest segments that hold no entry to keep."""
+        """Remove the oldest segments that hold no entry to keep.
+
+        Each removal is durable before the next one. Otherwise a loss of power
+        could undo only the first ones, and leave a gap in the segments.
+        """
         for number in sorted(self._newest_index_by_segment):
             newest_index = self._newest_index_by_segment[number]
             if (
@@ -189,7 +193,7 @@
                 or newest_index >= first_kept_index
             ):
                 return
-            self._segment_path(number).unlink()
+            durable_files.remove_file(self._segment_path(number))
             del self._newest_index_by_segment[number]
 
     def _recover(self) -> int:
--- /dev/null
+++ b/testing/storage/test_power_loss.py
@@ -0,0 +1,182 @@
+"""Tests that what was acknowledged is left by kills and a loss of power.
+
+A name that was created, renamed or removed without a sync of its folder may be
+kept or lost, independently of others. `Disk` records the durable names.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import errno
+import os
+import pathlib
+
+import pytest
+
+from wisteriawall.storage import data_folder
+from wisteriawall.storage import durable_files
+from wisteriawall.storage import replica_log
+from wisteriawall.wire import raft_messages
+
+FOUNDERS = (raft_messages.Member("a"), raft_messages.Member("b"))
+ENTRIES = [
+    raft_messages.LogEntry(index, 1, b"command %d" % index)
+    for index in range(1, 13)
+]
+SNAPSHOT = raft_messages.Snapshot(11, 1, FOUNDERS, b"state")
+
+
+class Killed(BaseException):
+    """The process was killed here."""
+
+
+class Disk:
+    """Data folder that knows which of its names are durable.
+
+    The contents of files are always kept. Hard links in another folder hold
+    the durable names.
+    """
+
+    def __init__(self, path: pathlib.Path, durable: pathlib.Path) -> None:
+        self.path = path
+        self.syncs_until_kill = 0
+        self._durable = durable
+        self._fsync = os.fsync
+
+    def fsync(self, descriptor: int) -> None:
+        """Sync a file, or make the names durable, or be killed instead."""
+        self._fsync(descriptor)
+        if not os.path.samestat(os.fstat(descriptor), self.path.stat()):
+            return
+        if self.syncs_until_kill:
+            self.syncs_until_kill -= 1
+            if not self.syncs_until_kill:
+                raise Killed
+        for name in self.unsynced_names():
+            _copy_name(self.path / name, self._durable / name)
+
+    def unsynced_names(self) -> list[str]:
+        """Return the names that a loss of power may undo, sorted."""
+        files = [*self.path.iterdir(), *self._durable.iterdir()]
+        return [
+            name
+            for name in sorted({file.name for file in files})
+            if _inode(self.path / name) != _inode(self._durable / name)
+        ]
+
+    def lose_power(self, undone: Iterable[str]) -> None:
+        """Undo what was done to these names since the last sync."""
+        for name in undone:
+            _copy_name(self._durable / name, self.path / name)
+
+
+def _inode(path: pathlib.Path) -> int:
+    return path.stat().st_ino if path.exists() else 0
+
+
+def _copy_name(source: pathlib.Path, target: pathlib.Path) -> None:
+    if target.exists():
+        os.remove(target)
+    if source.exists():
+        os.link(source, target)
+
+
+@pytest.fixture
+def disk(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> Disk:
+    """Return a disk with an empty data folder."""
+    path, durable = tmp_path / "data", tmp_path / "durable"
+    path.mkdir()
+    durable.mkdir()
+    disk = Disk(path, durable)
+    monkeypatch.setattr(os, "fsync", disk.fsync)
+    return disk
+
+
+def open_log(
+    path: pathlib.Path, *, segment_bytes: int = 300
+) -> replica_log.ReplicaLog:
+    """Open the log in a data folder; segments hold only a few entries."""
+    folder = data_folder.DataFolder(
+        path, cluster="c", replica="a", founders=FOUNDERS
+    )
+    try:
+        return replica_log.ReplicaLog(folder, segment_bytes=segment_bytes)
+    except BaseException:
+        folder.close()
+        raise
+
+
+def append(
+    log: replica_log.ReplicaLog, entries: Iterable[raft_messages.LogEntry]
+) -> None:
+    """Append entries one by one, each durable as if acknowledged."""
+    for entry in entries:
+        log.append((entry,))
+        log.sync()
+
+
+@pytest.mark.parametrize(
+    "choose_undone",
+    [
+        pytest.param(lambda names: names[:1], id="oldest-comes-back"),
+        pytest.param(lambda names: names[-1:], id="newest-comes-back"),
+        pytest.param(lambda names: names, id="all-come-back"),
+    ],
+)
+@pytest.mark.parametrize(
+    "removals",
+    [
+        pytest.param(1, id="in-first-removal"),
+        pytest.param(2, id="in-second-removal"),
+        pytest.param(None, id="after-all-removals"),
+    ],
+)
+def test_entries_survive_when_removed_segments_come_back(
+    disk: Disk,
+    monkeypatch: pytest.MonkeyPatch,
+    removals: int | None,
+    choose_undone: Callable[[list[str]], list[str]],
+) -> None:
+    log = open_log(disk.path)
+    append(log, ENTRIES)
+    unlink = pathlib.Path.unlink
+    removed = []
+
+    def unlink_until_killed(path: pathlib.Path) -> None:
+        unlink(path)
+        removed.append(path.name)
+        if len(removed) == removals:
+            raise Killed
+
+    with monkeypatch.context() as patched:
+        patched.setattr(pathlib.Path, "unlink", unlink_until_killed)
+        with contextlib.suppress(Killed):
+            log.save_snapshot(SNAPSHOT, first_kept_index=12)
+    log.close()
+    assert len(removed) == (removals or 2)
+    disk.lose_power(choose_undone(disk.unsynced_names()))
+    log = open_log(disk.path)
+    assert log.recovered.snapshot == SNAPSHOT
+    assert log.recovered.entries[-1] == ENTRIES[-1]
+    log.close()
+
+
+def test_failed_removal_of_a_segment_stops_the_log(
+    disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log = open_log(disk.path)
+    append(log, ENTRIES)
+
+    def fail(_: pathlib.Path) -> None:
+        raise OSError(errno.EIO, "Input/output error")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(pathlib.Path, "unlink", fail)
+        with pytest.raises(durable_files.StorageFailed):
+            log.save_snapshot(SNAPSHOT, first_kept_index=12)
+    with pytest.raises(durable_files.StorageFailed):
+        log.sync()
+    log.close()
+    log = open_log(disk.path)
+    assert log.recovered.entries[-1] == ENTRIES[-1]
+    log.close()
