Sync the data folder when it is opened

What was lost: after a kill and a later loss of power a replica could refuse to start, with all that it acknowledged in between ("holds log-...0001.segment but no identity file", "log starts at entry 21, expected entry 1"). Found by review.

Cause: a kill between the rename and the sync of the folder in replace_file leaves the new name visible but not durable.

Change: the folder is synced when it is opened, after the lock was acquired and before anything in it is read or written.

--- a/src/wisteriawall/storage/data_folder.py
+++ b/src/wisteriawall/storage/data_folder.py
@@ -68,6 +68,7 @@
         FolderRefused: The folder is in use by another process, belongs to
             another replica or cluster, or holds other files.
         records.LogDamaged: The identity file is damaged.
+        durable_files.StorageFailed: The folder could not be synced.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.path = path
         self._lock_descriptor = self._acquire_lock()
         try:
+            self._sync()
             stored = self._load_identity()
             self.is_new = stored is None
             self.identity = stored or Identity(
@@ -126,6 +128,17 @@
             ) from error
         return descriptor
 
+    def _sync(self) -> None:
+        """Make the names in the folder durable, before they are relied on.
+
+        A process that was killed between a rename and the sync of the folder
+        leaves a name that a loss of power could still undo.
+        """
+        try:
+            durable_files.sync_folder(self.path)
+        except OSError as error:
+            raise durable_files.StorageFailed(self.path, error) from error
+
     def _load_identity(self) -> Identity | None:
         path = self.path / IDENTITY_NAME
         if not path.exists():
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -23,6 +23,9 @@
     raft_messages.LogEntry(index, 1, b"command %d" % index)
     for index in range(1, 13)
 ]
+# A segment of this size isn't followed by another one, whose start would sync
+# the folder.
+LARGE_SEGMENT_BYTES = 1 << 20
 SNAPSHOT = raft_messages.Snapshot(11, 1, FOUNDERS, b"state")
 
 
@@ -39,20 +42,23 @@
 
     def __init__(self, path: pathlib.Path, durable: pathlib.Path) -> None:
         self.path = path
-        self.syncs_until_kill = 0
+        self.kill_at = ""
         self._durable = durable
         self._fsync = os.fsync
 
     def fsync(self, descriptor: int) -> None:
-        """Sync a file, or make the names durable, or be killed instead."""
+        """Sync a file or the names in the folder.
+
+        Killed instead if that would make the name `kill_at` durable.
+        """
         self._fsync(descriptor)
         if not os.path.samestat(os.fstat(descriptor), self.path.stat()):
             return
-        if self.syncs_until_kill:
-            self.syncs_until_kill -= 1
-            if not self.syncs_until_kill:
-                raise Killed
-        for name in self.unsynced_names():
+        unsynced = self.unsynced_names()
+        if self.kill_at in unsynced:
+            self.kill_at = ""
+            raise Killed
+        for name in unsynced:
             _copy_name(self.path / name, self._durable / name)
 
     def unsynced_names(self) -> list[str]:
@@ -180,3 +186,64 @@
     log = open_log(disk.path)
     assert log.recovered.entries[-1] == ENTRIES[-1]
     log.close()
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        pytest.param("lock", id="lock-not-synced"),
+        pytest.param("log-0000000000000001.segment", id="segment-not-synced"),
+        pytest.param("identity", id="identity-not-synced"),
+    ],
+)
+def test_entries_survive_a_kill_in_the_first_start(
+    disk: Disk, name: str
+) -> None:
+    disk.kill_at = name
+    with pytest.raises(Killed):
+        open_log(disk.path)
+    log = open_log(disk.path)
+    append(log, ENTRIES[:1])
+    log.close()
+    disk.lose_power(disk.unsynced_names())
+    log = open_log(disk.path)
+    assert log.recovered.entries == ENTRIES[:1]
+    log.close()
+
+
+def test_entries_survive_a_kill_while_a_snapshot_is_installed(
+    disk: Disk,
+) -> None:
+    """The kill comes between the rename of the snapshot and its sync."""
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    append(log, ENTRIES[:2])
+    disk.kill_at = "snapshot-0000000000000020.snapshot"
+    with pytest.raises(Killed):
+        log.save_snapshot(
+            raft_messages.Snapshot(20, 3, FOUNDERS, b"state"),
+            first_kept_index=21,
+        )
+    log.close()
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    acknowledged = raft_messages.LogEntry(21, 3, b"acknowledged")
+    append(log, [acknowledged])
+    log.close()
+    disk.lose_power(disk.unsynced_names())
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert log.recovered.start_index == 20
+    assert log.recovered.entries == [acknowledged]
+    log.close()
+
+
+def test_folder_that_cannot_be_synced_is_not_used(
+    disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(_: int) -> None:
+        raise OSError(errno.EIO, "Input/output error")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fsync", fail)
+        with pytest.raises(durable_files.StorageFailed):
+            open_log(disk.path)
+    assert [file.name for file in disk.path.iterdir()] == ["lock"]
+    open_log(disk.path).close()
