Make the removal of an incomplete log segment durable

What was lost: after a kill and a later loss of power a replica could refuse to start, with all that it had acknowledged ("LogDamaged: damaged record 4 at byte 261 of 317" in the segment before the newest). Found by review.

Cause: the start removes a newest segment whose first record is incomplete, and appends to the segment before it, without a sync of the folder. If the removed segment comes back, a write torn by the loss of power is no longer at the end of the newest segment, where recovery cuts it off.

Change: the folder is synced after the removal, before anything is appended.

Evidence: the two cases of test_entries_survive_when_an_incomplete_segment_comes_back failed before with the message above.

--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -255,7 +255,9 @@
             raise records.LogDamaged(
                 path, "no intact record", "an intact first record"
             )
-        path.unlink()
+        # If it came back after a loss of power, the segment before it would no
+        # longer be the newest, which is the only one that may end torn.
+        durable_files.remove_file(path)
         if not previous_number:
             return 0
         previous_path = self._segment_path(previous_number)
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -247,3 +247,35 @@
             open_log(disk.path)
     assert [file.name for file in disk.path.iterdir()] == ["lock"]
     open_log(disk.path).close()
+
+
+@pytest.mark.parametrize(
+    "kept_bytes",
+    [
+        pytest.param(0, id="empty-segment"),
+        pytest.param(20, id="torn-first-record"),
+    ],
+)
+def test_entries_survive_when_an_incomplete_segment_comes_back(
+    disk: Disk, kept_bytes: int
+) -> None:
+    """A kill left the next segment incomplete, and the restart removed it.
+
+    Power is lost in the first write after that, which is torn.
+    """
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    append(log, ENTRIES[:3])
+    path = log.path
+    log.close()
+    incomplete = disk.path / "log-0000000000000002.segment"
+    incomplete.write_bytes(path.read_bytes()[:kept_bytes])
+    durable_files.sync_folder(disk.path)
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert not incomplete.exists()
+    append(log, ENTRIES[3:4])
+    log.close()
+    os.truncate(path, path.stat().st_size - 1)
+    disk.lose_power(disk.unsynced_names())
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert log.recovered.entries == ENTRIES[:3]
+    log.close()
