Make a new data folder and its parents durable

What was lost: a loss of power could undo the creation of the data folder, and with it all that a replica had acknowledged. Found by review.

Cause: the folder and its missing parents were created without a sync of the folders that hold their names.

Change: each folder that was created and its parent are synced, before anything is written to the data folder. Nothing above a folder that exists is synced, because it may not be open to the process. So a kill between the creation and the sync still leaves a folder that is not durable.

Evidence: the two cases of test_created_folders_and_their_parents_are_synced failed before.

--- a/src/wisteriawall/storage/data_folder.py
+++ b/src/wisteriawall/storage/data_folder.py
@@ -68,7 +68,8 @@
         FolderRefused: The folder is in use by another process, belongs to
             another replica or cluster, or holds other files.
         records.LogDamaged: The identity file is damaged.
-        durable_files.StorageFailed: The folder could not be synced.
+        durable_files.StorageFailed: The folder, or a parent of a folder that
+            was created, could not be synced.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         replica: str,
         founders: tuple[raft_messages.Member, ...] = (),
     ) -> None:
-        path.mkdir(parents=True, exist_ok=True)
+        durable_files.create_folder(path)
         self.path = path
         self._lock_descriptor = self._acquire_lock()
         try:
--- a/src/wisteriawall/storage/durable_files.py
+++ b/src/wisteriawall/storage/durable_files.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "StorageFailed",
+    "create_folder",
     "remove_file",
     "replace_file",
     "sync_folder",
@@ -36,6 +37,27 @@
         remaining = remaining[os.write(descriptor, remaining) :]
 
 
+def create_folder(path: pathlib.Path) -> None:
+    """Create the folder at `path` and its missing parents, durably.
+
+    Nothing is synced if the folder exists.
+
+    Raises:
+        StorageFailed: A folder that was created, or its parent, could not be
+            synced.
+    """
+    created = [
+        folder for folder in (path, *path.parents) if not folder.exists()
+    ]
+    path.mkdir(parents=True, exist_ok=True)
+    try:
+        for folder in created:
+            sync_folder(folder)
+            sync_folder(folder.parent)
+    except OSError as error:
+        raise StorageFailed(path, error) from error
+
+
 def replace_file(path: pathlib.Path, data: bytes) -> None:
     """Replace the file at `path` by `data`, atomically and durably.
 
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -279,3 +279,29 @@
     log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
     assert log.recovered.entries == ENTRIES[:3]
     log.close()
+
+
+@pytest.mark.parametrize(
+    "names",
+    [
+        pytest.param(["data"], id="one-folder-missing"),
+        pytest.param(["a", "b", "data"], id="parents-missing"),
+    ],
+)
+def test_created_folders_and_their_parents_are_synced(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, names: list[str]
+) -> None:
+    """Otherwise a loss of power could undo a folder with all that is in it."""
+    synced = set()
+    fsync = os.fsync
+
+    def record(descriptor: int) -> None:
+        fsync(descriptor)
+        synced.add(os.fstat(descriptor).st_ino)
+
+    monkeypatch.setattr(os, "fsync", record)
+    path = tmp_path.joinpath(*names)
+    open_log(path).close()
+    folders = [path, *path.parents[: len(names)]]
+    assert folders[-1] == tmp_path
+    assert [folder for folder in folders if _inode(folder) not in synced] == []
