Close a log whose next segment could not be created

What was seen: closing a replica's log raised EBADF and left its folder locked, after a segment could not be created, for example on a full disk (found by review).

Cause: the descriptor of the segment before had been closed already.

Change: only an open descriptor is closed. The new test failed before with that error.

--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -143,7 +143,8 @@
 
     def close(self) -> None:
         """Close the segment file and release the folder's lock."""
-        os.close(self._descriptor)
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
         self._folder.close()
 
     def _buffer_record(self, record: recovery.Record) -> None:
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -305,3 +305,22 @@
     folders = [path, *path.parents[: len(names)]]
     assert folders[-1] == tmp_path
     assert [folder for folder in folders if _inode(folder) not in synced] == []
+
+
+def test_log_closes_after_a_segment_could_not_be_created(
+    disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The descriptor of the segment before was closed twice."""
+    log = open_log(disk.path)
+    open_file = os.open
+
+    def fail_to_create(path: str, flags: int, mode: int = 0o777) -> int:
+        if flags & os.O_CREAT:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return open_file(path, flags, mode)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "open", fail_to_create)
+        with pytest.raises(durable_files.StorageFailed):
+            append(log, ENTRIES)
+    log.close()
