--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -324,3 +324,25 @@
         with pytest.raises(durable_files.StorageFailed):
             append(log, ENTRIES)
     log.close()
+
+
+def test_log_opens_after_a_batch_whose_first_page_is_missing(
+    disk: Disk,
+) -> None:
+    """Power was lost in the sync of the batch, so none of it is durable."""
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    append(log, ENTRIES[:3])
+    synced_bytes = log.path.stat().st_size
+    log.append(
+        tuple(
+            raft_messages.LogEntry(index, 1, b"x" * 6_000) for index in (4, 5)
+        )
+    )
+    log.sync()
+    log.close()
+    with log.path.open("r+b") as file:
+        file.seek(synced_bytes)
+        file.write(bytes(4_096 - synced_bytes))
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert log.recovered.entries == ENTRIES[:3]
+    log.close()
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -252,6 +252,35 @@
     assert not caught.value.timed_out
 
 
+def test_late_head_that_takes_a_whole_response_is_broken(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    """Its length happens to be that of the response."""
+    response = answer("r1", b"one")
+    late_head = f"HTTP/1.1 200 OK\r\n{ID}: r0\r\nContent-Length: "
+    server.script = [
+        answer("r0", b"zero"),
+        f"{late_head}{len(response)}\r\n\r\n".encode() + response,
+        b"keeps the connection open",
+    ]
+    assert exchange(pool, server, "r0") == b"zero"
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r1", deadline_ms=2_000)
+    assert not caught.value.timed_out
+
+
+def test_what_follows_an_interim_response_must_start_a_head(
+    pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
+) -> None:
+    server.script = [
+        b"HTTP/1.1 100 Continue\r\n\r\nno head",
+        b"keeps the connection open",
+    ]
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r0", deadline_ms=2_000)
+    assert not caught.value.timed_out
+
+
 def test_first_response_of_a_connection_must_not_name_another_request(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
