Read a chunked body up to its last line break

What callers saw: a caller that sends chunked bodies and keeps its connection open occupied a worker thread for the 10 s read deadline after each answer. With as many such callers as threads the server served nobody. A stop waited its whole time for them and then reset their idle connections. A request cut off within its last chunk or its trailer was run, and a chunked body whose end came after the read deadline was run or refused with 400 instead of 408.

Cause: cheroot's ChunkedRFile stops at the `0` line. The blank line after it stayed in the connection's buffer, where IdleConnections.put took it for a request that begins to arrive.

The limit on the body's size counts the same bytes as before and gives 413. A body that ends early is malformed (400), or too slow (408) if its read deadline has passed. A connection that fails within the body is no longer reported as 413.

--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -265,10 +265,10 @@
         raise BodyRefused(_BODY_TOO_LARGE) from error
     except TimeoutError as error:
         raise BodyRefused(_BODY_TOO_SLOW) from error
-    except OSError as error:
-        # Cheroot raises a plain OSError for a chunked body over the limit.
-        raise BodyRefused(_BODY_TOO_LARGE) from error
-    except ValueError as error:
+    except (OSError, ValueError) as error:
+        # A chunked body that the read deadline ends looks malformed.
+        if caller_connection(environ).read_timed_out:
+            raise BodyRefused(_BODY_TOO_SLOW) from error
         raise BodyRefused(_malformed_body(str(error))) from error
     expected = int(environ.get("CONTENT_LENGTH") or "0")
     if not environ["wsgi.input_terminated"] and len(body) < expected:
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -25,6 +25,7 @@
 from cheroot import wsgi
 
 from wisteriawall import clock
+from wisteriawall.web import chunked_body
 from wisteriawall.web import connection_monitor
 from wisteriawall.web import refusal as refusal_lib
 
@@ -154,6 +155,18 @@
 class HttpRequest(cheroot_server.HTTPRequest):
     """Request that sends cheroot's own errors as JSON."""
 
+    def respond(self) -> None:
+        """Call the application and send its response."""
+        if not self.chunked_read:
+            super().respond()
+            return
+        self.rfile = chunked_body.ChunkedBody(
+            self.conn.rfile, max_bytes=self.server.max_request_body_size
+        )
+        self.server.gateway(self).respond()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
     def send_headers(self) -> None:
         """Send the head; ask the caller to close if the server is stopping."""
         if self.server.closes_after_response:
