Refuse integers over 64 bits in operators' requests

An operator's request with a longer integer ended the leader, or all replicas, and again after each restart: a table with version 2**64, a patch with {"capacity_pieces": 2**70}, or an If-Match of 2**70 (found by a reviewer; not seen at a caller).

Cause: JSON integers have any length, and nothing checked them until msgpack raised OverflowError in the reducer thread.

Now one walk over the decoded JSON (config.integers) covers each integer of a table and of a patch, and If-Match is checked as it is parsed. The rule is signed 64 bits, not msgpack's 2**64 - 1, so that the sum of two values, such as a time and a time-out, still fits. A table is answered 400, a patch 422 and If-Match 400. An If-Match of over 4,300 digits, which raised ValueError, is answered 400, too. A patch that is already in a log becomes an invalid one when it is applied again, so such replicas start.

A patch with an integer over 64 bits for a fractional field (payback_s) was accepted before and is refused now; write it as 1e20.

--- a/src/wisteriawall/config/patch.py
+++ b/src/wisteriawall/config/patch.py
@@ -6,6 +6,7 @@
 
 from wisteriawall import errors
 from wisteriawall.config import document
+from wisteriawall.config import integers
 from wisteriawall.config import type_checks
 from wisteriawall.config import validation
 
@@ -63,11 +64,14 @@
         PatchInvalid: The patch is not JSON or the result is not valid.
     """
     try:
-        changed = merge(
-            msgspec.to_builtins(current), msgspec.json.decode(change)
-        )
+        decoded = msgspec.json.decode(change)
+        # The integers of `current` were checked when they were patched in.
+        integer_faults = tuple(integers.find_faults(decoded))
+        changed = merge(msgspec.to_builtins(current), decoded)
     except (msgspec.DecodeError, RecursionError) as error:
         raise PatchInvalid((f"patch: not JSON: {error}",)) from error
+    if integer_faults:
+        raise PatchInvalid(integer_faults)
     if not isinstance(changed, dict):
         raise PatchInvalid(("patch: expected an object",))
     changed["number"] = current.number + 1
--- a/src/wisteriawall/control/admin_requests.py
+++ b/src/wisteriawall/control/admin_requests.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wisteriawall.config import integers
 from wisteriawall.control import events
 from wisteriawall.control import state
 from wisteriawall.web import refusal as refusal_lib
@@ -17,6 +18,7 @@
 # WSGI environ key of the request body, which the caller reads.
 BODY_ENVIRON_KEY = "wisteriawall.body"
 MAX_PAGE_RECORDS = 500
+MAX_NUMBER_DIGITS = len(str(integers.MAX_INTEGER))
 
 QueryT = TypeVar("QueryT", bound=msgspec.Struct)
 BodyT = TypeVar("BodyT", bound=msgspec.Struct)
@@ -123,6 +125,13 @@
     number = environ.get("HTTP_IF_MATCH", "").strip().strip('"')
     if not number.isdecimal():
         return _IF_MATCH_REQUIRED
+    # Checked before `int`, which raises ValueError for thousands of digits.
+    if len(number) > MAX_NUMBER_DIGITS or int(number) > integers.MAX_INTEGER:
+        return refusal_lib.Refusal(
+            status=400,
+            code=refusal_lib.Code.BAD_REQUEST,
+            message=f"If-Match: expected at most {integers.MAX_INTEGER}",
+        )
     return events.PatchRequest(
         patch_id=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
         operator=operator,
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wisteriawall.config import integers
 from wisteriawall.config import route_table
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
@@ -113,6 +114,9 @@
         document = msgspec.json.decode(body, type=_Document)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise TableInvalid(str(error)) from error
+    integer_faults = list(integers.find_faults(msgspec.to_builtins(document)))
+    if integer_faults:
+        raise TableInvalid("; ".join(integer_faults))
     table = route_table.RouteTable(
         number=document.version,
         routes=[_convert_route(route) for route in document.routes],
--- a/testing/config/test_patch.py
+++ b/testing/config/test_patch.py
@@ -1,5 +1,7 @@
 """Tests of `wisteriawall.config.patch`."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -44,6 +46,31 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        pytest.param({"capacity_pieces": 2**63}, "capacity_pieces", id="top"),
+        pytest.param(
+            {
+                "capacity_pieces": 2,
+                "services": {"shop": {**SERVICE, "deadline_ms": 2**70}},
+            },
+            "services.shop.deadline_ms",
+            id="in-a-service",
+        ),
+    ],
+)
+def test_patch_with_an_integer_over_64_bits_is_invalid(
+    change: object, field: str
+) -> None:
+    """The integer was applied, and encoding a grant with it ended replicas."""
+    with pytest.raises(patch.PatchInvalid, match=f"{field}: .*64-bit"):
+        # msgspec's encoder can't write such an integer.
+        patch.apply_patch(
+            current=document.empty(), change=json.dumps(change).encode()
+        )
+
+
 def test_valid_patch_increments_the_number() -> None:
     change = {"capacity_pieces": 2, "services": {"shop": SERVICE}, "number": 9}
     result = patch.apply_patch(
--- a/testing/control/test_shell.py
+++ b/testing/control/test_shell.py
@@ -113,6 +113,19 @@
     assert isinstance(patch(shell, 1), events.PatchReply)
 
 
+def test_replica_survives_a_patch_with_an_integer_over_64_bits(
+    open_shell: Open,
+) -> None:
+    """Encoding a grant with the integer ended the reducer thread."""
+    shell = open_shell()
+    assert isinstance(patch(shell, 0), events.PatchReply)
+    change = b'{"capacity_pieces": %d}' % (1 << 70)
+    reply = shell.call(events.PatchRequest("long", "op", 1, change))
+    assert isinstance(reply, events.PatchReply)
+    assert isinstance(reply.outcome, outcomes.ConfigInvalid)
+    assert isinstance(patch(shell, 1), events.PatchReply)
+
+
 def test_stop_answers_calls_that_wait(
     open_shell: Open, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -110,6 +110,29 @@
         operators.decode_table(json.dumps(document).encode())
 
 
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        pytest.param({"version": 2**64}, "version", id="version"),
+        pytest.param(
+            {"limits": {"idle_ms": 2**63}}, "limits.idle_ms", id="limit"
+        ),
+        pytest.param(
+            {"services": [{"name": "shop", "connection_limit": 2**70}]},
+            r"services\[0\].connection_limit",
+            id="in-a-list",
+        ),
+    ],
+)
+def test_table_with_an_integer_over_64_bits_is_invalid(
+    change: dict[str, object], field: str
+) -> None:
+    """The leader accepted the table and ended when it encoded the command."""
+    document = sites.document(1) | change
+    with pytest.raises(operators.TableInvalid, match=f"{field}: .*64-bit"):
+        operators.decode_table(json.dumps(document).encode())
+
+
 @hypothesis.given(
     strategies.dictionaries(
         strategies.sampled_from(
