Refuse and skip addresses of replicas that can't be dialled

POST /v1/replicas with a peer_address without a port ("10.0.0.4") ended every replica, and again after each restart (found by a reviewer; not seen at a caller).

Cause: the address was only checked to be there. It was logged and replicated, and then each replica's reducer thread dialled it and got pynng.AddressInvalid.

Now the request is answered 400 unless peer_address is HOST:PORT with a port from 1 to 65535. rpc_address and admin_address, which may be left out, are checked alike: entries dial the former, replicas forward to the latter. An address that can't be dialled and is in a log already is logged as an error and left out. That is in PeerConnections.set_peers, not in the shell, so that the connections to the other members are opened all the same. Only the two errors of a malformed address are caught; others still end the replica.

All 26 new cases failed before and pass now. test_admin_requests.py, test_shell.py, test_admin.py, test_replica_changes.py and test_joining.py of testing/control and testing/wire/test_transport.py pass (62 tests).

--- a/src/wisteriawall/control/admin_requests.py
+++ b/src/wisteriawall/control/admin_requests.py
@@ -1,5 +1,6 @@
 """Parses the operators' HTTP requests into control requests."""
 
+import re
 from typing import Annotated
 from typing import TypeVar
 from typing import final
@@ -19,6 +20,11 @@
 BODY_ENVIRON_KEY = "wisteriawall.body"
 MAX_PAGE_RECORDS = 500
 MAX_NUMBER_DIGITS = len(str(integers.MAX_INTEGER))
+# A name, an IPv4 address, or an IPv6 address in brackets.
+ADDRESS_PATTERN = re.compile(
+    r"([A-Za-z0-9._-]+|\[[A-Za-z0-9:.%]+\]):(?P<port>[0-9]{1,5})"
+)
+MAX_PORT = 65_535
 
 QueryT = TypeVar("QueryT", bound=msgspec.Struct)
 BodyT = TypeVar("BodyT", bound=msgspec.Struct)
@@ -155,12 +161,15 @@
         return body
     if method == "DELETE":
         return events.RemoveReplicaRequest(operator, body.replica)
-    if not body.peer_address:
-        return refusal_lib.Refusal(
-            status=400,
-            code=refusal_lib.Code.BAD_REQUEST,
-            message="peer_address: missing, expected HOST:PORT",
-        )
+    for field in ("peer_address", "rpc_address", "admin_address"):
+        address: str = getattr(body, field)
+        is_left_out = not address and field != "peer_address"
+        if not is_left_out and not _is_address(address):
+            return refusal_lib.Refusal(
+                status=400,
+                code=refusal_lib.Code.BAD_REQUEST,
+                message=f"{field}: got {address!r}, expected HOST:PORT",
+            )
     return events.AddReplicaRequest(
         operator,
         body.replica,
@@ -170,6 +179,11 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    match = ADDRESS_PATTERN.fullmatch(text)
+    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+
+
 def _parse_body(
     environ: server_lib.Environ, target_type: type[BodyT]
 ) -> BodyT | refusal_lib.Refusal:
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -284,15 +284,23 @@
         """Replace the set of peers.
 
         Connections to peers whose address did not change are kept; the other
-        connections are closed.
+        connections are closed. A peer whose address can't be dialled, as one
+        without a port, is logged and left out.
         """
         for peer, address in list(self._address_by_peer.items()):
             if address_by_peer.get(peer) != address:
                 self._socket_by_peer.pop(peer).close()
                 del self._address_by_peer[peer]
         for peer, address in address_by_peer.items():
-            if peer not in self._address_by_peer:
+            if peer in self._address_by_peer:
+                continue
+            try:
                 self._socket_by_peer[peer] = self._connect(address)
+            except (pynng.AddressInvalid, pynng.InvalidOperation) as error:
+                _LOG.error(
+                    "rpc: can't dial peer %s at %r: %s", peer, address, error
+                )
+            else:
                 self._address_by_peer[peer] = address
 
     @property
@@ -335,7 +343,11 @@
     @staticmethod
     def _connect(address: str) -> pynng.Push0:
         socket = pynng.Push0(send_buffer_size=PEER_BUFFER_MESSAGES)
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except pynng.NNGException:
+            socket.close()
+            raise
         return socket
 
 
--- a/testing/control/test_admin_requests.py
+++ b/testing/control/test_admin_requests.py
@@ -1,5 +1,6 @@
 """Tests of `wisteriawall.control.admin_requests`."""
 
+import msgspec
 import pytest
 
 from wisteriawall.control import admin_requests
@@ -32,3 +33,29 @@
     parsed = parse("PATCH", "/v1/config", b"{}", HTTP_IF_MATCH=number)
     assert isinstance(parsed, refusal_lib.Refusal)
     assert parsed.status == 400
+
+
+@pytest.mark.parametrize(
+    "field", ["peer_address", "rpc_address", "admin_address"]
+)
+@pytest.mark.parametrize(
+    "address",
+    [
+        pytest.param("10.0.0.4", id="no-port"),
+        pytest.param("10.0.0.4:", id="empty-port"),
+        pytest.param("10.0.0.4:0", id="port-0"),
+        pytest.param("10.0.0.4:65536", id="port-too-high"),
+        pytest.param(":7000", id="no-host"),
+        pytest.param("*:7000", id="any-host"),
+        pytest.param("::1:7000", id="no-brackets"),
+    ],
+)
+def test_replica_with_an_address_that_cannot_be_dialled_is_refused(
+    field: str, address: str
+) -> None:
+    """The address was logged, and dialling it ended each replica."""
+    body = {"replica": "d", "peer_address": "10.0.0.4:7000"} | {field: address}
+    parsed = parse("POST", "/v1/replicas", msgspec.json.encode(body))
+    assert isinstance(parsed, refusal_lib.Refusal)
+    assert parsed.status == 400
+    assert field in parsed.message
--- a/testing/control/test_shell.py
+++ b/testing/control/test_shell.py
@@ -126,6 +126,26 @@
     assert isinstance(patch(shell, 1), events.PatchReply)
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        pytest.param("10.0.0.4", id="no-port"),
+        pytest.param("10.0.0.4:", id="empty-port"),
+    ],
+)
+def test_replica_survives_a_logged_address_that_cannot_be_dialled(
+    open_shell: Open, address: str
+) -> None:
+    """Dialling the address ended the reducer, and again at each start."""
+    shell = open_shell()
+    assert isinstance(patch(shell, 0), events.PatchReply)
+    shell.call(events.AddReplicaRequest("op", "d", address, "", ""))
+    assert isinstance(patch(shell, 1), events.PatchReply)
+    shell = open_shell()
+    assert "d" in {member.replica for member in shell.members}
+    assert isinstance(patch(shell, 2), events.PatchReply)
+
+
 def test_stop_answers_calls_that_wait(
     open_shell: Open, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/testing/wire/test_transport.py
+++ b/testing/wire/test_transport.py
@@ -85,6 +85,27 @@
         resource.close()
 
 
+@pytest.mark.parametrize("address", ["10.0.0.4", "10.0.0.4:", ":7000"])
+def test_address_that_cannot_be_dialled_hides_no_other_peer(
+    address: str,
+) -> None:
+    received: queue.SimpleQueue[bytes] = queue.SimpleQueue()
+    valid = cluster.unused_loopback_address()
+    server = transport.PeerServer(address=valid, on_message=received.put)
+    server.start()
+    links = transport.PeerConnections(
+        address_by_peer={"malformed": address, "valid": valid}
+    )
+    platform_site.wait_until(
+        lambda: links.disconnected_peers == [], "the valid peer"
+    )
+    links.send(peer="malformed", message=b"lost")
+    links.send(peer="valid", message=b"vote")
+    assert received.get(timeout=platform_site.WAIT_S) == b"vote"
+    for resource in (links, server):
+        resource.close()
+
+
 def test_process_goes_on_when_calls_of_several_threads_time_out() -> None:
     """One call closed the socket of the others, and NNG aborted."""
     ended = subprocess.run(
