Close the connection of a request that was not read to its end

What callers saw: after a malformed chunked body, or a refusal before a chunked body was read, the connection stayed open and the rest of the body was served as further requests, so that a payment within such a body could be run. Sizes such as `-5`, `+3`, `0x3` and lines that end in a bare line feed passed as chunk sizes. A negative Content-Length made the server read without a limit.

Cause: cheroot drops the rest of a body only if it has a Content-Length, and keeps the connection whether or not the end came. Its numbers are what Python's `int` takes.

Change: a chunk size is hex digits, an optional extension and CRLF; a trailer line is a field and CRLF; a Content-Length is digits. Before the head of a response is sent, the rest of an unread body is read and dropped, within the limit on its size and the read deadline. The connection is closed if that does not reach the end of the body, if the read deadline has passed, and if the request has a Transfer-Encoding with a Content-Length or in HTTP/1.0.

--- a/src/wisteriawall/web/chunked_body.py
+++ b/src/wisteriawall/web/chunked_body.py
@@ -1,5 +1,6 @@
 """Reader of request bodies in HTTP's chunked transfer coding."""
 
+import re
 from typing import Protocol
 from typing import final
 
@@ -9,7 +10,12 @@
 
 CRLF = b"\r\n"
 MAX_LINE_BYTES = 4 * 1024
+MAX_SHOWN_BYTES = 32
 MAX_TRAILER_BYTES = 16 * 1024
+# Whatever else `int` takes for a number, or another line break, may mean
+# another body to a proxy in front of this server.
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:[ \t]*;[^\r\n]*)?\r\n")
+TRAILER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n")
 
 
 class Stream(Protocol):
@@ -27,7 +33,8 @@
     """One chunked body, with the trailer that ends it.
 
     Unlike cheroot's reader it consumes the trailer, so that nothing of the
-    request is left in front of the next one on the connection.
+    request is left in front of the next one on the connection. `is_complete` is
+    set once the body was read to its end.
 
     Args:
         stream: Input of the connection, at the start of the body.
@@ -37,7 +44,8 @@
     def __init__(self, stream: Stream, *, max_bytes: int) -> None:
         self._stream = stream
         self._remaining_bytes = max_bytes
-        self._is_read = False
+        self._is_begun = False
+        self.is_complete = False
 
     def read(self) -> bytes:
         """Return the whole body; a second call returns nothing.
@@ -46,8 +54,9 @@
             MaxSizeExceeded: The body is too large.
             ValueError: The body is malformed or ends early.
         """
-        if self._is_read:
+        if self._is_begun:
             return b""
+        self._is_begun = True
         chunks = []
         while size := self._read_size():
             self._count(size)
@@ -56,23 +65,22 @@
                 raise ValueError("expected a line break after each chunk")
             chunks.append(chunk)
         self._skip_trailer()
-        self._is_read = True
+        self.is_complete = True
         return b"".join(chunks)
 
     def _read_size(self) -> int:
         line = self._stream.readline(MAX_LINE_BYTES)
         self._count(len(line))
-        digits = line.partition(b";")[0].strip()
-        try:
-            return max(0, int(digits, 16))
-        except ValueError as error:
-            raise ValueError(f"bad chunk size {digits!r}") from error
+        match = SIZE_LINE.fullmatch(line)
+        if match is None:
+            raise ValueError(f"bad chunk size {line[:MAX_SHOWN_BYTES]!r}")
+        return int(match[1], 16)
 
     def _skip_trailer(self) -> None:
         remaining_bytes = MAX_TRAILER_BYTES
         while (line := self._stream.readline(remaining_bytes)) != CRLF:
             remaining_bytes -= len(line)
-            if not line.endswith(b"\n") or remaining_bytes <= 0:
+            if not TRAILER_LINE.fullmatch(line) or remaining_bytes <= 0:
                 raise ValueError("expected a blank line after the last chunk")
 
     def _count(self, size: int) -> None:
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -153,7 +153,21 @@
 
 @final
 class HttpRequest(cheroot_server.HTTPRequest):
-    """Request that sends cheroot's own errors as JSON."""
+    """Request that sends cheroot's own errors as JSON.
+
+    Its connection is closed unless the request was read to its end, so that the
+    rest of it can't be taken for a request.
+    """
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; return whether to go on with the request."""
+        if not super().read_request_headers():
+            return False
+        # Cheroot takes any integer, and reads without bound if it is negative.
+        if self.inheaders.get(b"Content-Length", b"0").isdigit():
+            return True
+        self.simple_response("400 Bad Request", "malformed Content-Length")
+        return False
 
     def respond(self) -> None:
         """Call the application and send its response."""
@@ -168,11 +182,36 @@
             self.conn.wfile.write(b"0\r\n\r\n")
 
     def send_headers(self) -> None:
-        """Send the head; ask the caller to close if the server is stopping."""
+        """Send the head; ask the caller to close if there is a reason."""
         if self.server.closes_after_response:
             self.close_connection = True
+        if not self.close_connection and not self._read_to_end():
+            self.close_connection = True
         super().send_headers()
 
+    def _read_to_end(self) -> bool:
+        """Drop the rest of the body; return whether its end was reached.
+
+        Waits for the rest until the read deadline, as closing the connection
+        could reset it before the caller has read the response.
+        """
+        headers = self.inheaders
+        if b"Transfer-Encoding" in headers and (
+            b"Content-Length" in headers or not self.chunked_read
+        ):
+            # A proxy may see the end of the body elsewhere.
+            return False
+        with contextlib.suppress(
+            OSError, ValueError, cheroot_errors.MaxSizeExceeded
+        ):
+            self.rfile.read()
+        # After the deadline the connection is shut down for reading.
+        if self.conn.caller.read_timed_out:
+            return False
+        if self.chunked_read:
+            return bool(self.rfile.is_complete)
+        return bool(self.rfile.remaining == 0)
+
     def simple_response(self, status: object, msg: object = "") -> None:
         """Send an error and close, even while the caller still sends."""
         self.close_connection = True
