--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -161,7 +161,7 @@
 
     def read_request_headers(self) -> bool:
         """Read the headers; return whether to go on with the request."""
-        if not super().read_request_headers():
+        if not super().read_request_headers():  # type: ignore[no-untyped-call]
             return False
         # Cheroot takes any integer, and reads without bound if it is negative.
         if self.inheaders.get(b"Content-Length", b"0").isdigit():
