Check the age of the ledger once for all reads of it

One function answers all three behind one check now, so that a further read can't lack it. No change of behavior: testing/storage and test_invariants, test_admin, test_shell and test_ledger of testing/control pass.

--- a/src/wisteriawall/control/reads.py
+++ b/src/wisteriawall/control/reads.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from typing import TypeAlias
 
 from wisteriawall.control import audit
 from wisteriawall.control import config_patches
@@ -13,14 +14,14 @@
 from wisteriawall.control import redirect
 from wisteriawall.control import renewal
 from wisteriawall.control import replica_state
+from wisteriawall.control import state
 from wisteriawall.control import status as status_lib
 from wisteriawall.wire import control_messages
 
 __all__ = [
+    "LedgerRead",
     "is_state_current",
-    "read_audit",
-    "read_config",
-    "read_history",
+    "read_ledger",
     "read_status",
     "read_table",
     "renew_lease",
@@ -28,6 +29,10 @@
 
 MAX_STALENESS_MS = 1_000
 
+LedgerRead: TypeAlias = (
+    events.ConfigRequest | events.HistoryRequest | events.AuditRequest
+)
+
 
 def is_state_current(control: replica_state.ReplicaState, now_ms: int) -> bool:
     """Return whether the applied state was recently confirmed to be current.
@@ -64,48 +69,42 @@
     return grant or not_leader
 
 
-def read_config(
-    control: replica_state.ReplicaState, number: int | None, now_ms: int
+def read_ledger(
+    control: replica_state.ReplicaState, request: LedgerRead, now_ms: int
 ) -> events.Reply:
-    """Return the configuration `number`, or the newest when it is None."""
+    """Answer a read of the ledger, or name the leader if it may be old."""
     if not is_state_current(control, now_ms):
         return redirect.to_leader(control.raft)
+    ledger = control.ledger
+    match request:
+        case events.ConfigRequest(number):
+            return _find_config(ledger, number)
+        case events.HistoryRequest(limit):
+            return events.HistoryReply(ledger.history[: -limit - 1 : -1])
+        case events.AuditRequest():
+            records = audit.select(
+                ledger,
+                after_index=request.after_index,
+                kind=request.kind,
+                subject=request.subject,
+            )
+            return events.AuditReply(
+                list(itertools.islice(records, request.limit))
+            )
+
+
+def _find_config(ledger: state.Ledger, number: int | None) -> events.Reply:
+    """Return the configuration `number`, or the newest when it is None."""
     if number is None:
-        return events.ConfigReply(control.ledger.config)
-    found = config_patches.document_at(control.ledger, number)
-    if found is None:
-        newest = control.ledger.config.number
-        oldest = newest - len(control.ledger.history)
-        return events.NotKept(
-            f"configuration {number}, expected {oldest} to {newest}"
-        )
-    return events.ConfigReply(found)
-
-
-def read_history(
-    control: replica_state.ReplicaState, limit: int, now_ms: int
-) -> events.Reply:
-    """Return the newest `limit` configuration versions, newest first."""
-    if not is_state_current(control, now_ms):
-        return redirect.to_leader(control.raft)
-    return events.HistoryReply(control.ledger.history[: -limit - 1 : -1])
-
-
-def read_audit(
-    control: replica_state.ReplicaState,
-    request: events.AuditRequest,
-    now_ms: int,
-) -> events.Reply:
-    """Return the oldest audit records that match the request."""
-    if not is_state_current(control, now_ms):
-        return redirect.to_leader(control.raft)
-    records = audit.select(
-        control.ledger,
-        after_index=request.after_index,
-        kind=request.kind,
-        subject=request.subject,
+        return events.ConfigReply(ledger.config)
+    found = config_patches.document_at(ledger, number)
+    if found is not None:
+        return events.ConfigReply(found)
+    newest = ledger.config.number
+    oldest = newest - len(ledger.history)
+    return events.NotKept(
+        f"configuration {number}, expected {oldest} to {newest}"
     )
-    return events.AuditReply(list(itertools.islice(records, request.limit)))
 
 
 def read_table(
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -196,12 +196,12 @@
             reply = reads.renew_lease(control, renew, event.now_ms)
         case events.StatusRequest(whole):
             reply = reads.read_status(control, whole, event.now_ms)
-        case events.ConfigRequest(number):
-            reply = reads.read_config(control, number, event.now_ms)
-        case events.HistoryRequest(limit):
-            reply = reads.read_history(control, limit, event.now_ms)
-        case events.AuditRequest() as audit_request:
-            reply = reads.read_audit(control, audit_request, event.now_ms)
+        case (
+            events.ConfigRequest()
+            | events.HistoryRequest()
+            | events.AuditRequest()
+        ) as read:
+            reply = reads.read_ledger(control, read, event.now_ms)
         case gateway_messages.FollowRequest() as follow:
             reply = gateway_updates_lib.follow(
                 control.gateway_updates,
