Turn errors of the disk into StorageFailed in one place

Five blocks of the storage modules caught OSError and raised StorageFailed of a path. A context manager does it now. Where the failure must also be kept, as in ReplicaLog.sync, the block stays. No change of behavior: testing/storage passes.

--- a/src/wisteriawall/storage/data_folder.py
+++ b/src/wisteriawall/storage/data_folder.py
@@ -135,10 +135,8 @@
         A process that was killed between a rename and the sync of the folder
         leaves a name that a loss of power could still undo.
         """
-        try:
+        with durable_files.storage_errors(self.path):
             durable_files.sync_folder(self.path)
-        except OSError as error:
-            raise durable_files.StorageFailed(self.path, error) from error
 
     def _load_identity(self) -> Identity | None:
         path = self.path / IDENTITY_NAME
--- a/src/wisteriawall/storage/durable_files.py
+++ b/src/wisteriawall/storage/durable_files.py
@@ -1,5 +1,7 @@
 """File operations that survive a crash, for the data folder."""
 
+from collections.abc import Iterator
+import contextlib
 import errno
 import os
 import pathlib
@@ -12,6 +14,7 @@
     "create_folder",
     "remove_file",
     "replace_file",
+    "storage_errors",
     "sync_folder",
     "write_all",
 ]
@@ -30,6 +33,19 @@
         super().__init__(f"{path}: {error.strerror}, expected {expected}")
 
 
+@contextlib.contextmanager
+def storage_errors(path: pathlib.Path) -> Iterator[None]:
+    """Raise an OSError of the block as `StorageFailed` of `path`.
+
+    Raises:
+        StorageFailed: The block raised an OSError.
+    """
+    try:
+        yield
+    except OSError as error:
+        raise StorageFailed(path, error) from error
+
+
 def write_all(descriptor: int, data: bytes) -> None:
     """Write all of `data`, continuing after a partial write."""
     remaining = memoryview(data)
@@ -50,12 +66,10 @@
         folder for folder in (path, *path.parents) if not folder.exists()
     ]
     path.mkdir(parents=True, exist_ok=True)
-    try:
+    with storage_errors(path):
         for folder in created:
             sync_folder(folder)
             sync_folder(folder.parent)
-    except OSError as error:
-        raise StorageFailed(path, error) from error
 
 
 def replace_file(path: pathlib.Path, data: bytes) -> None:
@@ -66,7 +80,7 @@
             data.
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    try:
+    with storage_errors(path):
         descriptor = os.open(
             temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
         )
@@ -77,8 +91,6 @@
             os.close(descriptor)
         temporary.rename(path)
         sync_folder(path.parent)
-    except OSError as error:
-        raise StorageFailed(path, error) from error
 
 
 def remove_file(path: pathlib.Path) -> None:
@@ -88,11 +100,9 @@
         StorageFailed: A file operation failed. The file may be left, or come
             back after a loss of power.
     """
-    try:
+    with storage_errors(path):
         path.unlink()
         sync_folder(path.parent)
-    except OSError as error:
-        raise StorageFailed(path, error) from error
 
 
 def sync_folder(folder: pathlib.Path) -> None:
--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -65,11 +65,9 @@
         self._term = self.recovered.term
         self._voted_for = self.recovered.voted_for
         self._newest_index_by_segment = self.recovered.newest_index_by_segment
-        try:
-            if self._segment_number == 0:
+        if self._segment_number == 0:
+            with durable_files.storage_errors(folder.path):
                 self._start_segment(1)
-        except OSError as error:
-            raise durable_files.StorageFailed(folder.path, error) from error
         if folder.is_new:
             folder.write_identity()
         if self.recovered.needs_reset:
