Write the raw servers of the tests once

Four stand-ins each listened on a free port, accepted in a thread, served each connection in another and closed all of them in their own way: platform_site, stuttering_server, scripted_server and test_late_replies. RawServer does it for all four. Five tests opened a caller's connection to the gateway from its address by hand; `Site.connect` does it.

--- a/testing/platform/test_chunked_callers.py
+++ b/testing/platform/test_chunked_callers.py
@@ -1,6 +1,5 @@
 """Tests of a gateway whose callers send chunked bodies."""
 
-import http.client
 import json
 
 from support import http_harness
@@ -11,8 +10,7 @@
     """The end of the body was taken for a request in progress."""
     site.add_runner("i-1", "shop")
     site.start_serving()
-    host, _, port = site.gateway.address.rpartition(":")
-    caller = http.client.HTTPConnection(host, int(port), timeout=sites.WAIT_S)
+    caller = site.connect()
     caller.request(
         "POST",
         "/pay/",
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -165,8 +165,7 @@
     runner = site.add_runner("i-1", "shop")
     runner.behavior = "hang"
     site.start_serving()
-    host, _, port = site.gateway.address.rpartition(":")
-    caller = http.client.HTTPConnection(host, int(port))
+    caller = site.connect()
     caller.request(
         "GET",
         "/read/",
@@ -188,8 +187,7 @@
     )
     model.behavior = "stream-slow"
     site.start_serving()
-    host, _, port = site.gateway.address.rpartition(":")
-    keep_alive = http.client.HTTPConnection(host, int(port))
+    keep_alive = site.connect()
     keep_alive.request(
         "GET",
         "/read/",
--- a/testing/platform/test_repeated_ids.py
+++ b/testing/platform/test_repeated_ids.py
@@ -15,8 +15,7 @@
 
 def send(site: sites.Site, path: str) -> http.client.HTTPConnection:
     """Send a request on a connection of its own."""
-    host, _, port = site.gateway.address.rpartition(":")
-    caller = http.client.HTTPConnection(host, int(port), timeout=sites.WAIT_S)
+    caller = site.connect()
     caller.request(
         "POST",
         path,
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -17,10 +17,7 @@
 
     def __init__(self, site: sites.Site) -> None:
         """Connect."""
-        host, _, port = site.gateway.address.rpartition(":")
-        self.connection = http.client.HTTPConnection(
-            host, int(port), timeout=sites.WAIT_S
-        )
+        self.connection = site.connect()
         self.connection.connect()
 
     def send(self, attempt: str, path: str = "/pay/") -> None:
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import contextlib
+import http.client
 import json
 import pathlib
 import socket
@@ -16,6 +17,7 @@
 
 import urllib3
 
+from support import raw_server
 from wisteriawall.control import shell as control_shell
 from wisteriawall.control import upstream_reader
 from wisteriawall.demo import cluster
@@ -50,7 +52,7 @@
         time.sleep(0.02)
 
 
-class StandInRunner:
+class StandInRunner(raw_server.RawServer):
     """Stand-in of a runner on raw sockets.
 
     `behavior` selects how it answers, `received` lists the method, target,
@@ -73,10 +75,7 @@
         self.state = "ready"
         self.finish = threading.Event()
         self.disconnected = threading.Event()
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
-        self._open: list[socket.socket] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
     def entry(self) -> dict[str, Any]:
         """Return the runner's entry in the platform's list."""
@@ -95,25 +94,13 @@
     def close(self) -> None:
         """Release the port and every connection."""
         self.finish.set()
-        self._socket.close()
-        for connection in self._open:
-            connection.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                self._open.append(connection)
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().close()
 
     def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            answers = _RecordedAnswers(connection)
-            reader = connection.makefile("rb")
-            while self._serve_one(answers, reader):
-                answers.end()
+        answers = _RecordedAnswers(connection)
+        reader = connection.makefile("rb")
+        while self._serve_one(answers, reader):
+            answers.end()
 
     def _serve_one(self, connection: "_RecordedAnswers", reader: Any) -> bool:
         start = reader.readline().decode().split()
@@ -463,6 +450,11 @@
             timeout=WAIT_S,
         )
 
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a caller's own connection to the gateway."""
+        host, _, port = self.gateway.address.rpartition(":")
+        return http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+
     def decisions(self, attempt: str) -> list[dict[str, Any]]:
         """Return the decision log of a request, once the request is over."""
         wait_until(
--- a/testing/support/scripted_server.py
+++ b/testing/support/scripted_server.py
@@ -2,43 +2,30 @@
 
 import contextlib
 import socket
-import threading
 import time
 
+from support import raw_server
 
-class ScriptedServer:
+
+class ScriptedServer(raw_server.RawServer):
     """Server that sends the next scripted bytes after each request.
 
-    `connections` counts the connections that were accepted. With a `pause_s`,
-    each byte is sent by itself, after that many seconds.
+    With a `pause_s`, each byte is sent by itself, after that many seconds.
     """
 
     def __init__(self) -> None:
         """Listen on a free port."""
         self.script: list[bytes] = []
-        self.connections = 0
         self.pause_s = 0.0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        """Release the port."""
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
+        super().__init__()
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections that were accepted."""
+        return len(self.accepted)
 
     def _serve(self, connection: socket.socket) -> None:
-        with connection, connection.makefile("rb") as reader:
+        with connection.makefile("rb") as reader:
             while self.script and reader.readline():
                 while reader.readline().strip():
                     pass
--- a/testing/support/stuttering_server.py
+++ b/testing/support/stuttering_server.py
@@ -1,13 +1,13 @@
 """HTTP server on raw sockets that can send more than one answer."""
 
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import socket
-import threading
 from typing import Any
 from typing import final
 
+from support import raw_server
+
 __all__ = ["Request", "StutteringServer", "answer_bytes"]
 
 
@@ -27,7 +27,7 @@
 
 
 @final
-class StutteringServer:
+class StutteringServer(raw_server.RawServer):
     """HTTP server that stutters: it repeats an answer after the next request.
 
     `stutter` returns bytes to send before an answer, from the previous answer
@@ -44,43 +44,21 @@
         self.stutter: Callable[[bytes], bytes] | None = None
         self.closes_after_answer = False
         self.received: list[Request] = []
-        self._open: list[socket.socket] = []
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        """Release the port and close every connection."""
-        with contextlib.suppress(OSError):
-            # A close alone would leave the pending `accept` listening.
-            self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
-        for connection in self._open:
-            connection.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                self._open.append(connection)
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__()
 
     def _serve(self, connection: socket.socket) -> None:
         previous = b""
         position = 0
-        with contextlib.suppress(OSError), connection:
-            reader = connection.makefile("rb")
-            while line := reader.readline().decode().split():
-                position += 1
-                request = _read_request(reader, line, position)
-                self.received.append(request)
-                stutter = self.stutter(previous) if self.stutter else b""
-                previous = self.respond(request)
-                connection.sendall(stutter + previous)
-                if self.closes_after_answer:
-                    return
+        reader = connection.makefile("rb")
+        while line := reader.readline().decode().split():
+            position += 1
+            request = _read_request(reader, line, position)
+            self.received.append(request)
+            stutter = self.stutter(previous) if self.stutter else b""
+            previous = self.respond(request)
+            connection.sendall(stutter + previous)
+            if self.closes_after_answer:
+                return
 
 
 def answer_bytes(
--- a/testing/wire/test_late_replies.py
+++ b/testing/wire/test_late_replies.py
@@ -14,6 +14,7 @@
 import time
 
 import pytest
+from support import raw_server
 
 from wisteriawall.wire import transport
 
@@ -23,7 +24,7 @@
 TIMEOUT_MS = 2_000
 
 
-class LateReplier:
+class LateReplier(raw_server.RawServer):
     """RPC server that replies `answer to <request>`, and may say more.
 
     `stutter` returns messages to send before the reply to a request, from the
@@ -35,46 +36,25 @@
         """Listen on a free port."""
         self.stutter: Callable[[list[bytes]], list[bytes]] = lambda _: []
         self.requests: list[bytes] = []
-        self.connections: list[socket.socket] = []
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        """Release the port and close every connection."""
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
-        for connection in self.connections:
-            connection.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                self.connections.append(connection)
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__()
 
     def _serve(self, connection: socket.socket) -> None:
         sent: list[bytes] = []
-        with contextlib.suppress(OSError):
-            reader = connection.makefile("rb")
-            connection.sendall(REPLIER_HANDSHAKE)
-            reader.read(HANDSHAKE_BYTES)
-            while length := reader.read(8):
-                request = reader.read(struct.unpack(">Q", length)[0])
-                request_id, body = request[:ID_BYTES], request[ID_BYTES:]
-                self.requests.append(body)
-                reply = request_id + b"answer to " + body
-                messages = self.stutter(sent)
-                if body != b"silent":
-                    messages = [*messages, reply]
-                sent.append(reply)
-                for message in messages:
-                    connection.sendall(struct.pack(">Q", len(message)))
-                    connection.sendall(message)
+        reader = connection.makefile("rb")
+        connection.sendall(REPLIER_HANDSHAKE)
+        reader.read(HANDSHAKE_BYTES)
+        while length := reader.read(8):
+            request = reader.read(struct.unpack(">Q", length)[0])
+            request_id, body = request[:ID_BYTES], request[ID_BYTES:]
+            self.requests.append(body)
+            reply = request_id + b"answer to " + body
+            messages = self.stutter(sent)
+            if body != b"silent":
+                messages = [*messages, reply]
+            sent.append(reply)
+            for message in messages:
+                connection.sendall(struct.pack(">Q", len(message)))
+                connection.sendall(message)
 
 
 @pytest.fixture
@@ -114,7 +94,7 @@
     bodies = [b"a", b"b", b"c", b"d"]
     replies = [client.call(body) for body in bodies]
     assert replies == [b"answer to " + body for body in bodies]
-    assert len(replier.connections) == 1
+    assert len(replier.accepted) == 1
 
 
 def test_reply_after_a_timeout_is_not_taken_for_the_next(
