Build the log entry of a refusal in one place

A request that arrives too late in a stop had a copy of the entry that final_answers.refuse writes. Both use one function now; the keys and values of the two lines are unchanged. testing/gateway and platform/test_stop.py pass.

--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -7,7 +7,7 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.web import refusal as refusal_lib
 
-__all__ = ["refuse", "refuse_without_runner"]
+__all__ = ["refuse", "refuse_without_runner", "refused_entry"]
 
 
 def refuse(
@@ -21,18 +21,30 @@
     `reason` is the text for the log; it may differ from the refusal's message.
     """
     gateway.request_by_key.pop(request.request_key, None)
-    yield events.LogDecision(
+    yield refused_entry(
+        request.request_id, refusal, reason, table=gateway.table_number
+    )
+    yield events.Refuse(refusal=refusal)
+
+
+def refused_entry(
+    request_id: str,
+    refusal: refusal_lib.Refusal,
+    reason: str,
+    **more_inputs: object,
+) -> events.LogDecision:
+    """Return the log entry of a refusal."""
+    return events.LogDecision(
         decision="refused",
-        request_id=request.request_id,
+        request_id=request_id,
         inputs={
             "status": refusal.status,
             "run": refusal.run.value,
             "reason": reason,
             "retry_ms": refusal.retry_after_ms,
-            "table": gateway.table_number,
+            **more_inputs,
         },
     )
-    yield events.Refuse(refusal=refusal)
 
 
 def refuse_without_runner(
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -69,16 +69,11 @@
     gateway: state_lib.Gateway, event: events.Arrived
 ) -> Iterator[events.Effect]:
     if event.too_late:
-        yield events.LogDecision(
-            decision="refused",
-            request_id=event.request_id,
-            inputs={
-                "status": refusals.STOPPING.status,
-                "run": refusals.STOPPING.run.value,
-                "reason": "stopping",
-                "retry_ms": refusals.STOPPING.retry_after_ms,
-                "unread_ms": event.unread_ms,
-            },
+        yield final_answers.refused_entry(
+            event.request_id,
+            refusals.STOPPING,
+            "stopping",
+            unread_ms=event.unread_ms,
         )
         yield events.Refuse(refusal=refusals.STOPPING)
         return
