Tell a slow body from a malformed one in one place

read_body asked twice whether the read deadline had ended a body, and made a refusal of each outcome twice. No change of behavior: testing/web passes.

--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -266,16 +266,11 @@
     except TimeoutError as error:
         raise BodyRefused(_BODY_TOO_SLOW) from error
     except (OSError, ValueError) as error:
-        # A chunked body that the read deadline ends looks malformed.
-        if caller_connection(environ).read_timed_out:
-            raise BodyRefused(_BODY_TOO_SLOW) from error
-        raise BodyRefused(_malformed_body(str(error))) from error
+        raise _incomplete_body(environ, str(error)) from error
     expected = int(environ.get("CONTENT_LENGTH") or "0")
     if not environ["wsgi.input_terminated"] and len(body) < expected:
-        if caller_connection(environ).read_timed_out:
-            raise BodyRefused(_BODY_TOO_SLOW)
-        raise BodyRefused(
-            _malformed_body(f"got {len(body)} bytes, expected {expected}")
+        raise _incomplete_body(
+            environ, f"got {len(body)} bytes, expected {expected}"
         )
     caller_connection(environ).clear_read_deadline()
     return body
@@ -347,9 +342,17 @@
 )
 
 
-def _malformed_body(message: str) -> refusal_lib.Refusal:
-    return refusal_lib.Refusal(
-        status=400,
-        code=refusal_lib.Code.BAD_REQUEST,
-        message=f"body: {message}",
+def _incomplete_body(environ: Environ, message: str) -> BodyRefused:
+    """Return the refusal of a body that ended early or is malformed.
+
+    One that the read deadline ends looks like either.
+    """
+    if caller_connection(environ).read_timed_out:
+        return BodyRefused(_BODY_TOO_SLOW)
+    return BodyRefused(
+        refusal_lib.Refusal(
+            status=400,
+            code=refusal_lib.Code.BAD_REQUEST,
+            message=f"body: {message}",
+        )
     )
