Log the age of routing tables and of the leader's last message

A gateway now logs how long each transfer took and, for each request, how long ago its table was known to be the newest; a replica logs how long it had heard of no leader when it starts an election; operators' calls are logged with the version in the answer.

The stub in test_poll passes all arguments on, since _apply_reply takes the time of the call too; what it checks is unchanged.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -355,9 +355,10 @@
             return
         self._logged_leader = (replica.leader, replica.term)
         _LOG.info(
-            "control: leader %s in term %d",
+            "control: leader %s in term %d, last message of a leader %d ms ago",
             replica.leader or "unknown",
             replica.term,
+            clock.monotonic_ms() - replica.leader_contact_ms,
         )
 
     def _reconnect_peers(self) -> None:
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -196,13 +196,18 @@
     """A control replica sent changes.
 
     `table` and `upstreams` are None if unchanged. `gateway_count` is the number
-    of gateways of the deployment.
+    of gateways of the deployment. `newest_table` is the number of the table
+    that was the newest at `confirmed_ms`, monotonic time, and `took_ms` the
+    duration of the call.
     """
 
     table: route_table.RouteTable | None
     upstreams: gateway_messages.UpstreamList | None
     gateway_count: int
     now_ms: int
+    newest_table: int = 0
+    confirmed_ms: int = 0
+    took_ms: int = 0
 
 
 Event: TypeAlias = (
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -337,6 +337,7 @@
             "urgency": send.priority_class,
             "left_ms": request.deadline_at_ms - now_ms,
             "table": gateway.table_number,
+            "table_age_ms": now_ms - gateway.table_confirmed_ms,
             "list": gateway.list_version,
         },
     )
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -85,7 +85,11 @@
         yield events.LogDecision(
             decision="no-route",
             request_id=event.request_id,
-            inputs={"host": event.host, "table": gateway.table_number},
+            inputs={
+                "host": event.host,
+                "table": gateway.table_number,
+                "table_age_ms": event.now_ms - gateway.table_confirmed_ms,
+            },
         )
         yield events.Refuse(refusal=refusals.NO_ROUTE)
         return
@@ -399,7 +403,17 @@
         gateway.route_index = route_table.RouteIndex(table)
         loads.apply_table(gateway)
         yield events.LogDecision(
-            decision="table", request_id="", inputs={"number": table.number}
+            decision="table",
+            request_id="",
+            inputs={
+                "number": table.number,
+                "routes": len(table.routes),
+                "took_ms": event.took_ms,
+            },
+        )
+    if event.newest_table <= gateway.table_number:
+        gateway.table_confirmed_ms = max(
+            gateway.table_confirmed_ms, event.confirmed_ms
         )
     gateway.retries.set_gateways(max(MIN_BUDGET_GATEWAYS, event.gateway_count))
     upstream_list = event.upstreams
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -155,7 +155,6 @@
         self._arrivals_closed = False
         self._can_serve = threading.Event()
         self._connected = False
-        self._gateway_count = 0
         self._peer_count = 0
         self._peers_version = 0
         self._stopping = threading.Event()
@@ -425,6 +424,7 @@
             self._draining,
             self._peers_version,
         )
+        called_ms = clock.monotonic_ms()
         try:
             reply = self._control.call(follow)
         except control_client.ControlUnavailable as error:
@@ -440,7 +440,7 @@
             return
         self._record_connection(True, "")
         if isinstance(reply, gateway_messages.Followed):
-            self._apply_reply(reply)
+            self._apply_reply(reply, called_ms)
 
     def _poll_interval_s(self) -> float:
         """Return the time to the next poll, shorter while data is missing."""
@@ -452,25 +452,28 @@
             else INCOMPLETE_POLL_S
         )
 
-    def _apply_reply(self, reply: gateway_messages.Followed) -> None:
+    def _apply_reply(
+        self, reply: gateway_messages.Followed, called_ms: int
+    ) -> None:
         if reply.peers is not None:
             self._peer_load.set_peers(reply.peers)
             self._peers_version = reply.peers_version
             self._peer_count = len(reply.peers)
         if reply.rpc_address_by_replica:
             self._control.set_replicas(reply.rpc_address_by_replica)
-        gateway_count = self._peer_count + 1
-        is_same_count = gateway_count == self._gateway_count
-        if reply.table is None and reply.upstreams is None and is_same_count:
-            return
-        self._gateway_count = gateway_count
+        now_ms = clock.monotonic_ms()
         update = events.ControlUpdate(
             table=reply.table,
             upstreams=reply.upstreams,
-            gateway_count=gateway_count,
-            now_ms=clock.monotonic_ms(),
+            gateway_count=self._peer_count + 1,
+            now_ms=now_ms,
+            newest_table=reply.table_number,
+            confirmed_ms=called_ms - reply.age_ms,
+            took_ms=now_ms - called_ms,
         )
         self._submit(update)
+        if reply.table is None and reply.upstreams is None:
+            return
         if self._gateway.route_index is not None and (
             self._gateway.upstream_by_id
         ):
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -77,6 +77,8 @@
     runners of the newest list, `list_version` the version of that list, and
     `load_by_id` the load of each of these runners and `notices` what speaks
     against sending to them.
+    `table_confirmed_ms` is the newest monotonic time at which the table was
+    known to be the newest, 0 before the first one.
     `longest_remaining_ms_by_route` holds the longest remaining time that any
     caller of a route had on arrival.
     """
@@ -87,6 +89,7 @@
     tuning: Tuning
     retries: retry_window.RetryWindow
     route_index: route_table.RouteIndex | None = None
+    table_confirmed_ms: int = 0
     list_version: tuple[int, int] = (0, 0)
     upstream_by_id: dict[str, gateway_messages.Upstream] = dataclasses.field(
         default_factory=dict
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -213,9 +213,10 @@
                 return server_lib.send_refusal(start_response, _NOT_FOUND)
         reply = self._shell.call(request)
         _LOG.info(
-            "operators: %s answered %s",
+            "operators: %s answered %s, version %d",
             environ["PATH_INFO"],
             type(reply).__name__,
+            _table_number(reply),
         )
         return self._respond(environ, start_response, reply)
 
@@ -310,6 +311,19 @@
 )
 
 
+def _table_number(reply: events.Reply) -> int:
+    """Return the number of the table in a reply, 0 if it has none."""
+    match reply:
+        case events.TableReply(number):
+            return number
+        case events.PublishReply(
+            outcomes.TableInForce(number) | outcomes.TableConflict(number)
+        ):
+            return number
+        case _:
+            return 0
+
+
 def _invalid_table(error: TableInvalid) -> refusal_lib.Refusal:
     return refusal_lib.Refusal(
         status=400, code=refusal_lib.Code.INVALID, message=str(error)
--- a/testing/platform/test_poll.py
+++ b/testing/platform/test_poll.py
@@ -15,11 +15,11 @@
     failures: list[object] = []
     apply_reply = site.gateway._apply_reply
 
-    def fail_once(reply: object) -> None:
+    def fail_once(*args: object) -> None:
         if not failures:
-            failures.append(reply)
+            failures.append(args)
             raise RuntimeError("a fault of the program")
-        apply_reply(reply)  # type: ignore[arg-type]
+        apply_reply(*args)  # type: ignore[arg-type]
 
     monkeypatch.setattr(site.gateway, "_apply_reply", fail_once)
     sites.wait_until(lambda: bool(failures), "the error")
