--- /dev/null
+++ b/testing/gateway/test_table_distribution.py
@@ -0,0 +1,168 @@
+"""Tests of what a change of the routing table costs the links."""
+
+from collections.abc import Iterator
+import contextlib
+import json
+import pathlib
+
+import pytest
+from soak import proxy as proxy_lib
+from soak import records
+from support import large_tables
+from support import platform_site
+
+from wisteriawall.control import events as control_events
+from wisteriawall.control import shell as control_shell
+from wisteriawall.demo import cluster
+from wisteriawall.gateway import shell as gateway_shell
+from wisteriawall.gateway import state as gateway_state
+from wisteriawall.observability import decisions
+from wisteriawall.observability import metrics
+from wisteriawall.platform import headers
+from wisteriawall.platform import operators
+from wisteriawall.policy import retry_window
+from wisteriawall.wire import raft_messages
+
+# Polls of all gateways included.
+MAX_CHANGE_BYTES = 64 * 1024
+FEW_GATEWAYS = 4
+MANY_GATEWAYS = 12
+
+
+class Deployment:
+    """A leading replica and gateways that reach it through a proxy."""
+
+    def __init__(
+        self, folder: pathlib.Path, *, gateways: int, link_bytes_s: int = 0
+    ) -> None:
+        """Start everything; `link_bytes_s` limits the leader's link."""
+        self._proxy = proxy_lib.Proxy(seen=records.Records())
+        peer, rpc = (cluster.unused_loopback_address() for _ in range(2))
+        self._address = self._proxy.add(rpc)
+        if link_bytes_s:
+            self._proxy.set_rate(self._address, link_bytes_s)
+        member = raft_messages.Member("c1", peer, self._address)
+        self._control = control_shell.ControlShell(
+            replica="c1",
+            peer_address_by_replica={"c1": peer},
+            rpc_address=rpc,
+            folder=folder / "c1",
+            key=platform_site.KEY,
+            incarnation=1,
+            bootstrap=True,
+            founders=(member,),
+        )
+        self._control.start()
+        self._log = (folder / "log").open("wb")
+        self._gateways = [
+            self._start_gateway(f"g{number}") for number in range(gateways)
+        ]
+
+    @property
+    def sent_bytes(self) -> int:
+        """Number of bytes that the leader has sent to gateways."""
+        return self._proxy.sent_bytes(self._address)
+
+    def publish(self, document: dict[str, object]) -> int:
+        """Publish a table; return the bytes sent until all gateways use it."""
+        before = self.sent_bytes
+        body = json.dumps(document).encode()
+        request = control_events.PublishRequest(
+            "op", operators.decode_table(body), body
+        )
+        platform_site.wait_until(
+            lambda: isinstance(
+                self._control.call(request), control_events.PublishReply
+            ),
+            "the publication",
+        )
+        platform_site.wait_until(
+            lambda: all(
+                gateway._gateway.table_number == document["version"]
+                for gateway in self._gateways
+            ),
+            "the table at all gateways",
+        )
+        return self.sent_bytes - before
+
+    def close(self) -> None:
+        """Stop everything."""
+        for gateway in self._gateways:
+            gateway.stop()
+        self._control.stop()
+        self._proxy.close()
+        self._log.close()
+
+    def _start_gateway(self, name: str) -> gateway_shell.GatewayShell:
+        gateway = gateway_shell.GatewayShell(
+            identity=gateway_shell.Identity(
+                name=name,
+                zone="z1",
+                incarnation=1,
+                listen_address="127.0.0.1:0",
+                ready_address="127.0.0.1:0",
+                load_address="127.0.0.1:0",
+            ),
+            control_address_by_replica={"c1": self._address},
+            key=platform_site.KEY,
+            dialect=headers.PlatformDialect(),
+            budget=retry_window.RetryBudgetSettings(
+                window_ms=10_000, ratio=0.2, slack=60
+            ),
+            tuning=gateway_state.Tuning(),
+            metrics=metrics.NullMetrics(),
+            log=decisions.DecisionLog(process=name, stream=self._log),
+            grace_ms=platform_site.GRACE_MS,
+            unready_ms=1,
+        )
+        gateway.start()
+        return gateway
+
+
+@contextlib.contextmanager
+def deployment(
+    folder: pathlib.Path, *, gateways: int, link_bytes_s: int = 0
+) -> Iterator[Deployment]:
+    """Yield a running deployment."""
+    running = Deployment(folder, gateways=gateways, link_bytes_s=link_bytes_s)
+    try:
+        yield running
+    finally:
+        running.close()
+
+
+@pytest.fixture(autouse=True)
+def _few_threads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let many gateways run in one process."""
+    monkeypatch.setattr(gateway_shell, "CALLER_THREADS", 2)
+
+
+@pytest.mark.parametrize(
+    ("routes", "gateways"),
+    [
+        pytest.param(20, FEW_GATEWAYS, id="small table"),
+        pytest.param(1_500, FEW_GATEWAYS, id="large table"),
+        pytest.param(1_500, MANY_GATEWAYS, id="large table, many gateways"),
+    ],
+)
+def test_leader_does_not_send_the_whole_table_at_each_change(
+    routes: int, gateways: int, tmp_path: pathlib.Path
+) -> None:
+    """Tables of all gateways filled the leader's link."""
+    with deployment(tmp_path, gateways=gateways) as running:
+        running.publish(large_tables.document(1, routes=routes))
+        sent = running.publish(large_tables.document(2, routes=routes + 1))
+    assert sent < MAX_CHANGE_BYTES
+
+
+def test_leader_does_not_send_a_large_change_to_every_gateway(
+    tmp_path: pathlib.Path,
+) -> None:
+    def cost(gateways: int) -> int:
+        folder = tmp_path / str(gateways)
+        folder.mkdir()
+        with deployment(folder, gateways=gateways) as running:
+            running.publish(large_tables.document(1, routes=20))
+            return running.publish(large_tables.document(2, routes=1_420))
+
+    assert cost(MANY_GATEWAYS) < 2 * cost(FEW_GATEWAYS)
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -38,6 +38,20 @@
         self.target = (host, int(port))
         self.delay_s = 0.0
         self.relays: set[_Relay] = set()
+        # Bytes a second from the target to all its callers, 0 for no limit.
+        self.rate_bytes_s = 0
+        self.sent_bytes = 0
+        self.free_at_s = 0.0
+
+    async def pass_on(self, size: int) -> None:
+        """Wait until `size` more bytes from the target have fit through."""
+        self.sent_bytes += size
+        if self.rate_bytes_s:
+            now_s = time.monotonic()
+            self.free_at_s = max(now_s, self.free_at_s) + (
+                size / self.rate_bytes_s
+            )
+            await asyncio.sleep(self.free_at_s - now_s)
 
 
 @final
@@ -88,6 +102,15 @@
         ).result()
         return address
 
+    def set_rate(self, address: str, bytes_s: int) -> None:
+        """Limit the bytes a second that come from an address; 0 lifts it."""
+        link = self._link_by_address[address]
+        self._loop.call_soon_threadsafe(setattr, link, "rate_bytes_s", bytes_s)
+
+    def sent_bytes(self, address: str) -> int:
+        """Return how many bytes have come from an address."""
+        return self._link_by_address[address].sent_bytes
+
     def disturb(
         self, address: str, runner: str, what: Disturbance, for_s: float
     ) -> None:
@@ -169,6 +192,8 @@
                 await asyncio.sleep(link.delay_s)
             if direction in relay.cut:
                 continue
+            if direction is Disturbance.CUT_ANSWERS:
+                await link.pass_on(len(data))
             writer.write(data)
             await writer.drain()
         # The other direction may not be half closed: a gateway or runner that
