Answer reads only from a state confirmed after they came

A replica answered from any state that had been confirmed to be current in the last second, so a follower could miss what the leader had acknowledged since. The same held for reads of the configuration, its history and the audit log.

It works at any replica and needs no message of its own.

--- a/src/wisteriawall/control/reads.py
+++ b/src/wisteriawall/control/reads.py
@@ -1,9 +1,12 @@
 """Requests that are answered from the applied state, without a log entry.
 
-Any replica answers them while its state is current; otherwise it names the
-leader.
+Any replica answers them. A heartbeat may be answered from a state that was
+confirmed to be current a moment ago. A read waits until the state is confirmed
+to be current as of the read's arrival, so that it returns all that was
+acknowledged before.
 """
 
+from collections.abc import Iterator
 import itertools
 from typing import TypeAlias
 
@@ -19,18 +22,23 @@
 from wisteriawall.wire import control_messages
 
 __all__ = [
-    "LedgerRead",
+    "Read",
+    "answer_confirmed_reads",
     "is_state_current",
-    "read_ledger",
     "read_status",
-    "read_table",
     "renew_lease",
+    "submit_read",
 ]
 
 MAX_STALENESS_MS = 1_000
-
-LedgerRead: TypeAlias = (
-    events.ConfigRequest | events.HistoryRequest | events.AuditRequest
+# Confirmations arrive with the leader's heartbeats.
+MAX_READ_WAIT_MS = 1_000
+
+Read: TypeAlias = (
+    events.ConfigRequest
+    | events.HistoryRequest
+    | events.AuditRequest
+    | events.TableRequest
 )
 
 
@@ -69,14 +77,51 @@
     return grant or not_leader
 
 
-def read_ledger(
-    control: replica_state.ReplicaState, request: LedgerRead, now_ms: int
-) -> events.Reply:
-    """Answer a read of the ledger, or name the leader if it may be old."""
+def submit_read(
+    control: replica_state.ReplicaState,
+    *,
+    call_id: int,
+    read: Read,
+    now_ms: int,
+) -> Iterator[events.Answer]:
+    """Add a read to the pending ones, or refuse it if the state is outdated."""
     if not is_state_current(control, now_ms):
-        return redirect.to_leader(control.raft)
-    ledger = control.ledger
-    match request:
+        yield events.Answer(call_id, _refusal(control, read))
+        return
+    control.pending_reads.append(
+        replica_state.PendingRead(
+            call_id=call_id, request=read, arrived_ms=now_ms
+        )
+    )
+
+
+def answer_confirmed_reads(
+    control: replica_state.ReplicaState,
+) -> Iterator[events.Answer]:
+    """Answer the reads that are confirmed, and those that waited too long."""
+    fresh_as_of_ms = control.raft.fresh_as_of_ms
+    oldest_ms = control.now_ms - MAX_READ_WAIT_MS
+    reads = control.pending_reads
+    control.pending_reads = []
+    for read in reads:
+        if fresh_as_of_ms >= read.arrived_ms:
+            reply = _read_state(control.ledger, read.request)
+        elif read.arrived_ms <= oldest_ms:
+            reply = _refusal(control, read.request)
+        else:
+            control.pending_reads.append(read)
+            continue
+        yield events.Answer(read.call_id, reply)
+
+
+def _refusal(control: replica_state.ReplicaState, read: Read) -> events.Reply:
+    if isinstance(read, events.TableRequest):
+        return events.Unavailable("not sure which table is the newest")
+    return redirect.to_leader(control.raft)
+
+
+def _read_state(ledger: state.Ledger, read: Read) -> events.Reply:
+    match read:
         case events.ConfigRequest(number):
             return _find_config(ledger, number)
         case events.HistoryRequest(limit):
@@ -84,13 +129,18 @@
         case events.AuditRequest():
             records = audit.select(
                 ledger,
-                after_index=request.after_index,
-                kind=request.kind,
-                subject=request.subject,
+                after_index=read.after_index,
+                kind=read.kind,
+                subject=read.subject,
             )
             return events.AuditReply(
-                list(itertools.islice(records, request.limit))
+                list(itertools.islice(records, read.limit))
             )
+        case events.TableRequest():
+            published = ledger.published
+            if published is None:
+                return events.TableReply(0, b"")
+            return events.TableReply(published.table.number, published.source)
 
 
 def _find_config(ledger: state.Ledger, number: int | None) -> events.Reply:
@@ -107,18 +157,6 @@
     )
 
 
-def read_table(
-    control: replica_state.ReplicaState, now_ms: int
-) -> events.Reply:
-    """Return the newest routing table, if this replica's state is current."""
-    if not is_state_current(control, now_ms):
-        return events.Unavailable("not sure which table is the newest")
-    published = control.ledger.published
-    if published is None:
-        return events.TableReply(0, b"")
-    return events.TableReply(published.table.number, published.source)
-
-
 def read_status(
     control: replica_state.ReplicaState, whole: bool, now_ms: int
 ) -> events.Reply:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -67,6 +67,7 @@
             )
     yield from _abandon_open_writes(control)
     yield from _answer_patch_calls(control)
+    yield from reads.answer_confirmed_reads(control)
     if raft_lib.is_snapshot_due(control.raft):
         data = snapshot_lib.encode(control.ledger)
         yield from _process_raft_effects(
@@ -200,8 +201,12 @@
             events.ConfigRequest()
             | events.HistoryRequest()
             | events.AuditRequest()
+            | events.TableRequest()
         ) as read:
-            reply = reads.read_ledger(control, read, event.now_ms)
+            yield from reads.submit_read(
+                control, call_id=event.call_id, read=read, now_ms=event.now_ms
+            )
+            return
         case gateway_messages.FollowRequest() as follow:
             reply = gateway_updates_lib.follow(
                 control.gateway_updates,
@@ -210,8 +215,6 @@
                 follow,
                 event.now_ms,
             )
-        case events.TableRequest():
-            reply = reads.read_table(control, event.now_ms)
         case gateway_messages.JoinRequest() as join:
             yield from _handle_join_request(control, join, event)
             return
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import final
 
+from wisteriawall.control import events
 from wisteriawall.control import gateway_updates as gateway_updates_lib
 from wisteriawall.control import liveness
 from wisteriawall.control import membership
@@ -12,7 +13,7 @@
 from wisteriawall.control import state
 from wisteriawall.policy import roles
 
-__all__ = ["PendingCall", "PendingPatch", "ReplicaState"]
+__all__ = ["PendingCall", "PendingPatch", "PendingRead", "ReplicaState"]
 
 
 @final
@@ -37,6 +38,21 @@
     until_ms: int
 
 
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PendingRead:
+    """A read that waits for a confirmation of the state after `arrived_ms`."""
+
+    call_id: int
+    request: (
+        events.ConfigRequest
+        | events.HistoryRequest
+        | events.AuditRequest
+        | events.TableRequest
+    )
+    arrived_ms: int
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ReplicaState:
@@ -68,6 +84,7 @@
     pending_patches: list[PendingPatch] = dataclasses.field(
         default_factory=list
     )
+    pending_reads: list[PendingRead] = dataclasses.field(default_factory=list)
     document_size: renewal.DocumentSizeCache = dataclasses.field(
         default_factory=renewal.DocumentSizeCache
     )
