Bound the bytes on the way to a follower

Acks of changes took up to 3 s, and each new leader sent the same tables again.

The leader sent all entries that a follower lacked, up to 2,048 of any size, without waiting for an acknowledgement.

--- a/src/wisteriawall/control/raft_log.py
+++ b/src/wisteriawall/control/raft_log.py
@@ -79,12 +79,19 @@
         """
         first = after - self.start_index
         candidates = self.entries[first : first + max_entries]
-        sizes = itertools.accumulate(
-            len(entry.command) + ENTRY_OVERHEAD_BYTES for entry in candidates
-        )
+        sizes = itertools.accumulate(map(_size_bytes, candidates))
         fitting = sum(1 for size in sizes if size <= max_bytes)
         return candidates[: max(1, fitting)]
 
+    def size_bytes(self, *, after: int, before: int) -> int:
+        """Return the size of the kept entries between two indexes."""
+        first = max(0, after - self.start_index)
+        return sum(
+            map(
+                _size_bytes, self.entries[first : before - self.start_index - 1]
+            )
+        )
+
     def append(self, entries: Iterable[raft_messages.LogEntry]) -> None:
         """Append entries whose indexes continue the log."""
         for entry in entries:
@@ -143,3 +150,7 @@
         for entry in self._membership_entries():
             self.members = entry.members or ()
             self.members_index = entry.index
+
+
+def _size_bytes(entry: raft_messages.LogEntry) -> int:
+    return len(entry.command) + ENTRY_OVERHEAD_BYTES
--- a/src/wisteriawall/control/raft_replication.py
+++ b/src/wisteriawall/control/raft_replication.py
@@ -20,9 +20,11 @@
 ]
 
 MAX_ENTRIES_PER_MESSAGE = 256
-MAX_APPEND_BYTES = 1024 * 1024
+# A heartbeat waits behind the bytes that were sent before it to all followers.
+MAX_APPEND_BYTES = 64 * 1024
+MAX_IN_FLIGHT_BYTES = 64 * 1024
 MAX_IN_FLIGHT_ENTRIES = 2_048
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
+SNAPSHOT_CHUNK_BYTES = 64 * 1024
 
 
 def reset_election_timer(raft: raft_state.Raft, now_ms: int) -> None:
@@ -232,7 +234,13 @@
         return
     while not progress.probing and progress.next_index <= raft.last_index:
         in_flight = progress.next_index - progress.match_index - 1
-        if in_flight >= MAX_IN_FLIGHT_ENTRIES:
+        in_flight_bytes = raft.log.size_bytes(
+            after=progress.match_index, before=progress.next_index
+        )
+        if (
+            in_flight >= MAX_IN_FLIGHT_ENTRIES
+            or in_flight_bytes >= MAX_IN_FLIGHT_BYTES
+        ):
             return
         entries = raft.log.entries_after(
             after=progress.next_index - 1,
