Replicate what changes in a routing table, not the table

The log entry of every change held the whole table and the whole text that the operator sent, 1,078,318 bytes at 2,821 routes, for each of the other replicas; the kept log held thousands of such entries. The class of the fault: the cost of a change is that of the state.

A change that was made for a table which another publication replaced in the meantime is made again by the leader. Entries of older logs are still applied.

--- a/src/wisteriawall/control/audit.py
+++ b/src/wisteriawall/control/audit.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterator
 
+from wisteriawall.config import route_table
 from wisteriawall.control import commands
 from wisteriawall.control import outcomes
 from wisteriawall.control import state
@@ -63,11 +64,12 @@
             return f"stale: current is {current}"
         case outcomes.ConfigInvalid(faults):
             return f"invalid: {'; '.join(faults)}"
-        case outcomes.TableInForce(number, changed):
-            effect = "in force" if changed else "unchanged"
-            return f"table {number} {effect}"
-        case outcomes.TableConflict(number):
-            return f"refused: another table has number {number}"
+        case (
+            outcomes.TableInForce()
+            | outcomes.TableConflict()
+            | outcomes.TableBaseReplaced()
+        ):
+            return _describe_table_outcome(outcome)
         case outcomes.PatchIdReused():
             return "refused: the patch id was used for another patch"
         case outcomes.OrderIssued(order):
@@ -83,6 +85,23 @@
             return "done"
 
 
+def _describe_table_outcome(
+    outcome: (
+        outcomes.TableInForce
+        | outcomes.TableConflict
+        | outcomes.TableBaseReplaced
+    ),
+) -> str:
+    match outcome:
+        case outcomes.TableInForce(number, changed):
+            effect = "in force" if changed else "unchanged"
+            return f"table {number} {effect}"
+        case outcomes.TableConflict(number):
+            return f"refused: another table has number {number}"
+        case outcomes.TableBaseReplaced(number):
+            return f"repeated: table {number} was published before it"
+
+
 def _build_record(
     index: int, command: commands.Command, result: str
 ) -> state.AuditRecord | None:
@@ -108,13 +127,22 @@
                 patch_id,
                 result,
             )
-        case commands.PublishTable(table, _, operator, at_ms):
+        case (
+            commands.PublishTable(
+                table=route_table.RouteTable(number=number),
+                operator=operator,
+                at_ms=at_ms,
+            )
+            | commands.ChangeTable(
+                number=number, operator=operator, at_ms=at_ms
+            )
+        ):
             return state.AuditRecord(
                 index,
                 at_ms,
                 _Kind.TABLE,
                 operator,
-                f"table/{table.number}",
+                f"table/{number}",
                 "published",
                 result,
             )
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -13,6 +13,7 @@
 from wisteriawall.wire import fleet
 
 __all__ = [
+    "ChangeTable",
     "Command",
     "GrantClaim",
     "IssueOrder",
@@ -52,7 +53,10 @@
 
 @final
 class PublishTable(msgspec.Struct, frozen=True, tag="table"):
-    """Publish a whole routing table; `source` is the text that was sent."""
+    """Publish a whole routing table; `source` is the text that was sent.
+
+    Leaders write `ChangeTable` instead; older logs hold this command.
+    """
 
     table: route_table.RouteTable
     source: bytes
@@ -60,6 +64,25 @@
     at_ms: int
 
 
+@final
+class ChangeTable(msgspec.Struct, frozen=True, tag="table-change"):
+    """Publish the routing table that results from a change.
+
+    `table_change` and `source_change` are the encoded differences of the table
+    and of its text from those of the table `base_number`, both empty when the
+    table that was sent is not newer. `digest` is that of the table as it was
+    sent.
+    """
+
+    number: int
+    base_number: int
+    digest: bytes
+    table_change: bytes
+    source_change: bytes
+    operator: str
+    at_ms: int
+
+
 @final
 class GrantClaim(msgspec.Struct, frozen=True, tag="claim"):
     """Claim the only run of a non-repeatable request."""
@@ -182,6 +205,7 @@
     | RecordMembershipChange
     | PatchConfig
     | PublishTable
+    | ChangeTable
     | GrantClaim
     | SettleClaim
     | IssueOrder
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -57,6 +57,8 @@
             return config_patches.apply_patch(ledger, command)
         case commands.PublishTable():
             return tables.publish(ledger, command)
+        case commands.ChangeTable():
+            return tables.change(ledger, command)
         case commands.GrantClaim():
             return claims.grant(ledger, index, command)
         case commands.SettleClaim():
--- a/src/wisteriawall/control/outcomes.py
+++ b/src/wisteriawall/control/outcomes.py
@@ -19,6 +19,7 @@
     "PatchIdReused",
     "PatchOutcome",
     "Recorded",
+    "TableBaseReplaced",
     "TableConflict",
     "TableInForce",
 ]
@@ -107,6 +108,13 @@
     number: int
 
 
+@final
+class TableBaseReplaced(msgspec.Struct, frozen=True, tag="table-base"):
+    """The table that the change was made for is not `number`, in force now."""
+
+    number: int
+
+
 PatchOutcome = ConfigChanged | ConfigStale | ConfigInvalid | PatchIdReused
 Outcome = (
     PatchOutcome
@@ -114,6 +122,7 @@
     | OrderIssued
     | TableInForce
     | TableConflict
+    | TableBaseReplaced
     | OrderRefused
     | Recorded
     | Dropped
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -124,6 +124,16 @@
                 call_id=pending.call_id, outcome=outcome, until_ms=until_ms
             )
         )
+    elif (
+        isinstance(outcome, outcomes.TableBaseReplaced)
+        and pending.request is not None
+    ):
+        yield from _submit_write(
+            control,
+            events.CallReceived(
+                pending.call_id, pending.request, control.now_ms, command.at_ms
+            ),
+        )
     elif isinstance(command, commands.RecordMembershipChange):
         members = list(control.raft.members)
         yield events.Answer(pending.call_id, events.ReplicasReply(members))
@@ -235,7 +245,7 @@
         reply = redirect.to_leader(control.raft)
         yield events.Answer(event.call_id, reply)
         return
-    command = writes.command_for(event.request, event.wall_ms)
+    command = writes.command_for(control.ledger, event.request, event.wall_ms)
     size = len(commands.encode(command))
     if size > raft_lib.MAX_COMMAND_BYTES:
         reason = (
@@ -246,7 +256,7 @@
         return
     index = control.raft.last_index + 1
     control.pending_call_by_index[index] = replica_state.PendingCall(
-        call_id=event.call_id, term=control.raft.term
+        call_id=event.call_id, term=control.raft.term, request=event.request
     )
     yield from _submit_command(control, command, event.now_ms)
 
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -19,10 +19,15 @@
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PendingCall:
-    """A call to be answered once its log entry, of term `term`, is applied."""
+    """A call to be answered once its log entry, of term `term`, is applied.
+
+    `request` is the write that the entry's command was made for, None for a
+    change of the membership.
+    """
 
     call_id: int
     term: int
+    request: events.Request | None = None
 
 
 @final
--- a/src/wisteriawall/control/tables.py
+++ b/src/wisteriawall/control/tables.py
@@ -4,15 +4,76 @@
 
 import msgspec
 
+from wisteriawall.config import route_table
+from wisteriawall.config import table_change
+from wisteriawall.config import text_change
 from wisteriawall.control import commands
+from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import state
 
-__all__ = ["publish"]
+__all__ = ["change", "command_for", "publish"]
 
 DIGEST_BYTES = 16
 
 
+def command_for(
+    ledger: state.Ledger, request: events.PublishRequest, wall_ms: int
+) -> commands.ChangeTable:
+    """Return the command that publishes a table, as a change of the current.
+
+    Its size depends on what changes, not on the size of the table.
+    """
+    current = ledger.published
+    base_number = current.table.number if current else 0
+    table_difference = source_difference = b""
+    if request.table.number > base_number:
+        table_difference = table_change.encode(
+            table_change.difference(
+                current.table if current else None, request.table
+            )
+        )
+        source_difference = text_change.difference(
+            current.source if current else b"", request.source
+        )
+    return commands.ChangeTable(
+        number=request.table.number,
+        base_number=base_number,
+        digest=_table_digest(request.table),
+        table_change=table_difference,
+        source_change=source_difference,
+        operator=request.operator,
+        at_ms=wall_ms,
+    )
+
+
+def change(
+    ledger: state.Ledger, command: commands.ChangeTable
+) -> (
+    outcomes.TableInForce | outcomes.TableConflict | outcomes.TableBaseReplaced
+):
+    """Put a changed table in force, with the same rules as `publish`.
+
+    Nothing is changed if another table replaced the base since the command was
+    made.
+    """
+    current = ledger.published
+    current_number = current.table.number if current else 0
+    if current is not None and command.number <= current_number:
+        return _keep(current, command.number, command.digest)
+    if command.base_number != current_number:
+        return outcomes.TableBaseReplaced(current_number)
+    table = table_change.apply(
+        current.table if current else None,
+        table_change.decode(command.table_change),
+    )
+    source = text_change.apply(
+        current.source if current else b"", command.source_change
+    )
+    ledger.published = state.PublishedTable(table, source, command.digest)
+    return outcomes.TableInForce(command.number, changed=True)
+
+
 def publish(
     ledger: state.Ledger, command: commands.PublishTable
 ) -> outcomes.TableInForce | outcomes.TableConflict:
@@ -21,21 +82,25 @@
     A lower number changes nothing, and neither does the current table sent
     again. A different table under the current number is refused.
     """
-    digest = _table_digest(command)
+    digest = _table_digest(command.table)
     current = ledger.published
-    if current is None or command.table.number > current.table.number:
-        ledger.published = state.PublishedTable(
-            command.table, command.source, digest
-        )
-        return outcomes.TableInForce(command.table.number, changed=True)
-    if (
-        command.table.number == current.table.number
-        and digest != current.digest
-    ):
-        return outcomes.TableConflict(current.table.number)
+    if current is not None and command.table.number <= current.table.number:
+        return _keep(current, command.table.number, digest)
+    ledger.published = state.PublishedTable(
+        command.table, command.source, digest
+    )
+    return outcomes.TableInForce(command.table.number, changed=True)
+
+
+def _keep(
+    current: state.PublishedTable, number: int, digest: bytes
+) -> outcomes.TableInForce | outcomes.TableConflict:
+    """Return the outcome of a publication under a number that is not newer."""
+    if number == current.table.number and digest != current.digest:
+        return outcomes.TableConflict(number)
     return outcomes.TableInForce(current.table.number, changed=False)
 
 
-def _table_digest(command: commands.PublishTable) -> bytes:
-    encoded = msgspec.msgpack.encode(command.table)
+def _table_digest(table: route_table.RouteTable) -> bytes:
+    encoded = msgspec.msgpack.encode(table)
     return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
--- a/src/wisteriawall/control/writes.py
+++ b/src/wisteriawall/control/writes.py
@@ -3,15 +3,20 @@
 from wisteriawall.control import commands
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
+from wisteriawall.control import state
+from wisteriawall.control import tables
 from wisteriawall.wire import control_messages
 
 __all__ = ["command_for", "reply_for"]
 
 
-def command_for(request: events.Request, wall_ms: int) -> commands.Command:
+def command_for(
+    ledger: state.Ledger, request: events.Request, wall_ms: int
+) -> commands.Command:
     """Return the command that carries out a write request.
 
     Args:
+        ledger: State to which the changes of a routing table refer.
         request: Request that changes the ledger.
         wall_ms: Unix time at the leader, which becomes part of the command.
     """
@@ -20,8 +25,8 @@
             return commands.PatchConfig(
                 patch_id, operator, base_number, change, wall_ms
             )
-        case events.PublishRequest(operator, table, source):
-            return commands.PublishTable(table, source, operator, wall_ms)
+        case events.PublishRequest():
+            return tables.command_for(ledger, request, wall_ms)
         case events.DrainRequest(operator, runner, undo):
             return commands.SetDrain(runner, not undo, operator, wall_ms)
         case control_messages.ClaimRequest():
@@ -73,7 +78,7 @@
             | outcomes.PatchIdReused()
         ):
             return events.PatchReply(outcome, 0, 0)
-        case commands.PublishTable(), (
+        case commands.ChangeTable(), (
             outcomes.TableInForce() | outcomes.TableConflict()
         ):
             return events.PublishReply(outcome)
