Fetch changes of the routing table, mostly from other gateways

The leader sent the whole table to every gateway with the answer to its poll: 26 times 500 KB at 2,820 routes, over a second of its link. Calls timed out after 1 s, the gateway asked another replica and then the leader again, and the same bytes were sent once more.

The answer to a poll now names a source, and the gateway fetches the difference from the table that it has, compressed, in parts of 16 KiB, each asked for when the part before it has arrived. The leader serves four at a time and only until gateways have the change; those serve two at a time. A gateway whose fetch failed fetches from the leader. Gateways of an older version still get the whole table.

--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -292,6 +292,7 @@
     | control_messages.SettleRequest
     | control_messages.OrderReport
     | gateway_messages.FollowRequest
+    | gateway_messages.TablePartRequest
     | gateway_messages.JoinRequest
     | PatchRequest
     | PublishRequest
--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -4,13 +4,23 @@
 from typing import final
 import zlib
 
+import msgspec
+
+from wisteriawall.config import table_history
 from wisteriawall.control import events
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import redirect
 from wisteriawall.control import state
+from wisteriawall.control import table_sources as table_sources_lib
 from wisteriawall.wire import gateway_messages
 
-__all__ = ["GatewayUpdates", "accept_upstreams", "follow"]
+__all__ = [
+    "GatewayUpdates",
+    "accept_upstreams",
+    "follow",
+    "keep_table",
+    "read_table_part",
+]
 
 # Gateways send requests several times a second.
 GATEWAY_TIMEOUT_MS = 3_000
@@ -34,7 +44,8 @@
 
     `upstreams` is the list of runners that this replica last read, None until
     it has read one as leader. `peers_version` is 0 until the version of the
-    list of gateways is computed.
+    list of gateways is computed. `tables` are the tables that this replica
+    applied, and `table_sources` says which gateways have the newest.
     """
 
     upstreams: gateway_messages.UpstreamList | None = None
@@ -42,6 +53,33 @@
         default_factory=dict
     )
     peers_version: int = 0
+    tables: table_history.TableHistory = dataclasses.field(
+        default_factory=table_history.TableHistory
+    )
+    table_sources: table_sources_lib.TableSources = dataclasses.field(
+        default_factory=table_sources_lib.TableSources
+    )
+
+
+def keep_table(updates: GatewayUpdates, ledger: state.Ledger) -> None:
+    """Keep the table in force, to send gateways changes of it."""
+    if ledger.published is not None:
+        updates.tables.add(ledger.published.table)
+
+
+def read_table_part(
+    updates: GatewayUpdates, request: gateway_messages.TablePartRequest
+) -> events.Reply:
+    """Return a part of a change of the routing table.
+
+    Any replica that has the table answers. The change is that from an empty
+    table if the base is not kept.
+    """
+    tables = updates.tables
+    if not tables.has(request.base_number):
+        request = msgspec.structs.replace(request, base_number=0)
+    encoded = tables.encoded_change(request.base_number, request.number)
+    return gateway_messages.table_part(request, encoded)
 
 
 def accept_upstreams(
@@ -76,9 +114,17 @@
     if not raft.holds_lease(now_ms):
         return redirect.to_leader(raft)
     _record_gateway(updates, request, now_ms)
+    keep_table(updates, ledger)
     published = ledger.published
     number = published.table.number if published else 0
     lacks_table = published is not None and request.table_number < number
+    own_address = _own_address(raft)
+    can_fetch = bool(request.table_address and own_address)
+    table_source = ""
+    if can_fetch:
+        table_source = _find_table_source(
+            updates, request, number, own_address, now_ms
+        )
     upstreams = updates.upstreams
     if upstreams is not None and upstreams.reader_term != raft.term:
         # This replica read the list in an earlier term as leader, so it may be
@@ -90,7 +136,9 @@
     return gateway_messages.Followed(
         age_ms=now_ms - raft.quorum_acknowledged_ms(now_ms),
         table_number=number,
-        table=published.table if published and lacks_table else None,
+        table=published.table
+        if published and lacks_table and not can_fetch
+        else None,
         upstreams=upstreams,
         # All gateways ask several times a second, so that the list goes only to
         # those that lack it.
@@ -105,9 +153,48 @@
             m.replica: m.rpc_address for m in raft.members if m.rpc_address
         },
         peers_version=peers_version,
+        table_source=table_source,
     )
 
 
+def _own_address(raft: raft_lib.Raft) -> str:
+    return next(
+        (m.rpc_address for m in raft.members if m.replica == raft.replica), ""
+    )
+
+
+def _find_table_source(
+    updates: GatewayUpdates,
+    request: gateway_messages.FollowRequest,
+    number: int,
+    own_address: str,
+    now_ms: int,
+) -> str:
+    """Return where the gateway fetches the table `number`, or an empty string.
+
+    It is empty if the gateway has the table, or if all sources are busy.
+    """
+    sources = updates.table_sources
+    if request.table_number < number:
+        address = sources.assign(
+            request.gateway,
+            number=number,
+            has_failed=request.table_fetch_failed,
+            now_ms=now_ms,
+        )
+        return "" if address is None else address or own_address
+    if request.stopping:
+        sources.remove(request.gateway)
+    elif request.table_number == number:
+        sources.record_holder(
+            request.gateway,
+            address=request.table_address,
+            number=number,
+            now_ms=now_ms,
+        )
+    return ""
+
+
 def _peers_version(updates: GatewayUpdates) -> int:
     """Return a number that differs for different lists of gateways, never 0."""
     if not updates.peers_version:
@@ -144,4 +231,5 @@
     for name, gateway in list(updates.gateway_by_name.items()):
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
             del updates.gateway_by_name[name]
+            updates.table_sources.remove(name)
             updates.peers_version = 0
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -111,6 +111,7 @@
     outcome = ledger_lib.apply(
         control.ledger, index=entry.index, term=entry.term, command=command
     )
+    gateway_updates_lib.keep_table(control.gateway_updates, control.ledger)
     pending = control.pending_call_by_index.pop(entry.index, None)
     if pending is None:
         return
@@ -225,6 +226,10 @@
                 follow,
                 event.now_ms,
             )
+        case gateway_messages.TablePartRequest() as part:
+            reply = gateway_updates_lib.read_table_part(
+                control.gateway_updates, part
+            )
         case gateway_messages.JoinRequest() as join:
             yield from _handle_join_request(control, join, event)
             return
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -18,6 +18,7 @@
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import run as run_lib
 from wisteriawall.gateway import state as state_lib
+from wisteriawall.gateway import table_relay
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
@@ -35,8 +36,8 @@
 # Interval at which control is polled. A published routing table must be in use
 # within 2 s.
 CONTROL_POLL_S = 0.35
-# Polling interval while control is unreachable, or while the routing table or
-# the list of runners is missing.
+# Polling interval while control is unreachable, or while the newest routing
+# table or the list of runners is missing.
 INCOMPLETE_POLL_S = 0.1
 # Requests that arrive before the routing table and the list of runners wait for
 # them at most this long. After a loss of power all gateways start at once, and
@@ -65,7 +66,8 @@
     """Name, location and addresses of a gateway.
 
     `listen_address` serves callers, `ready_address` the balancer's readiness
-    checks, and `load_address` receives load datagrams of other gateways.
+    checks, `load_address` receives load datagrams of other gateways, and
+    `table_address` serves them routing tables.
     `incarnation` differs between runs of the process under one name.
     """
 
@@ -75,6 +77,7 @@
     listen_address: str
     ready_address: str
     load_address: str
+    table_address: str
 
 
 @final
@@ -133,6 +136,12 @@
             codec=codec,
             receive=self._apply_peer_load,
         )
+        self._relay = table_relay.TableRelay(
+            address=identity.table_address, key=key, sender=sender
+        )
+        self._table_fetch_failed = False
+        self._newest_table = 0
+        self._announced_table = 0
         self._lock = threading.Lock()
         self._gateway = state_lib.Gateway(
             name=identity.name,
@@ -175,6 +184,7 @@
     def start(self) -> None:
         """Start polling control and serving callers."""
         self._peer_load.start()
+        self._relay.start()
         self._thread.start()
         self._ready.start()
         self._http.start()
@@ -214,6 +224,7 @@
             closed.result()
         self._stopping.set()
         self._peer_load.close()
+        self._relay.close()
         self._control.close()
         self._thread.join(timeout=POLL_END_TIMEOUT_S)
         self._pool.close()
@@ -423,7 +434,10 @@
             gateway.list_version,
             self._draining,
             self._peers_version,
+            self._relay.address,
+            self._table_fetch_failed,
         )
+        self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
         try:
             reply = self._control.call(follow)
@@ -445,7 +459,13 @@
     def _poll_interval_s(self) -> float:
         """Return the time to the next poll, shorter while data is missing."""
         gateway = self._gateway
-        complete = gateway.route_index is not None and gateway.upstream_by_id
+        if self._connected and gateway.table_number > self._announced_table:
+            # Other gateways can fetch the table here once control knows.
+            return 0.0
+        complete = (
+            gateway.table_number >= max(1, self._newest_table)
+            and gateway.upstream_by_id
+        )
         return (
             CONTROL_POLL_S
             if self._connected and complete
@@ -461,9 +481,11 @@
             self._peer_count = len(reply.peers)
         if reply.rpc_address_by_replica:
             self._control.set_replicas(reply.rpc_address_by_replica)
+        self._newest_table = reply.table_number
+        table = reply.table or self._fetch_table(reply)
         now_ms = clock.monotonic_ms()
         update = events.ControlUpdate(
-            table=reply.table,
+            table=table,
             upstreams=reply.upstreams,
             gateway_count=self._peer_count + 1,
             now_ms=now_ms,
@@ -472,7 +494,9 @@
             took_ms=now_ms - called_ms,
         )
         self._submit(update)
-        if reply.table is None and reply.upstreams is None:
+        if table is not None:
+            self._relay.add(table)
+        if table is None and reply.upstreams is None:
             return
         if self._gateway.route_index is not None and (
             self._gateway.upstream_by_id
@@ -482,6 +506,32 @@
             {u.address for u in self._gateway.upstream_by_id.values()}
         )
 
+    def _fetch_table(
+        self, reply: gateway_messages.Followed
+    ) -> route_table.RouteTable | None:
+        """Return the table that this gateway lacks, None if there is none."""
+        self._table_fetch_failed = False
+        index = self._gateway.route_index
+        if not reply.table_source:
+            return None
+        try:
+            return self._relay.fetch(
+                reply.table_source,
+                index.table if index else None,
+                reply.table_number,
+            )
+        except table_relay.FetchFailed as error:
+            self._table_fetch_failed = True
+            self._log.write(
+                "table-fetch-failed",
+                inputs={
+                    "number": reply.table_number,
+                    "source": reply.table_source,
+                    "reason": str(error),
+                },
+            )
+            return None
+
     def _record_connection(self, connected: bool, reason: str) -> None:
         if connected is self._connected:
             return
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -27,6 +27,7 @@
                 listen_address=settings.listen_addresses.frontend,
                 ready_address=settings.listen_addresses.ready,
                 load_address=settings.load_address,
+                table_address=settings.table_address,
             ),
             control_address_by_replica=settings.seed_rpc_by_replica(),
             key=key,
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -18,6 +18,7 @@
 PEER_PORT_OFFSET = 0
 RPC_PORT_OFFSET = 1
 LOAD_PORT_OFFSET = 2
+TABLE_PORT_OFFSET = 3
 
 
 @final
@@ -81,6 +82,11 @@
         """Return the address that receives load datagrams of gateways."""
         return self._internal_address(self.ip_address, LOAD_PORT_OFFSET)
 
+    @property
+    def table_address(self) -> str:
+        """Return the address that serves routing tables to gateways."""
+        return self._internal_address(self.ip_address, TABLE_PORT_OFFSET)
+
     @property
     def grace_ms(self) -> int:
         """Return the milliseconds between SIGTERM and SIGKILL."""
--- a/src/wisteriawall/wire/control_messages.py
+++ b/src/wisteriawall/wire/control_messages.py
@@ -196,6 +196,7 @@
     | SettleRequest
     | OrderReport
     | gateway_messages.FollowRequest
+    | gateway_messages.TablePartRequest
     | gateway_messages.JoinRequest
 )
 ControlReply = (
@@ -205,5 +206,7 @@
     | OrderReportReply
     | NotLeader
     | gateway_messages.Followed
+    | gateway_messages.TablePart
+    | gateway_messages.TableNotKept
     | gateway_messages.JoinReply
 )
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -21,10 +21,17 @@
     "LoadEventBatch",
     "LoadEventKind",
     "Stage",
+    "TableNotKept",
+    "TablePart",
+    "TablePartRequest",
     "Upstream",
     "UpstreamList",
+    "table_part",
 ]
 
+# Small, so that heartbeats and requests wait little behind a part.
+TABLE_PART_BYTES = 16 * 1024
+
 
 @final
 class Stage(enum.StrEnum):
@@ -94,7 +101,10 @@
     `table_number` and `list_version` identify the newest routing table and the
     newest upstream list that it has, 0 and (0, 0) when it has none. `stopping`
     says that a planned stop has begun. `peers_version` identifies the list of
-    gateways that it has, 0 when it has none.
+    gateways that it has, 0 when it has none. `table_address` is the RPC address
+    at which the gateway serves its routing tables; it is empty at a gateway of
+    an older version, which gets the whole table with the answer.
+    `table_fetch_failed` says that the last fetch of a table failed.
     """
 
     gateway: str
@@ -104,6 +114,8 @@
     list_version: tuple[int, int]
     stopping: bool = False
     peers_version: int = 0
+    table_address: str = ""
+    table_fetch_failed: bool = False
 
 
 @final
@@ -112,9 +124,10 @@
 
     The state in the answer was confirmed current at most `age_ms` before it
     was sent. `table` and `upstreams` are None when the gateway already has the
-    newest. `peers` are the other live gateways, None if the gateway already has
-    the list `peers_version`. `rpc_address_by_replica` lists every control
-    replica.
+    newest. A gateway that lacks the table `table_number` fetches it at
+    `table_source`; if that is empty, the gateway asks again soon. `peers` are
+    the other live gateways, None if the gateway already has the list
+    `peers_version`. `rpc_address_by_replica` lists every control replica.
     """
 
     age_ms: int
@@ -124,6 +137,57 @@
     peers: list[GatewayPeer] | None
     rpc_address_by_replica: dict[str, str]
     peers_version: int = 0
+    table_source: str = ""
+
+
+@final
+class TablePartRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="table-part"
+):
+    """Request for a part of the encoded change from one table to another.
+
+    A `base_number` of 0 stands for an empty table. `offset` is the position of
+    the part's first byte.
+    """
+
+    base_number: int
+    number: int
+    offset: int
+
+
+@final
+class TablePart(
+    msgspec.Struct, frozen=True, array_like=True, tag="table-part-is"
+):
+    """Part of an encoded change, which has `total_bytes`.
+
+    `base_number` is 0 if the sender does not have the base that was requested.
+    """
+
+    base_number: int
+    total_bytes: int
+    data: bytes
+
+
+@final
+class TableNotKept(
+    msgspec.Struct, frozen=True, array_like=True, tag="table-not-kept"
+):
+    """Answer that the sender can't make the change that was requested."""
+
+
+def table_part(
+    request: TablePartRequest, encoded: bytes | None
+) -> TablePart | TableNotKept:
+    """Return the requested part of an encoded change, None if there is none."""
+    if encoded is None:
+        return TableNotKept()
+    offset = max(0, request.offset)
+    return TablePart(
+        request.base_number,
+        len(encoded),
+        encoded[offset : offset + TABLE_PART_BYTES],
+    )
 
 
 @final
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -79,7 +79,9 @@
     """Answers requests that arrive at one address.
 
     Args:
-        address: Host and port to listen on, such as `127.0.0.1:7000`.
+        address: Host and port to listen on, such as `127.0.0.1:7000`; port 0
+            lets the operating system choose a free port. The attribute
+            `address` has the chosen one.
         handler: Returns the answer to a request, or None to send none. It is
             called from several threads.
         threads: Number of requests that are handled at the same time.
@@ -93,7 +95,8 @@
         threads: int = RPC_THREADS,
     ) -> None:
         self._socket = pynng.Rep0()
-        self._socket.listen(f"tcp://{address}")
+        listener = self._socket.listen(f"tcp://{address}")
+        self.address = str(listener.local_address)
         self._handler = handler
         self._closing = threading.Event()
         self._threads = [
--- a/testing/gateway/test_table_distribution.py
+++ b/testing/gateway/test_table_distribution.py
@@ -102,6 +102,7 @@
                 listen_address="127.0.0.1:0",
                 ready_address="127.0.0.1:0",
                 load_address="127.0.0.1:0",
+                table_address="127.0.0.1:0",
             ),
             control_address_by_replica={"c1": self._address},
             key=platform_site.KEY,
--- /dev/null
+++ b/testing/gateway/test_table_relay.py
@@ -0,0 +1,64 @@
+"""Tests of tables that gateways fetch from each other."""
+
+from collections.abc import Iterator
+import contextlib
+import json
+
+import pytest
+from support import large_tables
+
+from wisteriawall.config import route_table
+from wisteriawall.demo import cluster
+from wisteriawall.gateway import table_relay
+from wisteriawall.platform import operators
+from wisteriawall.wire import envelope
+
+KEY = b"k" * 32
+
+
+def table(number: int, routes: int) -> route_table.RouteTable:
+    """Return a table."""
+    document = large_tables.document(number, routes=routes)
+    return operators.decode_table(json.dumps(document).encode())
+
+
+@contextlib.contextmanager
+def relay(key: bytes = KEY) -> Iterator[table_relay.TableRelay]:
+    """Yield a running relay."""
+    running = table_relay.TableRelay(
+        address="127.0.0.1:0", key=key, sender=envelope.Sender("g", 1)
+    )
+    running.start()
+    try:
+        yield running
+    finally:
+        running.close()
+
+
+@pytest.mark.parametrize(
+    "known", [pytest.param(None, id="none"), pytest.param(1, id="base")]
+)
+def test_table_is_fetched_in_parts(known: int | None) -> None:
+    tables = {1: table(1, 20), 2: table(2, 2_000)}
+    with relay() as source, relay() as target:
+        for kept in tables.values():
+            source.add(kept)
+        base = tables[known] if known else None
+        assert target.fetch(source.address, base, 2) == tables[2]
+
+
+@pytest.mark.parametrize(
+    "case", ["other base", "other table", "other key", "nobody listens"]
+)
+def test_fetch_fails(case: str) -> None:
+    key = b"other" if case == "other key" else KEY
+    with relay(key) as source, relay() as target:
+        source.add(table(1, 20))
+        source.add(table(2, 21))
+        address = source.address
+        if case == "nobody listens":
+            address = cluster.unused_loopback_address()
+        base = table(9 if case == "other base" else 1, 20)
+        number = 3 if case == "other table" else 2
+        with pytest.raises(table_relay.FetchFailed):
+            target.fetch(address, base, number)
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -359,6 +359,7 @@
                 listen_address="127.0.0.1:0",
                 ready_address="127.0.0.1:0",
                 load_address="127.0.0.1:0",
+                table_address="127.0.0.1:0",
             ),
             control_address_by_replica={"c1": rpc},
             key=KEY,
