Bound the size of a runner's answer

Bytes without end in an answer were read until the request's deadline: a head of interim responses or a body to be delivered whole, with all its bytes in memory, a chunk size, a trailer or an event as one line of any length. A rejection with an endless body held the request that another runner could have served.

Reads of a head fail after 128 KiB, of a line without a size after 64 KiB, of a chunk after 256 KiB; a body that is delivered whole has 4 MiB at most and an event of a stream 1 MiB. The rest of an answer that is not needed is read for 200 ms and 64 KiB at most. Beyond, the connection is closed.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -30,6 +30,11 @@
 Head: TypeAlias = urllib3.BaseHTTPResponse
 
 MS_PER_S = 1_000
+# A whole answer is held in memory until it is complete.
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Reading the rest of an answer costs more than a new connection beyond these.
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_TIMEOUT_MS = 200
 SUCCESS_STATUSES = range(200, 300)
 # By these a caller takes its request for not run. 421 of a runner always means
 # that, the others only beside its own statement.
@@ -314,14 +319,14 @@
 
     def _discard_body(self, exchange: http_exchange.HttpExchange) -> None:
         """Read the rest of an answer, so that its connection can be reused."""
-        for _ in exchange.body_chunks():
-            pass
-        exchange.release()
+        exchange.discard_body(
+            max_bytes=MAX_DISCARDED_BYTES, timeout_ms=DISCARD_TIMEOUT_MS
+        )
 
     def _finish_prefill(
         self, exchange: http_exchange.HttpExchange, answer: protocol.AnswerHead
     ) -> list[events.Effect]:
-        body = b"".join(exchange.body_chunks())
+        body = b"".join(exchange.body_chunks(max_bytes=MAX_BUFFERED_BYTES))
         exchange.release()
         prefill = (
             self._dialect.parse_prefill_answer(body)
@@ -364,18 +369,23 @@
         A resumable stream yields complete events only, so that another runner
         can continue after the last one. What follows the last event of a
         complete answer is yielded too.
+
+        Raises:
+            http_exchange.Broken: The stream broke off, or is none of events.
         """
-        if not self._request.is_resumable:
-            yield from exchange.body_chunks()
-            return
+        is_resumable = self._request.is_resumable
         self._scanner.discard_incomplete()
         for chunk in exchange.body_chunks():
-            complete = self._scanner.feed(chunk)
-            if complete:
+            try:
+                complete = self._scanner.feed(chunk)
+            except stream.EventTooLong as error:
+                raise http_exchange.Broken(str(error)) from error
+            if not is_resumable:
+                yield chunk
+            elif complete:
                 yield complete
-        incomplete = self._scanner.incomplete
-        if incomplete:
-            yield incomplete
+        if is_resumable and self._scanner.incomplete:
+            yield self._scanner.incomplete
 
     def _relay_buffered(
         self,
@@ -389,7 +399,7 @@
         or the request may be repeated. It is sent only if the reducer decides
         to deliver it.
         """
-        body = b"".join(exchange.body_chunks())
+        body = b"".join(exchange.body_chunks(max_bytes=MAX_BUFFERED_BYTES))
         exchange.release()
         if self._head_sent:
             self._abort(
--- a/src/wisteriawall/gateway/stream.py
+++ b/src/wisteriawall/gateway/stream.py
@@ -2,10 +2,18 @@
 
 from typing import final
 
-__all__ = ["EventScanner"]
+from wisteriawall import errors
+
+__all__ = ["EventScanner", "EventTooLong"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+@final
+class EventTooLong(errors.WisteriawallError):
+    """An event has no end within `MAX_EVENT_BYTES`."""
 
 
 @final
@@ -35,10 +43,16 @@
         self._pending = b""
 
     def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk; return the bytes of all events that are now complete."""
+        """Add a chunk; return the bytes of all events that are now complete.
+
+        Raises:
+            EventTooLong: The last event has become too long.
+        """
         data = self._pending + chunk
         end = data.rfind(EVENT_END)
         if end < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise EventTooLong(f"an event of over {MAX_EVENT_BYTES} bytes")
             self._pending = data
             return b""
         complete, self._pending = (
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -10,6 +10,7 @@
 import urllib3
 import urllib3.util
 
+from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.web import connection_pool
 from wisteriawall.web import runner_connection
@@ -17,6 +18,8 @@
 __all__ = ["Broken", "HttpExchange", "Unreachable"]
 
 CHUNK_BYTES = 64 * 1024
+# Bytes read for one chunk, with chunk sizes and trailers.
+MAX_READ_BYTES = 256 * 1024
 MS_PER_S = 1_000
 # A connection is reused only up to this long before the peer's keep-alive
 # timeout, so that the peer does not close it just as it is used.
@@ -135,29 +138,66 @@
             raise _broken_error(error) from error
         return self._response
 
-    def body_chunks(self) -> Iterator[bytes]:
+    def body_chunks(self, *, max_bytes: int | None = None) -> Iterator[bytes]:
         """Yield the response body as it arrives.
 
+        Args:
+            max_bytes: Maximum size of the body; None for no limit.
+
         Raises:
-            Broken: The body ended early.
+            Broken: The body ended early, is too large, or has chunk sizes or
+                trailers that don't end.
         """
         assert self._response is not None
+        total_bytes = 0
+        chunks = self._raw_chunks()
         try:
-            if getattr(self._response, "chunked", False):
-                yield from self._response.stream(
-                    CHUNK_BYTES, decode_content=False
-                )
-            else:
-                while data := self._response.read1(
-                    CHUNK_BYTES, decode_content=False
-                ):
-                    yield data
+            while data := self._next_chunk(chunks):
+                total_bytes += len(data)
+                if max_bytes is not None and total_bytes > max_bytes:
+                    raise Broken(f"a body of over {max_bytes} bytes")
+                yield data
         except runner_connection.EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
         if self._cancelled:
             # To a response without a length, the shutdown looks like its end.
             raise Broken("cancelled")
 
+    def _raw_chunks(self) -> Iterator[bytes]:
+        assert self._response is not None
+        if getattr(self._response, "chunked", False):
+            yield from self._response.stream(CHUNK_BYTES, decode_content=False)
+            return
+        while data := self._response.read1(CHUNK_BYTES, decode_content=False):
+            yield data
+
+    def _next_chunk(self, chunks: Iterator[bytes]) -> bytes:
+        """Return the next chunk, empty at the end."""
+        connection = self._connection
+        if connection is not None:
+            connection.limit_reads(MAX_READ_BYTES)
+        return next(chunks, b"")
+
+    def discard_body(self, *, max_bytes: int, timeout_ms: int) -> None:
+        """Read the rest of the response, so that its connection can be reused.
+
+        The connection is closed if the rest is too large, late or malformed.
+        """
+        connection = self._connection
+        if connection is None:
+            return
+        until_ms = clock.monotonic_ms() + timeout_ms
+        connection.deadline_at_ms = min(
+            connection.deadline_at_ms or until_ms, until_ms
+        )
+        try:
+            for _ in self.body_chunks(max_bytes=max_bytes):
+                pass
+        except Broken:
+            self.close()
+        else:
+            self.release()
+
     def release(self) -> None:
         """Return the connection to the pool after the complete response.
 
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -21,6 +21,7 @@
 __all__ = [
     "EXCHANGE_ERRORS",
     "AnswerId",
+    "ResponseTooLong",
     "RunnerConnection",
     "UnidentifiedResponse",
 ]
@@ -34,6 +35,9 @@
     OSError,
     ValueError,
 )
+MAX_HEAD_BYTES = 128 * 1024
+# A chunk size with its extensions, or a trailer.
+MAX_LINE_BYTES = 64 * 1024
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 # A late head without its body takes the next response for that body.
@@ -54,6 +58,11 @@
     """A response can't be matched to a request of its connection."""
 
 
+@final
+class ResponseTooLong(http.client.HTTPException):
+    """A response, or a part of it, does not end within its limit."""
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AnswerId:
@@ -81,6 +90,7 @@
     id that the next response must have; with None, any response is taken for
     the next one. Reads fail within `MAX_OVERRUN_MS` after `deadline_at_ms`, on
     the monotonic clock; with None, the socket's own timeout holds for each.
+    Reads fail too when a head is longer than `MAX_HEAD_BYTES`.
     """
 
     request_count = 0
@@ -104,6 +114,10 @@
     def deadline_at_ms(self, deadline_at_ms: int | None) -> None:
         self._raw_reader.deadline_at_ms = deadline_at_ms
 
+    def limit_reads(self, max_bytes: int | None) -> None:
+        """Let reads fail after so many more bytes; with None, never."""
+        self._raw_reader.remaining_bytes = max_bytes
+
     def request(self, *args: Any, **options: Any) -> None:
         """Send a request; arguments and errors are those of urllib3."""
         self.request_count += 1
@@ -119,6 +133,7 @@
             return False
         try:
             self.deadline_at_ms = None
+            self.limit_reads(None)
             self.sock.settimeout(0)
             has_more = bool(self._reader.peek(1))
         except OSError:
@@ -142,6 +157,7 @@
                 _as_socket(self._reader), debuglevel, method
             )
             self._raw_reader.end_is_error = False
+            self.limit_reads(MAX_HEAD_BYTES)
             self._check_start()
             response.begin()
             if self._raw_reader.at_end:
@@ -154,6 +170,7 @@
             self._raw_reader.end_is_error = (
                 "Transfer-Encoding" in response.headers
             )
+            self.limit_reads(None)
             if self._is_expected(response):
                 # A late response to HEAD has no body, which the next request's
                 # method doesn't tell.
@@ -191,6 +208,7 @@
         self.deadline_at_ms = min(
             deadline_at_ms or skipped_by_ms, skipped_by_ms
         )
+        self.limit_reads(MAX_SKIPPED_BYTES + MAX_LINE_BYTES)
         try:
             _skip_body(response)
         except TimeoutError as error:
@@ -229,7 +247,9 @@
 
 
 class _SocketReader(io.RawIOBase):
-    """Reads a socket, until a deadline if there is one.
+    """Reads a socket, until a deadline or a limit if there is one.
+
+    Reads fail after `remaining_bytes` more bytes, unless that is None.
 
     `at_end` is set once the peer has closed the connection. The read that finds
     this fails if `end_is_error` is set, since http.client takes a chunk size
@@ -242,6 +262,7 @@
         self.deadline_at_ms: int | None = None
         self.at_end = False
         self.end_is_error = False
+        self.remaining_bytes: int | None = None
 
     def readable(self) -> bool:
         """Return True: this is a reader."""
@@ -253,6 +274,7 @@
         Raises:
             OSError: The connection failed or ended too early, or a timeout
                 passed.
+            ResponseTooLong: More bytes arrived than the limit allows.
         """
         if self.deadline_at_ms is not None:
             self._set_timeout(self.deadline_at_ms)
@@ -263,6 +285,12 @@
         self.at_end = count == 0
         if self.at_end and self.end_is_error:
             raise ConnectionError("the connection ended within a response")
+        if self.remaining_bytes is not None:
+            self.remaining_bytes -= count
+            if self.remaining_bytes < 0:
+                raise ResponseTooLong(
+                    "the response does not end within its limit"
+                )
         return count
 
     def _set_timeout(self, deadline_at_ms: int) -> None:
@@ -282,6 +310,18 @@
         """Return this reader, where http.client opens one of a socket."""
         return self
 
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line; one without a `size` has at most `MAX_LINE_BYTES`.
+
+        urllib3 reads chunk sizes and trailers without a size.
+        """
+        if size is not None and size >= 0:
+            return super().readline(size)
+        line = super().readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise ResponseTooLong(f"a line of over {MAX_LINE_BYTES} bytes")
+        return line
+
     def close(self) -> None:
         """Do nothing: the reader serves all responses of a connection."""
 
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -39,6 +39,8 @@
 SEAL = "X-Wisteriawall-Response-Seal"
 ATTEMPT_ID = "X-Wisteriawall-Attempt-Id"
 HOST = "app.example"
+ENDLESS_PIECE = b"x" * 65_536
+MAX_ENDLESS_PIECES = 1_024
 
 
 def wait_until(condition: Callable[[], bool], what: str) -> None:
@@ -128,6 +130,9 @@
         if expected != self.name:
             _send(connection, "421 Misdirected", "", b"")
             return True
+        if self.behavior.startswith("endless"):
+            self._send_without_end(connection, head)
+            return False
         if self.behavior == "reject":
             head = "X-Wisteriawall-Not-Executed: 1\r\n"
             _send(connection, "503 Service Unavailable", head, b"")
@@ -172,6 +177,24 @@
                 _send(connection, "200 OK", head, b"answer to " + body)
         return True
 
+    def _send_without_end(
+        self, connection: "_RecordedAnswers", head: str
+    ) -> None:
+        """Send bytes until the caller closes, or up to a limit."""
+        start = {
+            "endless-head": "HTTP/1.1 200 OK\r\nA: ",
+            "endless-body": f"HTTP/1.1 200 OK\r\n{head}\r\n",
+            "endless-rejection": (
+                "HTTP/1.1 503 Busy\r\nX-Wisteriawall-Not-Executed: 1\r\n\r\n"
+            ),
+        }[self.behavior]
+        try:
+            connection.sendall(start.encode())
+            for _ in range(MAX_ENDLESS_PIECES):
+                connection.sendall(ENDLESS_PIECE)
+        except OSError:
+            self.disconnected.set()
+
     def _wait_for_close(self, connection: "_RecordedAnswers") -> None:
         connection.wait_for_close()
         self.disconnected.set()
@@ -211,7 +234,8 @@
 
     def sendall(self, data: bytes) -> None:
         """Send a part of the current answer."""
-        self._current += data
+        if data is not ENDLESS_PIECE:
+            self._current += data
         self._connection.sendall(data)
 
     def end(self) -> None:
