Block parts of prompts under which runners crash

Nothing connected a crash with the parts of the requests that it cut off, so retries took the part on.

A gateway tells the others which requests a runner cut off, with their parts except the last and whether their answer had just begun, and at times which parts had complete answers. Each gateway blocks a part that was in two crashes half a second apart, or in three, without a complete answer in between; parts of earlier complete answers need five. Parts that were in the same crashes are blocked together, so that one request that is sent again takes no sound part with it. Requests with them are refused as not run, and not retried. A block lasts one to two minutes, twice as long after each further crash; then one request is let through. The leader of control passes blocks on to gateways that start or lost datagrams.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -1,6 +1,7 @@
 """Updates from the leader to gateways: route table, runners and peers."""
 
 import dataclasses
+import itertools
 from typing import final
 import zlib
 
@@ -24,6 +25,7 @@
 
 # Gateways send requests several times a second.
 GATEWAY_TIMEOUT_MS = 3_000
+MAX_BLOCKED_PARTS = 64
 
 
 @final
@@ -46,6 +48,7 @@
     it has read one as leader. `peers_version` is 0 until the version of the
     list of gateways is computed. `tables` are the tables that this replica
     applied, and `table_sources` says which gateways have the newest.
+    `blocked_until_ms_by_parts` are the parts of prompts that gateways block.
     """
 
     upstreams: gateway_messages.UpstreamList | None = None
@@ -59,6 +62,9 @@
     table_sources: table_sources_lib.TableSources = dataclasses.field(
         default_factory=table_sources_lib.TableSources
     )
+    blocked_until_ms_by_parts: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def keep_table(updates: GatewayUpdates, ledger: state.Ledger) -> None:
@@ -154,9 +160,33 @@
         },
         peers_version=peers_version,
         table_source=table_source,
+        blocked_ms_by_parts=_merge_blocked_parts(updates, request, now_ms),
     )
 
 
+def _merge_blocked_parts(
+    updates: GatewayUpdates,
+    request: gateway_messages.FollowRequest,
+    now_ms: int,
+) -> dict[str, int]:
+    """Return the parts that any gateway blocks, and for how long.
+
+    A gateway that starts, or lost datagrams, learns of them here.
+    """
+    until_ms_by_part = updates.blocked_until_ms_by_parts
+    for part, remaining_ms in request.blocked_ms_by_parts.items():
+        until_ms_by_part.setdefault(part, now_ms + remaining_ms)
+    for part, until_ms in list(until_ms_by_part.items()):
+        if until_ms <= now_ms:
+            del until_ms_by_part[part]
+    return {
+        part: until_ms - now_ms
+        for part, until_ms in itertools.islice(
+            until_ms_by_part.items(), MAX_BLOCKED_PARTS
+        )
+    }
+
+
 def _own_address(raft: raft_lib.Raft) -> str:
     return next(
         (m.rpc_address for m in raft.members if m.replica == raft.replica), ""
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -6,6 +6,7 @@
 id, before the end of the first is noticed.
 """
 
+from collections.abc import Mapping
 import dataclasses
 from typing import TypeAlias
 from typing import final
@@ -96,6 +97,7 @@
         answered: The runner answered with an error that may be passed on.
         status: HTTP status for the caller; 0 selects the default.
         runner_failed: Whether the failure speaks against the runner.
+        cut_off: The runner ended the connection.
     """
 
     request_key: int
@@ -106,6 +108,7 @@
     answered: bool = False
     status: int = 0
     runner_failed: bool = True
+    cut_off: bool = False
 
 
 @final
@@ -173,12 +176,14 @@
 class Ended:
     """The request is over.
 
-    `is_complete` tells whether the caller received the complete answer.
+    `is_complete` tells whether the caller received the complete answer, and
+    `is_success` whether that was no error.
     """
 
     request_key: int
     is_complete: bool
     now_ms: int
+    is_success: bool = False
 
 
 @final
@@ -198,7 +203,8 @@
     `table` and `upstreams` are None if unchanged. `gateway_count` is the number
     of gateways of the deployment. `newest_table` is the number of the table
     that was the newest at `confirmed_ms`, monotonic time, and `took_ms` the
-    duration of the call.
+    duration of the call. `blocked_ms_by_parts` are the sets of prompt parts
+    that other gateways block.
     """
 
     table: route_table.RouteTable | None
@@ -208,6 +214,9 @@
     newest_table: int = 0
     confirmed_ms: int = 0
     took_ms: int = 0
+    blocked_ms_by_parts: Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 Event: TypeAlias = (
--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -7,7 +7,12 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.web import refusal as refusal_lib
 
-__all__ = ["refuse", "refuse_without_runner", "refused_entry"]
+__all__ = [
+    "refuse",
+    "refuse_blocked",
+    "refuse_without_runner",
+    "refused_entry",
+]
 
 
 def refuse(
@@ -47,6 +52,16 @@
     )
 
 
+def refuse_blocked(
+    gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
+) -> Iterator[events.Effect]:
+    """Refuse a request with a part under which runners crash."""
+    blocked_ms = gateway.suspect_parts.blocked_ms(request.shared_parts, now_ms)
+    yield from refuse(
+        gateway, request, refusals.part_blocked(blocked_ms), "part-blocked"
+    )
+
+
 def refuse_without_runner(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> Iterator[events.Effect]:
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -14,6 +14,7 @@
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import loads
+from wisteriawall.gateway import prompt_parts
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
@@ -53,6 +54,9 @@
             gateway, request, refusals.deadline_passed(), "late"
         )
         return
+    if prompt_parts.is_blocked(gateway, request, now_ms):
+        yield from final_answers.refuse_blocked(gateway, request, now_ms)
+        return
     candidates = _candidates(gateway, request, now_ms)
     for upstream in candidates:
         gateway.load_by_id[upstream.upstream_id].drop_expired(now_ms)
@@ -314,6 +318,7 @@
     """
     request.current_send = send
     request.sent_ms = now_ms
+    request.began_ms = 0
     if send.phase is not protocol.Phase.PREFILL:
         request.attempts += 1
     request.tried_upstream_ids.add(send.upstream.upstream_id)
@@ -326,6 +331,7 @@
         send.priority_class,
     )
     loads.apply_step(gateway, load_event, now_ms)
+    yield from prompt_parts.apply_events(gateway, [load_event], now_ms)
     yield events.LogDecision(
         decision="sent",
         request_id=request.request_id,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -13,6 +13,7 @@
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import loads
 from wisteriawall.gateway import placing
+from wisteriawall.gateway import prompt_parts
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
@@ -61,6 +62,7 @@
             yield from _handle_end(gateway, event)
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
             loads.apply_steps(gateway, load_events, now_ms)
+            yield from prompt_parts.apply_events(gateway, load_events, now_ms)
         case events.ControlUpdate():
             yield from _apply_control_update(gateway, event)
 
@@ -101,6 +103,11 @@
         service=_pick_service(gateway.route_index, route, event.request_id),
         arrived_ms=event.now_ms - event.unread_ms,
     )
+    if event.head.prompt is not None:
+        # The last part belongs to this request, or to its session.
+        request.shared_parts = tuple(
+            part for part, _ in event.head.prompt.parts[:-1]
+        )
     if event.head.prompt is not None and request.service.engine is not None:
         request.prompt = _build_prompt(
             event.request_id, route, event.head.prompt
@@ -181,6 +188,9 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
+    if prompt_parts.is_blocked(gateway, request, event.now_ms):
+        yield from final_answers.refuse_blocked(gateway, request, event.now_ms)
+        return
     decoder = gateway.upstream_by_id.get(placement.upstream_id)
     if decoder is None or not placing.may_send(gateway, decoder, event.now_ms):
         decoder = placing.least_loaded_decoder(gateway, request, event.now_ms)
@@ -205,11 +215,10 @@
     gateway: state_lib.Gateway, event: events.AnswerStarted
 ) -> Iterator[events.Effect]:
     request = gateway.request_by_key.get(event.request_key)
-    if (
-        request is None
-        or request.current_send is None
-        or request.answer_started
-    ):
+    if request is None or request.current_send is None:
+        return
+    request.began_ms = event.now_ms
+    if request.answer_started:
         return
     request.answer_started = True
     if request.current_send.phase is protocol.Phase.WHOLE:
@@ -272,6 +281,8 @@
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
     yield from _note_failure(gateway, request, event)
+    if event.cut_off:
+        yield from prompt_parts.report_cut_off(gateway, request, event.now_ms)
     run = event.run
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
@@ -334,6 +345,10 @@
         return
     upstream = request.current_send.upstream
     upstream_id = upstream.upstream_id
+    if event.unreachable:
+        yield from prompt_parts.report_unreachable(
+            gateway, upstream_id, event.now_ms
+        )
     avoidance_ms = gateway.notices.note_failure(
         upstream.start_id, event.now_ms, unreachable=event.unreachable
     )
@@ -365,6 +380,8 @@
         return False
     if request.answer_started and not request.route.resumable:
         return False
+    if prompt_parts.is_blocked(gateway, request, event.now_ms):
+        return False
     not_run = run is refusal_lib.RunState.NOT_RUN
     if not not_run and not request.route.is_repeatable:
         return False
@@ -393,11 +410,16 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
+    if event.is_success:
+        yield from prompt_parts.report_complete_answer(
+            gateway, request, event.now_ms
+        )
 
 
 def _apply_control_update(
     gateway: state_lib.Gateway, event: events.ControlUpdate
 ) -> Iterator[events.LogDecision]:
+    gateway.suspect_parts.add_blocked(event.blocked_ms_by_parts, event.now_ms)
     table = event.table
     if table is not None and table.number > gateway.table_number:
         gateway.route_index = route_table.RouteIndex(table)
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -12,6 +12,7 @@
     "malformed_head",
     "no_runner",
     "overloaded",
+    "part_blocked",
     "phase_failed",
 ]
 
@@ -72,6 +73,16 @@
     )
 
 
+def part_blocked(blocked_ms: int) -> refusal_lib.Refusal:
+    """Return the refusal of a request that would crash another runner."""
+    return refusal_lib.Refusal(
+        status=503,
+        code=refusal_lib.Code.UNAVAILABLE,
+        message="runners crash under a part of this prompt",
+        retry_after_ms=blocked_ms,
+    )
+
+
 def overloaded(
     retry_ms: float, reason: str = "every runner is full"
 ) -> refusal_lib.Refusal:
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -124,6 +124,7 @@
         self._sent_addresses: set[str] = set()
         self._head_sent = False
         self._complete = False
+        self._status = 0
         self._scanner = stream.EventScanner()
         self._chunk_iterator = self._execute_effects()
 
@@ -149,6 +150,7 @@
             request_key=self._request.request_key,
             is_complete=self._complete,
             now_ms=clock.monotonic_ms(),
+            is_success=self._complete and self._status in SUCCESS_STATUSES,
         )
         self._submit(ended)
         self._on_close()
@@ -188,7 +190,10 @@
         except http_exchange.Broken as error:
             status = 504 if error.timed_out else 502
             return self._report_failure(
-                refusal_lib.RunState.UNKNOWN, str(error), status=status
+                refusal_lib.RunState.UNKNOWN,
+                str(error),
+                status=status,
+                cut_off=error.cut_off,
             )
         except ConnectionAbortedError:
             # Raised by `_abort`, to reset the caller's connection.
@@ -444,6 +449,7 @@
         answered: bool = False,
         status: int = 0,
         runner_failed: bool = True,
+        cut_off: bool = False,
     ) -> list[events.Effect]:
         if self._cancelled:
             self._abort("the caller disconnected, or the gateway's stop cut it")
@@ -456,11 +462,13 @@
             answered=answered,
             status=status,
             runner_failed=runner_failed,
+            cut_off=cut_off,
         )
         return self._submit(failed)
 
     def _send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         self._head_sent = True
+        self._status = status
         self._start_response(server_lib.status_line(status), headers)
 
     def _refuse(self, refusal: refusal_lib.Refusal) -> Iterator[bytes]:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -22,6 +22,7 @@
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
+from wisteriawall.policy import suspect_parts
 from wisteriawall.web import connection_pool
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
@@ -143,11 +144,13 @@
         self._newest_table = 0
         self._announced_table = 0
         self._lock = threading.Lock()
+        chance = random.Random(f"{identity.name}/{identity.incarnation}")
         self._gateway = state_lib.Gateway(
             name=identity.name,
             zone=identity.zone,
-            random=random.Random(f"{identity.name}/{identity.incarnation}"),
+            random=chance,
             tuning=tuning,
+            suspect_parts=suspect_parts.SuspectParts(chance),
             retries=retry_window.RetryWindow(
                 window_ms=budget.window_ms,
                 ratio=budget.ratio / 2,
@@ -426,6 +429,10 @@
 
     def _poll_once(self) -> None:
         gateway = self._gateway
+        with self._lock:
+            blocked_ms_by_parts = gateway.suspect_parts.remaining_ms_by_parts(
+                clock.monotonic_ms()
+            )
         follow = gateway_messages.FollowRequest(
             self._identity.name,
             self._identity.incarnation,
@@ -436,6 +443,7 @@
             self._peers_version,
             self._relay.address,
             self._table_fetch_failed,
+            blocked_ms_by_parts,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -492,6 +500,7 @@
             newest_table=reply.table_number,
             confirmed_ms=called_ms - reply.age_ms,
             took_ms=now_ms - called_ms,
+            blocked_ms_by_parts=reply.blocked_ms_by_parts,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -10,6 +10,7 @@
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_notices
+from wisteriawall.policy import suspect_parts as suspect_parts_lib
 from wisteriawall.wire import gateway_messages
 
 __all__ = ["Gateway", "Request", "Tuning"]
@@ -40,7 +41,9 @@
     not be reached are not counted. `tried_upstream_ids` holds every runner to
     which a phase was sent. `answer_started` is set once a runner's answer began
     to arrive. `earlier_wait_ms` is how long the caller waited in attempts
-    before this request, derived from its deadline. Times are on the monotonic
+    before this request, derived from its deadline. `shared_parts` are the parts
+    of the prompt that other requests may have too, and `began_ms` is when the
+    answer to `current_send` began, 0 before. Times are on the monotonic
     clock.
     """
 
@@ -58,6 +61,8 @@
     tried_upstream_ids: set[str] = dataclasses.field(default_factory=set)
     answer_started: bool = False
     earlier_wait_ms: int = 0
+    shared_parts: tuple[str, ...] = ()
+    began_ms: int = 0
 
     @property
     def deadline_at_ms(self) -> int:
@@ -79,6 +84,7 @@
     against sending to them.
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
+    `suspect_parts` are the parts of prompts under which runners crashed.
     `longest_remaining_ms_by_route` holds the longest remaining time that any
     caller of a route had on arrival.
     """
@@ -100,6 +106,9 @@
     notices: runner_notices.RunnerNotices = dataclasses.field(
         default_factory=runner_notices.RunnerNotices
     )
+    suspect_parts: suspect_parts_lib.SuspectParts = dataclasses.field(
+        default_factory=lambda: suspect_parts_lib.SuspectParts(random.Random(0))
+    )
     longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import http.client
 import socket
 import threading
 from typing import final
@@ -43,11 +44,15 @@
     Args:
         message: What failed.
         timed_out: Whether a wait for the response exceeded its timeout.
+        cut_off: Whether the server ended the connection.
     """
 
-    def __init__(self, message: str, *, timed_out: bool = False) -> None:
+    def __init__(
+        self, message: str, *, timed_out: bool = False, cut_off: bool = False
+    ) -> None:
         super().__init__(message)
         self.timed_out = timed_out
+        self.cut_off = cut_off
 
 
 @final
@@ -257,7 +262,22 @@
     timed_out = isinstance(
         error, (TimeoutError, urllib3.exceptions.ReadTimeoutError)
     )
-    return Broken(f"{type(error).__name__}: {error}", timed_out=timed_out)
+    return Broken(
+        f"{type(error).__name__}: {error}",
+        timed_out=timed_out,
+        cut_off=_is_cut_off(error),
+    )
+
+
+def _is_cut_off(error: Exception) -> bool:
+    """Return whether the server ended or reset the connection."""
+    match error:
+        case ConnectionError() | http.client.IncompleteRead():
+            return True
+        case urllib3.exceptions.ProtocolError(args=(_, Exception() as cause)):
+            return _is_cut_off(cause)
+        case _:
+            return False
 
 
 def _keep_alive_ms(response: urllib3.BaseHTTPResponse | None) -> int:
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -105,6 +105,8 @@
     at which the gateway serves its routing tables; it is empty at a gateway of
     an older version, which gets the whole table with the answer.
     `table_fetch_failed` says that the last fetch of a table failed.
+    `blocked_ms_by_parts` are the sets of prompt parts that the gateway blocks,
+    as ids with commas in between.
     """
 
     gateway: str
@@ -116,6 +118,7 @@
     peers_version: int = 0
     table_address: str = ""
     table_fetch_failed: bool = False
+    blocked_ms_by_parts: dict[str, int] = {}
 
 
 @final
@@ -128,6 +131,7 @@
     `table_source`; if that is empty, the gateway asks again soon. `peers` are
     the other live gateways, None if the gateway already has the list
     `peers_version`. `rpc_address_by_replica` lists every control replica.
+    `blocked_ms_by_parts` are the sets of parts that any gateway blocks.
     """
 
     age_ms: int
@@ -138,6 +142,7 @@
     rpc_address_by_replica: dict[str, str]
     peers_version: int = 0
     table_source: str = ""
+    blocked_ms_by_parts: dict[str, int] = {}
 
 
 @final
@@ -227,6 +232,8 @@
     ENDED: The runner no longer works on it.
     FAILED: The runner seems to be down; the sender avoids it.
     LEAVING: The runner announced that it is about to stop.
+    CUT_OFF: The runner ended the connection before the answer was complete.
+    COMPLETED: An answer on these parts was complete.
     """
 
     SENT = "s"
@@ -234,13 +241,18 @@
     ENDED = "e"
     FAILED = "f"
     LEAVING = "l"
+    CUT_OFF = "x"
+    COMPLETED = "c"
 
 
 @final
 class LoadEvent(msgspec.Struct, frozen=True, array_like=True):
     """A change in the load of one runner by one request.
 
-    The fields after `request_id` are set only for `LoadEventKind.SENT`.
+    The fields after `request_id` are set only for `LoadEventKind.SENT`. CUT_OFF
+    and COMPLETED have `parts` too, without the last one of the prompt and
+    without numbers of tokens. `has_begun` says of CUT_OFF that the answer had
+    just begun.
 
     `parts` are the parts of the prompt in order, as id and number of tokens.
     `uncached_tokens` is how many prompt tokens the sender expects not to be in
@@ -253,6 +265,7 @@
     uncached_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
     priority_class: int = 0
+    has_begun: bool = False
 
 
 @final
--- a/testing/control/test_gateway_updates.py
+++ b/testing/control/test_gateway_updates.py
@@ -32,7 +32,12 @@
         self.updates = gateway_updates.GatewayUpdates()
 
     def follow(
-        self, name: str, *, version: int = 0, now_ms: int = 3_000, **more: bool
+        self,
+        name: str,
+        *,
+        version: int = 0,
+        now_ms: int = 3_000,
+        **more: object,
     ) -> gateway_messages.Followed:
         """Return the answer to a gateway that has the list `version`."""
         request = gateway_messages.FollowRequest(
@@ -88,3 +93,12 @@
     expected = ["a", "d"] if change == "added" else []
     assert reply.peers is not None
     assert [peer.name for peer in reply.peers] == expected
+
+
+def test_a_gateway_that_starts_learns_of_blocked_parts() -> None:
+    leader = LeadingReplica()
+    leader.follow("a", blocked_ms_by_parts={"dead": 2_000})
+    assert leader.follow("b").blocked_ms_by_parts == {"dead": 2_000}
+    for now_ms in range(3_000, 5_001, 50):
+        list(raft.tick(leader.raft, now_ms))
+    assert leader.follow("b", now_ms=5_001).blocked_ms_by_parts == {}
--- /dev/null
+++ b/testing/policy/test_suspect_parts.py
@@ -0,0 +1,179 @@
+"""Tests of how parts of prompts become suspect, blocked and sound again."""
+
+import random
+
+import pytest
+
+from wisteriawall.policy import suspect_parts as lib
+
+DEAD = frozenset(["dead"])
+
+
+def make() -> lib.SuspectParts:
+    """Return a record without any crash."""
+    return lib.SuspectParts(random.Random(1))
+
+
+def crash(
+    suspects: lib.SuspectParts,
+    runner: str,
+    now_ms: int,
+    *,
+    begun: tuple[str, ...] = (),
+    waiting: tuple[str, ...] = (),
+) -> list[lib.Parts]:
+    """Cut off a request with the parts `begun`, and one with `waiting`."""
+    blocked = suspects.note_loss(
+        runner, f"w{now_ms}", waiting, has_begun=False, now_ms=now_ms
+    )
+    if begun:
+        blocked += suspects.note_loss(
+            runner, f"b{now_ms}", begun, has_begun=True, now_ms=now_ms
+        )
+    return blocked
+
+
+@pytest.mark.parametrize(
+    ("times_ms", "expected"),
+    [
+        pytest.param([0], [], id="one crash"),
+        pytest.param([0, 100], [], id="two crashes at one moment"),
+        pytest.param([0, 600], [DEAD], id="two crashes"),
+        pytest.param([0, 50, 90], [DEAD], id="three crashes at one moment"),
+        pytest.param([0, 61_000], [], id="two crashes long apart"),
+    ],
+)
+def test_part_is_blocked_after(
+    times_ms: list[int], expected: list[lib.Parts]
+) -> None:
+    suspects = make()
+    blocked: list[lib.Parts] = []
+    for number, now_ms in enumerate(times_ms):
+        blocked = crash(suspects, f"r{number}", now_ms, begun=("dead",))
+    assert blocked == expected
+    last_ms = times_ms[-1]
+    assert bool(suspects.blocked_ms(["dead"], last_ms)) is bool(expected)
+
+
+def test_same_runner_may_crash_more_than_once() -> None:
+    suspects = make()
+    crash(suspects, "r", 0, begun=("dead",))
+    assert crash(suspects, "r", 4_000, begun=("dead",)) == [DEAD]
+
+
+def test_other_parts_of_the_crashing_requests_are_not_blocked() -> None:
+    suspects = make()
+    for number in range(6):
+        now_ms = 1_000 * number
+        suspects.note_answer(["shared"], now_ms)
+        crash(
+            suspects,
+            f"r{number}",
+            now_ms + 500,
+            begun=("shared", "dead"),
+            waiting=("shared", "other"),
+        )
+    assert set(suspects.remaining_ms_by_parts(6_000)) == {"dead"}
+
+
+def test_parts_with_the_same_crashes_are_blocked_together() -> None:
+    """One request that is sent again crashes with all of its parts."""
+    suspects = make()
+    for number in range(2):
+        crash(suspects, f"r{number}", 1_000 * number, begun=("new", "dead"))
+    assert suspects.blocked_ms(["first", "new", "dead"], 1_000)
+    assert not suspects.blocked_ms(["first", "new"], 1_000)
+    assert not suspects.blocked_ms(["first", "dead"], 1_000)
+    assert crash(suspects, "r2", 2_000, begun=("first", "dead")) == [DEAD]
+    assert not suspects.blocked_ms(["first", "new"], 2_000)
+
+
+def test_answer_on_one_part_leaves_the_others_blocked() -> None:
+    suspects = make()
+    for number in range(2):
+        crash(suspects, f"r{number}", 1_000 * number, begun=("new", "dead"))
+    suspects.note_answer(["first", "new"], 1_100)
+    assert suspects.blocked_ms(["first", "dead"], 1_100)
+
+
+def test_part_of_complete_answers_needs_more_crashes() -> None:
+    suspects = make()
+    suspects.note_answer(["sound"], 0)
+    blocked = [
+        crash(suspects, f"r{number}", 1_000 * number, begun=("sound",))
+        for number in range(5)
+    ]
+    assert blocked == [[], [], [], [], [frozenset(["sound"])]]
+
+
+def test_waiting_requests_are_suspect_if_none_had_begun() -> None:
+    suspects = make()
+    crash(suspects, "r1", 0, waiting=("dead",))
+    suspects.note_unreachable("r1", 100)
+    crash(suspects, "r2", 1_000, waiting=("dead",))
+    assert not suspects.blocked_ms(["dead"], 1_000)
+    assert suspects.note_unreachable("r2", 1_100) == [DEAD]
+
+
+def test_lost_answer_without_a_crash_is_no_evidence() -> None:
+    suspects = make()
+    for number in range(9):
+        suspects.note_loss(
+            "r", f"a{number}", ["part"], has_begun=True, now_ms=1_000 * number
+        )
+    assert not suspects.remaining_ms_by_parts(9_000)
+
+
+def blocked_at(now_ms: int) -> lib.SuspectParts:
+    """Return a record in which `dead` is blocked since `now_ms`."""
+    suspects = make()
+    crash(suspects, "r1", now_ms - 600, begun=("dead",))
+    crash(suspects, "r2", now_ms, begun=("dead",))
+    return suspects
+
+
+def test_one_request_is_let_through_after_the_block() -> None:
+    suspects = blocked_at(1_000)
+    end_ms = 1_000 + suspects.blocked_ms(["dead"], 1_000)
+    assert suspects.blocked_ms(["dead"], end_ms - 1) == 1
+    assert not suspects.blocked_ms(["dead"], end_ms)
+    suspects.note_sent(["dead"], end_ms)
+    assert suspects.blocked_ms(["dead"], end_ms) == lib.TRIAL_MS
+    assert crash(suspects, "r3", end_ms + 12_000, begun=("dead",)) == [DEAD]
+    again_ms = suspects.blocked_ms(["dead"], end_ms + 12_000)
+    assert again_ms >= 2 * lib.FIRST_BLOCK_MS
+
+
+@pytest.mark.parametrize("is_own", [True, False])
+def test_complete_answer_ends_a_block(is_own: bool) -> None:
+    suspects = blocked_at(1_000)
+    suspects.note_answer(["dead"], 1_100, is_own=is_own)
+    assert not suspects.blocked_ms(["dead"], 1_100)
+    # Nor does an older word of another gateway block it again.
+    suspects.add_blocked({"dead": 50_000}, 1_200)
+    assert not suspects.blocked_ms(["dead"], 1_200)
+
+
+def test_blocks_of_other_gateways_are_adopted() -> None:
+    suspects = make()
+    suspects.add_blocked(blocked_at(1_000).remaining_ms_by_parts(1_000), 9_000)
+    assert suspects.blocked_ms(["dead"], 9_000)
+
+
+@pytest.mark.parametrize(
+    ("later_ms", "expected"), [(500, []), (1_500, ["part"])]
+)
+def test_gateways_are_told_of_answers_at_an_interval(
+    later_ms: int, expected: list[str]
+) -> None:
+    suspects = make()
+    assert suspects.note_answer(["part"], 0) == ["part"]
+    assert suspects.note_answer(["part"], later_ms) == expected
+
+
+def test_memory_is_bounded() -> None:
+    suspects = make()
+    for number in range(2 * lib.MAX_PARTS):
+        crash(suspects, f"r{number}", number, begun=(f"p{number}",))
+    assert len(suspects._part_by_id) == lib.MAX_PARTS
+    assert len(suspects._crash_by_runner) == lib.MAX_CRASHES
