Take a stream that ends within an event for broken off

A stream may come with neither a length nor chunks and end with its connection. If that broke off within an event, the caller got an answer that looked complete, and a resumable stream was not continued. The gateway took the end of the connection for the end of the stream.

Such a stream is now complete only after an event; otherwise it is handled as one that the runner cut off.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -361,13 +361,13 @@
             self._send_head(
                 head.status, end_to_end_headers(head.headers.items())
             )
-        yield from self._stream_chunks(exchange)
+        yield from self._stream_chunks(exchange, is_framed=_is_framed(head))
         self._complete = True
         exchange.release()
         return []
 
     def _stream_chunks(
-        self, exchange: http_exchange.HttpExchange
+        self, exchange: http_exchange.HttpExchange, *, is_framed: bool
     ) -> Iterator[bytes]:
         """Yield the chunks of a stream.
 
@@ -380,7 +380,10 @@
         """
         is_resumable = self._request.is_resumable
         self._scanner.discard_incomplete()
+        # A stream that goes on after the last event has nothing more.
+        is_empty = not self._scanner.last_event_id
         for chunk in exchange.body_chunks():
+            is_empty = False
             try:
                 complete = self._scanner.feed(chunk)
             except stream.EventTooLong as error:
@@ -389,6 +392,11 @@
                 yield chunk
             elif complete:
                 yield complete
+        if not is_framed and (is_empty or self._scanner.incomplete):
+            # Only its events tell whether such a stream is complete.
+            raise http_exchange.Broken(
+                "the stream ended within an event", cut_off=True
+            )
         if is_resumable and self._scanner.incomplete:
             yield self._scanner.incomplete
 
@@ -490,6 +498,13 @@
         raise ConnectionAbortedError(message)
 
 
+def _is_framed(head: Head) -> bool:
+    """Return whether an answer says where its body ends."""
+    return "Content-Length" in head.headers or (
+        "Transfer-Encoding" in head.headers
+    )
+
+
 def end_to_end_headers(
     headers: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -171,6 +171,8 @@
             case "hang":
                 self._wait_for_close(connection)
                 return False
+            case "unframed" | "unframed-cut" | "unframed-empty":
+                return self._stream_unframed(connection, head, headers_by_name)
             case "stream" | "stream-cut" | "stream-slow" | "stream-slow-cut":
                 return self._stream(connection, head, headers_by_name)
             case _:
@@ -195,6 +197,35 @@
         except OSError:
             self.disconnected.set()
 
+    def _stream_unframed(
+        self,
+        connection: "_RecordedAnswers",
+        head: str,
+        headers_by_name: dict[str, str],
+    ) -> bool:
+        """Send a stream without a length that ends with its connection.
+
+        Only the first run of a request is cut off.
+        """
+        first = int(headers_by_name.get("last-event-id", "0")) + 1
+        attempt = headers_by_name.get(ATTEMPT_ID.lower(), "")
+        is_first = self.runs_by_attempt[attempt] == 1 and first == 1
+        connection.sendall(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"{head}\r\n"
+            ).encode()
+        )
+        if self.behavior == "unframed-empty" and is_first:
+            return False
+        for number in range(first, 5):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            if self.behavior == "unframed-cut" and is_first and number == 3:
+                connection.sendall(event[:-1])
+                return False
+            connection.sendall(event)
+        return False
+
     def _wait_for_close(self, connection: "_RecordedAnswers") -> None:
         connection.wait_for_close()
         self.disconnected.set()
