Soak with narrow links and large tables

All connections between the system's processes now go through the proxy, with an optional limit that a machine's servers share, and changes can add and remove 700 routes at a time.

--- a/testing/gateway/test_table_distribution.py
+++ b/testing/gateway/test_table_distribution.py
@@ -32,15 +32,11 @@
 class Deployment:
     """A leading replica and gateways that reach it through a proxy."""
 
-    def __init__(
-        self, folder: pathlib.Path, *, gateways: int, link_bytes_s: int = 0
-    ) -> None:
-        """Start everything; `link_bytes_s` limits the leader's link."""
+    def __init__(self, folder: pathlib.Path, *, gateways: int) -> None:
+        """Start everything."""
         self._proxy = proxy_lib.Proxy(seen=records.Records())
         peer, rpc = (cluster.unused_loopback_address() for _ in range(2))
         self._address = self._proxy.add(rpc)
-        if link_bytes_s:
-            self._proxy.set_rate(self._address, link_bytes_s)
         member = raft_messages.Member("c1", peer, self._address)
         self._control = control_shell.ControlShell(
             replica="c1",
@@ -121,11 +117,9 @@
 
 
 @contextlib.contextmanager
-def deployment(
-    folder: pathlib.Path, *, gateways: int, link_bytes_s: int = 0
-) -> Iterator[Deployment]:
+def deployment(folder: pathlib.Path, *, gateways: int) -> Iterator[Deployment]:
     """Yield a running deployment."""
-    running = Deployment(folder, gateways=gateways, link_bytes_s=link_bytes_s)
+    running = Deployment(folder, gateways=gateways)
     try:
         yield running
     finally:
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -15,6 +15,8 @@
 from typing import Any
 from typing import final
 
+from soak import proxied
+from soak import proxy as proxy_lib
 from soak import records
 import wisteriawall
 from wisteriawall.platform import settings as settings_lib
@@ -24,10 +26,16 @@
 KEY = "6f" * 32
 FIRST_HOST = 2
 HOSTS_PER_BLOCK = 250
-INTERNAL_PORTS = 8
+INTERNAL_PORTS = proxied.PORT_SHIFT
+# Servers of the two roles, as offsets from the first internal port.
+SERVER_OFFSETS_BY_ROLE = {
+    "control": (settings_lib.PEER_PORT_OFFSET, settings_lib.RPC_PORT_OFFSET),
+    "gateway": (settings_lib.TABLE_PORT_OFFSET,),
+}
 ABORT_S = 0.3
 RESTART_PAUSE_S = 0.05
 SOURCE_FOLDER = pathlib.Path(wisteriawall.__file__).parent.parent
+TESTING_FOLDER = pathlib.Path(__file__).parent.parent
 
 
 @final
@@ -83,7 +91,7 @@
         with socket.socket() as probe:
             probe.bind((hosts[0], 0))
             first: int = probe.getsockname()[1]
-        ports = range(first, first + 3 + INTERNAL_PORTS)
+        ports = range(first, first + 3 + 2 * INTERNAL_PORTS)
         if ports[-1] < 65_536 and all(
             _is_free(host, port) for host in hosts for port in ports
         ):
@@ -116,13 +124,13 @@
     ) -> None:
         with log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "wisteriawall.platform", role],
+                [sys.executable, "-m", "soak.proxied", role],
                 env=os.environ
                 | {
                     settings_lib.SETTINGS_VARIABLE: str(settings),
                     "WISTERIAWALL_CLUSTER_KEY": KEY,
                     "WISTERIAWALL_METRICS_PORT": "0",
-                    "PYTHONPATH": str(SOURCE_FOLDER),
+                    "PYTHONPATH": f"{SOURCE_FOLDER}:{TESTING_FOLDER}",
                     # SIGABRT writes the stacks of all threads to the log.
                     "PYTHONFAULTHANDLER": "1",
                 },
@@ -301,6 +309,9 @@
         replicas: Number of control replicas.
         list_address: Address of the list of runners.
         seen: Records of what happens to the processes.
+        proxy: Relays connections between the processes.
+        link_bytes_s: Bytes a second that fit through the link of each machine,
+            0 for no limit.
     """
 
     def __init__(
@@ -311,6 +322,8 @@
         replicas: int,
         list_address: str,
         seen: records.Records,
+        proxy: proxy_lib.Proxy,
+        link_bytes_s: int = 0,
     ) -> None:
         hosts = [_host(number) for number in range(replicas + gateways)]
         self._folder, self._list_address = folder, list_address
@@ -330,6 +343,10 @@
             f"g{number}": f"{host}:{self._ports.ready}"
             for number, host in enumerate(hosts[replicas:], start=1)
         }
+        for _, role, address in self._programs():
+            self._add_proxies(
+                proxy, role, address, proxy_lib.Rate(link_bytes_s)
+            )
         (folder / "logs").mkdir(parents=True)
         self.node_by_name = {
             name: self._make_node(name, role, address, seen)
@@ -358,6 +375,22 @@
             if needle in line
         ]
 
+    def _add_proxies(
+        self,
+        proxy: proxy_lib.Proxy,
+        role: str,
+        address: str,
+        rate: proxy_lib.Rate,
+    ) -> None:
+        host = address.rpartition(":")[0]
+        for offset in SERVER_OFFSETS_BY_ROLE[role]:
+            port = self._ports.internal + offset
+            proxy.add(
+                f"{host}:{port + proxied.PORT_SHIFT}",
+                address=f"{host}:{port}",
+                rate=rate,
+            )
+
     def _programs(self) -> Iterator[tuple[str, str, str]]:
         for name, address in self.replica_address_by_name.items():
             yield name, "control", address
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import final
 
+from support import large_tables
 from support import platform_site
 import urllib3
 
@@ -22,6 +23,7 @@
 ROUTE_TIMEOUT_MS = 12_000
 ROUTE_TARGET_MS = 4_000
 IDLE_MS = 2_000
+BLOCK_ROUTES = 700
 
 
 @final
@@ -32,18 +34,26 @@
         """Start with the base routes."""
         self.version = 1
         self._extra: set[int] = set()
+        self._blocks: set[int] = set()
         self._weights = (50, 51)
         self._timeout_ms = ROUTE_TIMEOUT_MS
 
     def change(
         self,
-        fault: schedule.ToggleRoute | schedule.SetWeights | schedule.SetTimeout,
+        fault: (
+            schedule.ToggleRoute
+            | schedule.ToggleBlock
+            | schedule.SetWeights
+            | schedule.SetTimeout
+        ),
     ) -> None:
         """Apply a change; the version grows by an uneven step."""
         self.version += 1 + self.version % 3
         match fault:
             case schedule.ToggleRoute(number=number):
                 self._extra ^= {number}
+            case schedule.ToggleBlock(number=number):
+                self._blocks ^= {number}
             case schedule.SetWeights(weights=weights):
                 self._weights = weights
             case schedule.SetTimeout(timeout_ms=timeout_ms):
@@ -76,6 +86,9 @@
             platform_site.route(f"/extra-{number}/", "read_only", "shop")
             for number in sorted(self._extra)
         ]
+        for number in sorted(self._blocks):
+            block = large_tables.document(1, routes=BLOCK_ROUTES, seed=number)
+            routes += block["routes"]
         services = [
             service | {"connection_limit": 400}
             for service in document["services"]
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -29,6 +29,27 @@
     SILENCE = "silence"
 
 
+@final
+class Rate:
+    """Bytes a second that fit through a link, in each direction.
+
+    Several addresses may share one; 0 stands for no limit.
+    """
+
+    def __init__(self, bytes_s: int = 0) -> None:
+        self.bytes_s = bytes_s
+        self._free_at_s: dict[Disturbance, float] = {}
+
+    async def pass_on(self, direction: Disturbance, size: int) -> None:
+        """Wait until `size` more bytes have fit through."""
+        if not self.bytes_s:
+            return
+        now_s = time.monotonic()
+        free_at_s = max(now_s, self._free_at_s.get(direction, 0.0))
+        self._free_at_s[direction] = free_at_s + size / self.bytes_s
+        await asyncio.sleep(self._free_at_s[direction] - now_s)
+
+
 @final
 class _Link:
     """One proxied address and its open connections."""
@@ -38,20 +59,8 @@
         self.target = (host, int(port))
         self.delay_s = 0.0
         self.relays: set[_Relay] = set()
-        # Bytes a second from the target to all its callers, 0 for no limit.
-        self.rate_bytes_s = 0
+        self.rate = Rate()
         self.sent_bytes = 0
-        self.free_at_s = 0.0
-
-    async def pass_on(self, size: int) -> None:
-        """Wait until `size` more bytes from the target have fit through."""
-        self.sent_bytes += size
-        if self.rate_bytes_s:
-            now_s = time.monotonic()
-            self.free_at_s = max(now_s, self.free_at_s) + (
-                size / self.rate_bytes_s
-            )
-            await asyncio.sleep(self.free_at_s - now_s)
 
 
 @final
@@ -88,11 +97,23 @@
         """End all connections."""
         self._loop.call_soon_threadsafe(self._loop.stop)
 
-    def add(self, target: str) -> str:
-        """Return a new address whose connections go to `target`."""
-        listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    def add(
+        self,
+        target: str,
+        *,
+        address: str = "127.0.0.1:0",
+        rate: Rate | None = None,
+    ) -> str:
+        """Return an address whose connections go to `target`.
+
+        Port 0 selects a free port. Addresses with one `rate` share it.
+        """
+        host, _, port = address.rpartition(":")
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        address = f"{host}:{listener.getsockname()[1]}"
         link = self._link_by_address[address] = _Link(target)
+        if rate is not None:
+            link.rate = rate
         asyncio.run_coroutine_threadsafe(
             asyncio.start_server(
                 lambda reader, writer: self._serve(link, reader, writer),
@@ -102,11 +123,6 @@
         ).result()
         return address
 
-    def set_rate(self, address: str, bytes_s: int) -> None:
-        """Limit the bytes a second that come from an address; 0 lifts it."""
-        link = self._link_by_address[address]
-        self._loop.call_soon_threadsafe(setattr, link, "rate_bytes_s", bytes_s)
-
     def sent_bytes(self, address: str) -> int:
         """Return how many bytes have come from an address."""
         return self._link_by_address[address].sent_bytes
@@ -193,7 +209,8 @@
             if direction in relay.cut:
                 continue
             if direction is Disturbance.CUT_ANSWERS:
-                await link.pass_on(len(data))
+                link.sent_bytes += len(data)
+            await link.rate.pass_on(direction, len(data))
             writer.write(data)
             await writer.drain()
         # The other direction may not be half closed: a gateway or runner that
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -54,6 +54,9 @@
         late_share: Share of runners' answers that something late follows.
         gateways: Number of gateways.
         caller_count: Number of callers.
+        link_bytes_s: Bytes a second that fit through the link of each machine,
+            0 for no limit.
+        large_tables: Whether changes add and remove many routes too.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -66,6 +69,8 @@
         gateways: int,
         caller_count: int,
         folder: pathlib.Path,
+        link_bytes_s: int = 0,
+        large_tables: bool = False,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
@@ -83,6 +88,8 @@
             replicas=REPLICAS,
             list_address=self._list.address,
             seen=self.seen,
+            proxy=self._proxy,
+            link_bytes_s=link_bytes_s,
         )
         self._configuration = operators.Configuration()
         self._operator = operators.Operator(
@@ -106,6 +113,7 @@
                 gateways=tuple(self.fleet.gateway_address_by_name),
                 replicas=tuple(self.fleet.replica_address_by_name),
                 runners=len(FIRST_RUNNERS),
+                large_tables=large_tables,
             ),
         )
 
@@ -180,6 +188,7 @@
                 node_by_name[name].kill()
             case (
                 schedule.ToggleRoute()
+                | schedule.ToggleBlock()
                 | schedule.SetWeights()
                 | schedule.SetTimeout()
             ):
@@ -251,6 +260,8 @@
     gateways: int,
     caller_count: int,
     folder: pathlib.Path,
+    link_bytes_s: int = 0,
+    large_tables: bool = False,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -261,6 +272,8 @@
         gateways=gateways,
         caller_count=caller_count,
         folder=folder,
+        link_bytes_s=link_bytes_s,
+        large_tables=large_tables,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -362,6 +375,8 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--callers", type=int, default=0)
     parser.add_argument("--late", type=float, default=LATE_SHARE)
+    parser.add_argument("--link-bytes", type=int, default=0)
+    parser.add_argument("--large-tables", action="store_true")
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -378,6 +393,8 @@
             caller_count=arguments.callers
             or CALLERS_PER_GATEWAY * arguments.gateways,
             folder=folder,
+            link_bytes_s=arguments.link_bytes,
+            large_tables=arguments.large_tables,
         )
     return 1 if findings else 0
 
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -15,6 +15,7 @@
 SERIES_GAP_S = (0.3, 1.5)
 MAX_CHANGES = 8
 EXTRA_ROUTES = 6
+ROUTE_BLOCKS = 4
 
 
 @final
@@ -58,6 +59,14 @@
     number: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToggleBlock:
+    """Add many routes to the configuration at once, or remove them."""
+
+    number: int
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetWeights:
@@ -116,6 +125,7 @@
     | Freeze
     | Kill
     | ToggleRoute
+    | ToggleBlock
     | SetWeights
     | SetTimeout
     | DrainRunner
@@ -137,11 +147,12 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scope:
-    """What a schedule may disturb."""
+    """What a schedule may disturb, and whether tables become large."""
 
     gateways: tuple[str, ...]
     replicas: tuple[str, ...]
     runners: int
+    large_tables: bool = False
 
 
 Series = Callable[[random.Random, Scope], Iterator[Timed]]
@@ -157,9 +168,13 @@
     start_s = chance.uniform(0.5, 1.0)
     # Every soak has the series that belong to planned work.
     queue = list(PLANNED_SERIES)
+    every = ALL_SERIES
+    if scope.large_tables:
+        queue += [_large_changes, _large_changes]
+        every = (*ALL_SERIES, _large_changes)
     chance.shuffle(queue)
     while start_s < duration_s:
-        series = queue.pop() if queue else chance.choice(ALL_SERIES)
+        series = queue.pop() if queue else chance.choice(every)
         timed += [
             Timed(start_s + fault.at_s, fault.fault)
             for fault in series(chance, scope)
@@ -249,6 +264,15 @@
         at_s += chance.uniform(*BURST_GAP_S)
 
 
+def _large_changes(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    """Add or remove many routes, with smaller changes right after."""
+    yield Timed(0.0, ToggleBlock(chance.randrange(ROUTE_BLOCKS)))
+    yield from (
+        Timed(change.at_s + chance.uniform(*BURST_GAP_S), change.fault)
+        for change in _changes(chance, scope)
+    )
+
+
 def _changes_while_stopping(
     chance: random.Random, scope: Scope
 ) -> Iterator[Timed]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -18,7 +18,10 @@
 
 LOOKUP, PAYMENT, STREAM, RESUMABLE, PROBE = records.Kind
 SCOPE = schedule.Scope(
-    gateways=("g1", "g2", "g3"), replicas=("c1", "c2", "c3"), runners=8
+    gateways=("g1", "g2", "g3"),
+    replicas=("c1", "c2", "c3"),
+    runners=8,
+    large_tables=True,
 )
 RUN = "a1/i-r1-1/7"
 EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
@@ -29,10 +32,29 @@
 }
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-def test_promises_hold_under_faults(seed: int, tmp_path: pathlib.Path) -> None:
+# Bytes a second of a link of 5 Mbit/s.
+NARROW_LINK_BYTES_S = 625_000
+
+
+@pytest.mark.parametrize(
+    ("seed", "link_bytes_s", "large_tables"),
+    [
+        pytest.param(1, 0, False, id="1"),
+        pytest.param(2, 0, False, id="2"),
+        pytest.param(3, NARROW_LINK_BYTES_S, True, id="3 narrow"),
+    ],
+)
+def test_promises_hold_under_faults(
+    seed: int, link_bytes_s: int, large_tables: bool, tmp_path: pathlib.Path
+) -> None:
     findings = run.play(
-        seed=seed, duration_s=7.0, gateways=3, caller_count=30, folder=tmp_path
+        seed=seed,
+        duration_s=7.0,
+        gateways=3,
+        caller_count=30,
+        folder=tmp_path,
+        link_bytes_s=link_bytes_s,
+        large_tables=large_tables,
     )
     assert [(f.rule, f.attempt, f.text) for f in findings] == []
 
