End a fetch of a routing table when the gateway stops

A fetch takes up to a second, and the thread that polls control was waited for no longer. NNG crashes a process whose threads still use a socket when it ends.

--- a/src/wisteriawall/gateway/table_relay.py
+++ b/src/wisteriawall/gateway/table_relay.py
@@ -1,5 +1,6 @@
 """Fetches changes of the routing table, and serves them to other gateways."""
 
+from collections.abc import Iterator
 import contextlib
 import logging
 import threading
@@ -44,6 +45,9 @@
         self, *, address: str, key: bytes, sender: envelope.Sender
     ) -> None:
         self._lock = threading.Lock()
+        # Client of the fetch in progress.
+        self._client: transport.RpcClient | None = None
+        self._is_closed = False
         self._tables = table_history.TableHistory()
         # Encodes requests and decodes their replies.
         self._fetch_codec: envelope.Codec[object] = envelope.Codec(
@@ -64,7 +68,12 @@
         self._server.start()
 
     def close(self) -> None:
-        """Stop serving and release the port."""
+        """Stop serving, release the port and end a fetch in progress."""
+        with self._lock:
+            self._is_closed = True
+            client = self._client
+        if client is not None:
+            client.close()
         self._server.close()
 
     def add(self, table: route_table.RouteTable) -> None:
@@ -84,16 +93,14 @@
 
         Raises:
             FetchFailed: The source did not answer in time, or does not have the
-                table or its difference from `base`.
+                table or its difference from `base`, or the relay is closed.
         """
         request = gateway_messages.TablePartRequest(
             base.number if base else 0, number, 0
         )
         data = b""
         until_ms = clock.monotonic_ms() + FETCH_TIMEOUT_MS
-        with contextlib.closing(
-            transport.RpcClient(address=source, timeout_ms=PART_TIMEOUT_MS)
-        ) as client:
+        with self._open_client(source) as client:
             while True:
                 part = self._fetch_part(client, request)
                 data += part.data
@@ -113,6 +120,20 @@
         except table_change.ChangeRejected as error:
             raise FetchFailed(str(error)) from error
 
+    @contextlib.contextmanager
+    def _open_client(self, source: str) -> Iterator[transport.RpcClient]:
+        with self._lock:
+            if self._is_closed:
+                raise FetchFailed("the gateway stops")
+            client = transport.RpcClient(
+                address=source, timeout_ms=PART_TIMEOUT_MS
+            )
+            self._client = client
+        try:
+            yield client
+        finally:
+            client.close()
+
     def _fetch_part(
         self,
         client: transport.RpcClient,
--- a/testing/gateway/test_table_relay.py
+++ b/testing/gateway/test_table_relay.py
@@ -1,8 +1,10 @@
 """Tests of tables that gateways fetch from each other."""
 
 from collections.abc import Iterator
+from concurrent import futures
 import contextlib
 import json
+import socket
 
 import pytest
 from support import large_tables
@@ -62,3 +64,23 @@
         number = 3 if case == "other table" else 2
         with pytest.raises(table_relay.FetchFailed):
             target.fetch(address, base, number)
+
+
+def test_fetch_ends_when_the_relay_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """NNG crashes the process if a thread still uses a socket at its end."""
+    monkeypatch.setattr(table_relay, "PART_TIMEOUT_MS", 60_000)
+    with (
+        socket.create_server(("127.0.0.1", 0)) as silent,
+        relay() as target,
+        futures.ThreadPoolExecutor() as pool,
+    ):
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        fetching = pool.submit(target.fetch, address, None, 1)
+        silent.accept()
+        target.close()
+        with pytest.raises(table_relay.FetchFailed):
+            fetching.result(timeout=30)
+        with pytest.raises(table_relay.FetchFailed, match="stops"):
+            target.fetch(address, None, 1)
