--- a/src/wisteriawall/control/table_sources.py
+++ b/src/wisteriawall/control/table_sources.py
@@ -5,6 +5,7 @@
 number of gateways.
 """
 
+import collections
 import dataclasses
 from typing import final
 
@@ -100,18 +101,22 @@
             for name, holder in self.holder_by_name.items()
             if name != gateway and now_ms - holder.seen_ms <= HOLDER_TIMEOUT_MS
         ]
+        count_by_source = collections.Counter(
+            fetch.source for fetch in self.fetch_by_gateway.values()
+        )
         if has_failed or not holders:
-            is_free = self._count(LEADER) < LEADER_FETCHES
+            is_free = count_by_source[LEADER] < LEADER_FETCHES
             return LEADER if is_free else None
         return min(
-            (name for name in holders if self._count(name) < GATEWAY_FETCHES),
+            (
+                name
+                for name in holders
+                if count_by_source[name] < GATEWAY_FETCHES
+            ),
             key=lambda name: (self.holder_by_name[name].assigned, name),
             default=None,
         )
 
-    def _count(self, source: str) -> int:
-        return sum(f.source == source for f in self.fetch_by_gateway.values())
-
     def _address(self, source: str) -> str:
         return self.holder_by_name[source].address if source != LEADER else ""
 
