Don't block a part when many runners crash at one moment

Read in the change, and shown by a test that failed: when all runners of a service crashed at once, the part of all prompts of a route was in more than five crashes without a complete answer, and was blocked for one to two minutes. Crashes within half a second now count as one moment; two moments block a part, five one that ever had a complete answer.

Three crashes at one moment blocked a new part before; that case of test_part_is_blocked_after now expects no block, and three in a row are a case of their own. A lone request at a runner shows no other sign of its crash, and test_part_that_crashes_runners_is_blocked failed with 6 arrivals for it: answers that were cut off when just begun at three runners, at two moments, count without one. test_crash_of_all_runners_at_once_blocks_no_part and the new cases fail before and pass after.

--- a/src/wisteriawall/policy/suspect_parts.py
+++ b/src/wisteriawall/policy/suspect_parts.py
@@ -5,11 +5,11 @@
 each of their parts is suspected at first. Only those that were just begun count
 if there are any, and the last part of a prompt belongs to one request alone.
 
-A complete answer clears the parts of its prompt. A part that was in several
-crashes without one is blocked: requests with it are refused. Parts that were in
-the same crashes are blocked together: requests with all of them are refused. A
-block ends after a time that doubles with each further crash; one request is
-then let through.
+A complete answer clears the parts of its prompt. A part that was in crashes at
+several moments without one is blocked: requests with it are refused. Parts that
+were in the same crashes are blocked together: requests with all of them are
+refused. A block ends after a time that doubles with each further crash; one
+request is then let through.
 """
 
 from collections import OrderedDict
@@ -29,11 +29,12 @@
 # A failed connection to the runner confirms a crash for this long.
 CONFIRM_MS = 2_000
 # Crashes at one moment may have one cause that is none of their parts.
-CRASHES_TO_BLOCK = 2
-MIN_SPAN_MS = 500
-CRASHES_TO_BLOCK_AT_ONCE = 3
+MOMENT_MS = 500
+MOMENTS_TO_BLOCK = 2
+# Runners that cut an answer off count without another sign of a crash.
+RUNNERS_TO_BLOCK = 3
 # A part of complete answers was in many crashes by chance.
-CRASHES_TO_BLOCK_SOUND = 5
+MOMENTS_TO_BLOCK_SOUND = 5
 FORGET_MS = 60_000
 FIRST_BLOCK_MS = 60_000
 MAX_DOUBLINGS = 4
@@ -52,12 +53,13 @@
 @final
 @dataclasses.dataclass(slots=True, eq=False, kw_only=True)
 class _Crash:
-    """A possible crash of one runner.
+    """A possible crash of one runner, confirmed if there is another sign of it.
 
     `parts_by_request` are the suspect parts of each request that was cut off,
     and `has_begun` says that one of them had just begun.
     """
 
+    runner: str
     at_ms: int
     parts_by_request: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
@@ -135,7 +137,7 @@
         """
         crash = self._crash_by_runner.get(runner)
         if crash is None or now_ms - crash.at_ms > CRASH_MS:
-            crash = _Crash(at_ms=now_ms)
+            crash = _Crash(runner=runner, at_ms=now_ms)
             self._crash_by_runner[runner] = crash
             self._crash_by_runner.move_to_end(runner)
             while len(self._crash_by_runner) > MAX_CRASHES:
@@ -202,10 +204,8 @@
 
     def blocked_ms(self, parts: Iterable[str], now_ms: int) -> int:
         """Return for how long a request with these parts is blocked."""
-        return max(
-            (block.until_ms - now_ms for block in self._blocks_of(parts)),
-            default=0,
-        )
+        remaining_ms = (b.until_ms - now_ms for b in self._blocks_of(parts))
+        return max(0, max(remaining_ms, default=0))
 
     def remaining_ms_by_parts(self, now_ms: int) -> dict[str, int]:
         """Return the time for which each set is blocked, by its parts."""
@@ -244,12 +244,10 @@
         return part
 
     def _block_suspects(self, crash: _Crash, now_ms: int) -> list[Parts]:
-        if not crash.is_confirmed:
-            return []
-        return [
-            *self._block_again(crash, now_ms),
-            *self._block_first(crash, now_ms),
-        ]
+        blocked_again = (
+            self._block_again(crash, now_ms) if crash.is_confirmed else []
+        )
+        return [*blocked_again, *self._block_first(crash, now_ms)]
 
     def _block_again(self, crash: _Crash, now_ms: int) -> list[Parts]:
         """Block sets whose request that was let through was cut off."""
@@ -268,8 +266,8 @@
         suspects_by_crashes: dict[frozenset[_Crash], set[str]] = {}
         for part_id in frozenset[str]().union(*crash.parts_by_request.values()):
             part = self._touch(part_id)
-            crashes = self._crashes_of(part, now_ms)
-            if crash in crashes and self._is_suspect(part, crashes):
+            crashes = _crashes_of(part, now_ms)
+            if crash in crashes and _is_suspect(part, crashes):
                 suspects_by_crashes.setdefault(crashes, set()).add(part_id)
         blocked = [
             parts
@@ -280,27 +278,6 @@
             self._block(parts, now_ms, FIRST_BLOCK_MS)
         return blocked
 
-    @staticmethod
-    def _crashes_of(part: _Part, now_ms: int) -> frozenset[_Crash]:
-        """Return the crashes that speak against a part."""
-        return frozenset(
-            crash
-            for crash, has_begun in part.has_begun_by_crash.items()
-            if crash.is_confirmed
-            and (has_begun or not crash.has_begun)
-            and now_ms - crash.at_ms <= FORGET_MS
-        )
-
-    @staticmethod
-    def _is_suspect(part: _Part, crashes: frozenset[_Crash]) -> bool:
-        times_ms = sorted(crash.at_ms for crash in crashes)
-        if part.is_sound:
-            return len(times_ms) >= CRASHES_TO_BLOCK_SOUND
-        return len(times_ms) >= CRASHES_TO_BLOCK_AT_ONCE or (
-            len(times_ms) >= CRASHES_TO_BLOCK
-            and times_ms[-1] - times_ms[0] >= MIN_SPAN_MS
-        )
-
     def _block(self, parts: Parts, now_ms: int, time_ms: int) -> None:
         block = self._block_by_parts.get(parts)
         if block is None:
@@ -312,3 +289,35 @@
         spread = 1 + self._random.random()
         block.until_ms = now_ms + int((time_ms << doublings) * spread)
         block.count += 1
+
+
+def _crashes_of(part: _Part, now_ms: int) -> frozenset[_Crash]:
+    """Return the crashes that may speak against a part."""
+    return frozenset(
+        crash
+        for crash, has_begun in part.has_begun_by_crash.items()
+        if (has_begun or not crash.has_begun)
+        and now_ms - crash.at_ms <= FORGET_MS
+    )
+
+
+def _is_suspect(part: _Part, crashes: frozenset[_Crash]) -> bool:
+    confirmed = _count_moments(c for c in crashes if c.is_confirmed)
+    if part.is_sound:
+        return confirmed >= MOMENTS_TO_BLOCK_SOUND
+    begun = [c for c in crashes if part.has_begun_by_crash[c]]
+    return confirmed >= MOMENTS_TO_BLOCK or (
+        len({c.runner for c in begun}) >= RUNNERS_TO_BLOCK
+        and _count_moments(begun) >= MOMENTS_TO_BLOCK
+    )
+
+
+def _count_moments(crashes: Iterable[_Crash]) -> int:
+    """Return the number of crashes, those shortly after another left out."""
+    moments = 0
+    moment_ms = -MOMENT_MS
+    for at_ms in sorted(crash.at_ms for crash in crashes):
+        if at_ms - moment_ms >= MOMENT_MS:
+            moments += 1
+            moment_ms = at_ms
+    return moments
