Let changes of the routing table spread while others follow

Each new table made the leader forget who had the one before, and gateways were sent to sources that lacked the table that they had.

The leader now remembers which tables each gateway has had.

--- a/src/wisteriawall/config/table_history.py
+++ b/src/wisteriawall/config/table_history.py
@@ -6,7 +6,7 @@
 from wisteriawall.config import route_table
 from wisteriawall.config import table_change
 
-__all__ = ["TableHistory"]
+__all__ = ["MAX_TABLES", "TableHistory"]
 
 # Tables share the routes that they have in common.
 MAX_TABLES = 32
--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -126,11 +126,9 @@
     lacks_table = published is not None and request.table_number < number
     own_address = _own_address(raft)
     can_fetch = bool(request.table_address and own_address)
-    table_source = ""
+    source = None
     if can_fetch:
-        table_source = _find_table_source(
-            updates, request, number, own_address, now_ms
-        )
+        source = _find_table_source(updates, request, number, now_ms)
     upstreams = updates.upstreams
     if upstreams is not None and upstreams.reader_term != raft.term:
         # This replica read the list in an earlier term as leader, so it may be
@@ -159,7 +157,8 @@
             m.replica: m.rpc_address for m in raft.members if m.rpc_address
         },
         peers_version=peers_version,
-        table_source=table_source,
+        table_source=(source.address or own_address) if source else "",
+        table_source_number=source.number if source else 0,
         blocked_ms_by_parts=_merge_blocked_parts(updates, request, now_ms),
     )
 
@@ -196,33 +195,30 @@
 def _find_table_source(
     updates: GatewayUpdates,
     request: gateway_messages.FollowRequest,
-    number: int,
-    own_address: str,
+    newest: int,
     now_ms: int,
-) -> str:
-    """Return where the gateway fetches the table `number`, or an empty string.
-
-    It is empty if the gateway has the table, or if all sources are busy.
-    """
+) -> table_sources_lib.Source | None:
+    """Return where the gateway fetches a newer table, if it lacks one."""
     sources = updates.table_sources
-    if request.table_number < number:
-        address = sources.assign(
-            request.gateway,
-            number=number,
-            has_failed=request.table_fetch_failed,
-            now_ms=now_ms,
-        )
-        return "" if address is None else address or own_address
-    if request.stopping:
+    number = request.table_number
+    if request.stopping or not number:
         sources.remove(request.gateway)
-    elif request.table_number == number:
+    else:
         sources.record_holder(
             request.gateway,
             address=request.table_address,
             number=number,
             now_ms=now_ms,
         )
-    return ""
+    if number >= newest:
+        return None
+    return sources.assign(
+        request.gateway,
+        base_number=number,
+        newest=newest,
+        has_failed=request.table_fetch_failed,
+        now_ms=now_ms,
+    )
 
 
 def _peers_version(updates: GatewayUpdates) -> int:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -527,14 +527,14 @@
             return self._relay.fetch(
                 reply.table_source,
                 index.table if index else None,
-                reply.table_number,
+                reply.table_source_number,
             )
         except table_relay.FetchFailed as error:
             self._table_fetch_failed = True
             self._log.write(
                 "table-fetch-failed",
                 inputs={
-                    "number": reply.table_number,
+                    "number": reply.table_source_number,
                     "source": reply.table_source,
                     "reason": str(error),
                 },
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -127,8 +127,9 @@
 
     The state in the answer was confirmed current at most `age_ms` before it
     was sent. `table` and `upstreams` are None when the gateway already has the
-    newest. A gateway that lacks the table `table_number` fetches it at
-    `table_source`; if that is empty, the gateway asks again soon. `peers` are
+    newest. A gateway that lacks the table `table_number` fetches it, or an
+    older one that it lacks too, `table_source_number`, at `table_source`; if
+    that is empty, the gateway asks again soon. `peers` are
     the other live gateways, None if the gateway already has the list
     `peers_version`. `rpc_address_by_replica` lists every control replica.
     `blocked_ms_by_parts` are the sets of parts that any gateway blocks.
@@ -142,6 +143,7 @@
     rpc_address_by_replica: dict[str, str]
     peers_version: int = 0
     table_source: str = ""
+    table_source_number: int = 0
     blocked_ms_by_parts: dict[str, int] = {}
 
 
--- a/testing/control/test_table_sources.py
+++ b/testing/control/test_table_sources.py
@@ -9,34 +9,46 @@
 ROUND_MS = 100
 
 
+class Gateways:
+    """Gateways that have the table 1, and fetch a newer one in each round."""
+
+    def __init__(self, count: int) -> None:
+        """Start with no fetch in progress."""
+        self.number_by_name = {f"g{n}": 1 for n in range(count)}
+        self.fetches: Counter[str] = Counter()
+        self._sources = table_sources.TableSources()
+        self._now_ms = 0
+
+    def play_round(self, newest: int) -> None:
+        """Let each gateway ask and, if it gets a source, fetch."""
+        for name, number in self.number_by_name.items():
+            self._sources.record_holder(
+                name, address=f"at-{name}", number=number, now_ms=self._now_ms
+            )
+        for name, number in self.number_by_name.items():
+            if number == newest:
+                continue
+            source = self._sources.assign(
+                name,
+                base_number=number,
+                newest=newest,
+                has_failed=False,
+                now_ms=self._now_ms,
+            )
+            if source is not None:
+                self.fetches[source.address] += 1
+                self.number_by_name[name] = source.number
+        self._now_ms += ROUND_MS
+
+
 def spread(gateways: int) -> tuple[Counter[str], int]:
     """Let all gateways fetch a table; return fetches by source, and rounds."""
-    sources = table_sources.TableSources()
-    lacking = {f"g{number}" for number in range(gateways)}
-    fetches: Counter[str] = Counter()
-    now_ms = rounds = 0
-    while lacking:
+    site = Gateways(gateways)
+    rounds = 0
+    while set(site.number_by_name.values()) != {7}:
         rounds += 1
-        fetched = {
-            name: address
-            for name in sorted(lacking)
-            if (
-                address := sources.assign(
-                    name, number=7, has_failed=False, now_ms=now_ms
-                )
-            )
-            is not None
-        }
-        now_ms += ROUND_MS
-        fetches.update(fetched.values())
-        lacking -= set(fetched)
-        for number in range(gateways):
-            name = f"g{number}"
-            if name not in lacking:
-                sources.record_holder(
-                    name, address=f"at-{name}", number=7, now_ms=now_ms
-                )
-    return fetches, rounds
+        site.play_round(7)
+    return site.fetches, rounds
 
 
 @pytest.mark.parametrize(
@@ -52,13 +64,52 @@
     assert rounds == expected_rounds
 
 
+def test_changes_in_quick_succession_do_not_stop_each_other() -> None:
+    """Most gateways kept the first table until the last change."""
+    site = Gateways(60)
+    for newest in range(2, 30):
+        site.play_round(newest)
+        if newest > 10:
+            assert min(site.number_by_name.values()) >= newest - 8
+
+
+def assign(
+    sources: table_sources.TableSources, gateway: str, now_ms: int, **more: bool
+) -> str | None:
+    """Return the address where a gateway without a table fetches one."""
+    source = sources.assign(
+        gateway,
+        base_number=0,
+        newest=7,
+        has_failed=more.get("has_failed", False),
+        now_ms=now_ms,
+    )
+    return None if source is None else source.address
+
+
 def test_gateway_whose_fetch_failed_fetches_from_the_leader() -> None:
     sources = table_sources.TableSources()
     sources.record_holder("a", address="at-a", number=7, now_ms=0)
-    first = sources.assign("b", number=7, has_failed=False, now_ms=0)
-    assert first == "at-a"
-    assert sources.assign("b", number=7, has_failed=False, now_ms=9) == "at-a"
-    assert sources.assign("b", number=7, has_failed=True, now_ms=99) == ""
+    assert assign(sources, "b", 0) == "at-a"
+    assert assign(sources, "b", 9) == "at-a"
+    assert assign(sources, "b", 99, has_failed=True) == ""
+
+
+def test_source_has_the_table_that_the_gateway_has() -> None:
+    sources = table_sources.TableSources()
+    for number in (3, 7):
+        sources.record_holder("a", address="at-a", number=number, now_ms=0)
+    sources.record_holder("b", address="at-b", number=7, now_ms=0)
+    found = [
+        sources.assign(
+            f"g{base}", base_number=base, newest=7, has_failed=False, now_ms=0
+        )
+        for base in (3, 4)
+    ]
+    assert found == [
+        table_sources.Source(address="at-a", number=7),
+        table_sources.Source(address="", number=7),
+    ]
 
 
 @pytest.mark.parametrize(
@@ -76,16 +127,11 @@
     sources.record_holder("a", address="at-a", number=7, now_ms=seen_ms)
     if stopped:
         sources.remove("a")
-    found = sources.assign("b", number=7, has_failed=False, now_ms=5_000)
-    assert found == expected
+    assert assign(sources, "b", 5_000) == expected
 
 
 def test_fetch_that_ended_without_a_word_frees_its_source() -> None:
     sources = table_sources.TableSources()
-    for name in ("a", "b", "c", "d", "e"):
-        last = sources.assign(name, number=7, has_failed=False, now_ms=0)
-    assert last is None
+    assert [assign(sources, name, 0) for name in "abcde"] == [*[""] * 4, None]
     later_ms = table_sources.FETCH_TIMEOUT_MS + 1
-    assert (
-        sources.assign("e", number=7, has_failed=False, now_ms=later_ms) == ""
-    )
+    assert assign(sources, "e", later_ms) == ""
