Relay the links of a soak in a process of their own

Cause: one thread relayed all that the processes exchange, in the interpreter that also runs the callers and the runners. Measured: the thread ran up to 907 to 5,178 ms late, while the links' limits held bytes for 104 to 173 ms at most and 46 to 52 % of the processors' time was idle.

Change: the links between processes run in a process of their own. The report tells for both proxies the bytes, the waiting for limits and how late the thread ran.

--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -15,8 +15,8 @@
 from typing import Any
 from typing import final
 
+from soak import links as links_lib
 from soak import proxied
-from soak import proxy as proxy_lib
 from soak import records
 import wisteriawall
 from wisteriawall.platform import settings as settings_lib
@@ -309,7 +309,6 @@
         replicas: Number of control replicas.
         list_address: Address of the list of runners.
         seen: Records of what happens to the processes.
-        proxy: Relays connections between the processes.
         link_bytes_s: Bytes a second that fit through the link of each machine,
             0 for no limit.
     """
@@ -322,7 +321,6 @@
         replicas: int,
         list_address: str,
         seen: records.Records,
-        proxy: proxy_lib.Proxy,
         link_bytes_s: int = 0,
     ) -> None:
         hosts = [_host(number) for number in range(replicas + gateways)]
@@ -343,10 +341,9 @@
             f"g{number}": f"{host}:{self._ports.ready}"
             for number, host in enumerate(hosts[replicas:], start=1)
         }
-        for _, role, address in self._programs():
-            self._add_proxies(
-                proxy, role, address, proxy_lib.Rate(link_bytes_s)
-            )
+        self.links = links_lib.Links(link_bytes_s)
+        for name, role, address in self._programs():
+            self._add_links(name, role, address)
         (folder / "logs").mkdir(parents=True)
         self.node_by_name = {
             name: self._make_node(name, role, address, seen)
@@ -354,7 +351,8 @@
         }
 
     def start(self) -> None:
-        """Start all processes."""
+        """Start all processes, after the links between them."""
+        self.links.start()
         for node in self.node_by_name.values():
             node.start()
 
@@ -362,8 +360,11 @@
         """End all processes; fail if one is still running."""
         for node in self.node_by_name.values():
             node.finish()
-        for node in self.node_by_name.values():
-            node.join()
+        try:
+            for node in self.node_by_name.values():
+                node.join()
+        finally:
+            self.links.close()
 
     def log_lines(self, attempt: str) -> list[str]:
         """Return the lines of all gateways' logs about an attempt."""
@@ -375,21 +376,12 @@
             if needle in line
         ]
 
-    def _add_proxies(
-        self,
-        proxy: proxy_lib.Proxy,
-        role: str,
-        address: str,
-        rate: proxy_lib.Rate,
-    ) -> None:
+    def _add_links(self, name: str, role: str, address: str) -> None:
         host = address.rpartition(":")[0]
         for offset in SERVER_OFFSETS_BY_ROLE[role]:
             port = self._ports.internal + offset
-            proxy.add(
-                f"{host}:{port + proxied.PORT_SHIFT}",
-                address=f"{host}:{port}",
-                rate=rate,
-            )
+            target = f"{host}:{port + proxied.PORT_SHIFT}"
+            self.links.add(name, f"{host}:{port}", target)
 
     def _programs(self) -> Iterator[tuple[str, str, str]]:
         for name, address in self.replica_address_by_name.items():
--- /dev/null
+++ b/testing/soak/links.py
@@ -0,0 +1,79 @@
+"""`python -m soak.links`: the links between processes of the system.
+
+They run in a process of their own, since the threads of callers and runners
+would make the proxy's thread late. It reads the links from standard input and
+ends with it.
+"""
+
+import json
+import os
+import subprocess
+import sys
+from typing import Any
+from typing import final
+
+from soak import proxy as proxy_lib
+from soak import records
+
+
+@final
+class Links:
+    """Relays connections between the machines of a soak.
+
+    Args:
+        bytes_s: Bytes a second that fit through the link of each machine, 0
+            for no limit.
+    """
+
+    def __init__(self, bytes_s: int) -> None:
+        self._bytes_s = bytes_s
+        self._target_by_address_by_machine: dict[str, dict[str, str]] = {}
+        self._process: subprocess.Popen[str] | None = None
+        self.report = "no link was used"
+
+    def add(self, machine: str, address: str, target: str) -> None:
+        """Have connections to `address` go to `target`."""
+        links = self._target_by_address_by_machine.setdefault(machine, {})
+        links[address] = target
+
+    def start(self) -> None:
+        """Return once all addresses take connections."""
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "soak.links"],
+            env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self._process.stdin is not None
+        assert self._process.stdout is not None
+        settings = [self._bytes_s, self._target_by_address_by_machine]
+        self._process.stdin.write(json.dumps(settings) + "\n")
+        self._process.stdin.flush()
+        if not self._process.stdout.readline():
+            raise AssertionError("the links did not start")
+
+    @property
+    def process_id(self) -> int:
+        """Return the process that relays, 0 before the start."""
+        return self._process.pid if self._process is not None else 0
+
+    def close(self) -> None:
+        """End all connections, and keep the report."""
+        if self._process is not None:
+            self.report, _ = self._process.communicate()
+
+
+def _serve(bytes_s: int, target_by_address_by_machine: dict[str, Any]) -> None:
+    proxy = proxy_lib.Proxy(seen=records.Records())
+    for target_by_address in target_by_address_by_machine.values():
+        rate = proxy_lib.Rate(bytes_s)
+        for address, target in target_by_address.items():
+            proxy.add(target, address=address, rate=rate)
+    print("ready", flush=True)
+    sys.stdin.read()
+    print(proxy.report(), end="")
+
+
+if __name__ == "__main__":
+    _serve(*json.loads(sys.stdin.readline()))
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -11,6 +11,8 @@
 from soak import records
 
 RELAY_BYTES = 65_536
+# Interval at which the proxy measures how late its thread runs.
+PULSE_S = 0.02
 BACKLOG = 256
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 
@@ -39,6 +41,7 @@
     def __init__(self, bytes_s: int = 0) -> None:
         self.bytes_s = bytes_s
         self._free_at_s: dict[Disturbance, float] = {}
+        self.held_s = 0.0
 
     async def pass_on(self, direction: Disturbance, size: int) -> None:
         """Wait until `size` more bytes have fit through."""
@@ -47,7 +50,9 @@
         now_s = time.monotonic()
         free_at_s = max(now_s, self._free_at_s.get(direction, 0.0))
         self._free_at_s[direction] = free_at_s + size / self.bytes_s
-        await asyncio.sleep(self._free_at_s[direction] - now_s)
+        wait_s = self._free_at_s[direction] - now_s
+        self.held_s = max(self.held_s, wait_s)
+        await asyncio.sleep(wait_s)
 
 
 @final
@@ -91,7 +96,9 @@
         self._seen = seen
         self._loop = asyncio.new_event_loop()
         self._link_by_address: dict[str, _Link] = {}
+        self._late_ms: list[float] = []
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        asyncio.run_coroutine_threadsafe(self._measure(), self._loop)
 
     def close(self) -> None:
         """End all connections."""
@@ -127,6 +134,24 @@
         """Return how many bytes have come from an address."""
         return self._link_by_address[address].sent_bytes
 
+    def report(self) -> str:
+        """Return what was relayed, and how long it was held back."""
+        links = self._link_by_address.values()
+        sent_bytes = sum(link.sent_bytes for link in links)
+        held_ms = max((link.rate.held_s for link in links), default=0) * 1_000
+        late_ms = sorted(self._late_ms) or [0.0]
+        return (
+            f"{sent_bytes} bytes, held by limits for {held_ms:.0f} ms at most;"
+            f" thread late by {late_ms[len(late_ms) // 2]:.0f} ms at the"
+            f" median, {late_ms[-1]:.0f} ms at most"
+        )
+
+    async def _measure(self) -> None:
+        while True:
+            due_s = time.monotonic() + PULSE_S
+            await asyncio.sleep(PULSE_S)
+            self._late_ms.append((time.monotonic() - due_s) * 1_000)
+
     def disturb(
         self, address: str, runner: str, what: Disturbance, for_s: float
     ) -> None:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -77,7 +77,7 @@
         self._late_share = late_share
         self._runners: list[runners.StandInRunner] = []
         self._handles = runners.HandleStore()
-        self._proxy = proxy.Proxy(seen=self.seen)
+        self.proxy = proxy.Proxy(seen=self.seen)
         self._list = fleet.RunnerList(
             lambda: [r.entry() for r in self._runners if r.is_listed]
         )
@@ -88,7 +88,6 @@
             replicas=REPLICAS,
             list_address=self._list.address,
             seen=self.seen,
-            proxy=self._proxy,
             link_bytes_s=link_bytes_s,
         )
         self._configuration = operators.Configuration()
@@ -144,7 +143,7 @@
         for runner in self._runners:
             runner.close()
         self._list.close()
-        self._proxy.close()
+        self.proxy.close()
 
     def _wait_until_ready(self) -> None:
         deadline_s = time.monotonic() + READY_TIMEOUT_S
@@ -208,7 +207,7 @@
                 self._drain_runner(self._runners[index], after_s)
             case schedule.DisturbLink(index=index, what=what, for_s=for_s):
                 runner = self._runners[index]
-                self._proxy.disturb(
+                self.proxy.disturb(
                     runner.listed_address, runner.name, what, for_s
                 )
 
@@ -222,7 +221,7 @@
             seen=self.seen,
             handles=self._handles,
         )
-        runner.listed_address = self._proxy.add(runner.address)
+        runner.listed_address = self.proxy.add(runner.address)
         self._runners.append(runner)
 
     def _drain_runner(
@@ -322,6 +321,9 @@
         text = ", ".join(f"{n} {v}" for v, n in counts.most_common())
         yield f"{title}: {text}"
     yield f"time: {time.monotonic() - started_s:.1f} s"
+    # They tell a soak that is too slow from a system that is.
+    yield f"links between processes: {soak.fleet.links.report}"
+    yield f"links to runners: {soak.proxy.report()}"
     counts = collections.Counter(finding.rule for finding in findings)
     yield "findings: " + ", ".join(
         f"{rule} {counts[rule]}" for rule in checks.RULES
