Don't deny routes that a newer table may have

A gateway whose poll names a newer routing table answers 404 for the routes of that table until it has fetched it (up to 1 s a try).

Cause: 404 says for good that there is no such route, but the gateway knows that its table is outdated.

Change: while the newest table that control named is not here, a host and path without a route are refused with 503, not run, Retry-After 0.2 s. The log line no-route names the newest table.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -33,6 +33,7 @@
     "Refuse",
     "RunnerNoticed",
     "StopTimedOut",
+    "TableAnnounced",
     "UnexpectedError",
 ]
 
@@ -219,6 +220,14 @@
     )
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class TableAnnounced:
+    """Control named the table `number` as the newest, before it was fetched."""
+
+    number: int
+
+
 Event: TypeAlias = (
     Arrived
     | PrefillDone
@@ -231,6 +240,7 @@
     | Ended
     | PeerLoadReceived
     | ControlUpdate
+    | TableAnnounced
 )
 
 
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -63,8 +63,8 @@
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
             loads.apply_steps(gateway, load_events, now_ms)
             yield from prompt_parts.apply_events(gateway, load_events, now_ms)
-        case events.ControlUpdate():
-            yield from _apply_control_update(gateway, event)
+        case events.ControlUpdate() | events.TableAnnounced():
+            yield from _handle_control(gateway, event)
 
 
 def _handle_arrival(
@@ -90,10 +90,17 @@
             inputs={
                 "host": event.host,
                 "table": gateway.table_number,
+                "newest_table": gateway.newest_table,
                 "table_age_ms": event.now_ms - gateway.table_confirmed_ms,
             },
         )
-        yield events.Refuse(refusal=refusals.NO_ROUTE)
+        # 404 is final, and a newer table may have the route.
+        is_outdated = gateway.newest_table > gateway.table_number
+        yield events.Refuse(
+            refusal=refusals.OUTDATED_TABLE
+            if is_outdated
+            else refusals.NO_ROUTE
+        )
         return
     request = state_lib.Request(
         request_key=event.request_key,
@@ -416,6 +423,17 @@
         )
 
 
+def _handle_control(
+    gateway: state_lib.Gateway,
+    event: events.ControlUpdate | events.TableAnnounced,
+) -> Iterator[events.LogDecision]:
+    match event:
+        case events.ControlUpdate():
+            yield from _apply_control_update(gateway, event)
+        case events.TableAnnounced(number=number):
+            gateway.newest_table = max(gateway.newest_table, number)
+
+
 def _apply_control_update(
     gateway: state_lib.Gateway, event: events.ControlUpdate
 ) -> Iterator[events.LogDecision]:
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -6,6 +6,7 @@
 __all__ = [
     "NO_ROUTE",
     "NO_TABLE",
+    "OUTDATED_TABLE",
     "PLAIN_OVERLOAD_RETRY_MS",
     "STOPPING",
     "deadline_passed",
@@ -22,6 +23,8 @@
 UNAVAILABLE_RETRY_MS = 1_000
 NOT_RUN_RETRY_MS = 300
 STOPPING_RETRY_MS = 50
+# A change of the table is fetched within about this time.
+TABLE_FETCH_RETRY_MS = 200
 
 NO_TABLE = refusal_lib.Refusal(
     status=503,
@@ -29,6 +32,12 @@
     message="no routing table is known here yet",
     retry_after_ms=UNAVAILABLE_RETRY_MS,
 )
+OUTDATED_TABLE = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.UNAVAILABLE,
+    message="a newer routing table, which may have the route, is not here yet",
+    retry_after_ms=TABLE_FETCH_RETRY_MS,
+)
 # Other gateways serve the request at once.
 STOPPING = refusal_lib.Refusal(
     status=503,
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -490,6 +490,7 @@
         if reply.rpc_address_by_replica:
             self._control.set_replicas(reply.rpc_address_by_replica)
         self._newest_table = reply.table_number
+        self._submit(events.TableAnnounced(number=reply.table_number))
         table = reply.table or self._fetch_table(reply)
         now_ms = clock.monotonic_ms()
         update = events.ControlUpdate(
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -82,6 +82,7 @@
     runners of the newest list, `list_version` the version of that list, and
     `load_by_id` the load of each of these runners and `notices` what speaks
     against sending to them.
+    `newest_table` is the highest number of a table that control named, and
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
     `suspect_parts` are the parts of prompts under which runners crashed.
@@ -95,6 +96,7 @@
     tuning: Tuning
     retries: retry_window.RetryWindow
     route_index: route_table.RouteIndex | None = None
+    newest_table: int = 0
     table_confirmed_ms: int = 0
     list_version: tuple[int, int] = (0, 0)
     upstream_by_id: dict[str, gateway_messages.Upstream] = dataclasses.field(
