Log the limits that runners name

The logs of second1 don't tell whether a runner named a limit, which one, or who saw it. Server-Limit is now read, and logged as runner-limit; values that are no decimal number, or come twice, are ignored with one line. Nothing obeys it yet.

--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -115,7 +115,7 @@
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class RunnerNoticed:
-    """A runner's answer says that it leaves, or wants no requests for a time.
+    """What a runner's answer says about sending to it.
 
     Attributes:
         request_id: The request that was answered.
@@ -123,6 +123,8 @@
         leaving: Whether it is about to stop.
         pause_ms: How long it wants no requests, None if it doesn't say.
         now_ms: Time of the answer.
+        limit: The limit that it names, None if it names none.
+        sent_ms: Time at which the request was sent.
     """
 
     request_id: str
@@ -130,6 +132,8 @@
     leaving: bool
     pause_ms: int | None
     now_ms: int
+    limit: protocol.NamedLimit | None = None
+    sent_ms: int = 0
 
 
 @final
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -15,6 +15,7 @@
     "AnswerHead",
     "Dialect",
     "MalformedCall",
+    "NamedLimit",
     "Phase",
     "PrefillAnswer",
     "PromptTokens",
@@ -94,6 +95,18 @@
     max_idle_ms: int | None = None
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class NamedLimit:
+    """Limit that a runner names in an answer.
+
+    `per_s` is how many requests a second it takes from all gateways together,
+    None if the value can't be read.
+    """
+
+    per_s: float | None
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AnswerHead:
@@ -104,6 +117,7 @@
     was not made by an intermediary. `attempt_id` is the request it belongs to.
     `leaving` is set if the runner is about to stop. `pause_ms` is the time for
     which an overloaded runner asks for no further requests, None if it doesn't.
+    `limit` is the limit that the runner names, None if it names none.
     """
 
     status: int
@@ -112,6 +126,7 @@
     attempt_id: str
     leaving: bool = False
     pause_ms: int | None = None
+    limit: NamedLimit | None = None
 
 
 @final
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -314,6 +314,12 @@
 ) -> Iterator[events.Effect]:
     """Record what a runner's answer says about sending to it."""
     upstream_id, start_id = event.upstream.upstream_id, event.upstream.start_id
+    if event.limit is not None and event.limit.per_s is not None:
+        yield events.LogDecision(
+            decision="runner-limit",
+            request_id=event.request_id,
+            inputs={"upstream": upstream_id, "per_s": event.limit.per_s},
+        )
     if event.pause_ms is not None:
         yield events.LogDecision(
             decision="runner-paused",
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -225,11 +225,12 @@
                 unreachable=True,
                 runner_failed=False,
             )
+        sent_ms = clock.monotonic_ms()
         head = self._open(exchange, send)
         answer = self._dialect.parse_answer_head(
             head.status, dict(head.headers)
         )
-        if answer.leaving or answer.pause_ms is not None:
+        if answer.leaving or answer.pause_ms is not None or answer.limit:
             self._submit(
                 events.RunnerNoticed(
                     request_id=self._request.request_id,
@@ -237,6 +238,8 @@
                     leaving=answer.leaving,
                     pause_ms=answer.pause_ms,
                     now_ms=clock.monotonic_ms(),
+                    limit=answer.limit,
+                    sent_ms=sent_ms,
                 )
             )
         if answer.not_run:
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import logging
 import math
+import re
 from typing import final
 
 import msgspec
@@ -35,12 +36,16 @@
 SERVER_LEAVING = "Server-Leaving"
 # Seconds for which an overloaded runner wants no further requests.
 RETRY_AFTER = "Retry-After"
+# Requests a second that a runner takes from all gateways together.
+SERVER_LIMIT = "Server-Limit"
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?", re.ASCII)
 
 PREFILL_STAGE = "prefill"
 MISDIRECTED_STATUS = 421
 OVERLOADED_STATUS = 503
 MS_PER_S = 1_000
 NO_DEADLINE_MS = 3_600_000
+MAX_LOGGED_LENGTH = 80
 
 # Only this system sets these headers; those of a caller are removed.
 SYSTEM_HEADERS = frozenset(
@@ -140,6 +145,7 @@
             pause_ms=_parse_pause_ms(value_by_name.get(RETRY_AFTER.lower()))
             if status == OVERLOADED_STATUS
             else None,
+            limit=_parse_limit(value_by_name.get(SERVER_LIMIT.lower())),
         )
 
     def parse_prefill_answer(
@@ -191,6 +197,24 @@
     return max(pauses_ms, default=None)
 
 
+def _parse_limit(text: str | None) -> protocol.NamedLimit | None:
+    """Return the limit, None if the runner names none.
+
+    A value that is repeated is no number either.
+    """
+    if text is None:
+        return None
+    if DECIMAL_NUMBER.fullmatch(text.strip()) is None:
+        _LOG.warning(
+            "runner: ignored %s %r, expected a decimal number of requests a"
+            " second",
+            SERVER_LIMIT,
+            text[:MAX_LOGGED_LENGTH],
+        )
+        return protocol.NamedLimit(None)
+    return protocol.NamedLimit(float(text))
+
+
 def _parse_prompt(headers: Mapping[str, str]) -> protocol.PromptTokens | None:
     counts = headers.get(TOKEN_COUNTS, "")
     if not counts:
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -227,3 +227,39 @@
 def test_leaving_of_a_runner(values: dict[str, str], leaving: bool) -> None:
     head = headers.PlatformDialect().parse_answer_head(200, values)
     assert head.leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        pytest.param(None, None, id="none"),
+        pytest.param("1.4", protocol.NamedLimit(1.4), id="decimal"),
+        pytest.param("0", protocol.NamedLimit(0.0), id="zero"),
+        pytest.param(" 25 ", protocol.NamedLimit(25.0), id="spaces"),
+        *(
+            pytest.param(value, protocol.NamedLimit(None), id=name)
+            for name, value in (
+                ("empty", ""),
+                ("word", "few"),
+                ("negative", "-1"),
+                ("not-a-number", "nan"),
+                ("endless", "inf"),
+                ("huge", "9" * 40),
+                ("exponent", "1e3"),
+                ("grouped", "1_0"),
+                ("other-digits", "\u0661"),
+                ("twice", "1.4, 2.0"),
+            )
+        ),
+    ],
+)
+def test_limit_of_a_runner_is_read_or_ignored_with_a_log_line(
+    value: str | None,
+    limit: protocol.NamedLimit | None,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    head_by_name = {} if value is None else {"Server-Limit": value}
+    answer = headers.PlatformDialect().parse_answer_head(200, head_by_name)
+    assert answer.limit == limit
+    is_ignored = limit == protocol.NamedLimit(None)
+    assert len(caplog.records) == (1 if is_ignored else 0)
