--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -373,6 +373,7 @@
 class Site:
     """One control replica, one gateway, and stand-ins of the platform.
 
+    `gateways` are the first one, `gateway`, and those that a test has added.
     `list_response_body` replaces the list of runners when it is set.
     """
 
@@ -404,11 +405,29 @@
             leader=self.control,
             read=runners.RunnerListClient(address=self._list.address).read,
         )
+        self._rpc_address = rpc
         self.log_path = folder / "log"
         self._log_file = self.log_path.open("wb")
-        self.gateway = gateway_shell.GatewayShell(
+        self.gateways: list[gateway_shell.GatewayShell] = []
+        self.gateway = self._make_gateway("g1")
+        self.http = urllib3.PoolManager(retries=False)
+        self.admin = f"http://{admin}"
+        self.control.start()
+        self._operators.start()
+        self._reader.start()
+        self.gateway.start()
+        self.stopped = False
+
+    def add_gateway(self, name: str) -> gateway_shell.GatewayShell:
+        """Start a further gateway, which the caller stops."""
+        gateway = self._make_gateway(name)
+        gateway.start()
+        return gateway
+
+    def _make_gateway(self, name: str) -> gateway_shell.GatewayShell:
+        gateway = gateway_shell.GatewayShell(
             identity=gateway_shell.Identity(
-                name="g1",
+                name=name,
                 zone="z1",
                 incarnation=1,
                 listen_address="127.0.0.1:0",
@@ -416,7 +435,7 @@
                 load_address="127.0.0.1:0",
                 table_address="127.0.0.1:0",
             ),
-            control_address_by_replica={"c1": rpc},
+            control_address_by_replica={"c1": self._rpc_address},
             key=KEY,
             dialect=headers.PlatformDialect(),
             budget=retry_window.RetryBudgetSettings(
@@ -424,17 +443,12 @@
             ),
             tuning=gateway_state.Tuning(),
             metrics=metrics.NullMetrics(),
-            log=decisions.DecisionLog(process="g1", stream=self._log_file),
+            log=decisions.DecisionLog(process=name, stream=self._log_file),
             grace_ms=GRACE_MS,
             unready_ms=UNREADY_MS,
         )
-        self.http = urllib3.PoolManager(retries=False)
-        self.admin = f"http://{admin}"
-        self.control.start()
-        self._operators.start()
-        self._reader.start()
-        self.gateway.start()
-        self.stopped = False
+        self.gateways.append(gateway)
+        return gateway
 
     def close(self) -> None:
         """Stop everything."""
@@ -489,9 +503,10 @@
         method: str = "POST",
         body: bytes | None = b"hi",
         deadline_ms: int = 5_000,
+        gateway: str = "",
         **more: str,
     ) -> urllib3.BaseHTTPResponse:
-        """Send a request through the gateway as a caller does."""
+        """Send a request as a caller does, to the first gateway by default."""
         headers_by_name = {
             "Host": HOST,
             ATTEMPT_ID: attempt,
@@ -500,7 +515,7 @@
         }
         return self.http.request(
             method,
-            f"http://{self.gateway.address}{path}",
+            f"http://{gateway or self.gateway.address}{path}",
             body=body,
             headers=headers_by_name,
             timeout=WAIT_S,
