Reserve one place at a limited runner for each request

Found while reading: a request whose prefill fails is placed again and took a second token of the runner that was reserved for it, so that the runner got less than it takes. The test of reservations failed before with a second one.

--- a/src/wisteriawall/policy/runner_limits.py
+++ b/src/wisteriawall/policy/runner_limits.py
@@ -217,10 +217,15 @@
     def reserve(
         self, runner: str, request_id: str, now_ms: int, *, is_own: bool
     ) -> None:
-        """Take a token for a request that is sent to the runner later."""
+        """Take a token for a request that is sent to the runner later.
+
+        Does nothing if the request has one, as after a prefill that failed.
+        """
         limit = self._limit_by_id.get(runner)
         if limit is None or limit.per_s is None:
             return
+        if request_id in limit.reserved_ids:
+            return
         limit.reserved_ids[request_id] = None
         if len(limit.reserved_ids) > MAX_RESERVATIONS:
             del limit.reserved_ids[next(iter(limit.reserved_ids))]
--- a/testing/policy/test_runner_limits.py
+++ b/testing/policy/test_runner_limits.py
@@ -111,7 +111,8 @@
     limits = _limits(1.0)
     for now_ms in (500, 1_000, 1_500):
         limits.note_contact(1, now_ms)
-    limits.reserve(RUNNER, "r1", 1_500, is_own=True)
+    for _ in range(2):
+        limits.reserve(RUNNER, "r1", 1_500, is_own=True)
     assert limits.may_send(RUNNER, "r1", 1_500)
     assert not limits.may_send(RUNNER, "r2", 1_500)
     limits.note_sent(RUNNER, "r1", 1_500, is_own=True)
