Soak with runners that name limits

--limits has some runners name limits, lower them and end one; LIMIT is judged as the users' rule says, summed over the gateways that passed an answer with the limit on half a second before.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from soak import fleet
+from soak import limits
 from soak import lost
 from soak import readings
 from soak import records
@@ -27,6 +28,7 @@
     "CONFIG",
     "DENIED",
     "STOP",
+    "LIMIT",
 )
 # A signal before the program handles it ends it with one of these codes. It
 # ignores SIGHUP from its first instruction on.
@@ -146,6 +148,7 @@
         _check_streams,
         _check_configurations,
         _check_stops,
+        _check_limits,
     )
     return [finding for check in checks for finding in check(evidence)]
 
@@ -383,6 +386,12 @@
         yield evidence.finding("DENIED", call.key, text)
 
 
+def _check_limits(evidence: _Evidence) -> Iterator[Finding]:
+    gateway_by_key = {call.key: call.gateway for call in evidence.seen.calls}
+    for arrival, text in limits.find(evidence.seen, gateway_by_key):
+        yield evidence.finding("LIMIT", evidence.key(arrival), text)
+
+
 def _check_stops(evidence: _Evidence) -> Iterator[Finding]:
     by_pid: dict[int, list[records.Incident]] = collections.defaultdict(list)
     for incident in evidence.seen.incidents:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -126,6 +126,9 @@
     misbehavior: str = ""
     # What the runner sent before this answer, when the request had arrived.
     preceded_by: str = ""
+    # Limit that the answer named, and when.
+    named_limit: float | None = None
+    named_s: float = 0.0
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -57,6 +57,7 @@
         link_bytes_s: Bytes a second that fit through the link of each machine,
             0 for no limit.
         large_tables: Whether changes add and remove many routes too.
+        limits: Whether runners name limits.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -71,6 +72,7 @@
         folder: pathlib.Path,
         link_bytes_s: int = 0,
         large_tables: bool = False,
+        limits: bool = False,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
@@ -113,6 +115,7 @@
                 replicas=tuple(self.fleet.replica_address_by_name),
                 runners=len(FIRST_RUNNERS),
                 large_tables=large_tables,
+                limits=limits,
             ),
         )
 
@@ -203,6 +206,8 @@
             case schedule.RestartRunner(index=index):
                 if self._runners[index].is_listed:
                     self._runners[index].restart()
+            case schedule.LimitRunner(index=index, per_s=per_s):
+                self._runners[index].limit_per_s = per_s
             case schedule.DrainRunner(index=index, leave_after_s=after_s):
                 self._drain_runner(self._runners[index], after_s)
             case schedule.DisturbLink(index=index, what=what, for_s=for_s):
@@ -261,6 +266,7 @@
     folder: pathlib.Path,
     link_bytes_s: int = 0,
     large_tables: bool = False,
+    limits: bool = False,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -273,6 +279,7 @@
         folder=folder,
         link_bytes_s=link_bytes_s,
         large_tables=large_tables,
+        limits=limits,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -379,6 +386,7 @@
     parser.add_argument("--late", type=float, default=LATE_SHARE)
     parser.add_argument("--link-bytes", type=int, default=0)
     parser.add_argument("--large-tables", action="store_true")
+    parser.add_argument("--limits", action="store_true")
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -397,6 +405,7 @@
             folder=folder,
             link_bytes_s=arguments.link_bytes,
             large_tables=arguments.large_tables,
+            limits=arguments.limits,
         )
     return 1 if findings else 0
 
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -93,6 +93,8 @@
         )
         self.state = "ready"
         self.is_listed = True
+        # Requests a second that it takes, None for any number.
+        self.limit_per_s: float | None = None
         self._seed, self._seen, self._handles = seed, seen, handles
         self._starts = 1
         # Grows when all work ends.
@@ -135,6 +137,7 @@
         self._starts += 1
         self._born_ms = round(time.time() * 1_000)
         self.state = "ready"
+        self.limit_per_s = None
 
     def break_off(self) -> None:
         """Reset every connection."""
@@ -343,6 +346,11 @@
             "X-Wisteriawall-Attempt-Id": arrival.attempt,
             "X-Wisteriawall-Response-Seal": arrival.seal,
         }
+        limit_per_s = self._runner.limit_per_s
+        if limit_per_s is not None:
+            head["Server-Limit"] = str(limit_per_s)
+            arrival.named_limit = limit_per_s
+            arrival.named_s = time.monotonic()
         is_leaving = self._runner.state == "draining"
         if is_leaving or manner in misbehavior.CLOSING:
             head["Connection"] = "close"
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -109,6 +109,15 @@
     stage: str
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitRunner:
+    """Have a runner name a limit on its requests a second, None for none."""
+
+    index: int
+    per_s: float | None
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class DisturbLink:
@@ -132,6 +141,7 @@
     | RestartRunner
     | AddRunner
     | DisturbLink
+    | LimitRunner
 )
 
 
@@ -147,12 +157,16 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scope:
-    """What a schedule may disturb, and whether tables become large."""
+    """What a schedule may disturb.
+
+    `large_tables` has tables become large, `limits` has runners name limits.
+    """
 
     gateways: tuple[str, ...]
     replicas: tuple[str, ...]
     runners: int
     large_tables: bool = False
+    limits: bool = False
 
 
 Series = Callable[[random.Random, Scope], Iterator[Timed]]
@@ -172,7 +186,12 @@
     if scope.large_tables:
         queue += [_large_changes, _large_changes]
         every = (*ALL_SERIES, _large_changes)
+    if scope.limits:
+        every = (*every, _limit_runners)
     chance.shuffle(queue)
+    if scope.limits:
+        # A limit is judged some seconds after it was named.
+        queue.append(_limit_runners)
     while start_s < duration_s:
         series = queue.pop() if queue else chance.choice(every)
         timed += [
@@ -299,6 +318,17 @@
     yield Timed(0.0, AddRunner(service, stage))
 
 
+def _limit_runners(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    """Limit some runners, change the values soon, and end one limit."""
+    limited = chance.sample(range(scope.runners), scope.runners // 3)
+    for index in limited:
+        per_s = round(chance.uniform(0.2, 3.0), 2)
+        yield Timed(chance.uniform(0.0, 0.5), LimitRunner(index, per_s))
+        lower = round(per_s * chance.uniform(0.7, 1.0), 2)
+        yield Timed(chance.uniform(1.0, 3.0), LimitRunner(index, lower))
+    yield Timed(chance.uniform(8.0, 9.0), LimitRunner(limited[0], None))
+
+
 def _disturb_link(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     yield Timed(
         0.0,
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -22,6 +22,7 @@
     replicas=("c1", "c2", "c3"),
     runners=8,
     large_tables=True,
+    limits=True,
 )
 RUN = "a1/i-r1-1/7"
 EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
@@ -37,24 +38,29 @@
 
 
 @pytest.mark.parametrize(
-    ("seed", "link_bytes_s", "large_tables"),
+    ("seed", "duration_s", "more"),
     [
-        pytest.param(1, 0, False, id="1"),
-        pytest.param(2, 0, False, id="2"),
-        pytest.param(3, NARROW_LINK_BYTES_S, True, id="3 narrow"),
+        pytest.param(1, 7.0, {}, id="1"),
+        pytest.param(2, 7.0, {}, id="2"),
+        pytest.param(
+            3,
+            7.0,
+            {"link_bytes_s": NARROW_LINK_BYTES_S, "large_tables": True},
+            id="3 narrow",
+        ),
+        pytest.param(4, 11.0, {"limits": True}, id="4 limits"),
     ],
 )
 def test_promises_hold_under_faults(
-    seed: int, link_bytes_s: int, large_tables: bool, tmp_path: pathlib.Path
+    seed: int, duration_s: float, more: dict[str, Any], tmp_path: pathlib.Path
 ) -> None:
     findings = run.play(
         seed=seed,
-        duration_s=7.0,
+        duration_s=duration_s,
         gateways=3,
         caller_count=30,
         folder=tmp_path,
-        link_bytes_s=link_bytes_s,
-        large_tables=large_tables,
+        **more,
     )
     assert [(f.rule, f.attempt, f.text) for f in findings] == []
 
@@ -285,6 +291,45 @@
         )
 
 
+def _exceed_limit(seen: records.Records) -> None:
+    """Name a limit of 1 a second, and send 12 requests 4 s later."""
+    seen.arrivals[0].named_limit = 1.0
+    seen.arrivals[0].named_s = 102.0
+    for number in range(12):
+        changed: dict[str, Any] = {
+            "attempt": f"b{number}",
+            "target": f"/pay/b{number}",
+        }
+        at_s = 106.0 + number / 10
+        seen.calls.append(
+            dataclasses.replace(
+                seen.calls[0],
+                **changed,
+                started_s=at_s,
+                sent_s=at_s,
+                first_byte_s=at_s + 0.1,
+                ended_s=at_s + 0.1,
+                answer=f"answer {number}".encode(),
+                answer_header_by_name={
+                    records.SEAL: f"seal-b{number}",
+                    records.ATTEMPT_ID: f"b{number}",
+                },
+            )
+        )
+        seen.arrivals.append(
+            dataclasses.replace(
+                seen.arrivals[0],
+                **changed,
+                at_s=at_s,
+                ended_s=at_s,
+                answer=f"answer {number}".encode(),
+                seal=f"seal-b{number}",
+                header_by_name={"x-wisteriawall-model": "m"},
+                named_limit=None,
+            )
+        )
+
+
 def _end(
     change: records.Change | None = None, code: int = 0
 ) -> Callable[[records.Records], None]:
@@ -503,6 +548,7 @@
                 LOOKUP,
                 _end(records.Change.GRACE_KILL, -9),
             ),
+            ("over-its-limit", "LIMIT", LOOKUP, _exceed_limit),
             ("ended-with-a-failure", "STOP", LOOKUP, _end(code=1)),
             (
                 "ended-by-itself",
