Tell gateways that start of the limits of runners

Seen: in a soak with limits each restarted gateway learned a runner's limit only from the first answer of that runner, so that a rolling restart sends a runner that takes one request in 5 s one or two for each gateway.

Cause: limits were told by datagram as they were named, and not kept anywhere.

Change: gateways report the limits that they know when they ask control for updates, and the leader passes the newest on. A gateway that starts has them with its list of runners, before it serves a request. Values that come by control count only if they are over 1 s newer than what is known, as its ages aren't exact.

Shown by tests of the policy and of the leader's answers, which failed before for lack of the field.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -26,6 +26,9 @@
 # Gateways send requests several times a second.
 GATEWAY_TIMEOUT_MS = 3_000
 MAX_BLOCKED_PARTS = 64
+# Gateways go by a limit no longer than this without a newer answer.
+LIMIT_KEPT_MS = 60_000
+MAX_LIMITS = 256
 
 
 @final
@@ -49,6 +52,8 @@
     list of gateways is computed. `tables` are the tables that this replica
     applied, and `table_sources` says which gateways have the newest.
     `blocked_until_ms_by_parts` are the parts of prompts that gateways block.
+    `limit_by_runner` are the newest limits that gateways know, and when the
+    requests were sent whose answers named them.
     """
 
     upstreams: gateway_messages.UpstreamList | None = None
@@ -65,6 +70,9 @@
     blocked_until_ms_by_parts: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    limit_by_runner: dict[str, tuple[float, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def keep_table(updates: GatewayUpdates, ledger: state.Ledger) -> None:
@@ -160,6 +168,7 @@
         table_source=(source.address or own_address) if source else "",
         table_source_number=source.number if source else 0,
         blocked_ms_by_parts=_merge_blocked_parts(updates, request, now_ms),
+        limit_by_runner=_merge_limits(updates, request, now_ms),
     )
 
 
@@ -186,6 +195,33 @@
     }
 
 
+def _merge_limits(
+    updates: GatewayUpdates,
+    request: gateway_messages.FollowRequest,
+    now_ms: int,
+) -> dict[str, gateway_messages.RunnerLimit]:
+    """Return the newest limit of each runner that any gateway knows.
+
+    A gateway that starts keeps to them from its first request on.
+    """
+    limit_by_runner = updates.limit_by_runner
+    for runner, limit in request.limit_by_runner.items():
+        answered_ms = now_ms - limit.age_ms
+        _, known_ms = limit_by_runner.get(runner, (0.0, -LIMIT_KEPT_MS))
+        is_known = runner in limit_by_runner
+        if answered_ms > known_ms and (
+            is_known or len(limit_by_runner) < MAX_LIMITS
+        ):
+            limit_by_runner[runner] = (limit.per_s, answered_ms)
+    for runner, (_, answered_ms) in list(limit_by_runner.items()):
+        if now_ms - answered_ms > LIMIT_KEPT_MS:
+            del limit_by_runner[runner]
+    return {
+        runner: gateway_messages.RunnerLimit(per_s, now_ms - answered_ms)
+        for runner, (per_s, answered_ms) in limit_by_runner.items()
+    }
+
+
 def _own_address(raft: raft_lib.Raft) -> str:
     return next(
         (m.rpc_address for m in raft.members if m.replica == raft.replica), ""
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -209,7 +209,7 @@
     of gateways of the deployment. `newest_table` is the number of the table
     that was the newest at `confirmed_ms`, monotonic time, and `took_ms` the
     duration of the call. `blocked_ms_by_parts` are the sets of prompt parts
-    that other gateways block.
+    that other gateways block, and `limit_by_runner` the limits that they know.
     """
 
     table: route_table.RouteTable | None
@@ -222,6 +222,9 @@
     blocked_ms_by_parts: Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
+    limit_by_runner: Mapping[str, gateway_messages.RunnerLimit] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 @final
--- a/src/wisteriawall/gateway/limits.py
+++ b/src/wisteriawall/gateway/limits.py
@@ -10,7 +10,9 @@
 
 __all__ = [
     "apply_events",
+    "apply_known",
     "apply_step",
+    "known",
     "report_answer",
     "report_usage",
     "reserve_decoder",
@@ -35,12 +37,11 @@
     )
     if change is None:
         return
-    upstream_id = event.upstream.upstream_id
-    yield from _log_change(upstream_id, change, event.request_id)
+    yield from _log_change(event.upstream.start_id, change, event.request_id)
     yield events.BroadcastLoad(
         load_event=gateway_messages.LoadEvent(
             gateway_messages.LoadEventKind.LIMITED,
-            upstream_id,
+            event.upstream.upstream_id,
             "",
             per_s=gateway_messages.NO_LIMIT_PER_S if per_s is None else per_s,
             age_ms=change.age_ms,
@@ -105,26 +106,48 @@
             now_ms=now_ms,
         )
         if change is not None:
-            yield from _log_change(upstream.upstream_id, change, "")
+            yield from _log_change(upstream.start_id, change, "")
+
+
+def known(
+    gateway: state_lib.Gateway, now_ms: int
+) -> dict[str, gateway_messages.RunnerLimit]:
+    """Return the limits that this gateway knows, to tell control."""
+    return {
+        runner: gateway_messages.RunnerLimit(
+            gateway_messages.NO_LIMIT_PER_S if per_s is None else per_s, age_ms
+        )
+        for runner, per_s, age_ms in gateway.limits.known(now_ms)
+    }
+
+
+def apply_known(
+    gateway: state_lib.Gateway, event: events.ControlUpdate
+) -> Iterator[events.LogDecision]:
+    """Adopt the limits of which only other gateways heard."""
+    for runner, limit in event.limit_by_runner.items():
+        change = gateway.limits.note_known(
+            runner,
+            limit.per_s if limit.per_s >= 0 else None,
+            age_ms=limit.age_ms,
+            now_ms=event.now_ms,
+        )
+        if change is not None:
+            yield from _log_change(runner, change, "")
 
 
 def report_usage(
     gateway: state_lib.Gateway, now_ms: int
 ) -> Iterator[events.LogDecision]:
     """End old limits, and log what limited runners got from all gateways."""
-    upstream_id_by_runner = {
-        upstream.start_id: upstream.upstream_id
-        for upstream in gateway.upstream_by_id.values()
-    }
     for runner, change in gateway.limits.expire(now_ms):
-        upstream_id = upstream_id_by_runner.get(runner, runner)
-        yield from _log_change(upstream_id, change, "")
+        yield from _log_change(runner, change, "")
     for runner, usage in gateway.limits.report(now_ms):
         yield events.LogDecision(
             decision="runner-limit-use",
             request_id="",
             inputs={
-                "upstream": upstream_id_by_runner.get(runner, runner),
+                "upstream": runner.rpartition("/")[0],
                 "per_s": usage.per_s,
                 "age_ms": usage.age_ms,
                 "sent": usage.sent,
@@ -137,14 +160,15 @@
 
 
 def _log_change(
-    upstream_id: str, change: runner_limits.Change, request_id: str
+    runner: str, change: runner_limits.Change, request_id: str
 ) -> Iterator[events.LogDecision]:
     if change.kind is not runner_limits.ChangeKind.REPEATED:
         yield events.LogDecision(
             decision="runner-limit",
             request_id=request_id,
             inputs={
-                "upstream": upstream_id,
+                "upstream": runner.rpartition("/")[0],
+                "start": runner,
                 "change": change.kind.value,
                 "per_s": change.per_s,
                 "source": change.source.value,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -462,6 +462,7 @@
         )
     gateway.retries.set_gateways(max(MIN_BUDGET_GATEWAYS, event.gateway_count))
     gateway.limits.note_contact(event.gateway_count, event.now_ms)
+    yield from limits.apply_known(gateway, event)
     yield from limits.report_usage(gateway, event.now_ms)
     upstream_list = event.upstreams
     if (
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -12,6 +12,7 @@
 from wisteriawall import clock
 from wisteriawall.config import route_table
 from wisteriawall.gateway import events
+from wisteriawall.gateway import limits
 from wisteriawall.gateway import peers as peers_lib
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
@@ -429,10 +430,12 @@
 
     def _poll_once(self) -> None:
         gateway = self._gateway
+        now_ms = clock.monotonic_ms()
         with self._lock:
             blocked_ms_by_parts = gateway.suspect_parts.remaining_ms_by_parts(
-                clock.monotonic_ms()
+                now_ms
             )
+            limit_by_runner = limits.known(gateway, now_ms)
         follow = gateway_messages.FollowRequest(
             self._identity.name,
             self._identity.incarnation,
@@ -444,6 +447,7 @@
             self._relay.address,
             self._table_fetch_failed,
             blocked_ms_by_parts,
+            limit_by_runner,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -502,6 +506,7 @@
             confirmed_ms=called_ms - reply.age_ms,
             took_ms=now_ms - called_ms,
             blocked_ms_by_parts=reply.blocked_ms_by_parts,
+            limit_by_runner=reply.limit_by_runner,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/policy/runner_limits.py
+++ b/src/wisteriawall/policy/runner_limits.py
@@ -55,6 +55,7 @@
 
     ANSWER = "answer"
     GATEWAY = "gateway"
+    CONTROL = "control"
     AGE = "age"
 
 
@@ -125,7 +126,7 @@
     @property
     def rate_per_s(self) -> float:
         """Return the rate at which requests may be sent."""
-        return max(MIN_RATE_PER_S, self.per_s or 0.0)
+        return _rate_per_s(self.per_s)
 
 
 @final
@@ -200,6 +201,42 @@
             age_ms=max(0, now_ms - sent_ms),
         )
 
+    def note_known(
+        self, runner: str, per_s: float | None, *, age_ms: int, now_ms: int
+    ) -> Change | None:
+        """Record what control has heard of gateways; return what is new.
+
+        Control's answer takes a while, so that its ages are not exact: a value
+        counts only if it is clearly newer than the one here.
+        """
+        limit = self._limit_by_id.get(runner)
+        answered_ms = now_ms - age_ms
+        if age_ms > _expiry_ms(per_s) or (
+            limit is not None
+            and (
+                per_s == limit.per_s
+                or answered_ms <= limit.answered_ms + REPEAT_MS
+            )
+        ):
+            return None
+        return self.note_answer(
+            runner,
+            per_s,
+            sent_ms=answered_ms,
+            source=Source.CONTROL,
+            now_ms=now_ms,
+        )
+
+    def known(self, now_ms: int) -> Iterator[tuple[str, float | None, int]]:
+        """Yield each runner, its limit and the age, unless it is too old.
+
+        Limits that have ended lately are among them, with None.
+        """
+        for runner, limit in self._limit_by_id.items():
+            age_ms = now_ms - limit.answered_ms
+            if age_ms <= _expiry_ms(limit.per_s):
+                yield runner, limit.per_s, age_ms
+
     def note_sent(
         self, runner: str, request_id: str, now_ms: int, *, is_own: bool
     ) -> None:
@@ -264,10 +301,7 @@
         """End the limits that no answer has named for long."""
         for runner, limit in self._limit_by_id.items():
             age_ms = now_ms - limit.named_ms
-            longest_ms = max(
-                EXPIRY_MS, EXPIRY_REQUESTS / limit.rate_per_s * MS_PER_S
-            )
-            if limit.per_s is not None and age_ms > longest_ms:
+            if limit.per_s is not None and age_ms > _expiry_ms(limit.per_s):
                 limit.per_s = None
                 yield (
                     runner,
@@ -360,5 +394,16 @@
         return now_ms - self._contact_ms > ISOLATED_MS
 
 
+def _rate_per_s(per_s: float | None) -> float:
+    return max(MIN_RATE_PER_S, per_s or 0.0)
+
+
+def _expiry_ms(per_s: float | None) -> float:
+    """Return for how long an answer that named this value counts."""
+    if per_s is None:
+        return EXPIRY_MS
+    return max(EXPIRY_MS, EXPIRY_REQUESTS / _rate_per_s(per_s) * MS_PER_S)
+
+
 def _is_lower(per_s: float | None, other: float | None) -> bool:
     return per_s is not None and other is not None and per_s < other
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -21,6 +21,7 @@
     "LoadEvent",
     "LoadEventBatch",
     "LoadEventKind",
+    "RunnerLimit",
     "Stage",
     "TableNotKept",
     "TablePart",
@@ -96,6 +97,17 @@
     address: str
 
 
+@final
+class RunnerLimit(msgspec.Struct, frozen=True, array_like=True):
+    """Limit of a runner, as named in the answer to a request of `age_ms` ago.
+
+    `per_s` is `NO_LIMIT_PER_S` if the answer named none any more.
+    """
+
+    per_s: float
+    age_ms: int
+
+
 @final
 class FollowRequest(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
     """Request of a gateway for updates; it is also a heartbeat.
@@ -109,7 +121,8 @@
     an older version, which gets the whole table with the answer.
     `table_fetch_failed` says that the last fetch of a table failed.
     `blocked_ms_by_parts` are the sets of prompt parts that the gateway blocks,
-    as ids with commas in between.
+    as ids with commas in between. `limit_by_runner` are the limits that it
+    knows, by the start id of the runner.
     """
 
     gateway: str
@@ -122,6 +135,7 @@
     table_address: str = ""
     table_fetch_failed: bool = False
     blocked_ms_by_parts: dict[str, int] = {}
+    limit_by_runner: dict[str, RunnerLimit] = {}
 
 
 @final
@@ -135,7 +149,8 @@
     that is empty, the gateway asks again soon. `peers` are
     the other live gateways, None if the gateway already has the list
     `peers_version`. `rpc_address_by_replica` lists every control replica.
-    `blocked_ms_by_parts` are the sets of parts that any gateway blocks.
+    `blocked_ms_by_parts` are the sets of parts that any gateway blocks, and
+    `limit_by_runner` the newest limits that any gateway knows.
     """
 
     age_ms: int
@@ -148,6 +163,7 @@
     table_source: str = ""
     table_source_number: int = 0
     blocked_ms_by_parts: dict[str, int] = {}
+    limit_by_runner: dict[str, RunnerLimit] = {}
 
 
 @final
--- a/testing/control/test_gateway_updates.py
+++ b/testing/control/test_gateway_updates.py
@@ -102,3 +102,21 @@
     for now_ms in range(3_000, 5_001, 50):
         list(raft.tick(leader.raft, now_ms))
     assert leader.follow("b", now_ms=5_001).blocked_ms_by_parts == {}
+
+
+def test_a_gateway_that_starts_hears_the_newest_limits_of_runners() -> None:
+    leader = LeadingReplica()
+    limit, raised = (
+        gateway_messages.RunnerLimit(per_s, age_ms)
+        for per_s, age_ms in ((1.4, 900), (2.0, 100))
+    )
+    leader.follow("g1", limit_by_runner={"u/1": raised, "u/2": limit})
+    leader.follow("g2", limit_by_runner={"u/1": limit})
+    heard = leader.follow("g3", now_ms=3_050).limit_by_runner
+    assert heard == {
+        "u/1": gateway_messages.RunnerLimit(2.0, 150),
+        "u/2": gateway_messages.RunnerLimit(1.4, 950),
+    }
+    for now_ms in range(3_050, 64_000, 50):
+        list(raft.tick(leader.raft, now_ms))
+    assert leader.follow("g3", now_ms=64_000).limit_by_runner == {}
--- a/testing/policy/test_runner_limits.py
+++ b/testing/policy/test_runner_limits.py
@@ -150,6 +150,35 @@
     assert not limits.is_limited(RUNNER)
 
 
+@pytest.mark.parametrize(
+    ("per_s", "age_ms", "kind"),
+    [
+        pytest.param(2.0, 0, CHANGED, id="newer"),
+        pytest.param(2.0, 4_500, None, id="hardly-newer"),
+        pytest.param(0.5, 9_000, None, id="older"),
+        pytest.param(1.0, 0, None, id="same"),
+        pytest.param(None, 0, ENDED, id="ended"),
+    ],
+)
+def test_value_that_control_has_heard_counts_if_it_is_newer(
+    per_s: float | None, age_ms: int, kind: runner_limits.ChangeKind | None
+) -> None:
+    limits = _limits(1.0)
+    limits.note_answer(RUNNER, 1.0, sent_ms=5_000, source=ANSWER, now_ms=5_000)
+    change = limits.note_known(RUNNER, per_s, age_ms=age_ms, now_ms=10_000)
+    assert (change and change.kind) == kind
+
+
+def test_gateway_that_starts_keeps_to_the_limits_that_control_knows() -> None:
+    limits = runner_limits.RunnerLimits()
+    limits.note_contact(1, 60_000)
+    ((runner, per_s, age_ms),) = _limits(1.0).known(4_000)
+    assert limits.note_known(runner, per_s, age_ms=age_ms, now_ms=60_000)
+    assert not limits.may_send(RUNNER, "r", 60_000)
+    assert limits.note_known("u/2", 1.0, age_ms=10_001, now_ms=60_000) is None
+    assert limits.may_send("u/2", "r", 60_000)
+
+
 def test_limit_belongs_to_one_start_of_a_runner() -> None:
     limits = _limits(1.0)
     assert limits.is_limited(RUNNER)
