Let a rejection without a limit end none

A rejection says that the runner takes too much already. Only an answer to a request that ran ends a limit now. The test failed before for 503.

--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -135,20 +135,22 @@
         A runner answers 421 if it isn't the instance that the request expects.
         """
         value_by_name = {name.lower(): value for name, value in headers.items()}
+        is_misdirected = status == MISDIRECTED_STATUS
+        not_run = is_misdirected or NOT_EXECUTED.lower() in value_by_name
+        limit = _parse_limit(value_by_name.get(SERVER_LIMIT.lower()))
+        if is_misdirected or (not_run and limit is None):
+            # The answer of another runner, or a rejection, ends no limit.
+            limit = protocol.NamedLimit(None)
         return protocol.AnswerHead(
             status=status,
-            not_run=NOT_EXECUTED.lower() in value_by_name
-            or status == MISDIRECTED_STATUS,
+            not_run=not_run,
             has_seal=RESPONSE_SEAL.lower() in value_by_name,
             attempt_id=value_by_name.get(ATTEMPT_ID.lower(), ""),
             leaving=_has_flag(value_by_name.get(SERVER_LEAVING.lower(), "")),
             pause_ms=_parse_pause_ms(value_by_name.get(RETRY_AFTER.lower()))
             if status == OVERLOADED_STATUS
             else None,
-            # A misdirected request is answered by another runner.
-            limit=protocol.NamedLimit(None)
-            if status == MISDIRECTED_STATUS
-            else _parse_limit(value_by_name.get(SERVER_LIMIT.lower())),
+            limit=limit,
         )
 
     def parse_prefill_answer(
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -263,3 +263,17 @@
     assert answer.limit == limit
     is_ignored = limit == protocol.NamedLimit(None)
     assert len(caplog.records) == (1 if is_ignored else 0)
+
+
+@pytest.mark.parametrize(
+    ("status", "head_by_name"),
+    [
+        pytest.param(421, {"Server-Limit": "1"}, id="another-runner"),
+        pytest.param(503, {"X-Wisteriawall-Not-Executed": "1"}, id="rejection"),
+    ],
+)
+def test_answer_that_does_not_tell_ends_no_limit(
+    status: int, head_by_name: dict[str, str]
+) -> None:
+    answer = headers.PlatformDialect().parse_answer_head(status, head_by_name)
+    assert answer.limit == protocol.NamedLimit(None)
