--- a/testing/soak/limits.py
+++ b/testing/soak/limits.py
@@ -23,15 +23,9 @@
     seen: records.Records, gateway_by_key: dict[records.CallKey, str]
 ) -> Iterator[tuple[records.Arrival, str]]:
     """Yield the last arrival of each window with too many requests."""
-    named_by_runner: dict[str, list[records.Arrival]] = collections.defaultdict(
-        list
-    )
-    for arrival in seen.arrivals:
-        named_by_runner[arrival.runner].append(arrival)
-    for runner, arrivals in named_by_runner.items():
+    for arrivals in _limited_times(seen.arrivals):
+        runner = arrivals[0].runner
         named = [a for a in arrivals if a.named_limit is not None]
-        if not named:
-            continue
         most = max(a.named_limit or 0.0 for a in named)
         first_s = min(a.named_s for a in named)
         counted = sorted(
@@ -57,6 +51,32 @@
                 break
 
 
+def _limited_times(
+    arrivals: list[records.Arrival],
+) -> Iterator[list[records.Arrival]]:
+    """Yield the requests of each time for which a runner named limits.
+
+    It ends with an answer that names none, other than a rejection.
+    """
+    arrivals_by_runner: dict[str, list[records.Arrival]] = (
+        collections.defaultdict(list)
+    )
+    for arrival in arrivals:
+        arrivals_by_runner[arrival.runner].append(arrival)
+    for of_runner in arrivals_by_runner.values():
+        limited: list[records.Arrival] = []
+        for arrival in sorted(of_runner, key=lambda a: a.at_s):
+            if arrival.named_limit is not None or (
+                limited and not arrival.seal
+            ):
+                limited.append(arrival)
+            elif limited and arrival.at_s > limited[0].named_s:
+                yield limited
+                limited = []
+        if limited:
+            yield limited
+
+
 def _was_told(
     seen: records.Records,
     arrival: records.Arrival,
