Keep a limit through a pause of the callers

Found while reading: a limit that no answer named for 10 s ended at every gateway at once, so that callers who come back after a pause had no limit until the first answers. A limit lasts for 60 s without an answer. The new test, 30 s of pause and answers after 1.5 s, failed before.

--- a/src/wisteriawall/policy/runner_limits.py
+++ b/src/wisteriawall/policy/runner_limits.py
@@ -36,10 +36,9 @@
 MIN_RATE_PER_S = 0.1
 # A gateway asks control every 350 ms.
 ISOLATED_MS = 900
-# A limit that no answer has named for this long, and for this many of its
-# requests, no longer holds.
-EXPIRY_MS = 10_000
-EXPIRY_REQUESTS = 4
+# A limit that no answer has named for this long no longer holds. The rarest
+# requests show several times whether it does.
+EXPIRY_MS = 60_000
 # Gateways that missed a value hear it again.
 REPEAT_MS = 1_000
 USAGE_INTERVAL_MS = 4_000
@@ -126,7 +125,7 @@
     @property
     def rate_per_s(self) -> float:
         """Return the rate at which requests may be sent."""
-        return _rate_per_s(self.per_s)
+        return max(MIN_RATE_PER_S, self.per_s or 0.0)
 
 
 @final
@@ -211,7 +210,7 @@
         """
         limit = self._limit_by_id.get(runner)
         answered_ms = now_ms - age_ms
-        if age_ms > _expiry_ms(per_s) or (
+        if age_ms > EXPIRY_MS or (
             limit is not None
             and (
                 per_s == limit.per_s
@@ -234,7 +233,7 @@
         """
         for runner, limit in self._limit_by_id.items():
             age_ms = now_ms - limit.answered_ms
-            if age_ms <= _expiry_ms(limit.per_s):
+            if age_ms <= EXPIRY_MS:
                 yield runner, limit.per_s, age_ms
 
     def note_sent(
@@ -301,7 +300,7 @@
         """End the limits that no answer has named for long."""
         for runner, limit in self._limit_by_id.items():
             age_ms = now_ms - limit.named_ms
-            if limit.per_s is not None and age_ms > _expiry_ms(limit.per_s):
+            if limit.per_s is not None and age_ms > EXPIRY_MS:
                 limit.per_s = None
                 yield (
                     runner,
@@ -394,16 +393,5 @@
         return now_ms - self._contact_ms > ISOLATED_MS
 
 
-def _rate_per_s(per_s: float | None) -> float:
-    return max(MIN_RATE_PER_S, per_s or 0.0)
-
-
-def _expiry_ms(per_s: float | None) -> float:
-    """Return for how long an answer that named this value counts."""
-    if per_s is None:
-        return EXPIRY_MS
-    return max(EXPIRY_MS, EXPIRY_REQUESTS / _rate_per_s(per_s) * MS_PER_S)
-
-
 def _is_lower(per_s: float | None, other: float | None) -> bool:
     return per_s is not None and other is not None and per_s < other
--- a/testing/gateway/test_runner_limits.py
+++ b/testing/gateway/test_runner_limits.py
@@ -107,6 +107,16 @@
     assert sum(t >= 42_000 for t in times_ms) > 10
 
 
+def test_limit_holds_through_a_pause_of_the_callers() -> None:
+    fleet = limited_fleet.LimitedFleet(
+        gateways=7, limit_by_runner={"limited": 1.4, **OTHERS}, answer_ms=1_500
+    )
+    fleet.play(for_ms=8_000, requests_per_s=REQUESTS_PER_S)
+    fleet.play(from_ms=30_000, for_ms=45_000, requests_per_s=REQUESTS_PER_S)
+    most = fleet.most_in_window("limited", from_ms=30_000, window_ms=WINDOW_MS)
+    assert most <= _allowed(1.4)
+
+
 def test_log_tells_what_a_limited_runner_got_from_all_gateways() -> None:
     fleet = _fleet(7, 1.4)
     fleet.play(for_ms=PLAY_MS, requests_per_s=REQUESTS_PER_S)
--- a/testing/policy/test_runner_limits.py
+++ b/testing/policy/test_runner_limits.py
@@ -144,9 +144,9 @@
 
 def test_limit_that_no_answer_names_for_long_ends() -> None:
     limits = _limits(1.0)
-    assert list(limits.expire(9_000)) == []
-    ((runner, change),) = limits.expire(11_000)
-    assert (runner, change.kind, change.age_ms) == (RUNNER, ENDED, 11_000)
+    assert list(limits.expire(60_000)) == []
+    ((runner, change),) = limits.expire(61_000)
+    assert (runner, change.kind, change.age_ms) == (RUNNER, ENDED, 61_000)
     assert not limits.is_limited(RUNNER)
 
 
@@ -171,17 +171,17 @@
 
 def test_gateway_that_starts_keeps_to_the_limits_that_control_knows() -> None:
     limits = runner_limits.RunnerLimits()
-    limits.note_contact(1, 60_000)
+    limits.note_contact(1, 90_000)
     ((runner, per_s, age_ms),) = _limits(1.0).known(4_000)
-    assert limits.note_known(runner, per_s, age_ms=age_ms, now_ms=60_000)
-    assert not limits.may_send(RUNNER, "r", 60_000)
-    assert limits.note_known("u/2", 1.0, age_ms=10_001, now_ms=60_000) is None
-    assert limits.may_send("u/2", "r", 60_000)
+    assert limits.note_known(runner, per_s, age_ms=age_ms, now_ms=90_000)
+    assert not limits.may_send(RUNNER, "r", 90_000)
+    assert limits.note_known("u/2", 1.0, age_ms=60_001, now_ms=90_000) is None
+    assert limits.may_send("u/2", "r", 90_000)
 
 
 def test_limit_belongs_to_one_start_of_a_runner() -> None:
     limits = _limits(1.0)
     assert limits.is_limited(RUNNER)
     assert not limits.is_limited("u/2")
-    limits.drop_unlisted({"u/2"}, 20_000)
+    limits.drop_unlisted({"u/2"}, 61_000)
     assert not limits.is_limited(RUNNER)
--- a/testing/support/limited_fleet.py
+++ b/testing/support/limited_fleet.py
@@ -15,7 +15,6 @@
 from wisteriawall.policy import retry_window
 from wisteriawall.wire import gateway_messages
 
-ANSWER_MS = 120
 LOAD_EVENT_MS = 12
 POLL_MS = 350
 SERVICE = "s"
@@ -52,10 +51,15 @@
     """
 
     def __init__(
-        self, *, gateways: int, limit_by_runner: dict[str, float | None]
+        self,
+        *,
+        gateways: int,
+        limit_by_runner: dict[str, float | None],
+        answer_ms: int = 120,
     ) -> None:
         """Start all gateways with the table and the list of runners."""
         self.limit_by_runner = limit_by_runner
+        self._answer_ms = answer_ms
         self.sent_ms_by_runner: dict[str, list[int]] = collections.defaultdict(
             list
         )
@@ -83,9 +87,11 @@
         )
         self._reduce(name, self._control_update(now_ms, is_first=True), now_ms)
 
-    def play(self, *, for_ms: int, requests_per_s: float) -> None:
-        """Play requests that arrive at any gateway."""
-        at_ms = 0.0
+    def play(
+        self, *, for_ms: int, requests_per_s: float, from_ms: int = 0
+    ) -> None:
+        """Play up to `for_ms`, with requests from `from_ms` on."""
+        at_ms = float(from_ms)
         while at_ms < for_ms:
             at_ms += self._chance.expovariate(requests_per_s / 1_000)
             name = self._chance.choice(sorted(self._state_by_name))
@@ -202,7 +208,7 @@
             )
             self._reduce(name, ended, at_ms)
 
-        self._at(now_ms + ANSWER_MS, answer)
+        self._at(now_ms + self._answer_ms, answer)
 
     def _reduce(self, name: str, event: events.Event, now_ms: int) -> list[Any]:
         left = []
