--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -13,6 +13,7 @@
 
 from wisteriawall.config import route_table
 from wisteriawall.gateway import protocol
+from wisteriawall.web import connection_pool
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import gateway_messages
 
@@ -45,7 +46,8 @@
 
     `unread_ms` is how long it waited before that: for a thread to read it, and
     for the routing table after the start of the gateway. `too_late` tells that
-    the process ends too soon for a new request.
+    the process ends too soon for a new request. `fingerprint` is equal for
+    requests that a caller repeats.
     """
 
     request_key: int
@@ -56,6 +58,7 @@
     now_ms: int
     unread_ms: int = 0
     too_late: bool = False
+    fingerprint: str = ""
 
 
 @final
@@ -99,6 +102,8 @@
         status: HTTP status for the caller; 0 selects the default.
         runner_failed: Whether the failure speaks against the runner.
         cut_off: The runner ended the connection.
+        peer_state: Whether the runner took a new connection right after it cut
+            the request off; UNKNOWN if none was tried.
     """
 
     request_key: int
@@ -110,6 +115,7 @@
     status: int = 0
     runner_failed: bool = True
     cut_off: bool = False
+    peer_state: connection_pool.PeerState = connection_pool.PeerState.UNKNOWN
 
 
 @final
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -354,6 +354,7 @@
             "leg": send.phase.value,
             "upstream": send.upstream.upstream_id,
             "attempt": send.attempt,
+            "fingerprint": request.fingerprint,
             "urgency": send.priority_class,
             "left_ms": request.deadline_at_ms - now_ms,
             "table": gateway.table_number,
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -53,12 +53,14 @@
     """Parsed headers of a caller's request.
 
     `remaining_ms` is the time that the caller still waits, counted from the
-    request's arrival. `prompt` is None for plain requests.
+    request's arrival. `prompt` is None for plain requests. `account` names the
+    client account, empty if the request names none.
     """
 
     attempt_id: str
     remaining_ms: int
     prompt: PromptTokens | None
+    account: str = ""
 
 
 @final
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -111,6 +111,7 @@
         route=route,
         service=_pick_service(gateway.route_index, route, event.request_id),
         arrived_ms=event.now_ms - event.unread_ms,
+        fingerprint=event.fingerprint,
     )
     if event.head.prompt is not None:
         # The last part belongs to this request, or to its session.
@@ -286,6 +287,9 @@
             "leg": send.phase.value,
             "run": event.run.value,
             "reason": event.reason,
+            "fingerprint": request.fingerprint,
+            "cut_off": event.cut_off,
+            "peer": event.peer_state.value,
         },
     )
     yield from loads.report_step(
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -35,6 +35,8 @@
 # Reading the rest of an answer costs more than a new connection beyond these.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_MS = 200
+# A host whose process has ended refuses a connection at once.
+PROBE_TIMEOUT_S = 0.05
 SUCCESS_STATUSES = range(200, 300)
 # By these a caller takes its request for not run. 421 of a runner always means
 # that, the others only beside its own statement.
@@ -194,6 +196,7 @@
                 str(error),
                 status=status,
                 cut_off=error.cut_off,
+                peer_state=self._probe_after(error, send),
             )
         except ConnectionAbortedError:
             # Raised by `_abort`, to reset the caller's connection.
@@ -311,6 +314,19 @@
             else send.max_idle_ms,
         )
 
+    def _probe_after(
+        self, error: http_exchange.Broken, send: protocol.Send
+    ) -> connection_pool.PeerState:
+        """Return whether the runner that cut the request off still listens.
+
+        It tells a crash from the loss of one connection.
+        """
+        if not error.cut_off or self._cancelled:
+            return connection_pool.PeerState.UNKNOWN
+        return connection_pool.probe(
+            send.upstream.address, timeout_s=PROBE_TIMEOUT_S
+        )
+
     def _report_foreign_answer(
         self,
         exchange: http_exchange.HttpExchange,
@@ -466,6 +482,9 @@
         status: int = 0,
         runner_failed: bool = True,
         cut_off: bool = False,
+        peer_state: connection_pool.PeerState = (
+            connection_pool.PeerState.UNKNOWN
+        ),
     ) -> list[events.Effect]:
         if self._cancelled:
             self._abort("the caller disconnected, or the gateway's stop cut it")
@@ -479,6 +498,7 @@
             status=status,
             runner_failed=runner_failed,
             cut_off=cut_off,
+            peer_state=peer_state,
         )
         return self._submit(failed)
 
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -12,6 +12,7 @@
 from wisteriawall import clock
 from wisteriawall.config import route_table
 from wisteriawall.gateway import events
+from wisteriawall.gateway import fingerprint as fingerprint_lib
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import peers as peers_lib
 from wisteriawall.gateway import protocol
@@ -315,6 +316,13 @@
             - received_ms
             + server_lib.queued_ms(environ),
             too_late=self._arrivals_closed,
+            fingerprint=fingerprint_lib.request_fingerprint(
+                method=environ["REQUEST_METHOD"],
+                host=headers.get("Host", ""),
+                target=target,
+                account=head.account,
+                body=body,
+            ),
         )
         effects = self._submit(arrived)
         accepted = self._gateway.request_by_key.get(request_key)
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -44,8 +44,8 @@
     to arrive. `earlier_wait_ms` is how long the caller waited in attempts
     before this request, derived from its deadline. `shared_parts` are the parts
     of the prompt that other requests may have too, and `began_ms` is when the
-    answer to `current_send` began, 0 before. Times are on the monotonic
-    clock.
+    answer to `current_send` began, 0 before. `fingerprint` is equal for
+    requests that a caller repeats. Times are on the monotonic clock.
     """
 
     request_key: int
@@ -64,6 +64,7 @@
     earlier_wait_ms: int = 0
     shared_parts: tuple[str, ...] = ()
     began_ms: int = 0
+    fingerprint: str = ""
 
     @property
     def deadline_at_ms(self) -> int:
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -32,6 +32,7 @@
 # Engine and KV transfer handle to fetch the KV cache from, as `IP:PORT/HANDLE`.
 KV_CACHE_SOURCE = "X-Wisteriawall-Kv-Cache-Source"
 LAST_EVENT_ID = "Last-Event-Id"
+AUTHORIZATION = "Authorization"
 # Set to 1 by a runner that is about to stop, in all of its answers.
 SERVER_LEAVING = "Server-Leaving"
 # Seconds for which an overloaded runner wants no further requests.
@@ -95,6 +96,7 @@
                 headers, DEADLINE_REMAINING, NO_DEADLINE_MS
             ),
             prompt=_parse_prompt(headers),
+            account=headers.get(AUTHORIZATION, ""),
         )
 
     def runner_request_headers(
--- a/src/wisteriawall/web/connection_pool.py
+++ b/src/wisteriawall/web/connection_pool.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 import contextlib
 import dataclasses
+import enum
 import socket
 import threading
 from typing import final
@@ -10,7 +11,7 @@
 from wisteriawall import clock
 from wisteriawall.web import runner_connection
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "PeerState", "probe"]
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 32
@@ -31,6 +32,30 @@
 ]
 
 
+@final
+class PeerState(enum.Enum):
+    """Whether a server takes connections; values appear in the decision log.
+
+    UNKNOWN stands for a server that didn't respond in time, too.
+    """
+
+    LISTENING = "listening"
+    REFUSING = "refusing"
+    UNKNOWN = "unknown"
+
+
+def probe(address: str, *, timeout_s: float) -> PeerState:
+    """Return whether the host and port `address` take a new connection."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout_s).close()
+    except ConnectionRefusedError:
+        return PeerState.REFUSING
+    except OSError:
+        return PeerState.UNKNOWN
+    return PeerState.LISTENING
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class _IdleConnection:
