Block requests that crash runners, with one mechanism for parts and wholes

What callers saw: one request that crashes each runner that runs it ended all three runners of a plain service, three times within 12 s, and payments and reads of that service got 503 meanwhile.

Cause: nothing connected a crash with the request that was run; only parts of prompts were suspected, crashes within 500 ms counted as one, and each block ended by itself after 60 to 120 s, at each gateway, for good.

Change: a request's fingerprint is a trait like its prompt parts (policy/suspects.py). A runner that cut a request off and refuses a new connection has crashed; two such crashes without a complete answer block a request (five, if it ever was answered). Gateways tell each other by load events, and control passes lost requests on, for gateways that got none. A block has no end of its own: control keeps it in its log, so that it outlives restarts of everything, and grants two trials, each to one gateway and incarnation; a complete answer ends it.

--- a/src/wisteriawall/control/audit.py
+++ b/src/wisteriawall/control/audit.py
@@ -169,11 +169,24 @@
             )
         case commands.RecordEngine():
             return _build_engine_record(index, command, result)
+        case _:
+            return _build_small_record(index, command, result)
+
+
+def _build_small_record(
+    index: int, command: commands.Command, result: str
+) -> state.AuditRecord | None:
+    """Return the record of a drain or a block, None for other commands."""
+    match command:
         case commands.SetDrain(runner, drained, operator, at_ms):
             cause = "drain" if drained else "undo drain"
             return state.AuditRecord(
                 index, at_ms, _Kind.DRAIN, operator, runner, cause, result
             )
+        case commands.ChangeBlock(name, change, gateway, _, at_ms):
+            return state.AuditRecord(
+                index, at_ms, _Kind.BLOCK, gateway, name, change.value, result
+            )
         case _:
             return None
 
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -13,6 +13,7 @@
 from wisteriawall.wire import fleet
 
 __all__ = [
+    "ChangeBlock",
     "ChangeTable",
     "Command",
     "GrantClaim",
@@ -200,6 +201,21 @@
     at_ms: int
 
 
+@final
+class ChangeBlock(msgspec.Struct, frozen=True, tag="block"):
+    """Change the block `name` of requests under which runners crash.
+
+    `gateway` reported it, or gets the trial; it contains the incarnation.
+    `trials` is the number of earlier trials, so that one is granted once.
+    """
+
+    name: str
+    change: state.BlockChange
+    gateway: str
+    trials: int
+    at_ms: int
+
+
 Command = (
     RecordLeader
     | RecordMembershipChange
@@ -214,6 +230,7 @@
     | RecordEngine
     | SetDrain
     | RecordEntryLost
+    | ChangeBlock
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -1,7 +1,6 @@
 """Updates from the leader to gateways: route table, runners and peers."""
 
 import dataclasses
-import itertools
 from typing import final
 import zlib
 
@@ -12,6 +11,7 @@
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import redirect
 from wisteriawall.control import state
+from wisteriawall.control import suspect_blocks as suspect_blocks_lib
 from wisteriawall.control import table_sources as table_sources_lib
 from wisteriawall.wire import gateway_messages
 
@@ -25,7 +25,6 @@
 
 # Gateways send requests several times a second.
 GATEWAY_TIMEOUT_MS = 3_000
-MAX_BLOCKED_PARTS = 64
 # Gateways go by a limit no longer than this without a newer answer.
 LIMIT_KEPT_MS = 60_000
 MAX_LIMITS = 256
@@ -51,7 +50,7 @@
     it has read one as leader. `peers_version` is 0 until the version of the
     list of gateways is computed. `tables` are the tables that this replica
     applied, and `table_sources` says which gateways have the newest.
-    `blocked_until_ms_by_parts` are the parts of prompts that gateways block.
+    `suspect_blocks` are the blocks of requests under which runners crash.
     `limit_by_runner` are the newest limits that gateways know, and when the
     requests were sent whose answers named them.
     """
@@ -67,8 +66,8 @@
     table_sources: table_sources_lib.TableSources = dataclasses.field(
         default_factory=table_sources_lib.TableSources
     )
-    blocked_until_ms_by_parts: dict[str, int] = dataclasses.field(
-        default_factory=dict
+    suspect_blocks: suspect_blocks_lib.SuspectBlocks = dataclasses.field(
+        default_factory=suspect_blocks_lib.SuspectBlocks
     )
     limit_by_runner: dict[str, tuple[float, int]] = dataclasses.field(
         default_factory=dict
@@ -145,6 +144,9 @@
     if upstreams is not None and upstreams.version == request.list_version:
         upstreams = None
     peers_version = _peers_version(updates)
+    blocked_ms_by_parts, known_suspects = suspect_blocks_lib.describe(
+        updates.suspect_blocks, ledger, request, now_ms
+    )
     return gateway_messages.Followed(
         age_ms=now_ms - raft.quorum_acknowledged_ms(now_ms),
         table_number=number,
@@ -167,34 +169,12 @@
         peers_version=peers_version,
         table_source=(source.address or own_address) if source else "",
         table_source_number=source.number if source else 0,
-        blocked_ms_by_parts=_merge_blocked_parts(updates, request, now_ms),
+        blocked_ms_by_parts=blocked_ms_by_parts,
         limit_by_runner=_merge_limits(updates, request, now_ms),
+        suspects=known_suspects,
     )
 
 
-def _merge_blocked_parts(
-    updates: GatewayUpdates,
-    request: gateway_messages.FollowRequest,
-    now_ms: int,
-) -> dict[str, int]:
-    """Return the parts that any gateway blocks, and for how long.
-
-    A gateway that starts, or lost datagrams, learns of them here.
-    """
-    until_ms_by_part = updates.blocked_until_ms_by_parts
-    for part, remaining_ms in request.blocked_ms_by_parts.items():
-        until_ms_by_part.setdefault(part, now_ms + remaining_ms)
-    for part, until_ms in list(until_ms_by_part.items()):
-        if until_ms <= now_ms:
-            del until_ms_by_part[part]
-    return {
-        part: until_ms - now_ms
-        for part, until_ms in itertools.islice(
-            until_ms_by_part.items(), MAX_BLOCKED_PARTS
-        )
-    }
-
-
 def _merge_limits(
     updates: GatewayUpdates,
     request: gateway_messages.FollowRequest,
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -12,6 +12,7 @@
 from wisteriawall.control import orders
 from wisteriawall.control import outcomes
 from wisteriawall.control import state
+from wisteriawall.control import suspect_blocks
 from wisteriawall.control import tables
 from wisteriawall.wire import fleet
 
@@ -85,6 +86,9 @@
             return membership.set_presence(ledger, fencing_number.term, command)
         case commands.RecordEngine():
             return membership.record_engine(ledger, command)
+        case commands.ChangeBlock():
+            suspect_blocks.apply(ledger, command)
+            return outcomes.Recorded()
         case commands.SetDrain():
             return membership.set_drain(ledger, command)
         case _:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -20,6 +20,7 @@
 from wisteriawall.control import replica_changes
 from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot as snapshot_lib
+from wisteriawall.control import suspect_blocks
 from wisteriawall.control import writes
 from wisteriawall.policy import roles
 from wisteriawall.wire import control_messages
@@ -219,13 +220,8 @@
             )
             return
         case gateway_messages.FollowRequest() as follow:
-            reply = gateway_updates_lib.follow(
-                control.gateway_updates,
-                control.raft,
-                control.ledger,
-                follow,
-                event.now_ms,
-            )
+            yield from _handle_follow_request(control, follow, event)
+            return
         case gateway_messages.TablePartRequest() as part:
             reply = gateway_updates_lib.read_table_part(
                 control.gateway_updates, part
@@ -242,6 +238,28 @@
     yield events.Answer(event.call_id, reply)
 
 
+def _handle_follow_request(
+    control: replica_state.ReplicaState,
+    request: gateway_messages.FollowRequest,
+    event: events.CallReceived,
+) -> Iterator[events.Effect]:
+    """Commit what the gateway reports of blocks, and answer it."""
+    updates = control.gateway_updates
+    if control.raft.holds_lease(event.now_ms):
+        for command in suspect_blocks.follow(
+            updates.suspect_blocks,
+            control.ledger,
+            request,
+            now_ms=event.now_ms,
+            wall_ms=event.wall_ms,
+        ):
+            yield from _submit_command(control, command, event.now_ms)
+    reply = gateway_updates_lib.follow(
+        updates, control.raft, control.ledger, request, event.now_ms
+    )
+    yield events.Answer(event.call_id, reply)
+
+
 def _submit_write(
     control: replica_state.ReplicaState, event: events.CallReceived
 ) -> Iterator[events.Effect]:
--- a/src/wisteriawall/control/state.py
+++ b/src/wisteriawall/control/state.py
@@ -22,6 +22,7 @@
 __all__ = [
     "AuditKind",
     "AuditRecord",
+    "BlockChange",
     "Claim",
     "ClaimKey",
     "ConfigVersion",
@@ -30,6 +31,7 @@
     "Presence",
     "PublishedTable",
     "RunnerState",
+    "SuspectBlock",
     "runner_view",
 ]
 
@@ -49,6 +51,28 @@
     LEADERSHIP = "leadership"
     REPLICA = "replica"
     TABLE = "table"
+    BLOCK = "block"
+
+
+@final
+class BlockChange(enum.StrEnum):
+    """Change of a block of requests under which runners crash."""
+
+    ADDED = "added"
+    TRIAL = "trial"
+    REMOVED = "removed"
+
+
+@final
+class SuspectBlock(msgspec.Struct, frozen=True):
+    """Block of requests under which runners crash.
+
+    `trials` is how many of them were let through since, the last one at the
+    gateway and incarnation `holder`.
+    """
+
+    trials: int = 0
+    holder: str = ""
 
 
 @final
@@ -186,7 +210,8 @@
     is its value at the last removal. `retired_by_name` keeps pending orders
     and minimum fencing numbers of runners that the configuration no longer
     names, so that they still apply if the name is configured again.
-    `fetch_at_ms` is the Unix time of the last weight fetch. The ordered
+    `fetch_at_ms` is the Unix time of the last weight fetch. `block_by_name` are
+    the blocks of requests under which runners crash, oldest first. The ordered
     dictionaries are oldest first, and `runner_by_name` is in the order of
     last change.
     """
@@ -216,6 +241,9 @@
     running_claim_ids: set[int] = dataclasses.field(default_factory=set)
     kept_answer_bytes: int = 0
     published: PublishedTable | None = None
+    block_by_name: dict[str, SuspectBlock] = dataclasses.field(
+        default_factory=dict
+    )
     audit: list[AuditRecord] = dataclasses.field(default_factory=list)
 
     def fleet_view(self, known_version: int = 0) -> fleet.FleetView:
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -214,8 +214,9 @@
     `table` and `upstreams` are None if unchanged. `gateway_count` is the number
     of gateways of the deployment. `newest_table` is the number of the table
     that was the newest at `confirmed_ms`, monotonic time, and `took_ms` the
-    duration of the call. `blocked_ms_by_parts` are the sets of prompt parts
-    that other gateways block, and `limit_by_runner` the limits that they know.
+    duration of the call. `blocked_ms_by_parts` are the sets of traits that are
+    blocked, `suspects` is what else control knows of requests under which
+    runners crash, and `limit_by_runner` are the limits that others know.
     """
 
     table: route_table.RouteTable | None
@@ -231,6 +232,9 @@
     limit_by_runner: Mapping[str, gateway_messages.RunnerLimit] = (
         dataclasses.field(default_factory=dict)
     )
+    suspects: gateway_messages.KnownSuspects = dataclasses.field(
+        default_factory=gateway_messages.KnownSuspects
+    )
 
 
 @final
--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -55,10 +55,11 @@
 def refuse_blocked(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> Iterator[events.Effect]:
-    """Refuse a request with a part under which runners crash."""
-    blocked_ms = gateway.suspect_parts.blocked_ms(request.shared_parts, now_ms)
+    """Refuse a request under which runners would crash."""
+    gateway.suspects.note_refused(request.traits)
+    blocked_ms = gateway.suspects.blocked_ms(request.traits, now_ms)
     yield from refuse(
-        gateway, request, refusals.part_blocked(blocked_ms), "part-blocked"
+        gateway, request, refusals.blocked(blocked_ms), "part-blocked"
     )
 
 
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -15,10 +15,10 @@
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import loads
-from wisteriawall.gateway import prompt_parts
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
+from wisteriawall.gateway import suspects
 from wisteriawall.policy import admission
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.wire import gateway_messages
@@ -55,7 +55,7 @@
             gateway, request, refusals.deadline_passed(), "late"
         )
         return
-    if prompt_parts.is_blocked(gateway, request, now_ms):
+    if suspects.is_blocked(gateway, request, now_ms):
         yield from final_answers.refuse_blocked(gateway, request, now_ms)
         return
     candidates = _candidates(gateway, request, now_ms)
@@ -345,7 +345,7 @@
     )
     loads.apply_step(gateway, load_event, now_ms)
     limits.apply_step(gateway, load_event, now_ms, is_own=True)
-    yield from prompt_parts.apply_events(gateway, [load_event], now_ms)
+    yield from suspects.note_sent(gateway, request)
     yield events.LogDecision(
         decision="sent",
         request_id=request.request_id,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -14,10 +14,10 @@
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import loads
 from wisteriawall.gateway import placing
-from wisteriawall.gateway import prompt_parts
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
+from wisteriawall.gateway import suspects
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import runner_notices
 from wisteriawall.web import refusal as refusal_lib
@@ -64,7 +64,7 @@
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
             loads.apply_steps(gateway, load_events, now_ms)
             yield from limits.apply_events(gateway, load_events, now_ms)
-            yield from prompt_parts.apply_events(gateway, load_events, now_ms)
+            yield from suspects.apply_events(gateway, load_events, now_ms)
         case events.ControlUpdate() | events.TableAnnounced():
             yield from _handle_control(gateway, event)
 
@@ -198,7 +198,7 @@
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
-    if prompt_parts.is_blocked(gateway, request, event.now_ms):
+    if suspects.is_blocked(gateway, request, event.now_ms):
         yield from final_answers.refuse_blocked(gateway, request, event.now_ms)
         return
     decoder = gateway.upstream_by_id.get(placement.upstream_id)
@@ -297,7 +297,7 @@
     )
     yield from _note_failure(gateway, request, event)
     if event.cut_off:
-        yield from prompt_parts.report_cut_off(gateway, request, event.now_ms)
+        yield from suspects.report_cut_off(gateway, request, event)
     run = event.run
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
@@ -362,7 +362,7 @@
     upstream = request.current_send.upstream
     upstream_id = upstream.upstream_id
     if event.unreachable:
-        yield from prompt_parts.report_unreachable(
+        yield from suspects.report_unreachable(
             gateway, upstream_id, event.now_ms
         )
     avoidance_ms = gateway.notices.note_failure(
@@ -396,7 +396,10 @@
         return False
     if request.answer_started and not request.route.resumable:
         return False
-    if prompt_parts.is_blocked(gateway, request, event.now_ms):
+    # A trial that failed is not repeated either.
+    if event.cut_off and gateway.suspects.is_blocked(request.traits):
+        return False
+    if suspects.is_blocked(gateway, request, event.now_ms):
         return False
     not_run = run is refusal_lib.RunState.NOT_RUN
     if not not_run and not request.route.is_repeatable:
@@ -427,7 +430,7 @@
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
     if event.is_success:
-        yield from prompt_parts.report_complete_answer(
+        yield from suspects.report_complete_answer(
             gateway, request, event.now_ms
         )
 
@@ -446,7 +449,7 @@
 def _apply_control_update(
     gateway: state_lib.Gateway, event: events.ControlUpdate
 ) -> Iterator[events.LogDecision]:
-    gateway.suspect_parts.add_blocked(event.blocked_ms_by_parts, event.now_ms)
+    yield from suspects.apply_control(gateway, event)
     table = event.table
     if table is not None and table.number > gateway.table_number:
         gateway.route_index = route_table.RouteIndex(table)
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -9,11 +9,11 @@
     "OUTDATED_TABLE",
     "PLAIN_OVERLOAD_RETRY_MS",
     "STOPPING",
+    "blocked",
     "deadline_passed",
     "malformed_head",
     "no_runner",
     "overloaded",
-    "part_blocked",
     "phase_failed",
 ]
 
@@ -82,12 +82,12 @@
     )
 
 
-def part_blocked(blocked_ms: int) -> refusal_lib.Refusal:
+def blocked(blocked_ms: int) -> refusal_lib.Refusal:
     """Return the refusal of a request that would crash another runner."""
     return refusal_lib.Refusal(
         status=503,
         code=refusal_lib.Code.UNAVAILABLE,
-        message="runners crash under a part of this prompt",
+        message="runners crash under this request or a part of its prompt",
         retry_after_ms=blocked_ms,
     )
 
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -20,11 +20,11 @@
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import run as run_lib
 from wisteriawall.gateway import state as state_lib
+from wisteriawall.gateway import suspects as suspects_lib
 from wisteriawall.gateway import table_relay
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
-from wisteriawall.policy import suspect_parts
 from wisteriawall.web import connection_pool
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
@@ -146,13 +146,11 @@
         self._newest_table = 0
         self._announced_table = 0
         self._lock = threading.Lock()
-        chance = random.Random(f"{identity.name}/{identity.incarnation}")
         self._gateway = state_lib.Gateway(
             name=identity.name,
             zone=identity.zone,
-            random=chance,
+            random=random.Random(f"{identity.name}/{identity.incarnation}"),
             tuning=tuning,
-            suspect_parts=suspect_parts.SuspectParts(chance),
             retries=retry_window.RetryWindow(
                 window_ms=budget.window_ms,
                 ratio=budget.ratio / 2,
@@ -440,9 +438,7 @@
         gateway = self._gateway
         now_ms = clock.monotonic_ms()
         with self._lock:
-            blocked_ms_by_parts = gateway.suspect_parts.remaining_ms_by_parts(
-                now_ms
-            )
+            blocked_ms_by_parts, suspects = suspects_lib.report(gateway, now_ms)
             limit_by_runner = limits.known(gateway, now_ms)
         follow = gateway_messages.FollowRequest(
             self._identity.name,
@@ -456,6 +452,7 @@
             self._table_fetch_failed,
             blocked_ms_by_parts,
             limit_by_runner,
+            suspects,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -515,6 +512,7 @@
             took_ms=now_ms - called_ms,
             blocked_ms_by_parts=reply.blocked_ms_by_parts,
             limit_by_runner=reply.limit_by_runner,
+            suspects=reply.suspects,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -11,7 +11,7 @@
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.policy import runner_notices
-from wisteriawall.policy import suspect_parts as suspect_parts_lib
+from wisteriawall.policy import suspects as suspects_lib
 from wisteriawall.wire import gateway_messages
 
 __all__ = ["Gateway", "Request", "Tuning"]
@@ -45,7 +45,8 @@
     before this request, derived from its deadline. `shared_parts` are the parts
     of the prompt that other requests may have too, and `began_ms` is when the
     answer to `current_send` began, 0 before. `fingerprint` is equal for
-    requests that a caller repeats. Times are on the monotonic clock.
+    requests that a caller repeats, and `is_trial` is set if it is sent although
+    it is blocked. Times are on the monotonic clock.
     """
 
     request_key: int
@@ -65,6 +66,17 @@
     shared_parts: tuple[str, ...] = ()
     began_ms: int = 0
     fingerprint: str = ""
+    is_trial: bool = False
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Return what this request has in common with others like it."""
+        if not self.fingerprint:
+            return self.shared_parts
+        return (
+            *self.shared_parts,
+            suspects_lib.request_trait(self.fingerprint),
+        )
 
     @property
     def deadline_at_ms(self) -> int:
@@ -87,7 +99,9 @@
     `newest_table` is the highest number of a table that control named, and
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
-    `suspect_parts` are the parts of prompts under which runners crashed.
+    `suspects` are requests and parts of prompts under which runners crashed,
+    and `lost_requests` the latest ones that a runner cut off here, with the
+    time.
     `longest_remaining_ms_by_route` holds the longest remaining time that any
     caller of a route had on arrival.
     """
@@ -113,8 +127,11 @@
     limits: runner_limits.RunnerLimits = dataclasses.field(
         default_factory=runner_limits.RunnerLimits
     )
-    suspect_parts: suspect_parts_lib.SuspectParts = dataclasses.field(
-        default_factory=lambda: suspect_parts_lib.SuspectParts(random.Random(0))
+    suspects: suspects_lib.Suspects = dataclasses.field(
+        default_factory=suspects_lib.Suspects
+    )
+    lost_requests: list[tuple[int, gateway_messages.LoadEvent]] = (
+        dataclasses.field(default_factory=list)
     )
     longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
         default_factory=dict
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -18,17 +18,20 @@
     "GatewayPeer",
     "JoinReply",
     "JoinRequest",
+    "KnownSuspects",
     "LoadEvent",
     "LoadEventBatch",
     "LoadEventKind",
     "RunnerLimit",
     "Stage",
+    "SuspectReport",
     "TableNotKept",
     "TablePart",
     "TablePartRequest",
     "Upstream",
     "UpstreamList",
     "table_part",
+    "with_age",
 ]
 
 # Small, so that heartbeats and requests wait little behind a part.
@@ -108,6 +111,36 @@
     age_ms: int
 
 
+@final
+class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway knows of requests under which runners crash.
+
+    Sets of traits are named by their traits with commas in between: ids of
+    prompt parts, and `request/` with the fingerprint of a whole request.
+    A complete answer cleared those in `cleared`. The gateway refused requests
+    of those in `wanted` since its last report. `losses` are the latest events
+    CUT_OFF.
+    """
+
+    cleared: list[str] = []
+    wanted: list[str] = []
+    losses: "list[LoadEvent]" = []
+
+
+@final
+class KnownSuspects(msgspec.Struct, frozen=True, array_like=True):
+    """What control knows of requests under which runners crash.
+
+    `cleared` are sets of traits that are no longer blocked, `trial_by_block`
+    numbers the trials that the gateway was granted, and `losses` are events
+    CUT_OFF of other gateways.
+    """
+
+    cleared: list[str] = []
+    trial_by_block: dict[str, int] = {}
+    losses: "list[LoadEvent]" = []
+
+
 @final
 class FollowRequest(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
     """Request of a gateway for updates; it is also a heartbeat.
@@ -122,7 +155,9 @@
     `table_fetch_failed` says that the last fetch of a table failed.
     `blocked_ms_by_parts` are the sets of prompt parts that the gateway blocks,
     as ids with commas in between. `limit_by_runner` are the limits that it
-    knows, by the start id of the runner.
+    knows, by the start id of the runner. `suspects` is the rest of what it
+    knows of requests under which runners crash, None at a gateway of an older
+    version: its blocks are not committed, as older replicas may not know how.
     """
 
     gateway: str
@@ -136,6 +171,7 @@
     table_fetch_failed: bool = False
     blocked_ms_by_parts: dict[str, int] = {}
     limit_by_runner: dict[str, RunnerLimit] = {}
+    suspects: SuspectReport | None = None
 
 
 @final
@@ -150,7 +186,8 @@
     the other live gateways, None if the gateway already has the list
     `peers_version`. `rpc_address_by_replica` lists every control replica.
     `blocked_ms_by_parts` are the sets of parts that any gateway blocks, and
-    `limit_by_runner` the newest limits that any gateway knows.
+    `limit_by_runner` the newest limits that any gateway knows. `suspects` is
+    the rest of what control knows of requests under which runners crash.
     """
 
     age_ms: int
@@ -164,6 +201,7 @@
     table_source_number: int = 0
     blocked_ms_by_parts: dict[str, int] = {}
     limit_by_runner: dict[str, RunnerLimit] = {}
+    suspects: KnownSuspects = KnownSuspects()
 
 
 @final
@@ -275,17 +313,17 @@
     """A change in the load of one runner by one request.
 
     The fields after `request_id` are set only for `LoadEventKind.SENT`. CUT_OFF
-    and COMPLETED have `parts` too, without the last one of the prompt and
-    without numbers of tokens. `has_begun` says of CUT_OFF that the answer had
-    just begun.
+    and COMPLETED have the traits of the request as `parts`, without numbers of
+    tokens. `has_begun` says of CUT_OFF that the answer had just begun, and
+    `has_crashed` that the runner took no connection right after.
 
     `parts` are the parts of the prompt in order, as id and number of tokens.
     `uncached_tokens` is how many prompt tokens the sender expects not to be in
     the KV cache. In `priority_class`, 0 is the most urgent.
 
-    The last two fields are those of LIMITED: `per_s` is `NO_LIMIT_PER_S` if the
-    runner has none any more, and `age_ms` the time since the request was sent
-    whose answer named it.
+    `per_s` of LIMITED is `NO_LIMIT_PER_S` if the runner has none any more, and
+    `age_ms` the time since the request was sent whose answer named it. In
+    events that control passes on, `age_ms` is the time since the loss.
     """
 
     kind: LoadEventKind
@@ -297,6 +335,12 @@
     has_begun: bool = False
     per_s: float = NO_LIMIT_PER_S
     age_ms: int = 0
+    has_crashed: bool = False
+
+
+def with_age(event: LoadEvent, age_ms: int) -> LoadEvent:
+    """Return an event that is `age_ms` old, as control passes it on."""
+    return msgspec.structs.replace(event, age_ms=age_ms)
 
 
 @final
