Don't call a request not run if an earlier runner may have run it

In the users' record a read whose runner crashed under it was sent to another, which rejected it with 421; the caller got 503, which promises that it has not run. Cause: the refusal went by the last phase alone. Now the request remembers that a runner may have run it, and its refusal is 502.

--- a/src/wisteriawall/gateway/final_answers.py
+++ b/src/wisteriawall/gateway/final_answers.py
@@ -24,8 +24,11 @@
     """Drop a request, and yield its log entry and its refusal.
 
     `reason` is the text for the log; it may differ from the refusal's message.
+    The refusal does not say "not run" if an earlier runner may have run it.
     """
     gateway.request_by_key.pop(request.request_key, None)
+    if request.may_have_run:
+        refusal = refusals.after_possible_run(refusal)
     yield refused_entry(
         request.request_id, refusal, reason, table=gateway.table_number
     )
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -306,6 +306,8 @@
             request.attempts += 1
     elif event.unreachable:
         request.attempts -= 1
+    if run is not refusal_lib.RunState.NOT_RUN:
+        request.may_have_run = True
     if _may_retry(gateway, request, event, run):
         request.current_send = None
         yield from placing.place(gateway, request, event.now_ms)
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -9,6 +9,7 @@
     "OUTDATED_TABLE",
     "PLAIN_OVERLOAD_RETRY_MS",
     "STOPPING",
+    "after_possible_run",
     "blocked",
     "deadline_passed",
     "malformed_head",
@@ -92,6 +93,20 @@
     )
 
 
+def after_possible_run(
+    refusal: refusal_lib.Refusal,
+) -> refusal_lib.Refusal:
+    """Return the refusal of a request that an earlier runner may have run."""
+    if refusal.run is not refusal_lib.RunState.NOT_RUN:
+        return refusal
+    return refusal_lib.Refusal(
+        status=502,
+        code=refusal.code,
+        message=refusal.message,
+        run=refusal_lib.RunState.UNKNOWN,
+    )
+
+
 def overloaded(
     retry_ms: float, reason: str = "every runner is full"
 ) -> refusal_lib.Refusal:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -46,7 +46,8 @@
     of the prompt that other requests may have too, and `began_ms` is when the
     answer to `current_send` began, 0 before. `fingerprint` is equal for
     requests that a caller repeats, and `is_trial` is set if it is sent although
-    it is blocked. Times are on the monotonic clock.
+    it is blocked. `may_have_run` is set once a runner may have run the request.
+    Times are on the monotonic clock.
     """
 
     request_key: int
@@ -67,6 +68,7 @@
     began_ms: int = 0
     fingerprint: str = ""
     is_trial: bool = False
+    may_have_run: bool = False
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/testing/support/crashing_fleet.py
+++ b/testing/support/crashing_fleet.py
@@ -109,6 +109,10 @@
         for number, name in enumerate(self.names):
             self._at(number * poll_ms // gateways, self._poll(name))
 
+    def gateway(self, name: str) -> state_lib.Gateway:
+        """Return the state of a gateway."""
+        return self._state_by_name[name]
+
     def restart_gateways(self) -> None:
         """Replace all gateways by ones that know nothing yet."""
         self._incarnation += 1
