Log the software versions of runners and the streams that callers take up

The list's version was not read and Resumes not looked at, so the log could not tell a stream that was joined from two versions. sent now has the version of the runner and the attempt that the caller resumes. Nothing is decided by them yet.

--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -54,13 +54,17 @@
 
     `remaining_ms` is the time that the caller still waits, counted from the
     request's arrival. `prompt` is None for plain requests. `account` names the
-    client account, empty if the request names none.
+    client account, empty if the request names none. A caller that takes a
+    stream up after an event names it in `last_event_id`, and in `resumes` the
+    attempt id of its request that brought the first event.
     """
 
     attempt_id: str
     remaining_ms: int
     prompt: PromptTokens | None
     account: str = ""
+    last_event_id: str = ""
+    resumes: str = ""
 
 
 @final
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -33,6 +33,9 @@
 KV_CACHE_SOURCE = "X-Wisteriawall-Kv-Cache-Source"
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
+# Attempt id of the request that brought the first event of a stream that the
+# caller takes up.
+RESUMES = "Resumes"
 # Set to 1 by a runner that is about to stop, in all of its answers.
 SERVER_LEAVING = "Server-Leaving"
 # Seconds for which an overloaded runner wants no further requests.
@@ -97,6 +100,8 @@
             ),
             prompt=_parse_prompt(headers),
             account=headers.get(AUTHORIZATION, ""),
+            last_event_id=headers.get(LAST_EVENT_ID, ""),
+            resumes=headers.get(RESUMES, ""),
         )
 
     def runner_request_headers(
--- a/src/wisteriawall/platform/runners.py
+++ b/src/wisteriawall/platform/runners.py
@@ -30,7 +30,8 @@
 class _Runner(msgspec.Struct, frozen=True):
     """Entry of the list.
 
-    The fields `cold_remaining_ms` and `version` of an entry are ignored.
+    The field `cold_remaining_ms` of an entry is ignored. A `version` that is no
+    text is not known.
     """
 
     identifier: str
@@ -42,6 +43,7 @@
     stage: str = ""
     models: list[_Model] = []
     born: int = 0
+    version: object = ""
 
 
 @final
@@ -162,6 +164,7 @@
         stage=stage,
         weights_version=entry.models[0].version if entry.models else 0,
         born_ms=entry.born,
+        version=entry.version if isinstance(entry.version, str) else "",
     )
 
 
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -55,7 +55,8 @@
 
     `upstream_id` changes with most starts of the runner, and `born_ms` is when
     it started. An address may later belong to a runner of another service.
-    `leaving` says that the runner is draining.
+    `leaving` says that the runner is draining. `version` is that of its
+    software, empty if the list doesn't name it.
     """
 
     upstream_id: str
@@ -67,6 +68,7 @@
     stage: Stage = Stage.NONE
     weights_version: int = 0
     born_ms: int = 0
+    version: str = ""
 
     @property
     def start_id(self) -> str:
