Admit streams that go on while their caller waits for the next event

Now a stream that has begun goes on at its route's priority if the next event comes before its caller gives up. The second case of the new test in policy/test_admission.py was rejected before.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -197,6 +197,9 @@
         return
     route = request.route
     waited_ms = now_ms - request.arrived_ms + request.earlier_wait_ms
+    has_begun = request.origin is not None
+    # The caller waits for the next event since the last one.
+    waiting_ms = 0 if has_begun else now_ms - request.arrived_ms
     client_timeout_ms = admission.client_timeout_ms(
         target_latency_ms=route.goal_ms, target_gap_ms=route.pause_goal_ms
     )
@@ -206,10 +209,11 @@
         target_latency_ms=route.goal_ms,
         waited_ms=waited_ms,
         remaining_ms=min(
-            client_timeout_ms - (now_ms - request.arrived_ms),
+            client_timeout_ms - waiting_ms,
             request.deadline_at_ms - now_ms,
         ),
         is_retry=request.earlier_wait_ms > 0,
+        has_begun=has_begun,
         jitter=gateway.random.random(),
         bounds=gateway.tuning.admission_bounds,
     )
--- a/src/wisteriawall/policy/admission.py
+++ b/src/wisteriawall/policy/admission.py
@@ -110,6 +110,7 @@
     is_retry: bool,
     jitter: float,
     bounds: AdmissionBounds,
+    has_begun: bool = False,
 ) -> Decision:
     """Accept one of two placements, or reject the request.
 
@@ -123,13 +124,18 @@
         is_retry: Whether the caller was rejected before.
         jitter: Random number from 0 to 1 that selects the retry jitter.
         bounds: Largest forecasts that are accepted.
+        has_begun: Whether the caller has events of the stream already. It then
+            goes on while the caller waits for the next one.
     """
+    accepted_ms = bounds.late_share * remaining_ms
+    if has_begun and on_time.first_token_ms <= accepted_ms:
+        return Accept(placement=on_time, in_time=True)
     if (
         waited_ms + on_time.first_token_ms
         <= bounds.in_time_share * target_latency_ms
     ):
         return Accept(placement=on_time, in_time=True)
-    meets_timeout = late.first_token_ms <= bounds.late_share * remaining_ms
+    meets_timeout = late.first_token_ms <= accepted_ms
     max_wait_share = (
         bounds.retry_wait_share if is_retry else bounds.late_wait_share
     )
--- a/testing/policy/test_admission.py
+++ b/testing/policy/test_admission.py
@@ -61,6 +61,34 @@
             assert retry_ms >= max(admission.MIN_RETRY_AFTER_MS, wait_ms)
 
 
+@pytest.mark.parametrize(
+    ("first_token_ms", "expected"),
+    [
+        pytest.param(300, True, id="soon"),
+        pytest.param(1_500, True, id="before the caller gives up"),
+        pytest.param(2_300, None, id="after that"),
+    ],
+)
+def test_stream_that_goes_on_is_accepted_while_its_caller_waits(
+    first_token_ms: float, expected: bool | None
+) -> None:
+    """Its first event was in time; it was rejected for the time since then."""
+    forecast = single_engine_placement(wait_ms=first_token_ms - 20, own_ms=20)
+    decision = admission.decide(
+        forecast,
+        forecast,
+        target_latency_ms=600,
+        waited_ms=3_000,
+        remaining_ms=2_400,
+        is_retry=True,
+        has_begun=True,
+        jitter=0.5,
+        bounds=admission.AdmissionBounds(),
+    )
+    is_accepted = isinstance(decision, admission.Accept)
+    assert (decision.in_time if is_accepted else None) is expected
+
+
 @pytest.mark.parametrize(
     ("target_latency_ms", "target_gap_ms", "expected"),
     [
