Keep limits at gateways that get no load events

Gateways that reached control and got no datagrams took all that others sent for nothing: 19 requests in 4 s (7 gateways, 3 deaf), 30 (26, 13 deaf), 48 (26, all deaf), where 13.4 are allowed. Cause: only contact with control was taken as contact with the others. Gateways now count the load events that they send, control sums them up, and a gateway that gets fewer than half of those of the others uses its even share, as without control. Isolated gateways begin with a random part of a token: shares that began at one moment were used at one moment (14 with 26 deaf, 13.4 allowed).

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -8,6 +8,7 @@
 
 from wisteriawall.config import table_history
 from wisteriawall.control import events
+from wisteriawall.control import load_events as load_events_lib
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import redirect
 from wisteriawall.control import state
@@ -56,7 +57,8 @@
     `versions` are the software versions of the runners, and `held_upstreams` a
     list of runners whose versions are not committed yet. They are committed
     once a gateway of this version asks (`commits_versions`): older replicas,
-    which can't apply the command, are upgraded before it.
+    which can't apply the command, are upgraded before it. `load_events` counts
+    the load events of the gateways.
     `limit_by_runner` are the newest limits that gateways know, and when the
     requests were sent whose answers named them.
     """
@@ -83,6 +85,9 @@
     )
     held_upstreams: list[gateway_messages.Upstream] | None = None
     commits_versions: bool = False
+    load_events: load_events_lib.LoadEventCounts = dataclasses.field(
+        default_factory=load_events_lib.LoadEventCounts
+    )
 
 
 def keep_table(updates: GatewayUpdates, ledger: state.Ledger) -> None:
@@ -196,6 +201,9 @@
         limit_by_runner=_merge_limits(updates, request, now_ms),
         suspects=known_suspects,
         mixed_services=stream_origins.mixed_services(ledger),
+        load_events_of_others=updates.load_events.note(
+            request.gateway, request.incarnation, request.load_events_sent
+        ),
     )
 
 
@@ -298,4 +306,5 @@
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
             del updates.gateway_by_name[name]
             updates.table_sources.remove(name)
+            updates.load_events.remove(name)
             updates.peers_version = 0
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -244,6 +244,8 @@
     blocked, `suspects` is what else control knows of requests under which
     runners crash, and `limit_by_runner` are the limits that others know. Of
     `mixed_services`, several software versions may have begun streams.
+    `load_events_of_others` is how many load events the other gateways sent, -1
+    if that isn't known.
     """
 
     table: route_table.RouteTable | None
@@ -263,6 +265,7 @@
         default_factory=gateway_messages.KnownSuspects
     )
     mixed_services: tuple[str, ...] = ()
+    load_events_of_others: int = -1
 
 
 @final
--- a/src/wisteriawall/gateway/limits.py
+++ b/src/wisteriawall/gateway/limits.py
@@ -13,6 +13,7 @@
     "apply_known",
     "apply_step",
     "known",
+    "note_contact",
     "report_answer",
     "report_usage",
     "reserve_decoder",
@@ -49,6 +50,24 @@
     )
 
 
+def note_contact(
+    gateway: state_lib.Gateway, event: events.ControlUpdate
+) -> Iterator[events.LogDecision]:
+    """Record that control answered, and whether load events arrive here."""
+    sent, heard = event.load_events_of_others, gateway.load_events_heard
+    if gateway.hearing.note(sent=sent, heard=heard):
+        yield events.LogDecision(
+            decision="load-events-back"
+            if gateway.hearing.hears
+            else "load-events-missing",
+            request_id="",
+            inputs={"sent_by_others": sent, "heard": heard},
+        )
+    gateway.limits.note_contact(
+        event.gateway_count, event.now_ms, hears=gateway.hearing.hears
+    )
+
+
 def reserve_decoder(
     gateway: state_lib.Gateway,
     request: state_lib.Request,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -474,6 +474,7 @@
     """Apply what other gateways or control tell."""
     match event:
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
+            gateway.load_events_heard += len(load_events)
             loads.apply_steps(gateway, load_events, now_ms)
             yield from limits.apply_events(gateway, load_events, now_ms)
             yield from suspects.apply_events(gateway, load_events, now_ms)
@@ -507,7 +508,7 @@
             gateway.table_confirmed_ms, event.confirmed_ms
         )
     gateway.retries.set_gateways(max(MIN_BUDGET_GATEWAYS, event.gateway_count))
-    gateway.limits.note_contact(event.gateway_count, event.now_ms)
+    yield from limits.note_contact(gateway, event)
     yield from limits.apply_known(gateway, event)
     yield from limits.report_usage(gateway, event.now_ms)
     upstream_list = event.upstreams
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -26,6 +26,7 @@
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
+from wisteriawall.policy import runner_limits
 from wisteriawall.web import connection_pool
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
@@ -151,14 +152,17 @@
         self._relay = table_relay.TableRelay(
             address=identity.table_address, key=key, sender=sender
         )
+        self._load_events_sent = 0
         self._table_fetch_failed = False
         self._newest_table = 0
         self._announced_table = 0
         self._lock = threading.Lock()
+        chance = random.Random(f"{identity.name}/{identity.incarnation}")
         self._gateway = state_lib.Gateway(
             name=identity.name,
             zone=identity.zone,
-            random=random.Random(f"{identity.name}/{identity.incarnation}"),
+            random=chance,
+            limits=runner_limits.RunnerLimits(chance),
             tuning=tuning,
             retries=retry_window.RetryWindow(
                 window_ms=budget.window_ms,
@@ -409,6 +413,7 @@
     def _run_shared_effect(self, effect: events.Effect) -> bool:
         match effect:
             case events.BroadcastLoad(load_event=load_event):
+                self._load_events_sent += 1
                 self._peer_load.broadcast(load_event)
             case events.KeepOrigin():
                 self._origins.keep(effect)
@@ -467,6 +472,7 @@
             blocked_ms_by_parts,
             limit_by_runner,
             suspects,
+            self._load_events_sent,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -531,6 +537,7 @@
             limit_by_runner=reply.limit_by_runner,
             suspects=reply.suspects,
             mixed_services=tuple(reply.mixed_services),
+            load_events_of_others=reply.load_events_of_others,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -7,6 +7,7 @@
 from wisteriawall.config import route_table
 from wisteriawall.gateway import protocol
 from wisteriawall.policy import admission
+from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
@@ -109,7 +110,8 @@
     time.
     `origins` are the software versions that began streams, and `mixed_services`
     those of which control knows several. `ended_ms_by_start` is when a start of
-    a runner seemed to have ended.
+    a runner seemed to have ended. `hearing` compares `load_events_heard`, the
+    number of load events of other gateways, with what these sent.
     `longest_remaining_ms_by_route` holds the longest remaining time that any
     caller of a route had on arrival.
     """
@@ -133,7 +135,7 @@
         default_factory=runner_notices.RunnerNotices
     )
     limits: runner_limits.RunnerLimits = dataclasses.field(
-        default_factory=runner_limits.RunnerLimits
+        default_factory=lambda: runner_limits.RunnerLimits(random.Random(0))
     )
     suspects: suspects_lib.Suspects = dataclasses.field(
         default_factory=suspects_lib.Suspects
@@ -145,6 +147,10 @@
         default_factory=stream_origins_lib.StreamOrigins
     )
     mixed_services: set[str] = dataclasses.field(default_factory=set)
+    hearing: hearing_lib.Hearing = dataclasses.field(
+        default_factory=hearing_lib.Hearing
+    )
+    load_events_heard: int = 0
     ended_ms_by_start: dict[str, int] = dataclasses.field(default_factory=dict)
     longest_remaining_ms_by_route: dict[str, int] = dataclasses.field(
         default_factory=dict
--- a/src/wisteriawall/policy/runner_limits.py
+++ b/src/wisteriawall/policy/runner_limits.py
@@ -12,15 +12,17 @@
 Few requests compete for a token in its first milliseconds, and no rate is lost,
 since the bucket holds what is saved meanwhile.
 
-A gateway without contact with control may not hear of what the others send. It
-uses an even share of the limit, so that gateways that are cut off from each
-other stay within the limit together.
+A gateway without contact with control, or without the load events that control
+counts, does not hear of what the others send. It uses an even share of the
+limit, so that gateways that are cut off from each other stay within the limit
+together.
 """
 
 from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 import enum
+import random as random_lib
 from typing import final
 import zlib
 
@@ -130,21 +132,33 @@
 
 @final
 class RunnerLimits:
-    """Limits by the start id of the runner."""
+    """Limits by the start id of the runner.
 
-    __slots__ = ("_contact_ms", "_gateways", "_limit_by_id")
+    Args:
+        random: Spreads what isolated gateways send.
+    """
+
+    __slots__ = ("_contact_ms", "_gateways", "_limit_by_id", "_random")
 
-    def __init__(self) -> None:
+    def __init__(self, random: random_lib.Random) -> None:
+        self._random = random
         self._limit_by_id: dict[str, _Limit] = {}
         self._gateways = 1
         self._contact_ms = 0
 
-    def note_contact(self, gateways: int, now_ms: int) -> None:
-        """Record that control answered, and how many gateways there are."""
+    def note_contact(
+        self, gateways: int, now_ms: int, *, hears: bool = True
+    ) -> None:
+        """Record that control answered, and how many gateways there are.
+
+        A gateway that does not hear the load events of others is isolated in
+        spite of the contact.
+        """
         for limit in self._limit_by_id.values():
             self._fill(limit, now_ms)
         self._gateways = max(1, gateways)
-        self._contact_ms = now_ms
+        if hears:
+            self._contact_ms = now_ms
 
     def note_answer(
         self,
@@ -383,8 +397,9 @@
         if now_ms <= max(isolated_ms, limit.filled_ms):
             return
         if limit.filled_ms == isolated_ms:
-            # Other gateways may use what is saved here.
-            limit.tokens = min(limit.tokens, 0.0)
+            # Other gateways may use what is saved here. Gateways that are
+            # isolated at once must not use their shares at once.
+            limit.tokens = min(limit.tokens, self._random.random())
         share = (now_ms - limit.filled_ms) * rate_per_ms / self._gateways
         limit.tokens = min(1.0, limit.tokens + share)
         limit.filled_ms = now_ms
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -165,6 +165,8 @@
     knows, by the start id of the runner. `suspects` is the rest of what it
     knows of requests under which runners crash, None at a gateway of an older
     version: its blocks are not committed, as older replicas may not know how.
+    `load_events_sent` counts the load events that it has broadcast, -1 at a
+    gateway of an older version.
     """
 
     gateway: str
@@ -179,6 +181,7 @@
     blocked_ms_by_parts: dict[str, int] = {}
     limit_by_runner: dict[str, RunnerLimit] = {}
     suspects: SuspectReport | None = None
+    load_events_sent: int = -1
 
 
 @final
@@ -196,6 +199,8 @@
     `limit_by_runner` the newest limits that any gateway knows. `suspects` is
     the rest of what control knows of requests under which runners crash. Of
     `mixed_services`, several software versions may have begun streams.
+    `load_events_of_others` is how many load events the other gateways sent
+    since the leader began to count, -1 if the gateway does not count its own.
     """
 
     age_ms: int
@@ -211,6 +216,7 @@
     limit_by_runner: dict[str, RunnerLimit] = {}
     suspects: KnownSuspects = KnownSuspects()
     mixed_services: list[str] = []
+    load_events_of_others: int = -1
 
 
 @final
--- a/testing/gateway/test_runner_limits.py
+++ b/testing/gateway/test_runner_limits.py
@@ -76,6 +76,27 @@
     assert _most(fleet) <= _allowed(1.4)
 
 
+@pytest.mark.parametrize("per_s", [0.4, 1.4, 3.3])
+@pytest.mark.parametrize(("gateways", "deaf"), [(7, 3), (26, 13), (26, 26)])
+def test_gateways_without_load_events_stay_within_the_limit(
+    gateways: int, deaf: int, per_s: float
+) -> None:
+    """Each of them used what it did not hear of others using."""
+    fleet = limited_fleet.LimitedFleet(
+        gateways=gateways,
+        limit_by_runner={"limited": per_s, **OTHERS},
+        deaf=deaf,
+    )
+    fleet.play(for_ms=PLAY_MS, requests_per_s=REQUESTS_PER_S)
+    assert _most(fleet) <= _allowed(per_s)
+    judged = [
+        at_ms
+        for at_ms in fleet.sent_ms_by_runner["limited"]
+        if at_ms >= CONTACT_MS
+    ]
+    assert len(judged) >= 0.4 * per_s * (PLAY_MS - CONTACT_MS) / 1_000
+
+
 def test_requests_are_rejected_at_once_when_all_runners_are_limited() -> None:
     limits = {f"u{number}": 2.0 for number in range(4)}
     fleet = limited_fleet.LimitedFleet(gateways=26, limit_by_runner=limits)
--- a/testing/support/limited_fleet.py
+++ b/testing/support/limited_fleet.py
@@ -1,6 +1,7 @@
 """Gateways and runners with limits in virtual time, without sockets."""
 
 import collections
+from collections import Counter
 from collections.abc import Callable
 import heapq
 import itertools
@@ -8,11 +9,13 @@
 from typing import Any
 
 from wisteriawall.config import route_table
+from wisteriawall.control import load_events
 from wisteriawall.gateway import events
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import retry_window
+from wisteriawall.policy import runner_limits
 from wisteriawall.wire import gateway_messages
 
 LOAD_EVENT_MS = 12
@@ -56,10 +59,17 @@
         gateways: int,
         limit_by_runner: dict[str, float | None],
         answer_ms: int = 120,
+        deaf: int = 0,
     ) -> None:
-        """Start all gateways with the table and the list of runners."""
+        """Start all gateways with the table and the list of runners.
+
+        The first `deaf` gateways reach control, but get no load events.
+        """
         self.limit_by_runner = limit_by_runner
         self._answer_ms = answer_ms
+        self._deaf = {f"g{number:03}" for number in range(deaf)}
+        self._counts = load_events.LoadEventCounts()
+        self._sent_by_name: Counter[str] = Counter()
         self.sent_ms_by_runner: dict[str, list[int]] = collections.defaultdict(
             list
         )
@@ -80,6 +90,7 @@
             name=name,
             zone="z",
             random=random.Random(name),
+            limits=runner_limits.RunnerLimits(random.Random(f"{name}/limits")),
             tuning=state_lib.Tuning(),
             retries=retry_window.RetryWindow(
                 window_ms=10_000, ratio=0.5, slack=50
@@ -121,7 +132,7 @@
         heapq.heappush(self._queue, (at_ms, next(self._numbers), action))
 
     def _control_update(
-        self, now_ms: int, *, is_first: bool = False
+        self, now_ms: int, *, is_first: bool = False, sent_by_others: int = -1
     ) -> events.ControlUpdate:
         upstreams = [
             gateway_messages.Upstream(
@@ -140,12 +151,15 @@
             else None,
             gateway_count=max(1, len(self._state_by_name)),
             now_ms=now_ms,
+            load_events_of_others=sent_by_others,
         )
 
     def _poll(self, name: str) -> Callable[[int], None]:
         def poll(now_ms: int) -> None:
             if name not in self.cut:
-                self._reduce(name, self._control_update(now_ms), now_ms)
+                others = self._counts.note(name, 1, self._sent_by_name[name])
+                update = self._control_update(now_ms, sent_by_others=others)
+                self._reduce(name, update, now_ms)
             self._at(now_ms + POLL_MS, poll)
 
         return poll
@@ -225,6 +239,7 @@
     def _broadcast(
         self, sender: str, load_event: gateway_messages.LoadEvent, now_ms: int
     ) -> None:
+        self._sent_by_name[sender] += 1
         if sender in self.cut:
             return
 
@@ -233,7 +248,7 @@
                 load_events=(load_event,), now_ms=at_ms
             )
             for name in self._state_by_name:
-                if name != sender and name not in self.cut:
+                if name not in {sender, *self.cut, *self._deaf}:
                     self._reduce(name, received, at_ms)
 
         self._at(now_ms + LOAD_EVENT_MS, deliver)
