Soak with runners of two software versions

No soak had runners of several versions or callers that take up streams that broke off, so that none could see a joined stream.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import re
 import socket
 import threading
 import time
@@ -18,6 +19,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Generous, so that the verdict does not depend on the speed of the machine.
 DEADLINE_S = 15.0
+EVENT_ID = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
 THINK_S = (0.0, 0.15)
 IDLE_SHARE = 0.03
 # Four fifths of the idle time after which a gateway may close a connection.
@@ -116,6 +118,8 @@
             self._send(call)
             if self._is_sent_again(call):
                 self._send(_copy(call), gateway=call.gateway)
+            elif (event := _last_event(call)) and not self._stopping.is_set():
+                self._send(self._take_up(call, event))
         if self._connection is not None:
             self._connection.close()
 
@@ -149,6 +153,29 @@
         pause_s = self._chance.uniform(*CLOSED_LATE_S)
         threading.Timer(pause_s, connection.close).start()
 
+    def _take_up(self, call: records.Call, last_event: str) -> records.Call:
+        """Return a call that goes on with a stream after its last event."""
+        self._calls += 1
+        attempt = f"a{self._number:03}x{self._calls:05}"
+        return records.Call(
+            attempt=attempt,
+            kind=call.kind,
+            gateway="",
+            connection=0,
+            use=0,
+            method=call.method,
+            target=call.target,
+            header_by_name={
+                **call.header_by_name,
+                platform_site.ATTEMPT_ID: attempt,
+                "Resumes": call.resumes or call.attempt,
+                "Last-Event-Id": last_event,
+            },
+            body=call.body,
+            deadline_s=DEADLINE_S,
+            started_s=time.monotonic(),
+        )
+
     def _think_s(self) -> float:
         if self._chance.random() < IDLE_SHARE:
             return self._chance.uniform(0.0, MAX_IDLE_S)
@@ -200,6 +227,15 @@
         )
 
 
+def _last_event(call: records.Call) -> str:
+    """Return the last event of a stream that broke off, empty if none did."""
+    is_broken = call.ending in (records.Ending.RESET, records.Ending.CLOSED)
+    if call.kind is not records.Kind.RESUMABLE or not is_broken:
+        return ""
+    numbers = EVENT_ID.findall(call.answer)
+    return numbers[-1].decode() if numbers else ""
+
+
 def _copy(call: records.Call) -> records.Call:
     """Return a call with the same id; only its target tells it apart."""
     return records.Call(
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -146,6 +146,7 @@
         _check_requests,
         _check_lost,
         _check_streams,
+        _check_versions,
         _check_configurations,
         _check_stops,
         _check_limits,
@@ -346,6 +347,31 @@
             yield evidence.finding("ORDER", call.key, text)
 
 
+def _check_versions(evidence: _Evidence) -> Iterator[Finding]:
+    """A stream may hold events of one software version, over all its calls."""
+    version_by_run = {
+        event[2]: arrival.version
+        for arrival in evidence.seen.arrivals
+        for event in runners.EVENT.finditer(arrival.answer)
+    }
+    # A caller may send an attempt id again for another target.
+    versions_by_stream: dict[records.CallKey, set[str]] = (
+        collections.defaultdict(set)
+    )
+    for call in evidence.seen.calls:
+        if call.kind is not records.Kind.RESUMABLE or call.status != 200:
+            continue
+        stream = call.resumes or call.attempt, call.target
+        versions = versions_by_stream[stream]
+        versions |= {
+            version_by_run.get(event[2], "")
+            for event in runners.EVENT.finditer(call.answer)
+        }
+        if len(versions) > 1:
+            text = f"events of several versions: {sorted(versions)}"
+            yield evidence.finding("ORDER", call.key, text)
+
+
 def _stream_faults(
     call: records.Call, arrivals: list[records.Arrival]
 ) -> Iterator[str]:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -92,6 +92,11 @@
     surplus: bytes = b""
     error: str = ""
 
+    @property
+    def resumes(self) -> str:
+        """Return the attempt id of the stream that is taken up, if any."""
+        return self.header_by_name.get("Resumes", "")
+
     @property
     def key(self) -> CallKey:
         """Return what no other call has."""
@@ -114,6 +119,8 @@
     header_by_name: dict[str, str]
     body: bytes
     at_s: float
+    # Version of the runner's software.
+    version: str = ""
     has_run: bool = False
     ending: RunEnding = RunEnding.OPEN
     ended_s: float = 0.0
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -58,6 +58,7 @@
             0 for no limit.
         large_tables: Whether changes add and remove many routes too.
         limits: Whether runners name limits.
+        versions: Whether runners of two software versions serve.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -73,6 +74,7 @@
         link_bytes_s: int = 0,
         large_tables: bool = False,
         limits: bool = False,
+        versions: bool = False,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
@@ -116,8 +118,10 @@
                 runners=len(FIRST_RUNNERS),
                 large_tables=large_tables,
                 limits=limits,
+                versions=versions,
             ),
         )
+        self._version_count = 2 if versions else 1
 
     def play(self) -> None:
         """Play the schedule; all processes have ended afterwards."""
@@ -203,9 +207,9 @@
         match fault:
             case schedule.AddRunner(service=service, stage=stage):
                 self._add_runner(service, stage)
-            case schedule.RestartRunner(index=index):
+            case schedule.RestartRunner(index=index, version=version):
                 if self._runners[index].is_listed:
-                    self._runners[index].restart()
+                    self._runners[index].restart(version)
             case schedule.LimitRunner(index=index, per_s=per_s):
                 self._runners[index].limit_per_s = per_s
             case schedule.DrainRunner(index=index, leave_after_s=after_s):
@@ -225,6 +229,8 @@
             late_share=self._late_share,
             seen=self.seen,
             handles=self._handles,
+            # Stages alternate too, so that each has runners of both.
+            version=f"v{len(self._runners) // 2 % self._version_count + 1}",
         )
         runner.listed_address = self.proxy.add(runner.address)
         self._runners.append(runner)
@@ -267,6 +273,7 @@
     link_bytes_s: int = 0,
     large_tables: bool = False,
     limits: bool = False,
+    versions: bool = False,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -280,6 +287,7 @@
         link_bytes_s=link_bytes_s,
         large_tables=large_tables,
         limits=limits,
+        versions=versions,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -340,6 +348,9 @@
     )
     for (rule, preceded_by), count in sorted(causes.items()):
         yield f"  {rule} {count}, after {preceded_by or 'nothing'}"
+    taken_up = [c for c in seen.calls if c.resumes and c.status]
+    went_on = sum(call.status == 200 for call in taken_up)
+    yield f"taken up: {len(taken_up)}, went on: {went_on}"
     early = sum(checks.is_failure(call.surplus) for call in seen.calls)
     yield f"failures sent without a request: {early}"
     held = checks.held_calls(seen)
@@ -387,6 +398,7 @@
     parser.add_argument("--link-bytes", type=int, default=0)
     parser.add_argument("--large-tables", action="store_true")
     parser.add_argument("--limits", action="store_true")
+    parser.add_argument("--versions", action="store_true")
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -406,6 +418,7 @@
             link_bytes_s=arguments.link_bytes,
             large_tables=arguments.large_tables,
             limits=arguments.limits,
+            versions=arguments.versions,
         )
     return 1 if findings else 0
 
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -28,6 +28,7 @@
 KV_SOURCE = "x-wisteriawall-kv-cache-source"
 STAGE = "x-wisteriawall-serving-stage"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 
 
 def event_bytes(number: int, run: str) -> bytes:
@@ -73,6 +74,7 @@
         late_share: Share of answers after which something late follows.
         seen: Records of what it sees.
         handles: Handles that all runners share.
+        version: Version of its software.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         late_share: float,
         seen: records.Records,
         handles: HandleStore,
+        version: str = "v1",
     ) -> None:
         self.name, self.service, self.stage = name, service, stage
         self.late_share = late_share
         self.idle_timeout_s = random.Random(f"{seed}/{name}").uniform(
             *IDLE_TIMEOUT_S
         )
+        self.version = version
         self.state = "ready"
         self.is_listed = True
         # Requests a second that it takes, None for any number.
@@ -120,7 +124,7 @@
             "service": self.service,
             "address": self.listed_address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -131,9 +135,13 @@
             "born": self._born_ms,
         }
 
-    def restart(self) -> None:
-        """End all work and start under a new id at the same address."""
+    def restart(self, version: str = "") -> None:
+        """End all work and start under a new id at the same address.
+
+        It may start with another version of its software.
+        """
         self.break_off()
+        self.version = version or self.version
         self._starts += 1
         self._born_ms = round(time.time() * 1_000)
         self.state = "ready"
@@ -198,6 +206,7 @@
             header_by_name=headers,
             body=body,
             at_s=time.monotonic(),
+            version=self.version,
         )
         number = self._arrivals_by_attempt.get(attempt, 0)
         self._arrivals_by_attempt[attempt] = number + 1
@@ -408,9 +417,10 @@
         head = self._head(arrival, manner, "200 OK")
         head["Content-Type"] = "text/event-stream"
         head["Transfer-Encoding"] = "chunked"
-        # The number of events depends on the attempt alone, so that each run
-        # of it ends with the same one.
-        length = random.Random(f"events/{arrival.attempt}").randint(2, 20)
+        # The number of events depends on the first attempt alone, so that each
+        # run of a stream ends with the same one.
+        first = arrival.header_by_name.get(RESUMES) or arrival.attempt
+        length = random.Random(f"events/{first}").randint(2, 20)
         arrival.last_event = length
         start = int(arrival.header_by_name.get(LAST_EVENT_ID, "0")) + 1
         pause_s = chance.uniform(0.1, MAX_STREAM_S) / length
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -95,9 +95,13 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class RestartRunner:
-    """Start a runner again at its address, under a new identifier."""
+    """Start a runner again at its address, under a new identifier.
+
+    `version` is that of its software, empty for the same as before.
+    """
 
     index: int
+    version: str = ""
 
 
 @final
@@ -159,7 +163,8 @@
 class Scope:
     """What a schedule may disturb.
 
-    `large_tables` has tables become large, `limits` has runners name limits.
+    `large_tables` has tables become large, `limits` has runners name limits,
+    `versions` has them start with other versions of their software.
     """
 
     gateways: tuple[str, ...]
@@ -167,6 +172,7 @@
     runners: int
     large_tables: bool = False
     limits: bool = False
+    versions: bool = False
 
 
 Series = Callable[[random.Random, Scope], Iterator[Timed]]
@@ -186,6 +192,9 @@
     if scope.large_tables:
         queue += [_large_changes, _large_changes]
         every = (*ALL_SERIES, _large_changes)
+    if scope.versions:
+        queue += [_release, _kill_all_gateways, _release]
+        every = (*every, _release, _kill_all_gateways)
     if scope.limits:
         every = (*every, _limit_runners)
     chance.shuffle(queue)
@@ -310,6 +319,21 @@
         yield Timed(chance.uniform(0.0, 1.0), RestartRunner(index))
 
 
+def _release(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    """Start some runners with one version, while the others keep theirs."""
+    version = f"v{chance.randint(1, 2)}"
+    at_s = 0.0
+    count = chance.randint(1, scope.runners - 1)
+    for index in chance.sample(range(scope.runners), count):
+        yield Timed(at_s, RestartRunner(index, version))
+        at_s += chance.uniform(0.0, 0.5)
+
+
+def _kill_all_gateways(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    for gateway in scope.gateways:
+        yield Timed(chance.uniform(0.0, 0.05), Kill(gateway))
+
+
 def _add_runner(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     del scope  # Any number can be added.
     service, stage = chance.choice(
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -23,6 +23,7 @@
     runners=8,
     large_tables=True,
     limits=True,
+    versions=True,
 )
 RUN = "a1/i-r1-1/7"
 EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
@@ -49,6 +50,7 @@
             id="3 narrow",
         ),
         pytest.param(4, 11.0, {"limits": True}, id="4 limits"),
+        pytest.param(5, 9.0, {"versions": True}, id="5 versions"),
     ],
 )
 def test_promises_hold_under_faults(
@@ -665,3 +667,56 @@
     ]
     found = [f.rule for f in checks.judge(seen) if f.rule == "STOP"]
     assert found == rules
+
+
+@pytest.mark.parametrize(
+    ("version", "rules"),
+    [
+        pytest.param("v1", [], id="same"),
+        pytest.param("v2", ["ORDER"], id="two"),
+    ],
+)
+def test_stream_that_is_taken_up_holds_events_of_one_version(
+    version: str, rules: list[str]
+) -> None:
+    seen = _sound_records(records.Kind.RESUMABLE)
+    first, arrival = seen.calls[0], seen.arrivals[0]
+    arrival.version = "v1"
+    events = [runners.event_bytes(n, f"run{(n + 1) // 2}") for n in range(1, 5)]
+    first.answer, arrival.answer = b"".join(events[:2]), b"".join(events[:2])
+    first.ending = records.Ending.RESET
+    arrival.ending = records.RunEnding.BROKE_OFF
+    arrival.last_event = 4
+    rest = b"".join(events[2:])
+    seen.calls.append(
+        dataclasses.replace(
+            first,
+            attempt="a2",
+            header_by_name={
+                **first.header_by_name,
+                "Resumes": "a1",
+                "Last-Event-Id": "2",
+            },
+            answer_header_by_name={
+                **first.answer_header_by_name,
+                records.ATTEMPT_ID: "a2",
+            },
+            answer=rest,
+            ending=records.Ending.COMPLETE,
+        )
+    )
+    seen.arrivals.append(
+        dataclasses.replace(
+            arrival,
+            attempt="a2",
+            header_by_name={
+                **arrival.header_by_name,
+                "x-wisteriawall-attempt-id": "a2",
+            },
+            version=version,
+            answer=rest,
+            ending=records.RunEnding.ANSWERED,
+        )
+    )
+    found = [f for f in checks.judge(seen) if "versions" in f.text]
+    assert [f.rule for f in found] == rules
