Let a stream that is taken up after its last event be complete

Traced: both streams had broken off between their last event and their end, and the take-up after the last event had none left. The check now compares the last piece of the stream, taken up or not, with the last event of its runs.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -387,7 +387,8 @@
     if numbers != list(range(start + 1, start + 1 + len(numbers))):
         yield f"a piece is missing or comes twice: {numbers}"
     last = max((arrival.last_event for arrival in arrivals), default=0)
-    if is_complete and numbers[-1:] != [last]:
+    # A stream that is taken up after its last event has no further ones.
+    if is_complete and (numbers or [start])[-1] != last:
         yield f"ends as complete before its last piece, {last}: {numbers}"
     runs = list(dict.fromkeys(event[2] for event in events))
     if len(runs) > 1 and call.kind is not records.Kind.RESUMABLE:
