Publish no list of runners that was read in an earlier term

A list that was held until its versions were committed could be published after another leader's term, when it was outdated. Now it carries its term; the new test failed before (no term was kept). The thread that reports streams and the question about a stream also outlive unexpected errors of the transport.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -21,6 +21,7 @@
     "GatewayUpdates",
     "accept_upstreams",
     "follow",
+    "hold_upstreams",
     "keep_table",
     "publish_held_upstreams",
     "read_table_part",
@@ -44,6 +45,15 @@
     stopping: bool
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _HeldList:
+    """A list of runners that was read in `term` and is not published yet."""
+
+    term: int
+    upstreams: list[gateway_messages.Upstream]
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class GatewayUpdates:
@@ -83,7 +93,7 @@
     versions: stream_origins.Versions = dataclasses.field(
         default_factory=stream_origins.Versions
     )
-    held_upstreams: list[gateway_messages.Upstream] | None = None
+    held_upstreams: _HeldList | None = None
     commits_versions: bool = False
     load_events: load_events_lib.LoadEventCounts = dataclasses.field(
         default_factory=load_events_lib.LoadEventCounts
@@ -129,16 +139,30 @@
     updates.upstreams = gateway_messages.UpstreamList(term, sequence, upstreams)
 
 
+def hold_upstreams(
+    updates: GatewayUpdates,
+    upstreams: list[gateway_messages.Upstream],
+    term: int,
+) -> None:
+    """Keep a list of runners read in `term` until it may be published."""
+    updates.held_upstreams = _HeldList(term=term, upstreams=upstreams)
+
+
 def publish_held_upstreams(
     updates: GatewayUpdates, ledger: state.Ledger, term: int
 ) -> None:
-    """Store the list that was read, once all its versions are committed."""
+    """Store the list that was read, once all its versions are committed.
+
+    One that was read in an earlier term may be outdated.
+    """
     held = updates.held_upstreams
-    if held is None:
+    if held is None or held.term != term:
         return
-    if not updates.commits_versions or stream_origins.are_known(ledger, held):
+    if not updates.commits_versions or (
+        stream_origins.are_known(ledger, held.upstreams)
+    ):
         updates.held_upstreams = None
-        accept_upstreams(updates, held, term)
+        accept_upstreams(updates, held.upstreams, term)
 
 
 def follow(
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -60,7 +60,9 @@
         case events.VmListRead(vm_by_name, _):
             control.vm_by_name = vm_by_name
         case events.UpstreamsRead():
-            control.gateway_updates.held_upstreams = event.upstreams
+            gateway_updates_lib.hold_upstreams(
+                control.gateway_updates, event.upstreams, control.raft.term
+            )
             yield from _propose_versions(control, event.now_ms, event.wall_ms)
         case events.BatchEnded(now_ms):
             yield from _process_raft_effects(
@@ -88,7 +90,7 @@
     for command in stream_origins.note_list(
         updates.versions,
         control.ledger,
-        updates.held_upstreams,
+        updates.held_upstreams.upstreams,
         now_ms=now_ms,
         wall_ms=wall_ms,
     ):
--- a/src/wisteriawall/gateway/origin_keeper.py
+++ b/src/wisteriawall/gateway/origin_keeper.py
@@ -87,6 +87,10 @@
         except control_client.ControlUnavailable as error:
             _LOG.warning("gateway: no answer about a stream: %s", error)
             return None
+        except Exception:
+            # The request still needs an answer.
+            _LOG.exception("gateway: asking about a stream failed")
+            return None
         if not isinstance(reply, gateway_messages.StreamFound):
             return None
         return reply
@@ -104,7 +108,11 @@
                     OrderedDict(),
                 )
             if batch and not self._closing.is_set():
-                self._send(batch)
+                try:
+                    self._send(batch)
+                except Exception:
+                    # Nothing but this thread would report streams.
+                    _LOG.exception("gateway: reporting streams failed")
 
     def _send(
         self, batch: OrderedDict[str, gateway_messages.StreamOrigin]
--- a/testing/control/test_gateway_updates.py
+++ b/testing/control/test_gateway_updates.py
@@ -111,3 +111,26 @@
     for now_ms in range(3_050, 64_000, 50):
         list(raft.tick(leader.raft, now_ms))
     assert leader.follow("g3", now_ms=64_000).limit_by_runner == {}
+
+
+def test_list_of_an_earlier_term_is_not_published_after_a_commit() -> None:
+    """It was held until its versions were committed, and is outdated."""
+    updates = gateway_updates.GatewayUpdates(commits_versions=True)
+    upstream = gateway_messages.Upstream(
+        upstream_id="u",
+        service="s",
+        address="u:1",
+        zone="z",
+        slots=1,
+        version="v2",
+    )
+    ledger = state.Ledger()
+    gateway_updates.hold_upstreams(updates, [upstream], 3)
+    gateway_updates.publish_held_upstreams(updates, ledger, 3)
+    assert updates.upstreams is None
+    ledger.versions_by_service["s"] = ["v2"]
+    gateway_updates.publish_held_upstreams(updates, ledger, 4)
+    assert updates.upstreams is None
+    gateway_updates.publish_held_upstreams(updates, ledger, 3)
+    assert updates.upstreams is not None
+    assert updates.upstreams.upstreams == [upstream]
