--- a/testing/platform/test_deadly_parts.py
+++ b/testing/platform/test_deadly_parts.py
@@ -1,23 +1,21 @@
 """Tests with a part of prompts that crashes every runner."""
 
 import contextlib
-import socket
-import threading
 import time
 from typing import Any
 
+from support import crashing_runner
 from support import platform_site as sites
 
 DEADLY = "dead"
-RESTART_S = 0.6
 MAX_CRASHES = 5
 REQUESTS = 40
 PAUSE_S = 0.15
 PREFIX = "X-Wisteriawall-Prompt-Prefix"
 
 
-class CrashingRunner(sites.StandInRunner):
-    """Crashes when it begins an answer on the deadly part, and starts again.
+class CrashingRunner(crashing_runner.CrashingRunner):
+    """Crashes when it begins an answer on the deadly part.
 
     `deadly_arrivals` counts the requests with that part.
     """
@@ -44,24 +42,9 @@
                 f"Transfer-Encoding: chunked\r\n{head}\r\n"
             ).encode()
         )
-        self._crash()
+        self.crash()
         return False
 
-    def _crash(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        for accepted in self.accepted:
-            with contextlib.suppress(OSError):
-                accepted.shutdown(socket.SHUT_RDWR)
-
-        def restart() -> None:
-            self._listener = socket.create_server((host, int(port)))
-            self._accept()
-
-        threading.Timer(RESTART_S, restart).start()
-
 
 def ask(site: sites.Site, attempt: str, parts: str) -> int:
     """Return the status of a request, 0 if its answer was cut off."""
@@ -93,7 +76,7 @@
     assert sum(r.deadly_arrivals for r in crashing) <= MAX_CRASHES
     assert ask(site, "again", f"a1:10,{DEADLY}:5,e1:3") == 503
     # The runners are back, and sound requests share the other parts.
-    time.sleep(2 * RESTART_S)
+    time.sleep(2 * crashing_runner.RESTART_S)
     sound = [
         ask(site, f"s{number}", f"a1:10,f{number}:4") for number in range(5)
     ]
--- a/testing/platform/test_repeated_crashes.py
+++ b/testing/platform/test_repeated_crashes.py
@@ -1,16 +1,13 @@
 """Tests with a request that crashes every runner that begins to run it."""
 
-import contextlib
-import socket
-import threading
 import time
 from typing import Any
 
 import pytest
+from support import crashing_runner
 from support import platform_site as sites
 
 DEADLY = "/read/deadly"
-RESTART_S = 0.6
 # Crashes after which three retries are allowed.
 SPENT_CRASHES = 3
 ALLOWED_RETRIES = 3
@@ -18,17 +15,12 @@
 PAUSE_S = 0.15
 
 
-class CrashingRunner(sites.StandInRunner):
-    """Crashes when it begins to run the deadly request, and starts again.
+class CrashingRunner(crashing_runner.CrashingRunner):
+    """Crashes when it begins to run the deadly request.
 
-    `crashes` counts these, and `generation` is part of its id in the list.
+    Each start has another id in the list.
     """
 
-    def __init__(self, name: str) -> None:
-        """Listen on a free port."""
-        self.crashes = 0
-        super().__init__(name, "shop")
-
     def _run(
         self,
         connection: Any,
@@ -39,25 +31,9 @@
         _, target, _, _ = self.received[-1]
         if target != DEADLY or body != b"hi":
             return super()._run(connection, headers_by_name, head, body)
-        self.crashes += 1
-        self._crash()
-        return False
-
-    def _crash(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        for accepted in self.accepted:
-            with contextlib.suppress(OSError):
-                accepted.shutdown(socket.SHUT_RDWR)
+        self.crash()
         self.name = f"{self.name.partition('+')[0]}+{self.crashes}"
-
-        def restart() -> None:
-            self._listener = socket.create_server((host, int(port)))
-            self._accept()
-
-        threading.Timer(RESTART_S, restart).start()
+        return False
 
 
 def ask(site: sites.Site, attempt: str, gateway: str, target: str) -> int:
@@ -72,7 +48,7 @@
     site: sites.Site, gateways: int
 ) -> None:
     """It crashed all runners of a service each time that it came."""
-    crashing = [CrashingRunner(f"i-{number}") for number in range(3)]
+    crashing = [CrashingRunner(f"i-{number}", "shop") for number in range(3)]
     site.runners += crashing
     site.start_serving()
     for number in range(1, gateways):
--- a/testing/support/crashing_fleet.py
+++ b/testing/support/crashing_fleet.py
@@ -8,6 +8,7 @@
 import random
 from typing import Any
 
+from support import plain_table
 from wisteriawall.config import route_table
 from wisteriawall.control import commands
 from wisteriawall.control import gateway_updates
@@ -28,31 +29,6 @@
 POLL_MS = 350
 RESTART_MS = 3_000
 RUN_MS = 40
-SERVICE = "s"
-
-
-def _table(kind: route_table.RequestKind) -> route_table.RouteTable:
-    return route_table.RouteTable(
-        number=1,
-        routes=[
-            route_table.Route(
-                name="r",
-                host="h",
-                prefix="/",
-                kind=kind,
-                timeout_ms=5_000,
-                goal_ms=400,
-                pause_goal_ms=0,
-                max_attempts=2,
-                shares=[route_table.ServiceWeight(SERVICE, 1)],
-            )
-        ],
-        services=[
-            route_table.RoutedService(
-                name=SERVICE, health_path="/", max_connections=99
-            )
-        ],
-    )
 
 
 class CrashingFleet:
@@ -86,7 +62,7 @@
         self._deaf = set(self.names[:deaf])
         self._lost_events = lost_events
         self._poll_ms = poll_ms
-        self._table = _table(kind)
+        self._table = plain_table.make(kind)
         self._chance = random.Random(5)
         self._queue: list[tuple[int, int, Callable[[int], None]]] = []
         self._numbers = itertools.count(1)
@@ -157,7 +133,7 @@
             [
                 gateway_messages.Upstream(
                     upstream_id=f"{runner}.{start if start >= 0 else ~start}",
-                    service=SERVICE,
+                    service=plain_table.SERVICE,
                     address=f"{runner}:1",
                     zone="z",
                     slots=6,
--- a/testing/support/limited_fleet.py
+++ b/testing/support/limited_fleet.py
@@ -8,6 +8,7 @@
 import random
 from typing import Any
 
+from support import plain_table
 from wisteriawall.config import route_table
 from wisteriawall.control import load_events
 from wisteriawall.gateway import events
@@ -20,28 +21,7 @@
 
 LOAD_EVENT_MS = 12
 POLL_MS = 350
-SERVICE = "s"
-TABLE = route_table.RouteTable(
-    number=1,
-    routes=[
-        route_table.Route(
-            name="r",
-            host="h",
-            prefix="/",
-            kind=route_table.RequestKind.READ_ONLY,
-            timeout_ms=5_000,
-            goal_ms=400,
-            pause_goal_ms=0,
-            max_attempts=2,
-            shares=[route_table.ServiceWeight(SERVICE, 1)],
-        )
-    ],
-    services=[
-        route_table.RoutedService(
-            name=SERVICE, health_path="/", max_connections=99
-        )
-    ],
-)
+TABLE = plain_table.make(route_table.RequestKind.READ_ONLY)
 
 
 class LimitedFleet:
@@ -137,7 +117,7 @@
         upstreams = [
             gateway_messages.Upstream(
                 upstream_id=runner,
-                service=SERVICE,
+                service=plain_table.SERVICE,
                 address=f"{runner}:1",
                 zone="z",
                 slots=100,
