--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -40,6 +40,13 @@
     ("model", "decode"),
     ("model", "decode"),
 )
+# Two engines of each stage and version.
+MORE_ENGINES = (
+    ("model", "prefill"),
+    ("model", "prefill"),
+    ("model", "decode"),
+    ("model", "decode"),
+)
 MAX_DESCRIBED_PER_RULE = 10
 MAX_DUMPED_LENGTH = 200
 
@@ -109,13 +116,14 @@
             )
             for number in range(caller_count)
         ]
+        self._first_runners = FIRST_RUNNERS + (MORE_ENGINES if versions else ())
         self.schedule = schedule.draw(
             seed,
             duration_s=duration_s,
             scope=schedule.Scope(
                 gateways=tuple(self.fleet.gateway_address_by_name),
                 replicas=tuple(self.fleet.replica_address_by_name),
-                runners=len(FIRST_RUNNERS),
+                runners=len(self._first_runners),
                 large_tables=large_tables,
                 limits=limits,
                 versions=versions,
@@ -125,7 +133,7 @@
 
     def play(self) -> None:
         """Play the schedule; all processes have ended afterwards."""
-        for service, stage in FIRST_RUNNERS:
+        for service, stage in self._first_runners:
             self._add_runner(service, stage)
         self.fleet.start()
         try:
@@ -229,8 +237,7 @@
             late_share=self._late_share,
             seen=self.seen,
             handles=self._handles,
-            # Stages alternate too, so that each has runners of both.
-            version=f"v{len(self._runners) // 2 % self._version_count + 1}",
+            version=f"v{len(self._runners) % self._version_count + 1}",
         )
         runner.listed_address = self.proxy.add(runner.address)
         self._runners.append(runner)
