Keep versions that other leaders listed when a replica leads again

A replica that had led before kept the times at which it had listed versions then. Leading again, it took a version for long gone that another leader had listed until just now, and dropped it; a take-up of a stream of that version was then proved to be of the remaining one. Times are now those of the term. The new test failed before.

--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -91,6 +91,7 @@
         updates.versions,
         control.ledger,
         updates.held_upstreams.upstreams,
+        term=updates.held_upstreams.term,
         now_ms=now_ms,
         wall_ms=wall_ms,
     ):
--- a/src/wisteriawall/control/stream_origins.py
+++ b/src/wisteriawall/control/stream_origins.py
@@ -39,11 +39,12 @@
 class Versions:
     """What the leader knows of the versions in its list of runners.
 
-    `listed_ms_by_version` is when a version of a service was last listed, as
-    far as this leader knows, and `proposed_by_service` the versions that were
+    `listed_ms_by_version` is when a version of a service was last listed in
+    this leader's `term`, and `proposed_by_service` the versions that were
     proposed last and when.
     """
 
+    term: int = 0
     listed_ms_by_version: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
@@ -120,6 +121,7 @@
     ledger: state.Ledger,
     upstreams: Iterable[gateway_messages.Upstream],
     *,
+    term: int,
     now_ms: int,
     wall_ms: int,
 ) -> Iterator[commands.SetVersions]:
@@ -127,6 +129,10 @@
 
     A version that is no longer listed stays for as long as its streams may.
     """
+    if versions.term != term:
+        # Other leaders have read lists since, and committed other versions.
+        versions.term = term
+        versions.listed_ms_by_version.clear()
     listed_ms = versions.listed_ms_by_version
     for upstream in upstreams:
         listed_ms[upstream.service, upstream.version] = now_ms
--- a/testing/control/test_stream_origins.py
+++ b/testing/control/test_stream_origins.py
@@ -36,12 +36,13 @@
         self.ledger = state.Ledger()
         self.versions = lib.Versions()
 
-    def read(self, now_ms: int, *versions: str) -> list[str]:
+    def read(self, now_ms: int, *versions: str, term: int = 1) -> list[str]:
         """Read a list; return the versions that may have begun streams."""
         for command in lib.note_list(
             self.versions,
             self.ledger,
             runners(*versions),
+            term=term,
             now_ms=now_ms,
             wall_ms=now_ms,
         ):
@@ -91,6 +92,16 @@
     assert leader.read(900_001 + lib.KEPT_MS, "v2") == ["v2"]
 
 
+def test_replica_that_leads_again_keeps_versions_that_others_saw() -> None:
+    """It took a version for long gone that another leader had just listed."""
+    leader = Leader()
+    leader.read(0, "v1")
+    now_ms = 2 * lib.KEPT_MS
+    assert leader.read(now_ms, "v2", term=3) == ["v1", "v2"]
+    assert leader.read(now_ms + lib.KEPT_MS, "v2", term=3) == ["v1", "v2"]
+    assert leader.read(now_ms + lib.KEPT_MS + 1, "v2", term=3) == ["v2"]
+
+
 def test_list_with_a_version_that_is_not_committed_is_not_used() -> None:
     """A stream could begin there, and the version be forgotten."""
     leader = Leader()
