Count load events anew in each term of a leader

A replica that led again went on with its old counts: gateways compared them with another leader's and took themselves for deaf until the next comparison. The extended test needs the term.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -226,7 +226,10 @@
         suspects=known_suspects,
         mixed_services=stream_origins.mixed_services(ledger),
         load_events_of_others=updates.load_events.note(
-            request.gateway, request.incarnation, request.load_events_sent
+            request.gateway,
+            request.incarnation,
+            request.load_events_sent,
+            term=raft.term,
         ),
     )
 
--- a/src/wisteriawall/control/load_events.py
+++ b/src/wisteriawall/control/load_events.py
@@ -9,22 +9,34 @@
 class LoadEventCounts:
     """Sums up what gateways report of the events that they sent."""
 
-    __slots__ = ("_reported_by_gateway", "_total", "_total_by_gateway")
+    __slots__ = (
+        "_reported_by_gateway",
+        "_term",
+        "_total",
+        "_total_by_gateway",
+    )
 
     def __init__(self) -> None:
+        self._term = 0
         self._total = 0
         self._total_by_gateway: dict[str, int] = {}
         # Incarnation and count of the last report.
         self._reported_by_gateway: dict[str, tuple[int, int]] = {}
 
-    def note(self, gateway: str, incarnation: int, sent: int) -> int:
+    def note(
+        self, gateway: str, incarnation: int, sent: int, *, term: int
+    ) -> int:
         """Record a gateway's count; return the events that others sent.
 
-        Both start again at 0 when the process that counts does. Returns -1 if
-        the gateway does not count.
+        The count of a gateway starts again at 0 when it does, and the other one
+        with each term of the leader. Returns -1 if the gateway does not count.
         """
         if sent < 0:
             return -1
+        if term != self._term:
+            self._term, self._total = term, 0
+            self._total_by_gateway.clear()
+            self._reported_by_gateway.clear()
         known = self._reported_by_gateway.get(gateway)
         # What was sent before the first report here is not counted.
         previous = sent if known is None else known[1]
--- a/testing/policy/test_hearing.py
+++ b/testing/policy/test_hearing.py
@@ -48,11 +48,20 @@
 
 def test_control_counts_what_the_other_gateways_sent() -> None:
     counts = load_events.LoadEventCounts()
+
+    def note(gateway: str, incarnation: int, sent: int, term: int = 1) -> int:
+        return counts.note(gateway, incarnation, sent, term=term)
+
     # What they sent before the first report to this leader is not counted.
-    assert counts.note("a", 1, 100) == 0
-    assert counts.note("b", 1, 7) == 0
-    assert counts.note("a", 1, 110) == 0
-    assert counts.note("b", 1, 9) == 10
-    assert counts.note("a", 2, 3) == 2
-    assert counts.note("b", 1, 9) == 13
-    assert counts.note("old", 1, -1) == -1
+    assert note("a", 1, 100) == 0
+    assert note("b", 1, 7) == 0
+    assert note("a", 1, 110) == 0
+    assert note("b", 1, 9) == 10
+    assert note("a", 2, 3) == 2
+    assert note("b", 1, 9) == 13
+    assert note("old", 1, -1) == -1
+    # In a later term of this leader others have counted meanwhile.
+    assert note("a", 2, 900, term=4) == 0
+    assert note("b", 1, 30, term=4) == 0
+    assert note("a", 2, 905, term=4) == 0
+    assert note("b", 1, 30, term=4) == 5
--- a/testing/support/limited_fleet.py
+++ b/testing/support/limited_fleet.py
@@ -137,7 +137,9 @@
     def _poll(self, name: str) -> Callable[[int], None]:
         def poll(now_ms: int) -> None:
             if name not in self.cut:
-                others = self._counts.note(name, 1, self._sent_by_name[name])
+                others = self._counts.note(
+                    name, 1, self._sent_by_name[name], term=1
+                )
                 update = self._control_update(now_ms, sent_by_others=others)
                 self._reduce(name, update, now_ms)
             self._at(now_ms + POLL_MS, poll)
