Call control again on a new connection before the other replicas

Cause: open connections to all replicas had gone silent. A poll waited 1 s for each of them in turn, so that a gateway had no answer for 4.7 s (table_age 4857 ms in its log, no control-lost before the end of the call), though the connection to the leader had been replaced after the first second.

Change: the replica that is called first is called again at once on its new connection; a gateway waits 600 ms for each answer, so that a leader that is down costs no more than before.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -44,6 +44,9 @@
 # Polling interval while control is unreachable, or while the newest routing
 # table or the list of runners is missing.
 INCOMPLETE_POLL_S = 0.1
+# Two calls to the leader, on a silent connection and on a new one, take less
+# time than a table may stay outdated.
+CONTROL_TIMEOUT_MS = 600
 # Requests that arrive before the routing table and the list of runners wait for
 # them at most this long. After a loss of power all gateways start at once, and
 # callers that were refused would come back later than both arrive.
@@ -131,6 +134,7 @@
             address_by_replica=control_address_by_replica,
             key=key,
             sender=sender,
+            timeout_ms=CONTROL_TIMEOUT_MS,
         )
         codec: envelope.Codec[gateway_messages.LoadEventBatch] = envelope.Codec(
             message_type=gateway_messages.LoadEventBatch, key=key, sender=sender
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -82,14 +82,20 @@
     ) -> control_messages.ControlReply:
         """Return the first answer to `request` that is not a redirect.
 
-        Blocks for up to the RPC timeout at each replica that does not answer.
+        Blocks for up to the RPC timeout at each replica that does not answer,
+        and twice at the one that is called first.
 
         Raises:
             ControlUnavailable: No replica answered, or each of them answered
                 that it is not the leader, or the client is closed.
         """
+        first = self._preferred_replica
         for replica in self._replicas_to_try():
             reply = self._call_replica(replica, request)
+            if reply is None and replica == first:
+                # Its connection may have gone silent, and is replaced now. The
+                # connections to the others may be no better.
+                reply = self._call_replica(replica, request)
             if reply is None:
                 continue
             if isinstance(reply, control_messages.NotLeader):
--- a/testing/wire/test_silent_connections.py
+++ b/testing/wire/test_silent_connections.py
@@ -13,8 +13,14 @@
 from wisteriawall.demo import cluster
 from wisteriawall.web import connection_pool
 from wisteriawall.web import http_exchange
+from wisteriawall.wire import control_client
+from wisteriawall.wire import control_messages
+from wisteriawall.wire import envelope
+from wisteriawall.wire import gateway_messages
 from wisteriawall.wire import transport
 
+KEY = b"k" * 32
+
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -47,6 +53,60 @@
         server.close()
 
 
+def test_control_is_called_again_on_a_new_connection_first(
+    relays: list[silent_relay.SilentRelay],
+) -> None:
+    """Gateways waited for each replica in turn, and kept their old tables."""
+    codec: envelope.Codec[object] = envelope.Codec(
+        message_type=control_messages.ControlRequest,
+        key=KEY,
+        sender=envelope.Sender("control", 1),
+    )
+    answered: list[str] = []
+
+    def serve(name: str) -> transport.RpcServer:
+        def answer(data: bytes) -> bytes:
+            codec.decode(data)
+            answered.append(name)
+            return codec.encode(
+                gateway_messages.StreamsRecorded()
+                if name == "c0"
+                else control_messages.NotLeader("c0")
+            )
+
+        address = cluster.unused_loopback_address()
+        relays.append(silent_relay.SilentRelay(address))
+        return transport.RpcServer(address=address, handler=answer)
+
+    servers = [serve(f"c{number}") for number in range(5)]
+    for server in servers:
+        server.start()
+    client = control_client.ControlClient(
+        address_by_replica={
+            f"c{number}": relay.address for number, relay in enumerate(relays)
+        },
+        key=KEY,
+        sender=envelope.Sender("g", 1),
+    )
+    request = gateway_messages.RecordStreamsRequest({})
+    try:
+        platform_site.wait_until(
+            lambda: len(list(client.call_all(request))) == len(servers),
+            "an answer of each replica",
+        )
+        for relay in relays:
+            relay.silence()
+        answered.clear()
+        client.call(request)
+        assert answered == ["c0"]
+        # The others were not waited for, and keep their connections.
+        assert [relay.accepted for relay in relays] == [2, 1, 1, 1, 1]
+    finally:
+        client.close()
+        for server in servers:
+            server.close()
+
+
 def test_messages_to_a_peer_arrive_after_a_reconnect(
     relays: list[silent_relay.SilentRelay],
 ) -> None:
