--- a/src/wisteriawall/control/suspect_blocks.py
+++ b/src/wisteriawall/control/suspect_blocks.py
@@ -1,9 +1,10 @@
 """Blocks of requests under which runners crash, as all gateways share them.
 
 A block is part of the ledger, so that it outlives a restart of all gateways
-and replicas. It ends only by a complete answer. The leader grants trials, each
-to one gateway, in growing intervals and only a few in all, so that the number
-of runners that a request crashes stays bounded however long it comes again.
+and replicas. It ends by a complete answer, or a day after its last trial. The
+leader grants trials, each to one gateway, in growing intervals and only a few,
+so that the number of runners that a request crashes stays bounded however long
+it comes again.
 """
 
 from collections.abc import Iterator
@@ -14,7 +15,14 @@
 from wisteriawall.control import state
 from wisteriawall.wire import gateway_messages
 
-__all__ = ["MAX_BLOCKS", "TRIAL_AFTER_MS", "SuspectBlocks", "apply", "follow"]
+__all__ = [
+    "MAX_BLOCKS",
+    "TRIAL_AFTER_MS",
+    "SuspectBlocks",
+    "apply",
+    "describe",
+    "follow",
+]
 
 MAX_BLOCKS = 64
 # Time from a block, and from each trial, to the next one.
@@ -37,9 +45,9 @@
 
     `due_by_block` holds the number of trials so far and the monotonic time at
     which the next one, or the end, is due, `cleared_ms_by_block` the time at
-    which a block was cleared. `proposed` are changes that are in the log and
-    not applied yet. `losses` are lost requests that gateways reported, with
-    the reporting gateway and the time.
+    which a block was cleared, and `proposed_ms_by_change` the time at which a
+    change was proposed. `losses` are lost requests that gateways reported,
+    with the reporting gateway and the time.
     """
 
     due_by_block: dict[str, tuple[int, int]] = dataclasses.field(
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -41,7 +41,6 @@
 BITS_PER_BYTE = 8
 # Shorter than the few seconds after which runners close idle connections.
 AT_MOST_ONCE_MAX_IDLE_MS = 1_500
-MAX_LOGGED_ID_LENGTH = 64
 
 
 def place(
@@ -363,7 +362,9 @@
             "attempt": send.attempt,
             "fingerprint": request.fingerprint,
             "version": send.upstream.version,
-            "resumes": request.head.resumes[:MAX_LOGGED_ID_LENGTH],
+            "resumes": request.head.resumes[
+                : stream_origins.MAX_LOGGED_ID_LENGTH
+            ],
             "urgency": send.priority_class,
             "left_ms": request.deadline_at_ms - now_ms,
             "table": gateway.table_number,
--- a/src/wisteriawall/gateway/stream_origins.py
+++ b/src/wisteriawall/gateway/stream_origins.py
@@ -20,11 +20,13 @@
 from wisteriawall.wire import gateway_messages
 
 __all__ = [
+    "MAX_LOGGED_ID_LENGTH",
     "accept_mixed_services",
     "apply_events",
     "begin",
     "fits",
     "is_take_up",
+    "note_ended",
     "prove",
     "prove_by_control",
 ]
--- a/src/wisteriawall/gateway/suspects.py
+++ b/src/wisteriawall/gateway/suspects.py
@@ -17,7 +17,6 @@
 __all__ = [
     "apply_control",
     "apply_events",
-    "apply_losses",
     "blocked_reason",
     "is_blocked",
     "note_sent",
--- a/testing/support/crashing_fleet.py
+++ b/testing/support/crashing_fleet.py
@@ -66,7 +66,6 @@
         self._chance = random.Random(5)
         self._queue: list[tuple[int, int, Callable[[int], None]]] = []
         self._numbers = itertools.count(1)
-        self._now_ms = 0
         # The start of a runner that is down is kept as its complement: the
         # list still has it.
         self._start_by_runner = dict.fromkeys(
@@ -120,7 +119,6 @@
         """Play up to a time."""
         while self._queue and self._queue[0][0] < until_ms:
             now_ms, _, action = heapq.heappop(self._queue)
-            self._now_ms = now_ms
             action(now_ms)
 
     def _at(self, at_ms: int, action: Callable[[int], None]) -> None:
