--- a/src/wisteriawall/config/route_table.py
+++ b/src/wisteriawall/config/route_table.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from wisteriawall.config import accounts as accounts_lib
+
 __all__ = [
     "ConnectionLimits",
     "EngineCapacity",
@@ -51,7 +53,7 @@
     `rank` is the priority class; 0 is the most urgent. A request reaches at
     most `max_attempts` upstreams. `has_prompt` marks requests that carry a
     prompt for a model. `resumable` marks streams that another engine can
-    continue after a failure.
+    continue after a failure. Requests of a `public` route need no key.
     """
 
     name: str
@@ -66,6 +68,7 @@
     max_attempts: int = 1
     has_prompt: bool = False
     resumable: bool = False
+    public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -116,12 +119,17 @@
 
 @final
 class RouteTable(msgspec.Struct, frozen=True, kw_only=True):
-    """The whole routing table; `number` identifies this version of it."""
+    """The whole routing table; `number` identifies this version of it.
+
+    `accounts` are the client accounts whose keys are accepted, None if requests
+    need no key.
+    """
 
     number: int
     routes: list[Route]
     services: list[RoutedService]
     limits: ConnectionLimits = ConnectionLimits()
+    accounts: list[accounts_lib.Account] | None = None
 
     def service_by_name(self) -> dict[str, RoutedService]:
         """Return the services, keyed by their name."""
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -91,6 +91,7 @@
     the KV cache, as `IP:PORT/HANDLE`; it is empty for other phases.
     `max_idle_ms` bounds how long a reused connection has been idle, None for no
     bound. `is_limited` tells that the runner names a limit on its requests.
+    `account` is the client account, empty without one.
     """
 
     upstream: gateway_messages.Upstream
@@ -100,6 +101,7 @@
     kv_source: str = ""
     max_idle_ms: int | None = None
     is_limited: bool = False
+    account: str = ""
 
 
 @final
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -50,7 +50,8 @@
     requests that a caller repeats, and `is_trial` is set if it is sent although
     it is blocked. `may_have_run` is set once a runner may have run the request.
     `origin` is the version that began the stream, None before the first event.
-    Times are on the monotonic clock.
+    `account` is the name of the client account, empty without one. Times are on
+    the monotonic clock.
     """
 
     request_key: int
@@ -73,6 +74,7 @@
     is_trial: bool = False
     may_have_run: bool = False
     origin: stream_origins_lib.Origin | None = None
+    account: str = ""
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -28,7 +28,15 @@
 
 @final
 class _CloudApi(msgspec.Struct, frozen=True):
+    """The platform's own interface.
+
+    `duties` names the duties of one node at a time, `duty_per_s` how many of
+    their calls are accepted a second from all nodes together.
+    """
+
     address: str
+    duties: list[str] = []
+    duty_per_s: float = 0.0
 
 
 @final
@@ -47,6 +55,26 @@
     budget_window_s: float = 10.0
     # Retries allowed in addition to the ratio, shared by all gateways.
     retry_budget_slack: float = 0.0
+    # Whether a withdrawn key is refused by every process after `revoke_ms`.
+    strict_revocation: bool = False
+    revoke_ms: int = 5_000
+    lease_ms: int = 3_000
+    thaw_ms: int = 300
+    # Length of a window of the usage report, when its report is due after its
+    # end, and the share by which its counts may be off.
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+    usage_tolerance: float = 0.05
+
+
+@final
+class _Limits(msgspec.Struct, frozen=True):
+    """Resources of the process's VM; 0 if they are not stated."""
+
+    cpu_share: float = 0.0
+    memory_mb: int = 0
+    file_descriptors: int = 0
+    link_mbps: float = 0.0
 
 
 @final
@@ -66,6 +94,7 @@
     bootstrap: bool = False
     data_directory: str | None = None
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
     @property
     def peer_address(self) -> str:
