Decode client accounts, and send their changes

A published table may have `tenants` and public routes now. Keys become sorted digests when the document is decoded. Faults name the place in the document, never a key. Changes of a table carry the digests that were added and removed, as a new last field; earlier encoded changes decode as before.

The log's difference of the published text sent an object that changed as a whole: 198,593 bytes for one key of an account with 10,000.

--- a/src/wisteriawall/config/route_table.py
+++ b/src/wisteriawall/config/route_table.py
@@ -138,13 +138,30 @@
 
 @final
 class RouteIndex:
-    """Index of a table's routes by host; the longest prefix matches first."""
+    """Index of a table's routes by host; the longest prefix matches first.
 
-    __slots__ = ("_routes_by_host", "service_by_name", "table")
+    `account_by_digest` holds the accounts by the digests of their keys, None if
+    requests need no key.
+
+    Raises:
+        accounts_lib.AccountsInvalid: The accounts of the table are malformed.
+    """
+
+    __slots__ = (
+        "_routes_by_host",
+        "account_by_digest",
+        "service_by_name",
+        "table",
+    )
 
     def __init__(self, table: RouteTable) -> None:
         self.table = table
         self.service_by_name = table.service_by_name()
+        self.account_by_digest = (
+            None
+            if table.accounts is None
+            else accounts_lib.index_by_digest(table.accounts)
+        )
         routes_by_host: dict[str, list[Route]] = {}
         for route in table.routes:
             routes_by_host.setdefault(route.host.lower(), []).append(route)
--- a/src/wisteriawall/config/table_change.py
+++ b/src/wisteriawall/config/table_change.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wisteriawall import errors
+from wisteriawall.config import accounts as accounts_lib
 from wisteriawall.config import route_table
 
 __all__ = [
@@ -33,7 +34,8 @@
 
     A base number of 0 stands for a table without routes and services. `routes`
     were added or changed, `removed` are the keys of those that are no longer in
-    the table. `services` and `limits` are None if they didn't change.
+    the table. `services`, `limits` and `accounts` are None if they didn't
+    change.
     """
 
     base_number: int
@@ -42,6 +44,7 @@
     removed: list[RouteKey]
     services: list[route_table.RoutedService] | None
     limits: route_table.ConnectionLimits | None
+    accounts: accounts_lib.AccountsChange | None = None
 
 
 def difference(
@@ -50,7 +53,13 @@
     """Return what turns `base`, None for an empty table, into `target`."""
     if base is None:
         return TableChange(
-            0, target.number, target.routes, [], target.services, target.limits
+            0,
+            target.number,
+            target.routes,
+            [],
+            target.services,
+            target.limits,
+            accounts_lib.difference(None, target.accounts),
         )
     base_route_by_key = _route_by_key(base)
     target_route_by_key = _route_by_key(target)
@@ -67,6 +76,7 @@
         ],
         services=None if base.services == target.services else target.services,
         limits=None if base.limits == target.limits else target.limits,
+        accounts=accounts_lib.difference(base.accounts, target.accounts),
     )
 
 
@@ -96,6 +106,7 @@
         routes=list(route_by_key.values()),
         services=base.services if change.services is None else change.services,
         limits=base.limits if change.limits is None else change.limits,
+        accounts=accounts_lib.apply(base.accounts, change.accounts),
     )
 
 
--- a/src/wisteriawall/config/text_change.py
+++ b/src/wisteriawall/config/text_change.py
@@ -1,7 +1,8 @@
 """Difference between two versions of a JSON document, byte for byte.
 
 The texts are split where an object begins. Pieces that the base has are sent
-as ranges of it, the others as they are.
+as ranges of it, the others as they are. A large object that changed, such as an
+account with many keys, is split further at its commas.
 """
 
 from collections.abc import Iterable
@@ -17,9 +18,14 @@
 __all__ = ["TextRejected", "apply", "difference"]
 
 # First piece of the base, and the number of pieces; or bytes of the target.
-Part = tuple[int, int] | bytes
+# Three numbers are a piece of the base, and a range of its parts at commas.
+Part = tuple[int, ...] | bytes
+# Earlier versions can't decode ranges of a piece, so that smaller objects, as
+# routes and services are, are sent whole.
+MIN_DIVIDED_BYTES = 4_096
 COMPRESSION_LEVEL = 6
 _OBJECT_START = re.compile(rb"(?=\{)")
+_COMMA = re.compile(rb"(?=,)")
 
 
 @final
@@ -51,34 +57,64 @@
             case bytes():
                 texts.append(part)
             case (first, count):
-                if not 0 <= first <= first + count <= len(pieces):
-                    raise TextRejected(
-                        f"pieces {first} to {first + count}, expected at most "
-                        f"{len(pieces)}"
-                    )
-                texts += pieces[first : first + count]
+                texts += _select(pieces, first, count)
+            case (index, first, count):
+                [piece] = _select(pieces, index, 1)
+                texts += _select(_COMMA.split(piece), first, count)
+            case _:
+                raise TextRejected(f"got {len(part)} numbers, expected 2 or 3")
     return b"".join(texts)
 
 
+def _select(pieces: list[bytes], first: int, count: int) -> list[bytes]:
+    if not 0 <= first <= first + count <= len(pieces):
+        raise TextRejected(
+            f"pieces {first} to {first + count}, expected at most {len(pieces)}"
+        )
+    return pieces[first : first + count]
+
+
 def _split(text: bytes) -> list[bytes]:
     return _OBJECT_START.split(text)
 
 
 def _find_parts(base: list[bytes], target: list[bytes]) -> Iterator[Part]:
     """Yield a part for each piece of `target`."""
+    index_by_head = {_head(piece): index for index, piece in enumerate(base)}
+    for piece, index in _find_pieces(base, target):
+        if index is not None:
+            yield index, 1
+            continue
+        similar = index_by_head.get(_head(piece))
+        if similar is None or len(piece) < MIN_DIVIDED_BYTES:
+            yield piece
+            continue
+        for text, position in _find_pieces(
+            _COMMA.split(base[similar]), _COMMA.split(piece)
+        ):
+            yield text if position is None else (similar, position, 1)
+
+
+def _head(piece: bytes) -> bytes:
+    """Return the text before the first comma, mostly the name of an object."""
+    return piece.partition(b",")[0]
+
+
+def _find_pieces(
+    base: list[bytes], target: list[bytes]
+) -> Iterator[tuple[bytes, int | None]]:
+    """Yield the pieces of `target`, and the index of each in `base`."""
     index_by_piece = {piece: index for index, piece in enumerate(base)}
     expected = 0
     for piece in target:
         # The same piece may be in the base more than once.
         if expected < len(base) and base[expected] == piece:
-            index = expected
-        elif piece in index_by_piece:
-            index = index_by_piece[piece]
+            index: int | None = expected
         else:
-            yield piece
-            continue
-        expected = index + 1
-        yield index, 1
+            index = index_by_piece.get(piece)
+        if index is not None:
+            expected = index + 1
+        yield piece, index
 
 
 def _merge(parts: Iterable[Part]) -> Iterator[Part]:
@@ -88,10 +124,10 @@
         match joined, part:
             case (bytes(), bytes()):
                 joined += part
-            case ((int(first), int(count)), (int(next_first), int(more))) if (
-                next_first == first + count
+            case ((*place, first, count), (*next_place, next_first, more)) if (
+                place == next_place and next_first == first + count
             ):
-                joined = (first, count + more)
+                joined = (*place, first, count + more)
             case _:
                 yield joined
                 joined = part
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wisteriawall import clock
+from wisteriawall.config import accounts as accounts_lib
 from wisteriawall.config import integers
 from wisteriawall.config import route_table
 from wisteriawall.control import events
@@ -71,6 +72,8 @@
     resumable: bool = False
     # Longest time between two events of an answer that counts as in time.
     target_gap_ms: int = 0
+    # Requests need no key although the table has accounts.
+    public: bool = False
 
 
 @final
@@ -89,6 +92,15 @@
     engine: _Engine | None = None
 
 
+@final
+class _Tenant(msgspec.Struct, frozen=True):
+    """A client account; `priority` replaces that of the route."""
+
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
 @final
 class _Limits(msgspec.Struct, frozen=True):
     header_bytes: int = 16_384
@@ -103,6 +115,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    # Without this list requests need no key; an empty one allows no key.
+    tenants: list[_Tenant] | None = None
 
 
 def decode_table(body: bytes) -> route_table.RouteTable:
@@ -118,6 +132,9 @@
     integer_faults = list(integers.find_faults(msgspec.to_builtins(document)))
     if integer_faults:
         raise TableInvalid("; ".join(integer_faults))
+    account_faults = accounts_lib.find_faults(
+        (tenant.name, tenant.api_keys) for tenant in document.tenants or ()
+    )
     table = route_table.RouteTable(
         number=document.version,
         routes=[_convert_route(route) for route in document.routes],
@@ -128,8 +145,14 @@
             head_ms=document.limits.header_ms,
             idle_ms=document.limits.idle_ms,
         ),
+        accounts=None
+        if document.tenants is None
+        else [
+            accounts_lib.make(tenant.name, tenant.api_keys, tenant.priority)
+            for tenant in document.tenants
+        ],
     )
-    faults = route_table.find_faults(table)
+    faults = [*route_table.find_faults(table), *account_faults]
     if faults:
         raise TableInvalid("; ".join(faults))
     return table
@@ -155,6 +178,7 @@
         max_attempts=max(1, route.max_attempts),
         has_prompt=route.sticky_sessions,
         resumable=route.resumable,
+        public=route.public,
     )
 
 
--- a/testing/config/test_table_change.py
+++ b/testing/config/test_table_change.py
@@ -9,8 +9,11 @@
 from wisteriawall.config import table_change
 from wisteriawall.config import text_change
 
+LARGE = b'{"n":1,' + b",".join(b"%d" % number for number in range(1_500))
 OBJECTS = strategies.lists(
-    strategies.sampled_from([b'{"a":1}', b'{"b":[{"c":2}]}', b"x", b"{", b""]),
+    strategies.sampled_from(
+        [b'{"a":1}', b'{"b":[{"c":2}]}', b"x", b"{", b"", LARGE, LARGE[:5_000]]
+    ),
     max_size=12,
 ).map(b",".join)
 
@@ -92,6 +95,10 @@
         pytest.param(
             text_change.difference(b"{1}{2}{3}", b"{2}{3}"), id="other base"
         ),
+        pytest.param(
+            text_change.difference(LARGE, LARGE + b",1"),
+            id="other base of a large object",
+        ),
     ],
 )
 def test_malformed_difference_of_texts_is_rejected(change: bytes) -> None:
