Accept requests by the key of a client account

Gateways look up the digest of a request's key on arrival, before its body is read, at each placement and dispatch, and, with strict revocation, compare the time with the end of the proof right before the request is written to the runner's connection. Unknown keys get 401, keys that can't be decided on get 503. The rank of an account replaces that of the route. Runners get the account's name in X-Wisteriawall-Tenant, and neither the key nor a name that the caller sent.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -11,6 +11,7 @@
 import zlib
 
 from wisteriawall.config import route_table
+from wisteriawall.gateway import accounts
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import limits
@@ -29,7 +30,7 @@
     "least_loaded_decoder",
     "may_send",
     "place",
-    "route_priority_class",
+    "priority_class",
 ]
 
 # Priority class of routes of rank 0; each further rank adds one. A lower class
@@ -56,6 +57,16 @@
             gateway, request, refusals.deadline_passed(), "late"
         )
         return
+    verdict = accounts.identify(gateway, request, now_ms)
+    if isinstance(verdict, accounts.Refused):
+        yield from final_answers.refuse(
+            gateway, request, verdict.refusal, verdict.reason
+        )
+        return
+    if request.prompt is not None:
+        request.prompt = dataclasses.replace(
+            request.prompt, priority_class=priority_class(request)
+        )
     if suspects.is_blocked(gateway, request, now_ms):
         yield from final_answers.refuse_blocked(gateway, request, now_ms)
         return
@@ -283,9 +294,7 @@
     *,
     in_time: bool,
 ) -> Iterator[events.Effect]:
-    priority_class = (
-        route_priority_class(request.route) if in_time else LATE_PRIORITY_CLASS
-    )
+    send_class = priority_class(request) if in_time else LATE_PRIORITY_CLASS
     match placement:
         case placement_lib.SingleEngine(upstream_id=upstream_id):
             phase = protocol.Phase.WHOLE
@@ -298,7 +307,7 @@
         upstream=gateway.upstream_by_id[upstream_id],
         phase=phase,
         attempt=request.attempts + 1,
-        priority_class=priority_class,
+        priority_class=send_class,
     )
     yield from dispatch(
         gateway,
@@ -309,12 +318,12 @@
     )
 
 
-def route_priority_class(route: route_table.Route) -> int:
-    """Return the priority class of a route's requests.
+def priority_class(request: state_lib.Request) -> int:
+    """Return the priority class of a request's account or route.
 
     The platform's scale is 0 to 9, with 0 served first.
     """
-    return min(LATE_PRIORITY_CLASS, TOP_PRIORITY_CLASS + route.rank)
+    return max(0, min(LATE_PRIORITY_CLASS, TOP_PRIORITY_CLASS + request.rank))
 
 
 def dispatch(
@@ -331,9 +340,19 @@
     the load to the other gateways. `uncached_tokens` is the number of prompt
     tokens that the runner is expected to prefill.
     """
+    verdict = accounts.identify(gateway, request, now_ms)
+    if isinstance(verdict, accounts.Refused):
+        yield from final_answers.refuse(
+            gateway, request, verdict.refusal, verdict.reason
+        )
+        return
     runner = send.upstream.start_id
     send = dataclasses.replace(
-        send, is_limited=gateway.limits.is_limited(runner)
+        send,
+        is_limited=gateway.limits.is_limited(runner),
+        account=verdict.account,
+        hides_key=verdict.hides_key,
+        valid_until_ms=verdict.valid_until_ms,
     )
     request.current_send = send
     request.sent_ms = now_ms
@@ -357,6 +376,7 @@
         request_id=request.request_id,
         inputs={
             "route": request.route.name,
+            "account": request.account,
             "leg": send.phase.value,
             "upstream": send.upstream.upstream_id,
             "attempt": send.attempt,
@@ -390,7 +410,7 @@
             if upstream.stage is not gateway_messages.Stage.PREFILL
         ),
         key=lambda u: gateway.load_by_id[u.upstream_id].wait_ms(
-            now_ms=now_ms, priority_class=route_priority_class(request.route)
+            now_ms=now_ms, priority_class=priority_class(request)
         ),
         default=None,
     )
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "AnswerHead",
+    "ClientKey",
     "Dialect",
+    "KeyKind",
     "MalformedCall",
     "NamedLimit",
     "Phase",
@@ -30,6 +32,24 @@
     """A caller's header is missing or has an invalid value."""
 
 
+@final
+class KeyKind(enum.Enum):
+    """Whether a request has a key; the values appear in the decision log."""
+
+    GIVEN = "unknown"
+    MISSING = "missing"
+    MALFORMED = "malformed"
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClientKey:
+    """Digest of the key of a request, empty unless one is given."""
+
+    kind: KeyKind = KeyKind.MISSING
+    digest: bytes = b""
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class PromptTokens:
@@ -53,16 +73,18 @@
     """Parsed headers of a caller's request.
 
     `remaining_ms` is the time that the caller still waits, counted from the
-    request's arrival. `prompt` is None for plain requests. `account` names the
-    client account, empty if the request names none. A caller that takes a
-    stream up after an event names it in `last_event_id`, and in `resumes` the
+    request's arrival. `prompt` is None for plain requests. `credentials` are
+    what the caller sent as such, and `key` the key in them. A caller that takes
+    a stream up after an event names it in `last_event_id`, and in `resumes` the
     attempt id of its request that brought the first event.
     """
 
     attempt_id: str
     remaining_ms: int
     prompt: PromptTokens | None
-    account: str = ""
+    # A secret, so it must not get into a log with the other fields.
+    credentials: str = dataclasses.field(default="", repr=False)
+    key: ClientKey = ClientKey()
     last_event_id: str = ""
     resumes: str = ""
 
@@ -91,7 +113,9 @@
     the KV cache, as `IP:PORT/HANDLE`; it is empty for other phases.
     `max_idle_ms` bounds how long a reused connection has been idle, None for no
     bound. `is_limited` tells that the runner names a limit on its requests.
-    `account` is the client account, empty without one.
+    `account` is the client account, empty without one. With `hides_key` the
+    caller's credentials are not sent, nor an account that it names itself. At
+    `valid_until_ms` or later the phase must not be sent, None for no limit.
     """
 
     upstream: gateway_messages.Upstream
@@ -102,6 +126,8 @@
     max_idle_ms: int | None = None
     is_limited: bool = False
     account: str = ""
+    hides_key: bool = False
+    valid_until_ms: int | None = None
 
 
 @final
@@ -164,6 +190,9 @@
             MalformedCall: A header is missing or has an invalid value.
         """
 
+    def parse_key(self, headers: Headers) -> ClientKey:
+        """Return the key of a caller's request."""
+
     def runner_request_headers(
         self,
         headers: Headers,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -120,7 +120,9 @@
         )
     if event.head.prompt is not None and request.service.engine is not None:
         request.prompt = _build_prompt(
-            event.request_id, route, event.head.prompt
+            event.request_id,
+            event.head.prompt,
+            priority_class=placing.priority_class(request),
         )
     request.earlier_wait_ms = _earlier_wait_ms(gateway, request)
     gateway.request_by_key[event.request_key] = request
@@ -183,7 +185,7 @@
 
 
 def _build_prompt(
-    request_id: str, route: route_table.Route, prompt: protocol.PromptTokens
+    request_id: str, prompt: protocol.PromptTokens, *, priority_class: int
 ) -> placement_lib.Prompt:
     parts = prompt.parts
     counted = sum(tokens for _, tokens in parts)
@@ -193,7 +195,7 @@
         request_id=request_id,
         parts=parts,
         output_tokens=prompt.output_tokens,
-        priority_class=placing.route_priority_class(route),
+        priority_class=priority_class,
     )
 
 
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -8,9 +8,12 @@
     "NO_TABLE",
     "ORIGIN_UNAVAILABLE",
     "ORIGIN_UNKNOWN",
+    "OUTDATED_ACCOUNTS",
     "OUTDATED_TABLE",
     "PLAIN_OVERLOAD_RETRY_MS",
     "STOPPING",
+    "TABLE_UNPROVED",
+    "UNKNOWN_KEY",
     "VERSION_GONE",
     "after_possible_run",
     "blocked",
@@ -45,6 +48,24 @@
     message="a newer routing table, which may have the route, is not here yet",
     retry_after_ms=TABLE_FETCH_RETRY_MS,
 )
+OUTDATED_ACCOUNTS = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.UNAVAILABLE,
+    message="a newer routing table, which may know the key, is not here yet",
+    retry_after_ms=TABLE_FETCH_RETRY_MS,
+)
+TABLE_UNPROVED = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.UNAVAILABLE,
+    message="control has not confirmed lately that the routing table, which"
+    " has the keys, is the newest",
+    retry_after_ms=TABLE_FETCH_RETRY_MS,
+)
+UNKNOWN_KEY = refusal_lib.Refusal(
+    status=401,
+    code=refusal_lib.Code.UNAUTHENTICATED,
+    message="Authorization: expected `Token` and the key of an account, once",
+)
 # Other gateways serve the request at once.
 STOPPING = refusal_lib.Refusal(
     status=503,
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -78,7 +78,8 @@
     request_id: str
     method: str
     target: str
-    headers: dict[str, str]
+    # They may have the caller's key, which must not get into a log.
+    headers: dict[str, str] = dataclasses.field(repr=False)
     body: bytes
     head: protocol.RequestHead
     deadline_at_ms: int
@@ -206,6 +207,14 @@
             return self._report_failure(
                 refusal_lib.RunState.NOT_RUN, str(error), unreachable=True
             )
+        except http_exchange.NotSent:
+            # The key is looked up again before another runner is tried.
+            return self._report_failure(
+                refusal_lib.RunState.NOT_RUN,
+                "the proof that the key is valid ended before the sending",
+                unreachable=True,
+                runner_failed=False,
+            )
         except http_exchange.Broken as error:
             status = 504 if error.timed_out else 502
             return self._report_failure(
@@ -340,6 +349,7 @@
             body=request.body or None,
             timeout_s=remaining_ms / MS_PER_S,
             deadline_at_ms=request.deadline_at_ms,
+            send_by_ms=send.valid_until_ms,
             force_new=was_sent_here,
             answer_id=runner_connection.AnswerId(
                 header=self._dialect.answer_id_header,
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -11,8 +11,10 @@
 
 from wisteriawall import clock
 from wisteriawall.config import route_table
+from wisteriawall.gateway import accounts
 from wisteriawall.gateway import control_update
 from wisteriawall.gateway import events
+from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import fingerprint as fingerprint_lib
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import origin_keeper
@@ -29,6 +31,7 @@
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.web import connection_pool
+from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
 from wisteriawall.wire import control_client
@@ -320,8 +323,14 @@
             return server_lib.send_refusal(
                 start_response, refusals.malformed_head(str(error))
             )
-        body = server_lib.read_body(environ)
         target = environ["REQUEST_URI"]
+        refusal = self._check_head(environ["REQUEST_METHOD"], target, headers)
+        if refusal is not None:
+            server_lib.caller_connection(environ).skips_body = True
+            return server_lib.send_refusal(
+                start_response, refusal, fractional_retry_after=True
+            )
+        body = server_lib.read_body(environ)
         request_key = next(self._request_keys)
         arrived = events.Arrived(
             request_key=request_key,
@@ -338,7 +347,7 @@
                 method=environ["REQUEST_METHOD"],
                 host=headers.get("Host", ""),
                 target=target,
-                account=head.account,
+                account=head.credentials,
                 body=body,
             ),
         )
@@ -367,6 +376,32 @@
             start_response,
         )
 
+    def _check_head(
+        self, _method: str, target: str, headers: protocol.Headers
+    ) -> refusal_lib.Refusal | None:
+        """Return the refusal of a request by its head, None to read its body.
+
+        It neither blocks nor changes the state.
+        """
+        refused = accounts.check_head(
+            self._gateway,
+            host=headers.get("Host", ""),
+            path=target.partition("?")[0],
+            key=self._dialect.parse_key(headers),
+            now_ms=clock.monotonic_ms(),
+        )
+        if refused is None:
+            return None
+        self._run_shared_effect(
+            final_answers.refused_entry(
+                headers.get(self._dialect.answer_id_header, ""),
+                refused.refusal,
+                refused.reason,
+                table=self._gateway.table_number,
+            )
+        )
+        return refused.refusal
+
     def _refuse_untracked(
         self,
         effects: list[events.Effect],
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -22,7 +22,11 @@
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Tuning:
-    """Parameters of placement and of the rejection of late prompts."""
+    """Parameters of placement and of the rejection of requests.
+
+    `revoke_ms` is how long after its removal a key may still be in use, None
+    if that is not limited.
+    """
 
     placement_options: placement_lib.Options = dataclasses.field(
         default_factory=placement_lib.Options
@@ -30,6 +34,7 @@
     admission_bounds: admission.AdmissionBounds = dataclasses.field(
         default_factory=admission.AdmissionBounds
     )
+    revoke_ms: int | None = None
 
 
 @final
@@ -50,8 +55,8 @@
     requests that a caller repeats, and `is_trial` is set if it is sent although
     it is blocked. `may_have_run` is set once a runner may have run the request.
     `origin` is the version that began the stream, None before the first event.
-    `account` is the name of the client account, empty without one. Times are on
-    the monotonic clock.
+    `account` is the name of the client account, empty without one, and
+    `account_rank` its rank, None without one. Times are on the monotonic clock.
     """
 
     request_key: int
@@ -75,6 +80,14 @@
     may_have_run: bool = False
     origin: stream_origins_lib.Origin | None = None
     account: str = ""
+    account_rank: int | None = None
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the account, or of the route without that."""
+        if self.account_rank is None:
+            return self.route.rank
+        return self.account_rank
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -33,7 +33,7 @@
             key=key,
             dialect=headers.PlatformDialect(),
             budget=settings.retry_budget,
-            tuning=gateway_state.Tuning(),
+            tuning=gateway_state.Tuning(revoke_ms=settings.revoke_ms),
             log=log,
             metrics=roles.open_metrics(settings, metrics_port),
             grace_ms=settings.grace_ms,
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wisteriawall.config import accounts
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import run as run_lib
 
@@ -33,6 +34,9 @@
 KV_CACHE_SOURCE = "X-Wisteriawall-Kv-Cache-Source"
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
+KEY_SCHEME = "token"
+# Name of the client account, for runners.
+TENANT = "X-Wisteriawall-Tenant"
 # Attempt id of the request that brought the first event of a stream that the
 # caller takes up.
 RESUMES = "Resumes"
@@ -55,6 +59,8 @@
 NO_DEADLINE_MS = 3_600_000
 MAX_PAUSE_MS = 3_600_000
 MAX_LOGGED_LENGTH = 80
+# As long as all headers together may be by default.
+MAX_CREDENTIALS_LENGTH = 16_384
 
 # Only this system sets these headers; those of a caller are removed.
 SYSTEM_HEADERS = frozenset(
@@ -72,6 +78,9 @@
         "Kv-Fetch",
     )
 )
+# Only this system sets or reads these if the routing table has accounts. Names
+# with underscores count too, as runners may take them for the same.
+ACCOUNT_HEADERS = frozenset({AUTHORIZATION.lower(), TENANT.lower()})
 
 
 @final
@@ -104,11 +113,36 @@
                 headers, DEADLINE_REMAINING, NO_DEADLINE_MS
             ),
             prompt=_parse_prompt(headers),
-            account=headers.get(AUTHORIZATION, ""),
+            credentials=headers.get(AUTHORIZATION, ""),
+            key=self.parse_key(headers),
             last_event_id=headers.get(LAST_EVENT_ID, ""),
             resumes=headers.get(RESUMES, ""),
         )
 
+    def parse_key(self, headers: protocol.Headers) -> protocol.ClientKey:
+        """Return the key in `Authorization: Token KEY`.
+
+        A header that is repeated arrives as one value joined by commas, which
+        is the key of no account.
+        """
+        text = headers.get(AUTHORIZATION)
+        if text is None:
+            return protocol.ClientKey()
+        scheme, _, key = text.partition(" ")
+        key = key.strip()
+        if (
+            scheme.lower() != KEY_SCHEME
+            or not key
+            or len(text) > MAX_CREDENTIALS_LENGTH
+        ):
+            return protocol.ClientKey(protocol.KeyKind.MALFORMED)
+        # Bytes that are not ASCII are those of UTF-8, as in the document.
+        data = key.encode("latin-1", "replace")
+        return protocol.ClientKey(
+            protocol.KeyKind.GIVEN,
+            accounts.key_digest(data.decode("utf-8", "surrogateescape")),
+        )
+
     def runner_request_headers(
         self,
         headers: protocol.Headers,
@@ -119,13 +153,23 @@
     ) -> dict[str, str]:
         """Return the headers to send to a runner.
 
-        The caller's end-to-end headers are kept, except `SYSTEM_HEADERS`.
+        The caller's end-to-end headers are kept, except `SYSTEM_HEADERS` and,
+        with accounts, `ACCOUNT_HEADERS`.
         """
         outgoing = {
             name: value
             for name, value in run_lib.end_to_end_headers(headers.items())
             if name.lower() not in SYSTEM_HEADERS
         }
+        if send.hides_key:
+            outgoing = {
+                name: value
+                for name, value in outgoing.items()
+                if name.lower().replace("_", "-") not in ACCOUNT_HEADERS
+            }
+        if send.account:
+            # Header values are bytes, one for each character.
+            outgoing[TENANT] = send.account.encode().decode("latin-1")
         outgoing[DEADLINE_REMAINING] = str(remaining_ms)
         outgoing[EXPECT_INSTANCE] = send.upstream.upstream_id
         if TOKEN_COUNTS in headers:
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -121,6 +121,14 @@
         """Return the milliseconds between SIGTERM and SIGKILL."""
         return round(self.bounds.grace_s * MS_PER_S)
 
+    @property
+    def revoke_ms(self) -> int | None:
+        """Return for how long a key may be used after its removal.
+
+        None if that is not limited.
+        """
+        return self.bounds.revoke_ms if self.bounds.strict_revocation else None
+
     @property
     def retry_budget(self) -> retry_window.RetryBudgetSettings:
         """Return the retry limits, shared by all gateways of the deployment."""
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -17,7 +17,7 @@
 from wisteriawall.web import connection_pool
 from wisteriawall.web import runner_connection
 
-__all__ = ["Broken", "HttpExchange", "Unreachable"]
+__all__ = ["Broken", "HttpExchange", "NotSent", "Unreachable"]
 
 CHUNK_BYTES = 64 * 1024
 # Bytes read for one chunk, with chunk sizes and trailers.
@@ -40,6 +40,11 @@
     """No connection could be opened, so nothing was sent."""
 
 
+@final
+class NotSent(errors.WisteriawallError):
+    """The request became too late to send while a connection was opened."""
+
+
 @final
 class Broken(errors.WisteriawallError):
     """The exchange ended before a complete, valid response had arrived.
@@ -92,6 +97,7 @@
         body: bytes | None,
         timeout_s: float,
         deadline_at_ms: int | None = None,
+        send_by_ms: int | None = None,
         force_new: bool = False,
         max_idle_ms: int = connection_pool.NO_LIMIT_MS,
         answer_id: runner_connection.AnswerId | None = None,
@@ -109,6 +115,8 @@
             timeout_s: Longest wait for the headers and for each later read.
             deadline_at_ms: When the whole response must have arrived, on the
                 monotonic clock; None for no limit.
+            send_by_ms: When the request must not be sent any more, on the
+                monotonic clock; None for no limit.
             force_new: Whether to open a new connection instead of an idle one.
             max_idle_ms: Longest idle time of a connection to reuse.
             answer_id: Id by which the response names this request; None if the
@@ -116,6 +124,7 @@
 
         Raises:
             Unreachable: No connection was opened, so nothing was sent.
+            NotSent: It was `send_by_ms` before the request was sent.
             Broken: The response headers did not arrive completely, are
                 malformed, or may belong to another request.
         """
@@ -131,6 +140,9 @@
             if name not in headers
         }
         connection.answer_id = answer_id
+        # Last, as the process may have been paused since the call.
+        if send_by_ms is not None and clock.monotonic_ms() >= send_by_ms:
+            raise NotSent(f"{address}: the time to send the request is over")
         try:
             connection.request(
                 method,
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -54,6 +54,7 @@
     500: refusal_lib.Code.INTERNAL,
     503: refusal_lib.Code.OVERLOADED,
 }
+AUTHORIZATION = b"Authorization"
 OVERLOAD_RETRY_AFTER_S = 1
 MAX_DISCARDED_BYTES = 65_536
 # Longest wait for the end of a response to be sent, and interval of the checks.
@@ -75,6 +76,8 @@
         self._socket = connection
         self._monitor = monitor
         self.aborted = False
+        # Whether the response is sent although the body has not arrived.
+        self.skips_body = False
         self._read_deadline_s = float("inf")
 
     @property
@@ -151,6 +154,20 @@
     return "\r\n".join([*header_lines, "", ""]).encode("latin-1") + body
 
 
+@final
+class _RequestHeaders(dict[bytes, bytes]):
+    """Request headers by name, with all values of a repeated `Authorization`.
+
+    Cheroot would keep the last value only.
+    """
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        """Set a header, or add a value to the one that was set."""
+        if name == AUTHORIZATION and name in self:
+            value = b", ".join((self[name], value))
+        super().__setitem__(name, value)
+
+
 @final
 class HttpRequest(cheroot_server.HTTPRequest):
     """Request that sends cheroot's own errors as JSON.
@@ -161,6 +178,7 @@
 
     def read_request_headers(self) -> bool:
         """Read the headers; return whether to go on with the request."""
+        self.inheaders = _RequestHeaders()
         if not super().read_request_headers():  # type: ignore[no-untyped-call]
             return False
         # Cheroot takes any integer, and reads without bound if it is negative.
@@ -196,6 +214,8 @@
         could reset it before the caller has read the response.
         """
         headers = self.inheaders
+        if self.conn.caller.skips_body:
+            return False
         if b"Transfer-Encoding" in headers and (
             b"Content-Length" in headers or not self.chunked_read
         ):
