--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -388,11 +388,15 @@
     """One control replica, one gateway, and stand-ins of the platform.
 
     `gateways` are the first one, `gateway`, and those that a test has added.
-    `list_response_body` replaces the list of runners when it is set.
+    `list_response_body` replaces the list of runners when it is set, and
+    `revoke_ms` sets strict revocation at the gateways.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, *, revoke_ms: int | None = None
+    ) -> None:
         """Start everything, without a published routing table."""
+        self._tuning = gateway_state.Tuning(revoke_ms=revoke_ms)
         self.runners: list[StandInRunner] = []
         self.list_response_body: bytes | None = None
         self._list = server_lib.HttpServer(
@@ -455,7 +459,7 @@
             budget=retry_window.RetryBudgetSettings(
                 window_ms=10_000, ratio=0.2, slack=60
             ),
-            tuning=gateway_state.Tuning(),
+            tuning=self._tuning,
             metrics=metrics.NullMetrics(),
             log=decisions.DecisionLog(process=name, stream=self._log_file),
             grace_ms=GRACE_MS,
