Give the fetch of many keys the time that slow links need

A change with 100,000 new keys has 1.7 MB, and a fetch ended after one second: a gateway on a link of 5 Mbit/s that started would never have got such a table. The time grows with the size of the change now, up to 2.9 s. Control is polled sooner while the proof of the table is old, as after a pause of the process.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -48,6 +48,9 @@
 # Polling interval while control is unreachable, or while the newest routing
 # table or the list of runners is missing.
 INCOMPLETE_POLL_S = 0.1
+# Age of the proof that the table is the newest from which control is polled at
+# that interval too, as after a pause of the process.
+OLD_PROOF_MS = 1_500
 # Two calls to the leader, on a silent connection and on a new one, take less
 # time than a table may stay outdated.
 CONTROL_TIMEOUT_MS = 600
@@ -542,6 +545,7 @@
         complete = (
             gateway.table_number >= max(1, self._newest_table)
             and gateway.upstream_by_id
+            and not self._needs_proof()
         )
         return (
             CONTROL_POLL_S
@@ -549,6 +553,12 @@
             else INCOMPLETE_POLL_S
         )
 
+    def _needs_proof(self) -> bool:
+        """Return whether keys will soon be refused for lack of a proof."""
+        gateway = self._gateway
+        age_ms = clock.monotonic_ms() - gateway.table_confirmed_ms
+        return gateway.tuning.revoke_ms is not None and age_ms > OLD_PROOF_MS
+
     def _apply_reply(
         self, reply: gateway_messages.Followed, called_ms: int
     ) -> None:
--- a/src/wisteriawall/gateway/table_relay.py
+++ b/src/wisteriawall/gateway/table_relay.py
@@ -23,6 +23,11 @@
 # A part takes 26 ms on a link of 5 Mbit/s.
 PART_TIMEOUT_MS = 400
 FETCH_TIMEOUT_MS = 1_000
+# A change of many keys takes longer: those of 100,000 new ones have 1.7 MB, for
+# 2.7 s on such a link. Control is not polled meanwhile, so that the time is
+# limited by that for which gateways count as connected.
+SLOW_LINK_BYTES_PER_MS = 400
+MAX_FETCH_TIMEOUT_MS = 2_900
 SERVING_THREADS = 2
 
 
@@ -99,13 +104,14 @@
             base.number if base else 0, number, 0
         )
         data = b""
-        until_ms = clock.monotonic_ms() + FETCH_TIMEOUT_MS
+        started_ms = clock.monotonic_ms()
         with self._open_client(source) as client:
             while True:
                 part = self._fetch_part(client, request)
                 data += part.data
                 if len(data) >= part.total_bytes:
                     break
+                until_ms = started_ms + _fetch_timeout_ms(part.total_bytes)
                 if not part.data or clock.monotonic_ms() > until_ms:
                     raise FetchFailed(
                         f"{len(data)} of {part.total_bytes} bytes in time"
@@ -169,3 +175,9 @@
         return self._serve_codec.encode(
             gateway_messages.table_part(request, encoded)
         )
+
+
+def _fetch_timeout_ms(total_bytes: int) -> int:
+    """Return how long the fetch of a change may take."""
+    slow_ms = total_bytes // SLOW_LINK_BYTES_PER_MS
+    return max(FETCH_TIMEOUT_MS, min(MAX_FETCH_TIMEOUT_MS, slow_ms))
--- a/testing/gateway/test_table_relay.py
+++ b/testing/gateway/test_table_relay.py
@@ -84,3 +84,18 @@
             fetching.result(timeout=30)
         with pytest.raises(table_relay.FetchFailed, match="stops"):
             target.fetch(address, None, 1)
+
+
+@pytest.mark.parametrize(
+    ("total_bytes", "expected_ms"),
+    [
+        pytest.param(16_384, 1_000, id="few routes"),
+        pytest.param(850_000, 2_125, id="50,000 keys"),
+        pytest.param(8_000_000, 2_900, id="limit"),
+    ],
+)
+def test_fetch_of_many_keys_has_the_time_that_a_slow_link_needs(
+    total_bytes: int, expected_ms: int
+) -> None:
+    """A gateway that started with such a table never got it."""
+    assert table_relay._fetch_timeout_ms(total_bytes) == expected_ms
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 from support import platform_site as sites
 
@@ -332,3 +333,21 @@
 ) -> None:
     answer = headers.PlatformDialect().parse_answer_head(status, head_by_name)
     assert answer.limit == protocol.NamedLimit(None)
+
+
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        pytest.param({}, None, id="absent"),
+        pytest.param({"revoke_ms": 900}, None, id="not-strict"),
+        pytest.param({"strict_revocation": True}, 5_000, id="default"),
+        pytest.param(
+            {"strict_revocation": True, "revoke_ms": 900}, 900, id="own-limit"
+        ),
+    ],
+)
+def test_limit_of_revocation_applies_only_if_it_is_strict(
+    bounds: dict[str, object], expected: int | None
+) -> None:
+    loaded = msgspec.convert(SETTINGS | {"bounds": bounds}, settings.Settings)
+    assert loaded.revoke_ms == expected
