Report the usage of client accounts as a singleton duty

The platform wants the number of requests of each account that began to run in each window of the wall clock, from one node at a time. Gateways count, the leader commits counts and fixes windows in the log, and a thread of the leader sends what is fixed until the platform accepts it.

--- a/src/wisteriawall/commands/status.py
+++ b/src/wisteriawall/commands/status.py
@@ -33,6 +33,13 @@
         f"configuration {reply.config_number}, leader {reply.leader or 'none'},"
         f" term {reply.term}; reported by {reply.replica} ({reply.role})"
     )
+    if reply.usage is not None:
+        usage = reply.usage
+        yield (
+            f"usage: window {usage.window or 'none'} {usage.result} for holder"
+            f" {usage.holder or 'none'} with token {usage.token};"
+            f" {usage.unsent} reports unsent, next window {usage.next_window}"
+        )
     yield "\n" + text_tables.render(
         ("REPLICA", "PEER", "VOTES"),
         [
--- a/src/wisteriawall/control/audit.py
+++ b/src/wisteriawall/control/audit.py
@@ -105,7 +105,7 @@
 def _build_record(
     index: int, command: commands.Command, result: str
 ) -> state.AuditRecord | None:
-    """Return a command's record, None for commands about claims."""
+    """Return a command's record, None for claims, streams and usage."""
     match command:
         case commands.RecordLeader(replica, at_ms):
             return state.AuditRecord(
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -17,6 +17,8 @@
     "ChangeBlock",
     "ChangeTable",
     "Command",
+    "FixUsage",
+    "GatewayUsage",
     "GrantClaim",
     "IssueOrder",
     "PatchConfig",
@@ -27,10 +29,12 @@
     "RecordMembershipChange",
     "RecordOrderResult",
     "RecordStreams",
+    "RecordUsage",
     "SetDrain",
     "SetPresence",
     "SetVersions",
     "SettleClaim",
+    "SettleUsage",
     "decode",
     "encode",
 ]
@@ -236,6 +240,52 @@
     at_ms: int
 
 
+@final
+class GatewayUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Usage that a gateway reported up to `version`.
+
+    `gateway` contains the incarnation.
+    """
+
+    gateway: str
+    version: int
+    count_by_account_by_window: dict[int, dict[str, int]]
+
+
+@final
+class RecordUsage(msgspec.Struct, frozen=True, tag="usage"):
+    """Keep counts of usage, of which a larger one replaces a smaller one.
+
+    `first_window` is the first window to be reported, if none was before.
+    """
+
+    gateways: list[GatewayUsage]
+    first_window: int
+    at_ms: int
+
+
+@final
+class FixUsage(msgspec.Struct, frozen=True, tag="usage-fix"):
+    """Fix the reports of all windows up to `window` that are not fixed yet."""
+
+    window: int
+    at_ms: int
+
+
+@final
+class SettleUsage(msgspec.Struct, frozen=True, tag="usage-settled"):
+    """Record that the platform accepted a report, or that it was dropped.
+
+    `holder` and `token` are those of the last call.
+    """
+
+    window: int
+    result: str
+    holder: str
+    token: int
+    at_ms: int
+
+
 Command = (
     RecordLeader
     | RecordMembershipChange
@@ -253,6 +303,9 @@
     | ChangeBlock
     | SetVersions
     | RecordStreams
+    | RecordUsage
+    | FixUsage
+    | SettleUsage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -31,11 +31,14 @@
     "ConfigRequest",
     "DrainReply",
     "DrainRequest",
+    "DueUsageReply",
+    "DueUsageRequest",
     "Effect",
     "Event",
     "HistoryReply",
     "HistoryRequest",
     "NotKept",
+    "Note",
     "PatchReply",
     "PatchRequest",
     "PeerMessageReceived",
@@ -48,6 +51,7 @@
     "Request",
     "RunnerStatus",
     "SendLivenessSummary",
+    "SettleUsageRequest",
     "StatusReply",
     "StatusRequest",
     "TableReply",
@@ -55,6 +59,8 @@
     "Ticked",
     "Unavailable",
     "UpstreamsRead",
+    "UsageSettled",
+    "UsageStatus",
     "VmListRead",
 ]
 
@@ -239,9 +245,29 @@
     model: str = ""
 
 
+@final
+class UsageStatus(msgspec.Struct, frozen=True):
+    """State of the usage reports.
+
+    `next_window` is the first that is not fixed, and `unsent` the number of
+    reports that wait for the platform. The other fields are about the last
+    report that was accepted or dropped.
+    """
+
+    next_window: int
+    unsent: int
+    window: int
+    result: str
+    holder: str
+    token: int
+
+
 @final
 class StatusReply(msgspec.Struct, frozen=True, tag="status-is"):
-    """State of the cluster as `replica` sees it."""
+    """State of the cluster as `replica` sees it.
+
+    `usage` is None if no usage was ever counted.
+    """
 
     replica: str
     role: str
@@ -253,6 +279,55 @@
     processes: list[ProcessStatus]
     runners: list[RunnerStatus]
     members: list[raft_messages.Member] = msgspec.field(default_factory=list)
+    usage: UsageStatus | None = None
+
+
+@final
+class DueUsageRequest(msgspec.Struct, frozen=True, tag="due-usage"):
+    """Ask the leader for the usage report that it has to send."""
+
+
+@final
+class DueUsageReply(msgspec.Struct, frozen=True, tag="due-usage-is"):
+    """The usage report that is to be sent next, None if there is none.
+
+    `token` is the leader's fencing token. The report is overdue by
+    `overdue_ms`, negative before it is due, `late_ms` after the window's end.
+    """
+
+    token: int
+    report: state.UsageWindow | None
+    overdue_ms: int
+    late_ms: int
+
+
+@final
+class SettleUsageRequest(msgspec.Struct, frozen=True, tag="settle-usage"):
+    """Commit what became of a usage report.
+
+    `holder` and `token` are those of the last call, and `result` is `accepted`
+    or `dropped`.
+    """
+
+    window: int
+    result: str
+    holder: str
+    token: int
+
+
+@final
+class UsageSettled(msgspec.Struct, frozen=True, tag="usage-is-settled"):
+    """The result of a usage report is committed."""
+
+    window: int
+
+
+@final
+class Note(msgspec.Struct, frozen=True, tag="note"):
+    """Write a decision and the values behind it to the decision log."""
+
+    decision: str
+    inputs: dict[str, object]
 
 
 @final
@@ -306,6 +381,8 @@
     | RemoveReplicaRequest
     | StatusRequest
     | AuditRequest
+    | DueUsageRequest
+    | SettleUsageRequest
 )
 Reply = (
     control_messages.ControlReply
@@ -319,6 +396,8 @@
     | StatusReply
     | ReplicasReply
     | AuditReply
+    | DueUsageReply
+    | UsageSettled
     | Unavailable
 )
 
@@ -412,4 +491,5 @@
     | raft.SendPeer
     | SendLivenessSummary
     | Answer
+    | Note
 )
--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -171,6 +171,8 @@
     ledger: state.Ledger,
     request: gateway_messages.FollowRequest,
     now_ms: int,
+    *,
+    usage: gateway_messages.UsageReceipt | None = None,
 ) -> events.Reply:
     """Return the updates that a gateway lacks.
 
@@ -231,6 +233,7 @@
             request.load_events_sent,
             term=raft.term,
         ),
+        usage=usage or gateway_messages.UsageReceipt(),
     )
 
 
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -15,6 +15,7 @@
 from wisteriawall.control import stream_origins
 from wisteriawall.control import suspect_blocks
 from wisteriawall.control import tables
+from wisteriawall.control import usage
 from wisteriawall.wire import fleet
 
 __all__ = ["Ledger", "apply"]
@@ -67,19 +68,41 @@
             return claims.settle(ledger, command)
         case commands.RecordEntryLost():
             return claims.mark_outcomes_unknown(ledger, command)
+        case (
+            commands.ChangeBlock()
+            | commands.SetVersions()
+            | commands.RecordStreams()
+            | commands.RecordUsage()
+            | commands.FixUsage()
+            | commands.SettleUsage()
+        ):
+            _apply_gateway_command(ledger, command)
+            return outcomes.Recorded()
+        case _:
+            return _apply_fleet_command(
+                ledger, fleet.FencingNumber(term, index), command
+            )
+
+
+def _apply_gateway_command(
+    ledger: state.Ledger,
+    command: commands.ChangeBlock
+    | commands.SetVersions
+    | commands.RecordStreams
+    | commands.RecordUsage
+    | commands.FixUsage
+    | commands.SettleUsage,
+) -> None:
+    """Apply what gateways reported."""
+    match command:
         case commands.ChangeBlock():
             suspect_blocks.apply(ledger, command)
-            return outcomes.Recorded()
         case commands.SetVersions():
             stream_origins.set_versions(ledger, command)
-            return outcomes.Recorded()
         case commands.RecordStreams():
             stream_origins.record(ledger, command)
-            return outcomes.Recorded()
         case _:
-            return _apply_fleet_command(
-                ledger, fleet.FencingNumber(term, index), command
-            )
+            usage.apply(ledger.usage, command)
 
 
 def _apply_fleet_command(
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -22,6 +22,7 @@
 from wisteriawall.control import snapshot as snapshot_lib
 from wisteriawall.control import stream_origins
 from wisteriawall.control import suspect_blocks
+from wisteriawall.control import usage_duty
 from wisteriawall.control import writes
 from wisteriawall.policy import roles
 from wisteriawall.wire import control_messages
@@ -52,6 +53,7 @@
                 control, raft_lib.tick(control.raft, now_ms)
             )
             yield from _run_leader_duties(control, now_ms, wall_ms)
+            yield from _run_usage(control, now_ms, wall_ms)
             yield from _send_liveness_summary(control, now_ms)
         case events.PeerMessageReceived():
             yield from _handle_peer_message(control, event)
@@ -78,6 +80,15 @@
         )
 
 
+def _run_usage(
+    control: replica_state.ReplicaState, now_ms: int, wall_ms: int
+) -> Iterator[events.Effect]:
+    """Commit the usage that gateways reported, and fix windows."""
+    if control.raft.holds_lease(now_ms):
+        for command in usage_duty.due_commands(control, now_ms, wall_ms):
+            yield from _submit_command(control, command, now_ms)
+
+
 def _propose_versions(
     control: replica_state.ReplicaState, now_ms: int, wall_ms: int
 ) -> Iterator[events.Effect]:
@@ -138,6 +149,8 @@
         control.ledger, index=entry.index, term=entry.term, command=command
     )
     gateway_updates_lib.keep_table(control.gateway_updates, control.ledger)
+    if isinstance(command, commands.FixUsage):
+        yield from usage_duty.describe_fixed(control, command)
     if isinstance(command, commands.SetVersions):
         gateway_updates_lib.publish_held_upstreams(
             control.gateway_updates, control.ledger, control.raft.term
@@ -236,8 +249,8 @@
     match event.request:
         case control_messages.RenewRequest() as renew:
             reply = reads.renew_lease(control, renew, event.now_ms)
-        case events.StatusRequest(whole):
-            reply = reads.read_status(control, whole, event.now_ms)
+        case events.StatusRequest() | events.DueUsageRequest():
+            reply = _read_own_state(control, event)
         case (
             events.ConfigRequest()
             | events.HistoryRequest()
@@ -272,6 +285,17 @@
     yield events.Answer(event.call_id, reply)
 
 
+def _read_own_state(
+    control: replica_state.ReplicaState, event: events.CallReceived
+) -> events.Reply:
+    """Return the reply to a request that needs no confirmed state."""
+    match event.request:
+        case events.StatusRequest(whole):
+            return reads.read_status(control, whole, event.now_ms)
+        case _:
+            return usage_duty.due_report(control, event.now_ms, event.wall_ms)
+
+
 def _handle_follow_request(
     control: replica_state.ReplicaState,
     request: gateway_messages.FollowRequest,
@@ -288,6 +312,7 @@
             wall_ms=event.wall_ms,
         ):
             yield from _submit_command(control, command, event.now_ms)
+        yield from usage_duty.note_report(control, request, event)
     if request.suspects is not None and not updates.commits_versions:
         updates.commits_versions = True
         yield from _propose_versions(control, event.now_ms, event.wall_ms)
@@ -296,7 +321,12 @@
             updates, control.ledger, control.raft.term
         )
     reply = gateway_updates_lib.follow(
-        updates, control.raft, control.ledger, request, event.now_ms
+        updates,
+        control.raft,
+        control.ledger,
+        request,
+        event.now_ms,
+        usage=usage_duty.receipt(control, request),
     )
     yield events.Answer(event.call_id, reply)
 
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -11,6 +11,7 @@
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import renewal
 from wisteriawall.control import state
+from wisteriawall.control import usage as usage_lib
 from wisteriawall.policy import roles
 
 __all__ = ["PendingCall", "PendingPatch", "PendingRead", "ReplicaState"]
@@ -74,6 +75,7 @@
         planner_due_ms: Monotonic time when the role planner is due.
         last_leader_command_index: Log index of the newest command that the
             leader submitted by itself.
+        usage: Usage that gateways reported, beyond the ledger.
         now_ms: Monotonic time of the newest event.
     """
 
@@ -99,6 +101,9 @@
     gateway_updates: gateway_updates_lib.GatewayUpdates = dataclasses.field(
         default_factory=gateway_updates_lib.GatewayUpdates
     )
+    usage: usage_lib.UsageMerger = dataclasses.field(
+        default_factory=usage_lib.UsageMerger
+    )
     leader_term: int = 0
     leader_since_ms: int = 0
     leader_commands_due_ms: int = 0
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -23,6 +23,7 @@
 from typing import final
 
 from wisteriawall import clock
+from wisteriawall.control import duties
 from wisteriawall.control import events
 from wisteriawall.control import link_health
 from wisteriawall.control import membership
@@ -31,6 +32,7 @@
 from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot
+from wisteriawall.control import usage
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.storage import data_folder
 from wisteriawall.storage import durable_files
@@ -82,7 +84,7 @@
     peer_messages.PeerMessage | _Call | _VmList | _Upstreams
 )
 _DeferredEffect: TypeAlias = (
-    raft.SendPeer | events.SendLivenessSummary | events.Answer
+    raft.SendPeer | events.SendLivenessSummary | events.Answer | events.Note
 )
 
 
@@ -109,6 +111,9 @@
         process_started_ms: Monotonic time when the process started, if no other
             replica of this folder ran in it before. With -1, the time of
             `start` is used.
+        usage_settings: Windows of the usage report, None without one.
+        on_decision: Writes a decision to the decision log; by default it goes
+            to the standard log.
 
     Raises:
         data_folder.FolderRefused: The folder can't be used by this replica.
@@ -130,6 +135,8 @@
         metrics: metrics_lib.Metrics | None = None,
         founders: tuple[raft_messages.Member, ...] = (),
         process_started_ms: int = -1,
+        usage_settings: usage.UsageSettings | None = None,
+        on_decision: Callable[[str, dict[str, object]], None] | None = None,
     ) -> None:
         self._metrics = metrics or metrics_lib.NullMetrics()
         sender = envelope.Sender(replica, incarnation)
@@ -157,7 +164,9 @@
                 owned_folder.identity, incarnation, process_started_ms
             ),
             ledger=snapshot.decode(self._log.recovered.snapshot.data),
+            usage=usage.UsageMerger(settings=usage_settings),
         )
+        self._on_decision = on_decision or _log_decision
         self._on_failure = on_failure
         self._failure = ""
         self._queue: queue.Queue[_QueuedEvent] = queue.Queue(MAX_QUEUED_EVENTS)
@@ -217,6 +226,20 @@
         """Whether this replica holds the leader's lease now."""
         return self._control.raft.holds_lease(clock.monotonic_ms())
 
+    def may_act(self, *, token: int, lease_ms: int) -> bool:
+        """Return whether this replica may act on its duties. Thread-safe.
+
+        Args:
+            token: Term in which the replica leads.
+            lease_ms: How long it must have led.
+        """
+        return duties.may_act(
+            self._control.raft,
+            token=token,
+            lease_ms=lease_ms,
+            now_ms=clock.monotonic_ms(),
+        )
+
     @property
     def replica(self) -> str:
         """Name of this replica."""
@@ -483,8 +506,15 @@
             ):
                 data = self._raft_codec.encode(message)
                 self._peer_connections.send(peer=peer, message=data)
+            case events.Note(decision, inputs):
+                self._metrics.count(decision)
+                self._on_decision(decision, inputs)
             case events.Answer(call_id, reply):
                 self._metrics.count(f"answered.{type(reply).__name__}")
                 future = self._future_by_call.get(call_id)
                 if future is not None and not future.done():
                     future.set_result(reply)
+
+
+def _log_decision(decision: str, inputs: dict[str, object]) -> None:
+    _LOG.info("control: %s %s", decision, inputs)
--- a/src/wisteriawall/control/state.py
+++ b/src/wisteriawall/control/state.py
@@ -34,6 +34,8 @@
     "PublishedTable",
     "RunnerState",
     "SuspectBlock",
+    "UsageLedger",
+    "UsageWindow",
     "runner_view",
 ]
 
@@ -88,6 +90,39 @@
     holder: str = ""
 
 
+@final
+class UsageWindow(msgspec.Struct, frozen=True):
+    """Fixed usage of one window, by account; it never changes."""
+
+    window: int
+    count_by_account: dict[str, int]
+
+
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class UsageLedger:
+    """Usage as far as it is committed.
+
+    `next_window` is the first window that is not fixed, 0 before the first one.
+    `counts` are the counts of gateways by window, gateway and account, also of
+    a few windows that are fixed, and `version_by_gateway` is up to where those
+    of a gateway are committed. `unsent` are fixed windows that the platform has
+    not accepted, oldest first. The other fields are about the last report that
+    was accepted or dropped.
+    """
+
+    next_window: int = 0
+    counts: dict[int, dict[str, dict[str, int]]] = dataclasses.field(
+        default_factory=dict
+    )
+    version_by_gateway: dict[str, int] = dataclasses.field(default_factory=dict)
+    unsent: list[UsageWindow] = dataclasses.field(default_factory=list)
+    settled_window: int = 0
+    result: str = ""
+    holder: str = ""
+    token: int = 0
+
+
 @final
 class AuditRecord(msgspec.Struct, frozen=True):
     """Record of one change in the audit trail.
@@ -226,7 +261,8 @@
     `fetch_at_ms` is the Unix time of the last weight fetch. `block_by_name` are
     the blocks of requests under which runners crash, oldest first.
     `versions_by_service` are the software versions that may have begun a
-    stream, and `stream_by_attempt` streams that gateways reported. The ordered
+    stream, and `stream_by_attempt` streams that gateways reported. `usage` is
+    that of client accounts. The ordered
     dictionaries are oldest first, and `runner_by_name` is in the order of
     last change.
     """
@@ -265,6 +301,7 @@
     stream_by_attempt: OrderedDict[str, KeptStream] = dataclasses.field(
         default_factory=OrderedDict
     )
+    usage: UsageLedger = dataclasses.field(default_factory=UsageLedger)
     audit: list[AuditRecord] = dataclasses.field(default_factory=list)
 
     def fleet_view(self, known_version: int = 0) -> fleet.FleetView:
--- a/src/wisteriawall/control/status.py
+++ b/src/wisteriawall/control/status.py
@@ -32,6 +32,20 @@
         processes=list(_process_statuses(processes, now_ms)),
         runners=list(_runner_statuses(ledger)),
         members=list(raft.members),
+        usage=_usage_status(ledger.usage),
+    )
+
+
+def _usage_status(usage: state.UsageLedger) -> events.UsageStatus | None:
+    if not usage.next_window:
+        return None
+    return events.UsageStatus(
+        next_window=usage.next_window,
+        unsent=len(usage.unsent),
+        window=usage.settled_window,
+        result=usage.result,
+        holder=usage.holder,
+        token=usage.token,
     )
 
 
--- a/src/wisteriawall/control/writes.py
+++ b/src/wisteriawall/control/writes.py
@@ -61,6 +61,8 @@
             )
         case gateway_messages.RecordStreamsRequest(origin_by_attempt):
             return commands.RecordStreams(origin_by_attempt, wall_ms)
+        case events.SettleUsageRequest(window, result, holder, token):
+            return commands.SettleUsage(window, result, holder, token, wall_ms)
         case _:
             raise AssertionError(f"not a write: {type(request).__name__}")
 
@@ -99,5 +101,7 @@
             return events.DrainReply(runner)
         case commands.RecordStreams(), _:
             return gateway_messages.StreamsRecorded()
+        case commands.SettleUsage(window), _:
+            return events.UsageSettled(window)
         case _:
             raise AssertionError(f"no reply to {type(command).__name__}")
--- a/src/wisteriawall/gateway/control_update.py
+++ b/src/wisteriawall/gateway/control_update.py
@@ -18,6 +18,7 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
+from wisteriawall.gateway import usage_events
 from wisteriawall.wire import upstream_checks
 
 __all__ = ["MIN_BUDGET_GATEWAYS", "announce_table", "apply"]
@@ -164,4 +165,5 @@
     "gateway-count": _apply_gateway_count,
     "limits": _apply_limits,
     "upstreams": _apply_upstreams,
+    "usage": usage_events.accept_receipt,
 }
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -35,6 +35,7 @@
     "PhaseFailed",
     "PrefillDone",
     "Refuse",
+    "RunBegan",
     "RunnerNoticed",
     "StopTimedOut",
     "StreamBegan",
@@ -88,6 +89,19 @@
     now_ms: int
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class RunBegan:
+    """An answer shows that a runner began to run the request.
+
+    `began_wall_ms` is the Unix time at which it began: that of the first token
+    of a stream, and of the sending of another request.
+    """
+
+    request_key: int
+    began_wall_ms: int
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class StreamBegan:
@@ -248,7 +262,7 @@
     runners crash, and `limit_by_runner` are the limits that others know. Of
     `mixed_services`, several software versions may have begun streams.
     `load_events_of_others` is how many load events the other gateways sent, -1
-    if that isn't known.
+    if that isn't known. `usage` is what is committed of this gateway's usage.
     """
 
     table: route_table.RouteTable | None
@@ -269,6 +283,9 @@
     )
     mixed_services: tuple[str, ...] = ()
     load_events_of_others: int = -1
+    usage: gateway_messages.UsageReceipt = dataclasses.field(
+        default_factory=gateway_messages.UsageReceipt
+    )
 
 
 @final
@@ -288,6 +305,7 @@
     Arrived
     | PrefillDone
     | AnswerStarted
+    | RunBegan
     | StreamBegan
     | OriginFound
     | PhaseFailed
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -20,6 +20,7 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
+from wisteriawall.gateway import usage_events as usage
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import runner_notices
 from wisteriawall.web import connection_pool
@@ -51,8 +52,8 @@
             yield from _handle_origin(gateway, event)
         case events.PhaseFailed():
             yield from _handle_failure(gateway, event)
-        case events.RunnerNoticed():
-            yield from _handle_notice(gateway, event)
+        case events.RunnerNoticed() | events.RunBegan():
+            yield from _handle_answer_head(gateway, event)
         case (
             events.ForeignAnswer()
             | events.UnexpectedError()
@@ -337,10 +338,13 @@
     yield from final_answers.refuse(gateway, request, refusal, event.reason)
 
 
-def _handle_notice(
-    gateway: state_lib.Gateway, event: events.RunnerNoticed
+def _handle_answer_head(
+    gateway: state_lib.Gateway, event: events.RunnerNoticed | events.RunBegan
 ) -> Iterator[events.Effect]:
-    """Record what a runner's answer says about sending to it."""
+    """Record what a runner's answer says about sending to it, or of a run."""
+    if isinstance(event, events.RunBegan):
+        yield from usage.note_run(gateway, event)
+        return
     upstream_id, start_id = event.upstream.upstream_id, event.upstream.start_id
     yield from limits.report_answer(gateway, event)
     if event.pause_ms is not None:
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -279,6 +279,13 @@
             return self._report_failure(refusal_lib.RunState.UNKNOWN, fault)
         if send.phase is protocol.Phase.PREFILL:
             return self._finish_prefill(exchange, answer)
+        if answer.has_seal and not (
+            self._request.is_stream and head.status == 200
+        ):
+            # A stream runs from its first token on.
+            self._report_run(
+                clock.monotonic_ms() if self._request.is_stream else sent_ms
+            )
         if answer.status in NOT_RUN_STATUSES:
             self._discard_body(exchange)
             return self._report_failure(
@@ -452,8 +459,11 @@
         is_resumable = self._request.is_resumable
         # A stream that goes on after the last event has nothing more.
         is_empty = not self._resumes_after
+        is_first = True
         for chunk in exchange.body_chunks():
-            is_empty = False
+            if is_first:
+                self._report_run(clock.monotonic_ms())
+            is_first = is_empty = False
             try:
                 complete = self._scanner.feed(chunk)
             except (stream.EventTooLong, stream.NotContinued) as error:
@@ -529,6 +539,16 @@
             )
         )
 
+    def _report_run(self, began_ms: int) -> None:
+        """Report that a runner began the request, at a monotonic time."""
+        elapsed_ms = clock.monotonic_ms() - began_ms
+        self._submit(
+            events.RunBegan(
+                request_key=self._request.request_key,
+                began_wall_ms=clock.wall_ms() - elapsed_ms,
+            )
+        )
+
     def _report_failure(
         self,
         run: refusal_lib.RunState,
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from concurrent import futures
+import contextlib
 import dataclasses
 import itertools
 import logging
@@ -24,6 +25,8 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import suspects as suspects_lib
 from wisteriawall.gateway import table_relay
+from wisteriawall.gateway import usage as usage_lib
+from wisteriawall.gateway import usage_events
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.policy import retry_window
@@ -63,6 +66,8 @@
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
 POLL_END_TIMEOUT_S = 1.0
+# The last usage is reported before that.
+LAST_REPORT_TIMEOUT_S = 0.5
 # A balancer's connection without a request would keep a thread busy.
 READY_STOP_TIMEOUT_S = 0.5
 CALLER_THREADS = 96
@@ -107,6 +112,8 @@
         unready_ms: First part of the grace period, in which the gateway
             reports that it is not ready but still serves new requests, until
             the balancer sends no more.
+        usage_window_ms: Length of a window of the usage report; 0 counts no
+            usage.
     """
 
     def __init__(
@@ -122,6 +129,7 @@
         metrics: metrics_lib.Metrics,
         grace_ms: int,
         unready_ms: int = UNREADY_MS,
+        usage_window_ms: int = 0,
     ) -> None:
         self._identity = identity
         self._dialect = dialect
@@ -175,6 +183,7 @@
                 slack=budget.slack / 2,
                 gateways=control_update.MIN_BUDGET_GATEWAYS,
             ),
+            usage=usage_lib.UsageCounts(window_ms=usage_window_ms),
         )
         self._pool = connection_pool.ConnectionPool(
             connect_timeout_s=CONNECT_TIMEOUT_S
@@ -245,6 +254,8 @@
         for closed in closing:
             closed.result()
         self._stopping.set()
+        if not self._gateway.usage.is_committed:
+            self._thread.join(timeout=LAST_REPORT_TIMEOUT_S)
         self._peer_load.close()
         self._relay.close()
         self._origins.close()
@@ -457,6 +468,9 @@
             except Exception:
                 # Nothing but this thread would poll control again.
                 _LOG.exception("gateway: polling control failed, retrying")
+        if not self._gateway.usage.is_committed:
+            with contextlib.suppress(Exception):
+                self._poll_once()
 
     def _poll_once(self) -> None:
         gateway = self._gateway
@@ -464,6 +478,7 @@
         with self._lock:
             blocked_ms_by_parts, suspects = suspects_lib.report(gateway, now_ms)
             limit_by_runner = limits.known(gateway, now_ms)
+            usage = usage_events.report(gateway, now_ms, clock.wall_ms())
         follow = gateway_messages.FollowRequest(
             self._identity.name,
             self._identity.incarnation,
@@ -478,6 +493,7 @@
             limit_by_runner,
             suspects,
             self._load_events_sent,
+            usage=usage,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -549,6 +565,7 @@
             suspects=reply.suspects,
             mixed_services=tuple(reply.mixed_services),
             load_events_of_others=reply.load_events_of_others,
+            usage=reply.usage,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -6,6 +6,7 @@
 
 from wisteriawall.config import route_table
 from wisteriawall.gateway import protocol
+from wisteriawall.gateway import usage as usage_lib
 from wisteriawall.policy import admission
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
@@ -50,8 +51,9 @@
     requests that a caller repeats, and `is_trial` is set if it is sent although
     it is blocked. `may_have_run` is set once a runner may have run the request.
     `origin` is the version that began the stream, None before the first event.
-    `account` is the name of the client account, empty without one. Times are on
-    the monotonic clock.
+    `account` is the name of the client account, empty without one, and
+    `counted_attempt` the last of `attempts` that is counted as its usage. Times
+    are on the monotonic clock.
     """
 
     request_key: int
@@ -75,6 +77,7 @@
     may_have_run: bool = False
     origin: stream_origins_lib.Origin | None = None
     account: str = ""
+    counted_attempt: int = 0
 
     @property
     def traits(self) -> tuple[str, ...]:
@@ -119,6 +122,7 @@
     `table_awaited_ms` is when control first named a newer table than the one in
     use, None if it named none, and `late_table` the number of the last one
     that was awaited for long.
+    `usage` counts what client accounts used.
     `error_by_part` are the parts of control's answers whose last application
     failed.
     """
@@ -166,6 +170,9 @@
     table_awaited_ms: int | None = None
     late_table: int = 0
     error_by_part: dict[str, str] = dataclasses.field(default_factory=dict)
+    usage: usage_lib.UsageCounts = dataclasses.field(
+        default_factory=usage_lib.UsageCounts
+    )
 
     @property
     def table_number(self) -> int:
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -7,11 +7,13 @@
 
 from wisteriawall import clock
 from wisteriawall.commands import lifecycle
+from wisteriawall.control import duty_sender
 from wisteriawall.control import joining
 from wisteriawall.control import shell as control_shell
 from wisteriawall.control import upstream_reader
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics as metrics_lib
+from wisteriawall.platform import duties
 from wisteriawall.platform import operators
 from wisteriawall.platform import roles
 from wisteriawall.platform import runners
@@ -66,6 +68,10 @@
     replica = data_folder.read_owner(folder) or _new_replica_name(
         settings, bool(founders)
     )
+
+    def write_decision(decision: str, inputs: dict[str, object]) -> None:
+        log.write(decision, inputs=inputs)
+
     shell = control_shell.ControlShell(
         replica=replica,
         peer_address_by_replica={replica: settings.peer_address},
@@ -78,6 +84,8 @@
         metrics=metrics,
         process_started_ms=clock.PROCESS_STARTED_MS,
         on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
+        usage_settings=duties.usage_settings(settings),
+        on_decision=write_decision,
     )
     client = control_client.ControlClient(
         address_by_replica=settings.seed_rpc_by_replica(),
@@ -100,6 +108,16 @@
             address=settings.cloud_api.address, metrics=metrics
         ).read,
     )
+    sender = duty_sender.DutySender(
+        leader=shell,
+        holder=settings.node_name,
+        settings=duties.duty_settings(settings),
+        send_usage=duties.DutyClient(
+            address=settings.cloud_api.address, holder=settings.node_name
+        ).send_usage,
+        on_decision=write_decision,
+        metrics=metrics,
+    )
     http = server_lib.HttpServer(
         address=settings.listen_addresses.control,
         app=operators.OperatorApp(shell=shell),
@@ -111,10 +129,13 @@
         http.start()
         joiner.start()
         list_reader.start()
+        if duties.usage_settings(settings) is not None:
+            sender.start()
         log.write("start", inputs={"replica": replica, "folder": str(folder)})
 
     def stop() -> None:
         log.write("stopping", inputs={"replica": replica})
+        sender.stop()
         list_reader.stop()
         joiner.stop()
         client.close()
--- /dev/null
+++ b/src/wisteriawall/platform/duties.py
@@ -0,0 +1,114 @@
+"""Calls of singleton duties to the platform."""
+
+import math
+from typing import final
+
+import msgspec
+
+from wisteriawall.control import duties
+from wisteriawall.control import duty_sender
+from wisteriawall.control import state
+from wisteriawall.control import usage
+from wisteriawall.platform import settings as settings_lib
+from wisteriawall.wire import http_call
+
+__all__ = [
+    "DutyClient",
+    "duty_settings",
+    "usage_settings",
+    "usage_window_ms",
+]
+
+USAGE_PATH = "/usage"
+USAGE_DUTY = "usage_reporting"
+HOLDER = "X-Wisteriawall-Duty-Holder"
+FENCING_TOKEN = "X-Wisteriawall-Fencing-Token"
+# Together far below the time for which a former holder may still act.
+CONNECT_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.6
+# Nothing in a response is needed but its status.
+MAX_RESPONSE_BYTES = 4 * 1024
+ACCEPTED_STATUS = 200
+MS_PER_S = 1_000
+MAX_WINDOW_S = 86_400.0
+
+
+@final
+class _Usage(msgspec.Struct, frozen=True):
+    window_id: int
+    counts: dict[str, int]
+
+
+@final
+class DutyClient:
+    """Makes the calls under the name of this node.
+
+    Args:
+        address: Host and port of the platform's API.
+        holder: Name of this node.
+    """
+
+    def __init__(self, *, address: str, holder: str) -> None:
+        self._address = address
+        self._holder = holder
+
+    def send_usage(self, report: state.UsageWindow, token: int) -> None:
+        """Send a usage report; the same report has always the same bytes.
+
+        Raises:
+            duty_sender.DutyFailed: The platform did not accept it, or the
+                response was lost.
+        """
+        counts = dict(sorted(report.count_by_account.items()))
+        body = msgspec.json.encode(_Usage(report.window, counts))
+        try:
+            response = http_call.call(
+                "POST",
+                f"http://{self._address}{USAGE_PATH}",
+                timeout_s=CONNECT_TIMEOUT_S,
+                total_timeout_s=CALL_TIMEOUT_S,
+                body=body,
+                headers={
+                    "Content-Type": "application/json",
+                    HOLDER: self._holder,
+                    FENCING_TOKEN: str(token),
+                },
+                max_body_bytes=MAX_RESPONSE_BYTES,
+                resets=True,
+            )
+        except http_call.CallFailed as error:
+            raise duty_sender.DutyFailed(str(error)) from error
+        if response.status != ACCEPTED_STATUS:
+            raise duty_sender.DutyFailed(
+                f"got status {response.status}, expected {ACCEPTED_STATUS}"
+            )
+
+
+def duty_settings(settings: settings_lib.Settings) -> duties.DutySettings:
+    """Return the limits of the deployment on duties."""
+    return duties.DutySettings(
+        lease_ms=max(0, settings.bounds.lease_ms),
+        per_s=settings.cloud_api.duty_per_s,
+    )
+
+
+def usage_window_ms(settings: settings_lib.Settings) -> int:
+    """Return the length of a window of usage, 0 if no usage is reported."""
+    window_s = settings.bounds.window_s
+    is_valid = math.isfinite(window_s) and 0 < window_s <= MAX_WINDOW_S
+    if USAGE_DUTY not in settings.cloud_api.duties or not is_valid:
+        return 0
+    return round(window_s * MS_PER_S)
+
+
+def usage_settings(
+    settings: settings_lib.Settings,
+) -> usage.UsageSettings | None:
+    """Return the windows of usage, None if no usage is reported."""
+    window_ms = usage_window_ms(settings)
+    late_s = settings.bounds.usage_late_s
+    if not window_ms or not math.isfinite(late_s):
+        return None
+    return usage.UsageSettings(
+        window_ms=window_ms, late_ms=max(0, round(late_s * MS_PER_S))
+    )
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -35,6 +35,8 @@
     "TablePartRequest",
     "Upstream",
     "UpstreamList",
+    "UsageReceipt",
+    "UsageReport",
     "table_part",
     "with_age",
 ]
@@ -148,6 +150,34 @@
     losses: "list[LoadEvent]" = []
 
 
+@final
+class UsageReport(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that runners ran for a gateway, by window and account.
+
+    The counts are cumulative, and only those that changed after the version of
+    the last `UsageReceipt` are named. `version` rises with each change.
+    `wall_ms` is the Unix time at the gateway. Requests that began more than
+    `open_ms` before it are all counted.
+    """
+
+    version: int
+    wall_ms: int
+    count_by_account_by_window: dict[int, dict[str, int]] = {}
+    open_ms: int = 0
+
+
+@final
+class UsageReceipt(msgspec.Struct, frozen=True, array_like=True):
+    """What control has committed of a gateway's usage.
+
+    Every change up to `version` is committed. `next_window` is the first window
+    whose report is not fixed yet.
+    """
+
+    version: int = 0
+    next_window: int = 0
+
+
 @final
 class FollowRequest(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
     """Request of a gateway for updates; it is also a heartbeat.
@@ -166,7 +196,8 @@
     knows of requests under which runners crash, None at a gateway of an older
     version: its blocks are not committed, as older replicas may not know how.
     `load_events_sent` counts the load events that it has broadcast, -1 at a
-    gateway of an older version.
+    gateway of an older version. `usage` is None at a gateway that counts no
+    usage, or of an older version, as `suspects` is.
     """
 
     gateway: str
@@ -182,6 +213,7 @@
     limit_by_runner: dict[str, RunnerLimit] = {}
     suspects: SuspectReport | None = None
     load_events_sent: int = -1
+    usage: UsageReport | None = None
 
 
 @final
@@ -201,6 +233,7 @@
     `mixed_services`, several software versions may have begun streams.
     `load_events_of_others` is how many load events the other gateways sent
     since the leader began to count, -1 if the gateway does not count its own.
+    `usage` says what is committed of the usage that the gateway reported.
     """
 
     age_ms: int
@@ -217,6 +250,7 @@
     suspects: KnownSuspects = KnownSuspects()
     mixed_services: list[str] = []
     load_events_of_others: int = -1
+    usage: UsageReceipt = UsageReceipt()
 
 
 @final
--- a/src/wisteriawall/wire/http_call.py
+++ b/src/wisteriawall/wire/http_call.py
@@ -6,9 +6,12 @@
 responses.
 """
 
+from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
 import dataclasses
+import socket
+import struct
 from typing import final
 from urllib import parse
 
@@ -20,6 +23,7 @@
 
 MS_PER_S = 1_000
 MAX_BODY_BYTES = 16 * 1024 * 1024
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 @final
@@ -45,6 +49,8 @@
     total_timeout_s: float | None = None,
     body: bytes = b"",
     headers: Mapping[str, str] | None = None,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    resets: bool = False,
 ) -> Response:
     """Send a request and return its complete response.
 
@@ -59,17 +65,23 @@
             response; None sets no limit.
         body: Request body.
         headers: Further request headers.
+        max_body_bytes: Largest body of a response.
+        resets: Whether a call that fails ends its connection with a reset, so
+            that no part of the request arrives later.
 
     Raises:
         CallFailed: The connection failed, or the response is incomplete,
-            malformed, interim, late or has a body over `MAX_BODY_BYTES`.
+            malformed, interim, late or has a body over `max_body_bytes`.
     """
     try:
         parts = parse.urlsplit(url)
         connection = runner_connection.RunnerConnection(
             parts.hostname or "", parts.port, timeout=timeout_s
         )
-        with contextlib.closing(connection):
+        with (
+            contextlib.closing(connection),
+            _reset_on_failure(connection, resets=resets),
+        ):
             connection.connect()
             if total_timeout_s is not None:
                 connection.deadline_at_ms = clock.monotonic_ms() + round(
@@ -83,8 +95,24 @@
                 preload_content=False,
             )
             response = connection.getresponse()
-            connection.limit_reads(MAX_BODY_BYTES)
+            connection.limit_reads(max_body_bytes)
             data = response.read()
     except runner_connection.EXCHANGE_ERRORS as error:
         raise CallFailed(f"{type(error).__name__}: {error}") from error
     return Response(status=response.status, headers=response.headers, body=data)
+
+
+@contextlib.contextmanager
+def _reset_on_failure(
+    connection: runner_connection.RunnerConnection, *, resets: bool
+) -> Iterator[None]:
+    """Let the close of the connection after a failure discard unsent data."""
+    try:
+        yield
+    except BaseException:
+        if resets and connection.sock is not None:
+            with contextlib.suppress(OSError):
+                connection.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
+        raise
