--- a/src/wisteriawall/control/duties.py
+++ b/src/wisteriawall/control/duties.py
@@ -91,18 +91,21 @@
 def choose_report(
     reports: Iterable[state.UsageWindow],
     *,
+    failed: int,
     window_ms: int,
     late_ms: int,
     time_ms: int,
 ) -> state.UsageWindow | None:
     """Return the report to send next, None if there is none.
 
-    Reports that are still in time go before those that are late anyway.
+    Reports that are still in time go before those that are late anyway, and
+    the report of the window `failed` after the others of its kind.
     """
     return min(
         reports,
         key=lambda report: (
             time_ms >= (report.window + 1) * window_ms + late_ms,
+            report.window == failed,
             report.window,
         ),
         default=None,
--- a/src/wisteriawall/control/duty_sender.py
+++ b/src/wisteriawall/control/duty_sender.py
@@ -81,6 +81,7 @@
         self._metrics = metrics
         self._pacing = duties.Pacing(interval_ms=settings.interval_ms)
         self._token = 0
+        self._failed_window = -1
         # The platform accepted or dropped it, but that isn't committed yet.
         self._settled: events.SettleUsageRequest | None = None
         self._stopping = threading.Event()
@@ -111,7 +112,7 @@
             return
         if clock.monotonic_ms() < self._pacing.due_ms:
             return
-        due = self._leader.call(events.DueUsageRequest())
+        due = self._leader.call(events.DueUsageRequest(self._failed_window))
         if not isinstance(due, events.DueUsageReply):
             return
         if not self._may_act(due.token):
@@ -141,6 +142,7 @@
         except DutyFailed as error:
             now_ms = clock.monotonic_ms()
             self._pacing.note_failure(now_ms)
+            self._failed_window = report.window
             self._metrics.count("usage.failed")
             self._on_decision(
                 "usage-failed",
@@ -155,6 +157,7 @@
             )
             return
         self._pacing.note_success()
+        self._failed_window = -1
         self._settle(report, due.token, "accepted", due.overdue_ms)
 
     def _settle(
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -284,7 +284,13 @@
 
 @final
 class DueUsageRequest(msgspec.Struct, frozen=True, tag="due-usage"):
-    """Ask the leader for the usage report that it has to send."""
+    """Ask the leader for the usage report that it has to send.
+
+    The call with the report of the window `failed` failed last, so that others
+    go before it; -1 if none did.
+    """
+
+    failed: int = -1
 
 
 @final
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -292,8 +292,12 @@
     match event.request:
         case events.StatusRequest(whole):
             return reads.read_status(control, whole, event.now_ms)
+        case events.DueUsageRequest() as due:
+            return usage_duty.due_report(
+                control, due, now_ms=event.now_ms, wall_ms=event.wall_ms
+            )
         case _:
-            return usage_duty.due_report(control, event.now_ms, event.wall_ms)
+            raise AssertionError(f"no read: {type(event.request).__name__}")
 
 
 def _handle_follow_request(
--- a/src/wisteriawall/control/usage.py
+++ b/src/wisteriawall/control/usage.py
@@ -56,6 +56,8 @@
 MAX_GATEWAY_CELLS = 10_000
 MAX_COMMAND_CELLS = 10_000
 MAX_GATEWAYS = 512
+# Fault of a count that is kept nevertheless.
+UNKNOWN_ACCOUNT = "account-unknown"
 
 
 @final
@@ -247,54 +249,80 @@
     pending.version = report.version
     time_ms = window_time_ms(merger, now_ms=now_ms, wall_ms=wall_ms)
     newest = time_ms // settings.window_ms + MAX_WINDOWS_AHEAD
-    room = min(
-        MAX_GATEWAY_CELLS - pending.cells,
-        MAX_CELLS - sum(p.cells for p in merger.pending_by_gateway.values()),
+    tally = _Tally(
+        room=min(
+            MAX_GATEWAY_CELLS - pending.cells,
+            MAX_CELLS
+            - sum(p.cells for p in merger.pending_by_gateway.values()),
+        )
     )
-    faults: collections.Counter[str] = collections.Counter()
-    late: collections.Counter[int] = collections.Counter()
     for window, counts in report.count_by_account_by_window.items():
         if not usage.next_window - KEPT_FIXED_WINDOWS <= window <= newest:
-            faults["window"] += len(counts)
+            tally.faults["window"] += len(counts)
             continue
+        known = pending.counts.get(window, {})
         stored = usage.counts.get(window, {}).get(name, {})
-        known = pending.counts.setdefault(window, {})
-        for account, count in counts.items():
-            fault = _find_fault(account, count, accounts)
-            faults[fault] += 1
-            if fault not in ("", "account-unknown"):
-                continue
-            if account not in known:
-                room -= 1
-                if room < 0:
-                    faults["too-many"] += 1
-                    continue
-            before = max(stored.get(account, 0), known.get(account, 0))
-            known[account] = max(before, count)
-            if window < usage.next_window and count > before:
-                late[window] += count - before
-        if not known:
-            del pending.counts[window]
-    for fault, number in faults.items():
-        if fault:
+        missed = _merge_report(known, stored, counts, accounts, tally)
+        if known:
+            pending.counts[window] = known
+        if missed and window < usage.next_window:
             yield Finding(
-                decision="usage-odd",
-                inputs={"gateway": name, "fault": fault, "counts": number},
+                decision="usage-late",
+                inputs={"gateway": name, "window": window, "lost": missed},
             )
-    for window, lost in late.items():
+    for fault, number in tally.faults.items():
         yield Finding(
-            decision="usage-late",
-            inputs={"gateway": name, "window": window, "lost": lost},
+            decision="usage-odd",
+            inputs={"gateway": name, "fault": fault, "counts": number},
         )
 
 
+@final
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Tally:
+    """Faults of a report, and for how many more counts there is room."""
+
+    room: int
+    faults: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def _merge_report(
+    known: dict[str, int],
+    stored: dict[str, int],
+    counts: dict[str, int],
+    accounts: frozenset[str],
+    tally: _Tally,
+) -> int:
+    """Merge the valid counts of one window into `known`.
+
+    Returns:
+        How many requests neither `known` nor `stored` had.
+    """
+    added = 0
+    for account, count in counts.items():
+        fault = _find_fault(account, count, accounts)
+        if account not in known and tally.room <= 0:
+            fault = "too-many"
+        if fault:
+            tally.faults[fault] += 1
+        if fault not in ("", UNKNOWN_ACCOUNT):
+            continue
+        tally.room -= account not in known
+        before = max(stored.get(account, 0), known.get(account, 0))
+        known[account] = max(before, count)
+        added += known[account] - before
+    return added
+
+
 def _find_fault(account: str, count: int, accounts: frozenset[str]) -> str:
     """Return what is wrong with a count, empty if nothing is."""
     if not 0 < len(account) <= MAX_NAME_LENGTH:
         return "account-name"
     if not 0 < count <= MAX_COUNT:
         return "count"
-    return "" if account in accounts else "account-unknown"
+    return "" if account in accounts else UNKNOWN_ACCOUNT
 
 
 def window_time_ms(merger: UsageMerger, *, now_ms: int, wall_ms: int) -> int:
--- a/src/wisteriawall/control/usage_duty.py
+++ b/src/wisteriawall/control/usage_duty.py
@@ -62,7 +62,11 @@
 
 
 def due_report(
-    control: replica_state.ReplicaState, now_ms: int, wall_ms: int
+    control: replica_state.ReplicaState,
+    request: events.DueUsageRequest,
+    *,
+    now_ms: int,
+    wall_ms: int,
 ) -> events.Reply:
     """Return the report that this replica, as leader, has to send."""
     settings = control.usage.settings
@@ -73,6 +77,7 @@
     )
     report = duties.choose_report(
         control.ledger.usage.unsent,
+        failed=request.failed,
         window_ms=settings.window_ms,
         late_ms=settings.late_ms,
         time_ms=time_ms,
--- a/src/wisteriawall/platform/duties.py
+++ b/src/wisteriawall/platform/duties.py
@@ -25,7 +25,7 @@
 FENCING_TOKEN = "X-Wisteriawall-Fencing-Token"
 # Together far below the time for which a former holder may still act.
 CONNECT_TIMEOUT_S = 0.4
-CALL_TIMEOUT_S = 0.6
+CALL_TIMEOUT_S = 1.0
 # Nothing in a response is needed but its status.
 MAX_RESPONSE_BYTES = 4 * 1024
 ACCEPTED_STATUS = 200
