--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -18,13 +18,17 @@
 import urllib3
 
 from support import raw_server
+from wisteriawall.control import duties
+from wisteriawall.control import duty_sender
 from wisteriawall.control import shell as control_shell
 from wisteriawall.control import upstream_reader
+from wisteriawall.control import usage
 from wisteriawall.demo import cluster
 from wisteriawall.gateway import shell as gateway_shell
 from wisteriawall.gateway import state as gateway_state
 from wisteriawall.observability import decisions
 from wisteriawall.observability import metrics
+from wisteriawall.platform import duties as platform_duties
 from wisteriawall.platform import headers
 from wisteriawall.platform import operators
 from wisteriawall.platform import runners
@@ -36,6 +40,9 @@
 WAIT_S = 15.0
 GRACE_MS = 4_000
 UNREADY_MS = 200
+LEASE_MS = 1_000
+USAGE_WINDOW_MS = 1_000
+USAGE_LATE_MS = 10_000
 SEAL = "X-Wisteriawall-Response-Seal"
 ATTEMPT_ID = "X-Wisteriawall-Attempt-Id"
 HOST = "app.example"
@@ -389,10 +396,13 @@
 
     `gateways` are the first one, `gateway`, and those that a test has added.
     `list_response_body` replaces the list of runners when it is set.
+    With a `duty_address`, usage is reported there, in windows of
+    `USAGE_WINDOW_MS`, by `sender`.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, duty_address: str = "") -> None:
         """Start everything, without a published routing table."""
+        self._usage_window_ms = USAGE_WINDOW_MS if duty_address else 0
         self.runners: list[StandInRunner] = []
         self.list_response_body: bytes | None = None
         self._list = server_lib.HttpServer(
@@ -409,6 +419,22 @@
             incarnation=1,
             bootstrap=True,
             founders=(raft_messages.Member("c1", peer, rpc, admin),),
+            usage_settings=usage.UsageSettings(
+                window_ms=USAGE_WINDOW_MS, late_ms=USAGE_LATE_MS
+            )
+            if duty_address
+            else None,
+        )
+        self.duty_decisions: list[tuple[str, dict[str, Any]]] = []
+        self._sender = duty_sender.DutySender(
+            leader=self.control,
+            holder="vm-1",
+            settings=duties.DutySettings(lease_ms=LEASE_MS, per_s=100.0),
+            send_usage=platform_duties.DutyClient(
+                address=duty_address, holder="vm-1"
+            ).send_usage,
+            on_decision=lambda *decision: self.duty_decisions.append(decision),
+            metrics=metrics.NullMetrics(),
         )
         self._operators = server_lib.HttpServer(
             address=admin,
@@ -429,6 +455,8 @@
         self.control.start()
         self._operators.start()
         self._reader.start()
+        if duty_address:
+            self._sender.start()
         self.gateway.start()
         self.stopped = False
 
@@ -460,6 +488,7 @@
             log=decisions.DecisionLog(process=name, stream=self._log_file),
             grace_ms=GRACE_MS,
             unready_ms=UNREADY_MS,
+            usage_window_ms=self._usage_window_ms,
         )
         self.gateways.append(gateway)
         return gateway
@@ -469,6 +498,7 @@
         for runner in self.runners:
             runner.finish.set()
         self._reader.stop()
+        self._sender.stop()
         stops = [self._operators.stop, self.control.stop, self._list.stop]
         if not self.stopped:
             stops.append(self.gateway.stop)
