--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -6,9 +6,12 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+import json
 import signal
 from typing import final
 
+from support import duty_platform
+
 from soak import fleet
 from soak import limits
 from soak import lost
@@ -29,6 +32,7 @@
     "DENIED",
     "STOP",
     "LIMIT",
+    "DUTY",
 )
 # A signal before the program handles it ends it with one of these codes. It
 # ignores SIGHUP from its first instruction on.
@@ -39,6 +43,11 @@
 TERMINATED_CODE = -signal.SIGTERM
 HUNG_UP_CODE = -signal.SIGHUP
 MIN_FAILURE_STATUS = 400
+MS_PER_S = 1_000
+# Bounds of the settings, by default.
+LEASE_MS = 3_000
+THAW_MS = 300
+MAX_UNSENT_WINDOWS = 15
 # Of each route of the soak.
 MAX_ATTEMPTS = 2
 # "More than three requests": so many may run on more runners.
@@ -150,6 +159,7 @@
         _check_configurations,
         _check_stops,
         _check_limits,
+        _check_duties,
     )
     return [finding for check in checks for finding in check(evidence)]
 
@@ -168,6 +178,36 @@
     return match is not None and int(match[1]) >= MIN_FAILURE_STATUS
 
 
+def _check_duties(evidence: _Evidence) -> Iterator[Finding]:
+    """Check the order of duty calls, and that no window was left out.
+
+    Calls right after a process went on from a pause don't count.
+    """
+    taken = [call for call, is_taken in evidence.seen.duty_calls if is_taken]
+    thaws = [
+        (incident.name, incident.at_s * MS_PER_S)
+        for incident in evidence.seen.incidents
+        if incident.change is records.Change.THAW
+    ]
+    counted = [
+        call
+        for call in taken
+        if not any(
+            name == call.holder and 0 <= call.at_ms - thaw_ms <= THAW_MS
+            for name, thaw_ms in thaws
+        )
+    ]
+    texts = list(duty_platform.find_violations(counted, lease_ms=LEASE_MS))
+    windows = {json.loads(call.body)["window_id"] for call in taken}
+    if windows:
+        # Newer reports may have gone before one whose call failed.
+        end = max(windows) - MAX_UNSENT_WINDOWS
+        missing = set(range(min(windows), end)) - windows
+        texts += [f"no report for window {w}" for w in sorted(missing)]
+    for text in texts:
+        yield Finding("DUTY", "", text)
+
+
 def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
         arrivals = evidence.arrivals_by_key[call.key]
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -16,6 +16,7 @@
 from typing import Any
 from typing import final
 
+from support import duty_platform
 from support import odd_entries
 
 from soak import links as links_lib
@@ -28,6 +29,9 @@
 GRACE_S = 8.0
 ODD_ENTRIES = list(odd_entries.odd_entry_by_name.values())
 MAX_ODD_ENTRIES = 3
+OVERLOADED_STATUS = 429
+DUTY_STATUSES = (200, 200, 200, 500, OVERLOADED_STATUS)
+USAGE_WINDOW_S = 1.0
 KEY = "6f" * 32
 FIRST_HOST = 2
 HOSTS_PER_BLOCK = 250
@@ -45,19 +49,26 @@
 
 @final
 class RunnerList:
-    """Stand-in of the platform's list of runners.
+    """Stand-in of the platform's list of runners and of its duty calls.
 
     Each answer has some odd entries among the others, as of another writer.
+    Some duty calls fail, before or after they took effect.
 
     Args:
         entries: Returns the entries of the list.
-        seed: Seed of the odd entries.
+        seed: Seed of the odd entries, and of the duty calls that fail.
+        seen: Records that get the duty calls.
     """
 
     def __init__(
-        self, entries: Callable[[], list[dict[str, Any]]], *, seed: int
+        self,
+        entries: Callable[[], list[dict[str, Any]]],
+        *,
+        seed: int,
+        seen: records.Records,
     ) -> None:
         self._entries = entries
+        self._seen = seen
         self._chance = random.Random(seed)
         self._server = server_lib.HttpServer(
             address="127.0.0.1:0", app=self._serve, threads=2
@@ -74,7 +85,9 @@
         environ: server_lib.Environ,
         start_response: server_lib.StartResponse,
     ) -> server_lib.Response:
-        del environ  # Every call is for the whole list.
+        if environ["REQUEST_METHOD"] == "POST":
+            return self._take_duty(environ, start_response)
+        # Every other call is for the whole list.
         entries = [json.dumps(entry) for entry in self._entries()]
         for _ in range(self._chance.randint(0, MAX_ODD_ENTRIES)):
             odd = self._chance.choice(ODD_ENTRIES)
@@ -83,6 +96,28 @@
             start_response, status=200, body=odd_entries.page(*entries)
         )
 
+    def _take_duty(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        headers = {
+            name.lower(): value
+            for name, value in server_lib.raw_headers(environ).items()
+        }
+        call = duty_platform.DutyCall(
+            at_ms=round(time.monotonic() * 1_000),
+            path=environ["PATH_INFO"],
+            holder=headers["x-wisteriawall-duty-holder"],
+            token=int(headers["x-wisteriawall-fencing-token"]),
+            body=server_lib.read_body(environ),
+        )
+        status = self._chance.choice(DUTY_STATUSES)
+        self._seen.duty_calls.append((call, status != OVERLOADED_STATUS))
+        return server_lib.send_response(
+            start_response, status=status, body=b"{}"
+        )
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -417,7 +452,11 @@
                 ports.internal,
                 ports.internal + INTERNAL_PORTS - 1,
             ],
-            "cloud_api": {"address": self._list_address},
+            "cloud_api": {
+                "address": self._list_address,
+                "duties": ["usage_reporting"],
+                "duty_per_s": 5.0,
+            },
             "listen_addresses": {
                 "frontend": f"{host}:{ports.frontend}",
                 "ready": f"{host}:{ports.ready}",
@@ -427,7 +466,11 @@
             "data_directory": str(self._folder / name)
             if role == "control"
             else None,
-            "bounds": {"grace_s": GRACE_S, "retry_budget_slack": 1_000},
+            "bounds": {
+                "grace_s": GRACE_S,
+                "retry_budget_slack": 1_000,
+                "window_s": USAGE_WINDOW_S,
+            },
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -8,6 +8,8 @@
 import threading
 from typing import final
 
+from support import duty_platform
+
 SEAL = "x-wisteriawall-response-seal"
 ATTEMPT_ID = "x-wisteriawall-attempt-id"
 
@@ -204,6 +206,8 @@
         self.incidents: list[Incident] = []
         self.publications: list[Publication] = []
         self.readings: list[Reading] = []
+        # Calls of singleton duties, and whether the platform took them.
+        self.duty_calls: list[tuple[duty_platform.DutyCall, bool]] = []
         self.attempt_by_handle: dict[str, str] = {}
         self._lock = threading.Lock()
         self._number = 0
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -92,6 +92,7 @@
         self._list = fleet.RunnerList(
             lambda: [r.entry() for r in self._runners if r.is_listed],
             seed=seed,
+            seen=self.seen,
         )
         self._leaving: list[tuple[float, runners.StandInRunner]] = []
         self.fleet = fleet.Fleet(
@@ -346,6 +347,7 @@
     yield f"time: {time.monotonic() - started_s:.1f} s"
     # They tell a soak that is too slow from a system that is.
     yield f"links between processes: {soak.fleet.links.report}"
+    yield f"duty calls: {_describe_duties(seen)}"
     yield f"links to runners: {soak.proxy.report()}"
     counts = collections.Counter(finding.rule for finding in findings)
     yield "findings: " + ", ".join(
@@ -375,6 +377,14 @@
             yield ""
 
 
+def _describe_duties(seen: records.Records) -> str:
+    """Return how many calls there were, by how many holders and tokens."""
+    calls = [call for call, _ in seen.duty_calls]
+    holders = {call.holder for call in calls}
+    tokens = {call.token for call in calls}
+    return f"{len(calls)}, {len(holders)} holders, {len(tokens)} tokens"
+
+
 def dump(seen: records.Records, path: pathlib.Path) -> None:
     """Write all records as JSON lines; long values are shortened."""
     with path.open("w") as file:
@@ -384,6 +394,7 @@
             seen.incidents,
             seen.publications,
             seen.readings,
+            [call for call, _ in seen.duty_calls],
         ):
             for record in group:
                 fields = dataclasses.asdict(record)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from support import duty_platform
 
 from soak import checks
 from soak import misbehavior
@@ -99,6 +100,23 @@
     assert set(first) == set(misbehavior.Manner)
 
 
+def _add_duties(*tokens: int) -> Callable[[records.Records], object]:
+    """Return a change that adds calls of one holder for each token."""
+    return lambda seen: seen.duty_calls.extend(
+        (
+            duty_platform.DutyCall(
+                at_ms=number * 10_000,
+                path="/usage",
+                holder=f"c{number}",
+                token=token,
+                body=b'{"window_id":%d,"counts":{}}' % number,
+            ),
+            True,
+        )
+        for number, token in enumerate(tokens)
+    )
+
+
 def _sound_records(kind: records.Kind) -> records.Records:
     """Return a call of `kind` that a runner answered, and a publication."""
     answer = EVENTS if kind.is_stream else b"answer"
@@ -550,6 +568,8 @@
                 _end(records.Change.GRACE_KILL, -9),
             ),
             ("over-its-limit", "LIMIT", LOOKUP, _exceed_limit),
+            ("two-holders-of-a-token", "DUTY", LOOKUP, _add_duties(1, 1)),
+            ("lower-token", "DUTY", LOOKUP, _add_duties(2, 1)),
             ("ended-with-a-failure", "STOP", LOOKUP, _end(code=1)),
             (
                 "ended-by-itself",
