Check the right to act once a duty call is connected

Connecting may take 400 ms, longer than the 300 ms after a pause in which a late call does not count. The first report is now that of the window in which the leader's process started.

--- a/src/wisteriawall/control/duty_sender.py
+++ b/src/wisteriawall/control/duty_sender.py
@@ -42,8 +42,9 @@
         """Return the reply to a request."""
 
 
-# Sends a report with a fencing token, or raises `DutyFailed`.
-SendUsage = Callable[[state.UsageWindow, int], None]
+# Sends a report with a fencing token, or raises `DutyFailed`. It calls the
+# function once it is connected, right before it sends anything.
+SendUsage = Callable[[state.UsageWindow, int, Callable[[], None]], None]
 OnDecision = Callable[[str, dict[str, object]], None]
 
 
@@ -133,12 +134,9 @@
         self, report: state.UsageWindow, due: events.DueUsageReply
     ) -> None:
         self._pacing.note_call(clock.monotonic_ms())
-        # Nothing that may take long lies between this and the call.
-        if not self._may_act(due.token):
-            return
         started_ms = clock.monotonic_ms()
         try:
-            self._send_usage(report, due.token)
+            self._send_usage(report, due.token, lambda: self._check(due.token))
         except DutyFailed as error:
             now_ms = clock.monotonic_ms()
             self._pacing.note_failure(now_ms)
@@ -190,6 +188,14 @@
         )
         self._leader.call(self._settled)
 
+    def _check(self, token: int) -> None:
+        """Raise `DutyFailed` if this replica may not act any more.
+
+        The process may have been paused, or connecting have taken long.
+        """
+        if not self._may_act(token):
+            raise DutyFailed("leadership was lost before the call")
+
     def _may_act(self, token: int) -> bool:
         return self._leader.may_act(
             token=token, lease_ms=self._settings.lease_ms
--- a/src/wisteriawall/control/usage.py
+++ b/src/wisteriawall/control/usage.py
@@ -41,6 +41,8 @@
 HEARD_KEPT_MS = 3_000
 # A new leader hears of all live gateways first.
 LEADING_MS = 1_500
+# Longest time from the start of a leader's process to the first window.
+MAX_START_MS = 30_000
 # A command that is not applied after this time is proposed again.
 PROPOSED_MS = 2_000
 # Counts of fixed windows that are kept, to tell how many came too late.
@@ -351,6 +353,7 @@
     leading_ms: int,
     now_ms: int,
     wall_ms: int,
+    running_ms: int = 0,
 ) -> Iterator[commands.Command]:
     """Yield the commands that are due.
 
@@ -358,6 +361,8 @@
         merger: State of the leader.
         usage: The committed usage.
         leading_ms: How long this replica has been the leader.
+        running_ms: How long this process has run; the first report is about the
+            window of its start.
         now_ms: Monotonic time.
         wall_ms: Unix time of this replica.
     """
@@ -373,7 +378,8 @@
     waited_ms = now_ms - merger.committed_ms
     if is_due and (waited_ms >= COMMIT_INTERVAL_MS or fixed is not None):
         merger.committed_ms = now_ms
-        first_window = max(1, time_ms // settings.window_ms)
+        started_ms = time_ms - max(0, min(running_ms, MAX_START_MS))
+        first_window = max(1, started_ms // settings.window_ms)
         for gateways in _commands_of(merger):
             yield commands.RecordUsage(gateways, first_window, wall_ms)
     if fixed is not None:
--- a/src/wisteriawall/control/usage_duty.py
+++ b/src/wisteriawall/control/usage_duty.py
@@ -52,12 +52,14 @@
     control: replica_state.ReplicaState, now_ms: int, wall_ms: int
 ) -> Iterator[commands.Command]:
     """Yield the commands about usage that the leader has to commit."""
+    started_ms = control.raft.process_started_ms
     yield from usage.due_commands(
         control.usage,
         control.ledger.usage,
         leading_ms=now_ms - control.raft.elected_ms,
         now_ms=now_ms,
         wall_ms=wall_ms,
+        running_ms=now_ms - started_ms if started_ms >= 0 else 0,
     )
 
 
--- a/src/wisteriawall/platform/duties.py
+++ b/src/wisteriawall/platform/duties.py
@@ -1,5 +1,6 @@
 """Calls of singleton duties to the platform."""
 
+from collections.abc import Callable
 import math
 from typing import final
 
@@ -52,9 +53,20 @@
         self._address = address
         self._holder = holder
 
-    def send_usage(self, report: state.UsageWindow, token: int) -> None:
+    def send_usage(
+        self,
+        report: state.UsageWindow,
+        token: int,
+        check: Callable[[], None],
+    ) -> None:
         """Send a usage report; the same report has always the same bytes.
 
+        Args:
+            report: The report.
+            token: Fencing token.
+            check: Called right before the request is sent; raises `DutyFailed`
+                if this node may not act any more.
+
         Raises:
             duty_sender.DutyFailed: The platform did not accept it, or the
                 response was lost.
@@ -75,6 +87,7 @@
                 },
                 max_body_bytes=MAX_RESPONSE_BYTES,
                 resets=True,
+                check=check,
             )
         except http_call.CallFailed as error:
             raise duty_sender.DutyFailed(str(error)) from error
--- a/src/wisteriawall/wire/http_call.py
+++ b/src/wisteriawall/wire/http_call.py
@@ -6,6 +6,7 @@
 responses.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -51,6 +52,7 @@
     headers: Mapping[str, str] | None = None,
     max_body_bytes: int = MAX_BODY_BYTES,
     resets: bool = False,
+    check: Callable[[], None] = lambda: None,
 ) -> Response:
     """Send a request and return its complete response.
 
@@ -68,6 +70,8 @@
         max_body_bytes: Largest body of a response.
         resets: Whether a call that fails ends its connection with a reset, so
             that no part of the request arrives later.
+        check: Called on the open connection, right before the request is sent.
+            What it raises ends the call.
 
     Raises:
         CallFailed: The connection failed, or the response is incomplete,
@@ -87,6 +91,7 @@
                 connection.deadline_at_ms = clock.monotonic_ms() + round(
                     total_timeout_s * MS_PER_S
                 )
+            check()
             connection.request(
                 method,
                 parts._replace(scheme="", netloc="").geturl(),
--- a/testing/control/test_duty_sender.py
+++ b/testing/control/test_duty_sender.py
@@ -1,5 +1,7 @@
 """Tests of the thread that makes the calls of duties."""
 
+from collections.abc import Callable
+
 import pytest
 
 from wisteriawall.control import duties
@@ -64,8 +66,14 @@
         self.errors = list(errors)
         self.calls: list[tuple[state.UsageWindow, int]] = []
 
-    def send(self, report: state.UsageWindow, token: int) -> None:
-        """Take a call."""
+    def send(
+        self,
+        report: state.UsageWindow,
+        token: int,
+        check: Callable[[], None],
+    ) -> None:
+        """Take a call, once connected."""
+        check()
         self.calls.append((report, token))
         if self.errors:
             raise self.errors.pop(0)
--- a/testing/control/test_usage.py
+++ b/testing/control/test_usage.py
@@ -198,6 +198,26 @@
     assert elapsed_ms - 100 == fixed_ms
 
 
+def test_first_report_is_about_the_window_of_the_start() -> None:
+    """The windows until the first leader was elected were never reported."""
+    leader = Leader()
+    leader.receive(gateway_messages.UsageReport(0, START_MS), START_MS - 600)
+    leader.ledger.usage.next_window = 0
+    due = lib.due_commands(
+        leader.merger,
+        leader.ledger.usage,
+        leading_ms=0,
+        now_ms=START_MS,
+        wall_ms=START_MS,
+        running_ms=WINDOW_MS + 1,
+    )
+    assert [
+        command.first_window
+        for command in due
+        if isinstance(command, commands.RecordUsage)
+    ] == [FIRST - 2]
+
+
 def test_windows_without_processes_are_reported_as_empty() -> None:
     leader = started()
     successor = Leader(leader.ledger)
--- a/testing/platform/test_duties.py
+++ b/testing/platform/test_duties.py
@@ -25,6 +25,10 @@
 MAX_CALL_S = 1.9
 
 
+def may_act() -> None:
+    """Allow a call."""
+
+
 @pytest.fixture
 def platform() -> Iterator[duty_platform.DutyPlatform]:
     """Yield a stand-in of the platform's duty calls."""
@@ -56,7 +60,7 @@
     platform: duty_platform.DutyPlatform,
 ) -> None:
     client = lib.DutyClient(address=platform.address, holder="vm-1")
-    client.send_usage(REPORT, 9)
+    client.send_usage(REPORT, 9, may_act)
     call = platform.calls[0]
     assert (call.path, call.holder, call.token) == ("/usage", "vm-1", 9)
     assert call.body == b'{"window_id":5,"counts":{"a":1,"b":2}}'
@@ -73,16 +77,30 @@
     client = lib.DutyClient(address=platform.address, holder="vm-1")
     started_s = time.monotonic()
     with pytest.raises(duty_sender.DutyFailed):
-        client.send_usage(REPORT, 9)
+        client.send_usage(REPORT, 9, may_act)
     assert time.monotonic() - started_s < MAX_CALL_S
-    client.send_usage(REPORT, 9)
+    client.send_usage(REPORT, 9, may_act)
     assert platform.calls[0].body == platform.calls[1].body
 
 
+def test_call_is_not_sent_if_the_right_to_act_ends_while_connecting(
+    platform: duty_platform.DutyPlatform,
+) -> None:
+    def check() -> None:
+        sites.wait_until(lambda: bool(platform.accepted), "the connection")
+        raise duty_sender.DutyFailed("the lease has run out")
+
+    client = lib.DutyClient(address=platform.address, holder="vm-1")
+    with pytest.raises(duty_sender.DutyFailed):
+        client.send_usage(REPORT, 9, check)
+    client.send_usage(REPORT, 10, may_act)
+    assert [call.token for call in platform.calls] == [10]
+
+
 def test_platform_that_takes_no_connection_is_a_failed_call() -> None:
     client = lib.DutyClient(address="127.0.0.1:1", holder="vm-1")
     with pytest.raises(duty_sender.DutyFailed):
-        client.send_usage(REPORT, 9)
+        client.send_usage(REPORT, 9, may_act)
 
 
 @pytest.mark.parametrize(
