Time first tokens by the kernel's receive time

A thread that waits for its fraction of a core read a first token tens of milliseconds after its arrival, and counted it in the next window.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -41,6 +41,8 @@
 DISCARD_TIMEOUT_MS = 200
 # A host whose process has ended refuses a connection at once.
 PROBE_TIMEOUT_S = 0.05
+# Longest time that a thread waits for the processor to read what arrived.
+MAX_LATE_READ_MS = 2_000
 MAX_LOGGED_LENGTH = 80
 SUCCESS_STATUSES = range(200, 300)
 # By these a caller takes its request for not run. 421 of a runner always means
@@ -71,7 +73,7 @@
 
     `target` is path and query. `request_key` is the number of the request in
     this process, `request_id` the caller's id. `deadline_at_ms` is on the
-    monotonic clock.
+    monotonic clock. With `notes_times` it matters when answers arrived.
     """
 
     request_key: int
@@ -85,6 +87,7 @@
     is_stream: bool
     is_resumable: bool
     is_repeatable: bool
+    notes_times: bool = False
 
 
 @final
@@ -284,7 +287,9 @@
         ):
             # A stream runs from its first token on.
             self._report_run(
-                clock.monotonic_ms() if self._request.is_stream else sent_ms
+                _received_wall_ms(exchange)
+                if self._request.is_stream
+                else _to_wall_ms(exchange.sent_ms)
             )
         if answer.status in NOT_RUN_STATUSES:
             self._discard_body(exchange)
@@ -358,6 +363,7 @@
             max_idle_ms=connection_pool.NO_LIMIT_MS
             if send.max_idle_ms is None
             else send.max_idle_ms,
+            notes_times=self._request.notes_times,
         )
 
     def _probe_after(
@@ -462,7 +468,7 @@
         is_first = True
         for chunk in exchange.body_chunks():
             if is_first:
-                self._report_run(clock.monotonic_ms())
+                self._report_run(_received_wall_ms(exchange))
             is_first = is_empty = False
             try:
                 complete = self._scanner.feed(chunk)
@@ -539,13 +545,12 @@
             )
         )
 
-    def _report_run(self, began_ms: int) -> None:
-        """Report that a runner began the request, at a monotonic time."""
-        elapsed_ms = clock.monotonic_ms() - began_ms
+    def _report_run(self, began_wall_ms: int) -> None:
+        """Report that a runner began the request, at a Unix time."""
         self._submit(
             events.RunBegan(
                 request_key=self._request.request_key,
-                began_wall_ms=clock.wall_ms() - elapsed_ms,
+                began_wall_ms=began_wall_ms,
             )
         )
 
@@ -605,6 +610,24 @@
         raise ConnectionAbortedError(message)
 
 
+def _to_wall_ms(monotonic_ms: int) -> int:
+    """Return the Unix time of a time on the monotonic clock."""
+    return clock.wall_ms() - (clock.monotonic_ms() - monotonic_ms)
+
+
+def _received_wall_ms(exchange: http_exchange.HttpExchange) -> int:
+    """Return the Unix time when what was read last arrived at this VM.
+
+    This thread may have waited for the processor since then.
+    """
+    now_ms = clock.wall_ms()
+    received_ms = exchange.received_wall_ms
+    if received_ms is None or not 0 <= now_ms - received_ms <= MAX_LATE_READ_MS:
+        # Unknown, or the clock was set in between.
+        return now_ms
+    return received_ms
+
+
 def _find_other_kind(head: Head) -> str:
     """Return how an answer differs from a stream of events, empty if not."""
     if head.status != 200:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -171,6 +171,7 @@
         self._announced_table = 0
         self._lock = threading.Lock()
         chance = random.Random(f"{identity.name}/{identity.incarnation}")
+        self._counts_usage = usage_window_ms > 0
         self._gateway = state_lib.Gateway(
             name=identity.name,
             zone=identity.zone,
@@ -370,6 +371,7 @@
             is_stream=route.kind is route_table.RequestKind.STREAM,
             is_resumable=route.resumable,
             is_repeatable=route.is_repeatable,
+            notes_times=accepted.account != "" and self._counts_usage,
         )
         return self._forward(
             request,
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -76,6 +76,20 @@
         self._connection: runner_connection.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
+        self._sent_ms = 0
+
+    @property
+    def sent_ms(self) -> int:
+        """Return when the request was sent on the open connection."""
+        return self._sent_ms
+
+    @property
+    def received_wall_ms(self) -> int | None:
+        """Return the Unix time when the last part that was read arrived.
+
+        It is None if the kernel doesn't tell, or `send` didn't ask for it.
+        """
+        return self._connection.received_wall_ms if self._connection else None
 
     @property
     def connection_requests(self) -> int:
@@ -95,6 +109,7 @@
         force_new: bool = False,
         max_idle_ms: int = connection_pool.NO_LIMIT_MS,
         answer_id: runner_connection.AnswerId | None = None,
+        notes_times: bool = False,
     ) -> urllib3.BaseHTTPResponse:
         """Send the request; return the response once its headers are read.
 
@@ -113,6 +128,7 @@
             max_idle_ms: Longest idle time of a connection to reuse.
             answer_id: Id by which the response names this request; None if the
                 server's responses have none.
+            notes_times: Whether `received_wall_ms` is wanted.
 
         Raises:
             Unreachable: No connection was opened, so nothing was sent.
@@ -131,6 +147,9 @@
             if name not in headers
         }
         connection.answer_id = answer_id
+        if notes_times:
+            connection.note_receive_times()
+        self._sent_ms = clock.monotonic_ms()
         try:
             connection.request(
                 method,
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -10,6 +10,7 @@
 import io
 import re
 import socket
+import struct
 from typing import Any
 from typing import final
 
@@ -44,6 +45,11 @@
 SKIP_TIMEOUT_MS = 500
 CHUNK_BYTES = 64 * 1024
 MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
+# Of Linux on 64-bit processors; the module `socket` has no name for it.
+SO_TIMESTAMPNS = 35
+TIMESPEC = struct.Struct("qq")
+ANCILLARY_BYTES = 64
 # Setting a socket's timeout is a system call, so it is set again only after the
 # deadline has come this much closer.
 MAX_OVERRUN_MS = 100
@@ -116,6 +122,20 @@
     def deadline_at_ms(self, deadline_at_ms: int | None) -> None:
         self._raw_reader.deadline_at_ms = deadline_at_ms
 
+    def note_receive_times(self) -> None:
+        """Let `received_wall_ms` be known from the next read on."""
+        if not self._raw_reader.notes_times:
+            self._raw_reader.notes_times = True
+            self.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+
+    @property
+    def received_wall_ms(self) -> int | None:
+        """Return the Unix time when the kernel received what was read last.
+
+        It is None if the kernel doesn't tell.
+        """
+        return self._raw_reader.received_wall_ms
+
     def limit_reads(self, max_bytes: int | None) -> None:
         """Let reads fail after so many more bytes; with None, never."""
         self._raw_reader.remaining_bytes = max_bytes
@@ -276,6 +296,8 @@
         self.at_end = False
         self.end_is_error = False
         self.remaining_bytes: int | None = None
+        self.notes_times = False
+        self.received_wall_ms: int | None = None
 
     def readable(self) -> bool:
         """Return True: this is a reader."""
@@ -292,7 +314,7 @@
         if self.deadline_at_ms is not None:
             self._set_timeout(self.deadline_at_ms)
         try:
-            count = self._socket.recv_into(buffer)
+            count = self._receive(buffer)
         except BlockingIOError:
             return None
         self.at_end = count == 0
@@ -306,6 +328,21 @@
                 )
         return count
 
+    def _receive(self, buffer: Any) -> int:
+        if not self.notes_times:
+            return self._socket.recv_into(buffer)
+        count, ancillary, _, _ = self._socket.recvmsg_into(
+            [buffer], ANCILLARY_BYTES
+        )
+        self.received_wall_ms = None
+        for _, kind, data in ancillary:
+            if kind == SO_TIMESTAMPNS and len(data) == TIMESPEC.size:
+                seconds, nanoseconds = TIMESPEC.unpack(data)
+                self.received_wall_ms = (
+                    seconds * MS_PER_S + nanoseconds // NS_PER_MS
+                )
+        return count
+
     def _set_timeout(self, deadline_at_ms: int) -> None:
         remaining_ms = deadline_at_ms - clock.monotonic_ms()
         if remaining_ms <= 0:
