--- a/src/wisteriawall/platform/duties.py
+++ b/src/wisteriawall/platform/duties.py
@@ -17,11 +17,9 @@
     "DutyClient",
     "duty_settings",
     "usage_settings",
-    "usage_window_ms",
 ]
 
 USAGE_PATH = "/usage"
-USAGE_DUTY = "usage_reporting"
 HOLDER = "X-Wisteriawall-Duty-Holder"
 FENCING_TOKEN = "X-Wisteriawall-Fencing-Token"
 # Together far below the time for which a former holder may still act.
@@ -31,7 +29,6 @@
 MAX_RESPONSE_BYTES = 4 * 1024
 ACCEPTED_STATUS = 200
 MS_PER_S = 1_000
-MAX_WINDOW_S = 86_400.0
 
 
 @final
@@ -105,20 +102,11 @@
     )
 
 
-def usage_window_ms(settings: settings_lib.Settings) -> int:
-    """Return the length of a window of usage, 0 if no usage is reported."""
-    window_s = settings.bounds.window_s
-    is_valid = math.isfinite(window_s) and 0 < window_s <= MAX_WINDOW_S
-    if USAGE_DUTY not in settings.cloud_api.duties or not is_valid:
-        return 0
-    return round(window_s * MS_PER_S)
-
-
 def usage_settings(
     settings: settings_lib.Settings,
 ) -> usage.UsageSettings | None:
     """Return the windows of usage, None if no usage is reported."""
-    window_ms = usage_window_ms(settings)
+    window_ms = settings.usage_window_ms
     late_s = settings.bounds.usage_late_s
     if not window_ms or not math.isfinite(late_s):
         return None
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -3,7 +3,6 @@
 from wisteriawall.commands import lifecycle
 from wisteriawall.gateway import shell as gateway_shell
 from wisteriawall.gateway import state as gateway_state
-from wisteriawall.platform import duties
 from wisteriawall.platform import headers
 from wisteriawall.platform import roles
 from wisteriawall.platform import settings as settings_lib
@@ -38,7 +37,7 @@
             log=log,
             metrics=roles.open_metrics(settings, metrics_port),
             grace_ms=settings.grace_ms,
-            usage_window_ms=duties.usage_window_ms(settings),
+            usage_window_ms=settings.usage_window_ms,
         )
         lifecycle.run_until_signalled(
             start=shell.start,
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file that the platform writes for each process."""
 
+import math
 import os
 import pathlib
 from typing import final
@@ -14,6 +15,8 @@
 
 SETTINGS_VARIABLE = "WISTERIAWALL_SETTINGS"
 MS_PER_S = 1_000
+USAGE_DUTY = "usage_reporting"
+MAX_WINDOW_S = 86_400.0
 # Offsets from the first port of `internal_ports`.
 PEER_PORT_OFFSET = 0
 RPC_PORT_OFFSET = 1
@@ -130,6 +133,15 @@
             slack=self.bounds.retry_budget_slack,
         )
 
+    @property
+    def usage_window_ms(self) -> int:
+        """Return the length of a window of usage, 0 if none is reported."""
+        window_s = self.bounds.window_s
+        is_valid = math.isfinite(window_s) and 0 < window_s <= MAX_WINDOW_S
+        if USAGE_DUTY not in self.cloud_api.duties or not is_valid:
+            return 0
+        return round(window_s * MS_PER_S)
+
     def seed_members(self) -> tuple[raft_messages.Member, ...]:
         """Return the seeds as replicas, each named after its host."""
         return tuple(
--- a/testing/platform/test_duties.py
+++ b/testing/platform/test_duties.py
@@ -125,7 +125,7 @@
         },
         settings_lib.Settings,
     )
-    assert lib.usage_window_ms(settings) == window_ms
+    assert settings.usage_window_ms == window_ms
     assert (lib.usage_settings(settings) is not None) == bool(window_ms)
 
 
