--- a/testing/platform/test_duties.py
+++ b/testing/platform/test_duties.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import time
-from typing import Any
 
 import msgspec
 import pytest
@@ -17,12 +16,16 @@
 from wisteriawall.control import duty_sender
 from wisteriawall.control import events
 from wisteriawall.control import state
-from wisteriawall.gateway import state as gateway_state
 from wisteriawall.platform import duties as lib
 from wisteriawall.platform import settings as settings_lib
 
 REPORT = state.UsageWindow(5, {"b": 2, "a": 1})
 MAX_CALL_S = 1.9
+TENANTS = [
+    {"name": "acme", "api_keys": ["key-a"]},
+    {"name": "beta", "api_keys": ["key-b"]},
+]
+PUBLIC_ROUTE = sites.route("/open/", "read_only", "shop", public=True)
 
 
 def may_act() -> None:
@@ -39,18 +42,9 @@
 
 @pytest.fixture
 def usage_site(
-    tmp_path: pathlib.Path,
-    platform: duty_platform.DutyPlatform,
-    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: pathlib.Path, platform: duty_platform.DutyPlatform
 ) -> Iterator[sites.Site]:
-    """Yield a site whose requests have the account that callers name."""
-    request_type = gateway_state.Request
-
-    def with_account(**fields: Any) -> gateway_state.Request:
-        fields["account"] = fields["head"].account
-        return request_type(**fields)
-
-    monkeypatch.setattr(gateway_state, "Request", with_account)
+    """Yield a site that reports usage to the stand-in."""
     running = sites.Site(tmp_path, duty_address=platform.address)
     yield running
     running.close()
@@ -125,7 +119,7 @@
         },
         settings_lib.Settings,
     )
-    assert lib.usage_window_ms(settings) == window_ms
+    assert settings.usage_window_ms == window_ms
     assert (lib.usage_settings(settings) is not None) == bool(window_ms)
 
 
@@ -138,17 +132,19 @@
     runner = site.add_runner("i-1", "shop")
     engine = site.add_runner("i-2", "model")
     engine.behavior = "stream"
-    site.start_serving()
+    routes = [*sites.document(1)["routes"], PUBLIC_ROUTE]
+    site.start_serving(routes=routes, tenants=TENANTS)
     began_window = time.time_ns() // 1_000_000 // sites.USAGE_WINDOW_MS
     for number in range(6):
-        site.call("/read/", attempt=f"r{number}", Authorization="acme")
+        site.call("/read/", attempt=f"r{number}", Authorization="Token key-a")
     for number in range(3):
-        site.call("/talk/", attempt=f"s{number}", Authorization="beta")
-    site.call("/read/", attempt="without")
+        site.call("/talk/", attempt=f"s{number}", Authorization="Token key-b")
+    site.call("/open/", attempt="without")
+    site.call("/read/", attempt="unknown", Authorization="Token key-c")
     runner.behavior = "fail"
-    site.call("/pay/", attempt="failed", Authorization="acme")
+    site.call("/pay/", attempt="failed", Authorization="Token key-a")
     runner.behavior = "reject"
-    site.call("/pay/", attempt="rejected", Authorization="acme")
+    site.call("/pay/", attempt="rejected", Authorization="Token key-a")
     ended_window = time.time_ns() // 1_000_000 // sites.USAGE_WINDOW_MS
 
     def sums() -> Counter[str]:
@@ -195,7 +191,7 @@
     """Requests after the last poll of a gateway that stopped were lost."""
     site = usage_site
     site.add_runner("i-1", "shop")
-    site.start_serving()
+    site.start_serving(tenants=TENANTS)
     stopping = site.add_gateway("g2")
     sites.wait_until(lambda: stopping.is_ready, "the second gateway")
     called = 0
@@ -205,7 +201,7 @@
                 "/read/",
                 attempt=f"a{called}",
                 gateway=stopping.address,
-                Authorization="acme",
+                Authorization="Token key-a",
             )
     assert called == 20
     stopping.stop()
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -535,11 +535,13 @@
         """Read the routing table as an operator does."""
         return self.http.request("GET", f"{self.admin}/Configuration.Get")
 
-    def start_serving(self) -> None:
-        """Publish the default table and wait until the gateway is ready."""
-        wait_until(
-            lambda: self.publish(document(1)).status == 200, "the publication"
-        )
+    def start_serving(self, **more: Any) -> None:
+        """Publish the default table and wait until the gateway is ready.
+
+        Args:
+            more: Further fields of the table.
+        """
+        self.publish_until_accepted(document(1, **more))
         wait_until(lambda: self.gateway.is_ready, "a ready gateway")
 
     def publish_until_accepted(self, body: object) -> None:
