Carry out each drain once, by its id

Cause: an operator's client that gets no answer in time sends its drain to the next replica. The replica that was frozen carries its copy out when it resumes, also after a later undo was acknowledged.

Change: OperatorClient sends one Idempotency-Key with all copies of a write. SetDrain holds it in a new last field, and the ledger keeps the first outcome of the newest 10,000 ids: a copy changes nothing and gets that outcome.

--- a/src/wisteriawall/control/admin_requests.py
+++ b/src/wisteriawall/control/admin_requests.py
@@ -19,6 +19,8 @@
 # WSGI environ key of the request body, which the caller reads.
 BODY_ENVIRON_KEY = "wisteriawall.body"
 MAX_PAGE_RECORDS = 500
+# The ledger keeps the ids of drains.
+MAX_DRAIN_ID_CHARS = 128
 MAX_NUMBER_DIGITS = len(str(integers.MAX_INTEGER))
 # A name, an IPv4 address, or an IPv6 address in brackets.
 ADDRESS_PATTERN = re.compile(
@@ -150,7 +152,17 @@
     body = _parse_body(environ, _DrainBody)
     if isinstance(body, refusal_lib.Refusal):
         return body
-    return events.DrainRequest(operator, body.runner, body.undo)
+    drain_id = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if len(drain_id) > MAX_DRAIN_ID_CHARS:
+        return refusal_lib.Refusal(
+            status=400,
+            code=refusal_lib.Code.BAD_REQUEST,
+            message=(
+                f"Idempotency-Key: got {len(drain_id)} characters, "
+                f"expected at most {MAX_DRAIN_ID_CHARS}"
+            ),
+        )
+    return events.DrainRequest(operator, body.runner, body.undo, drain_id)
 
 
 def _replica_request(
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -174,12 +174,17 @@
 
 @final
 class SetDrain(msgspec.Struct, frozen=True, tag="drain"):
-    """Record that an operator drains a runner, or undoes that."""
+    """Record that an operator drains a runner, or undoes that.
+
+    A command whose `drain_id` was applied before changes nothing. It is empty
+    in logs from before it existed and for clients that send none.
+    """
 
     runner: str
     drained: bool
     operator: str
     at_ms: int
+    drain_id: str = ""
 
 
 @final
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -152,11 +152,16 @@
 
 @final
 class DrainRequest(msgspec.Struct, frozen=True, tag="drain"):
-    """Stop sending new requests to a runner, or with `undo` resume that."""
+    """Stop sending new requests to a runner, or with `undo` resume that.
+
+    All copies of a request have the same `drain_id`, which is empty for
+    clients that send none.
+    """
 
     operator: str
     runner: str
     undo: bool
+    drain_id: str = ""
 
 
 @final
--- a/src/wisteriawall/control/ledger.py
+++ b/src/wisteriawall/control/ledger.py
@@ -27,7 +27,8 @@
 ) -> outcomes.Outcome:
     """Apply a committed command and return its outcome.
 
-    Claims and repeated patches get no audit record, other commands get one.
+    Claims, repeated patches and repeated drains get no audit record, other
+    commands get one.
 
     Args:
         ledger: State to update.
@@ -35,18 +36,20 @@
         term: Term of its log entry.
         command: Command to apply.
     """
-    is_repeated = _is_repeated_patch(ledger, command)
+    is_repeated = _is_repeated(ledger, command)
     outcome = _apply_command(ledger, index, term, command)
     if not is_repeated:
         audit.record(ledger, index, command, outcome)
     return outcome
 
 
-def _is_repeated_patch(ledger: state.Ledger, command: commands.Command) -> bool:
-    """Return whether the command is a patch whose id has a kept outcome."""
+def _is_repeated(ledger: state.Ledger, command: commands.Command) -> bool:
+    """Return whether the command has an id whose first outcome is kept."""
     match command:
         case commands.PatchConfig(patch_id=patch_id):
             return patch_id in ledger.patch_by_id
+        case commands.SetDrain(drain_id=drain_id):
+            return drain_id in ledger.drain_by_id
         case _:
             return False
 
--- a/src/wisteriawall/control/membership.py
+++ b/src/wisteriawall/control/membership.py
@@ -27,6 +27,7 @@
 ]
 
 HEARTBEAT_TIMEOUT_MS = 4_000
+MAX_KEPT_DRAINS = 10_000
 
 
 @final
@@ -131,7 +132,38 @@
 def set_drain(
     ledger: state.Ledger, command: commands.SetDrain
 ) -> outcomes.Recorded | outcomes.Dropped:
-    """Record that an operator drains a runner, or undoes that."""
+    """Record that an operator drains a runner, or undoes that.
+
+    An operator's client sends a request again after a timeout, and a replica
+    that was frozen may carry out the first copy long after a later drain or
+    undo. A drain id that was applied before therefore changes nothing and gets
+    its first outcome; the newest 10,000 ids are kept. A drain without an id is
+    carried out each time.
+    """
+    if not command.drain_id:
+        return _set_drained(ledger, command)
+    kept = ledger.drain_by_id.get(command.drain_id)
+    if kept is None:
+        outcome = _set_drained(ledger, command)
+        refusal = (
+            outcome.reason if isinstance(outcome, outcomes.Dropped) else ""
+        )
+        ledger.drain_by_id[command.drain_id] = state.KeptDrainOutcome(
+            command.runner, command.drained, refusal
+        )
+        while len(ledger.drain_by_id) > MAX_KEPT_DRAINS:
+            ledger.drain_by_id.popitem(last=False)
+        return outcome
+    if (kept.runner, kept.drained) != (command.runner, command.drained):
+        return outcomes.Dropped("the drain id was used for another drain")
+    if kept.refusal:
+        return outcomes.Dropped(kept.refusal)
+    return outcomes.Recorded()
+
+
+def _set_drained(
+    ledger: state.Ledger, command: commands.SetDrain
+) -> outcomes.Recorded | outcomes.Dropped:
     runner = ledger.runner_by_name.get(command.runner)
     if runner is None:
         return outcomes.Dropped("no such runner")
--- a/src/wisteriawall/control/state.py
+++ b/src/wisteriawall/control/state.py
@@ -27,6 +27,7 @@
     "Claim",
     "ClaimKey",
     "ConfigVersion",
+    "KeptDrainOutcome",
     "KeptPatchOutcome",
     "KeptStream",
     "Ledger",
@@ -143,6 +144,18 @@
     outcome: outcomes.PatchOutcome
 
 
+@final
+class KeptDrainOutcome(msgspec.Struct, frozen=True):
+    """First outcome of a drain id, and the drain that it was for.
+
+    `refusal` is empty for a drain that was recorded.
+    """
+
+    runner: str
+    drained: bool
+    refusal: str
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Claim:
@@ -266,6 +279,9 @@
         default_factory=OrderedDict
     )
     audit: list[AuditRecord] = dataclasses.field(default_factory=list)
+    drain_by_id: OrderedDict[str, KeptDrainOutcome] = dataclasses.field(
+        default_factory=OrderedDict
+    )
 
     def fleet_view(self, known_version: int = 0) -> fleet.FleetView:
         """Return the runners that changed after `known_version`.
--- a/src/wisteriawall/control/writes.py
+++ b/src/wisteriawall/control/writes.py
@@ -28,8 +28,10 @@
             )
         case events.PublishRequest():
             return tables.command_for(ledger, request, wall_ms)
-        case events.DrainRequest(operator, runner, undo):
-            return commands.SetDrain(runner, not undo, operator, wall_ms)
+        case events.DrainRequest(operator, runner, undo, drain_id):
+            return commands.SetDrain(
+                runner, not undo, operator, wall_ms, drain_id
+            )
         case control_messages.ClaimRequest():
             return commands.GrantClaim(
                 request.account,
--- a/src/wisteriawall/operator/client.py
+++ b/src/wisteriawall/operator/client.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 from typing import final
 from urllib import parse
+import uuid
 
 import msgspec
 
@@ -105,21 +106,24 @@
     ) -> OperatorResponse:
         """Return the response of the first replica that answers.
 
-        A request may reach several replicas. This is safe because every
-        request is idempotent: a patch has an id, and the others change nothing
-        when they are repeated.
+        A request may reach several replicas, some of them late. Every copy of
+        a write has the same `Idempotency-Key`, so that a patch or drain is
+        carried out once; the others change nothing when they are repeated.
 
         Raises:
             Refused: The cluster refused the request.
             Unavailable: No replica answered, or each answered 503.
         """
+        headers = dict(headers or {})
+        if method != "GET":
+            headers.setdefault("Idempotency-Key", uuid.uuid4().hex)
         last_error = "no address given"
         for address in self._addresses_to_try():
             url = f"http://{address}{path}"
             if query:
                 url += "?" + parse.urlencode(query)
             try:
-                response = self._request(method, url, body, headers or {})
+                response = self._request(method, url, body, headers)
             except http_call.CallFailed as error:
                 last_error = f"{address}: {error}"
                 continue
--- a/testing/control/test_ledger.py
+++ b/testing/control/test_ledger.py
@@ -332,3 +332,24 @@
     [record] = records
     assert (record.index, record.actor) == (3, "leader")
     assert record.result == "issued 1/3"
+
+
+def test_late_copy_of_a_drain_changes_nothing(
+    harness: LedgerHarness,
+) -> None:
+    """A replica that resumed carried out a drain again after its undo."""
+
+    def drain(runner: str, drain_id: str, *, drained: bool = True) -> object:
+        return harness.apply(
+            commands.SetDrain(runner, drained, "op", 1, drain_id)
+        )
+
+    records = len(harness.ledger.audit)
+    assert drain("a1", "x") == outcomes.Recorded()
+    assert drain("a1", "y", drained=False) == outcomes.Recorded()
+    assert drain("a1", "x") == outcomes.Recorded()
+    assert not harness.ledger.runner_by_name["a1"].drained
+    assert len(harness.ledger.audit) == records + 2
+    assert isinstance(drain("a2", "x"), outcomes.Dropped)
+    assert not harness.ledger.runner_by_name["a2"].drained
+    assert drain("gone", "z") == drain("gone", "z")
--- a/testing/control/test_snapshot.py
+++ b/testing/control/test_snapshot.py
@@ -31,7 +31,7 @@
     commands.IssueOrder(
         "r1", fleet.OrderAction.SET_ROLE, "decode", "test", 5, 1
     ),
-    commands.SetDrain("r1", True, "op", 6),
+    commands.SetDrain("r1", True, "op", 6, "d1"),
 ]
 LATER_COMMANDS = [
     commands.PatchConfig("p1", "op", 0, msgspec.json.encode(CHANGE), 7),
