Take a process that starts again with its clock set back for live

Cause: an incarnation is the time of day of the start, and a lower one counted as late. After the clock was set back, the heartbeats of a restarted agent were ignored and its runner stayed lost.

Change: liveness records a lower incarnation when the higher one has been silent for a second, and the leader takes it for a restart once it was renewed for 500 ms since the election; late renewals of a frozen replica come within milliseconds. SetPresence says so in a new last field. RecordEntryLost of a new leader ends the claims of one incarnation only, since a lower one may be the present start. The list of gateways follows the same rule.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -184,7 +184,11 @@
             None,
         )
         processes.process_by_name[beat.process] = liveness.Process(
-            heartbeat=beat, replica="control-1", seen_ms=50_000, changed_ms=0
+            heartbeat=beat,
+            replica="control-1",
+            seen_ms=50_000,
+            changed_ms=0,
+            since_ms=0,
         )
     context = leader_commands.LeaderContext(
         ledger=ledger,
--- a/src/wisteriawall/control/claims.py
+++ b/src/wisteriawall/control/claims.py
@@ -77,13 +77,17 @@
 ) -> outcomes.Recorded:
     """Mark the running claims of a lost entry as having an unknown outcome.
 
-    This concerns the command's incarnation of the entry and all before it.
+    This concerns the command's incarnation of the entry and, without `only`,
+    all lower ones.
     """
     for claim_id in sorted(ledger.running_claim_ids):
         claim = ledger.claim_by_key[ledger.key_by_claim_id[claim_id]]
         if claim.entry != command.entry:
             continue
-        if claim.incarnation <= command.incarnation:
+        is_lost = claim.incarnation == command.incarnation or (
+            claim.incarnation < command.incarnation and not command.only
+        )
+        if is_lost:
             claim.verdict = _Verdict.UNKNOWN
             ledger.running_claim_ids.discard(claim_id)
     return outcomes.Recorded()
--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -152,7 +152,11 @@
 
 @final
 class SetPresence(msgspec.Struct, frozen=True, tag="presence"):
-    """Record a runner's presence as the leader of `term` determined it."""
+    """Record a runner's presence as the leader of `term` determined it.
+
+    `is_restart` says that an incarnation lower than the recorded one is a
+    later start, after the clock was set back.
+    """
 
     runner: str
     presence: state.Presence
@@ -160,6 +164,7 @@
     cause: str
     at_ms: int
     term: int
+    is_restart: bool = False
 
 
 @final
@@ -189,11 +194,16 @@
 
 @final
 class RecordEntryLost(msgspec.Struct, frozen=True, tag="entry-gone"):
-    """Record that an entry's incarnation and all earlier ones are lost."""
+    """Record that an entry's incarnation is lost.
+
+    Without `only`, as in older logs, all lower incarnations are lost too. One
+    of them may be the entry's present start, after its clock was set back.
+    """
 
     entry: str
     incarnation: int
     at_ms: int
+    only: bool = False
 
 
 @final
--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -29,6 +29,10 @@
 
 # Gateways send requests several times a second.
 GATEWAY_TIMEOUT_MS = 3_000
+# A gateway polls more often. If its clock was set back before a restart, its
+# new incarnation is lower, and is recorded after the former one was silent for
+# this long.
+RESTART_SILENCE_MS = 1_000
 # Gateways go by a limit no longer than this without a newer answer.
 LIMIT_KEPT_MS = 60_000
 MAX_LIMITS = 256
@@ -317,7 +321,11 @@
 ) -> None:
     """Record a gateway's request, and drop gateways that sent none lately."""
     known = updates.gateway_by_name.get(request.gateway)
-    if known is not None and known.incarnation > request.incarnation:
+    if (
+        known is not None
+        and known.incarnation > request.incarnation
+        and now_ms - known.seen_ms <= RESTART_SILENCE_MS
+    ):
         return
     if (
         known is None
--- a/src/wisteriawall/control/leader_commands.py
+++ b/src/wisteriawall/control/leader_commands.py
@@ -82,6 +82,7 @@
             decision.cause,
             context.wall_ms,
             context.term,
+            is_restart=decision.incarnation < runner.incarnation,
         )
 
 
@@ -100,6 +101,7 @@
             agent.heartbeat.incarnation,
             _since_renewal_ms(context, agent),
             agent.heartbeat.stopping,
+            agent.seen_ms - max(agent.since_ms, context.leader_since_ms),
         )
     elif (
         context.now_ms - context.leader_since_ms
@@ -144,7 +146,9 @@
             and _since_renewal_ms(context, process) < ENTRY_LOST_AFTER_MS
         )
         if not alive:
-            yield commands.RecordEntryLost(entry, incarnation, context.wall_ms)
+            yield commands.RecordEntryLost(
+                entry, incarnation, context.wall_ms, only=True
+            )
 
 
 def _due_orders(context: LeaderContext) -> Iterator[commands.IssueOrder]:
--- a/src/wisteriawall/control/liveness.py
+++ b/src/wisteriawall/control/liveness.py
@@ -50,12 +50,14 @@
         seen_ms: Monotonic time of its newest renewal.
         changed_ms: Monotonic time when its heartbeat last differed from the one
             before, or came to another replica.
+        since_ms: Monotonic time of the first renewal of its incarnation.
     """
 
     heartbeat: peer_messages.ProcessHeartbeat
     replica: str
     seen_ms: int
     changed_ms: int
+    since_ms: int
 
 
 @final
@@ -226,21 +228,32 @@
     replica: str,
     seen_ms: int,
 ) -> None:
-    """Record a heartbeat, unless a newer one of the process is known."""
+    """Record a heartbeat, unless a newer one of the process is known.
+
+    The incarnation is the time of day of the start. A process that starts again
+    after its clock was set back has a lower one, which is recorded when the
+    higher one has been silent for `LOST_AFTER_MS`.
+    """
     known = processes.process_by_name.get(heartbeat.process)
-    changed_ms = seen_ms
+    changed_ms = since_ms = seen_ms
     if known is not None:
         # The former replica of a process that moved may still report it.
         known_version = (known.heartbeat.incarnation, known.seen_ms)
-        if known_version > (heartbeat.incarnation, seen_ms):
+        if (
+            known_version > (heartbeat.incarnation, seen_ms)
+            and seen_ms - known.seen_ms <= LOST_AFTER_MS
+        ):
             return
         if known.heartbeat == heartbeat and known.replica == replica:
             changed_ms = known.changed_ms
+        if known.heartbeat.incarnation == heartbeat.incarnation:
+            since_ms = known.since_ms
     processes.process_by_name[heartbeat.process] = Process(
         heartbeat=heartbeat,
         replica=replica,
         seen_ms=seen_ms,
         changed_ms=changed_ms,
+        since_ms=since_ms,
     )
     processes.lost_ms_by_name.pop(heartbeat.process, None)
 
--- a/src/wisteriawall/control/membership.py
+++ b/src/wisteriawall/control/membership.py
@@ -27,6 +27,10 @@
 ]
 
 HEARTBEAT_TIMEOUT_MS = 4_000
+# Agents renew every 300 ms. Late renewals that a replica was frozen with are
+# handled within a few milliseconds of each other, and the first summaries to a
+# new leader arrive sooner than this.
+RESTART_EVIDENCE_MS = 500
 MAX_KEPT_DRAINS = 10_000
 
 
@@ -40,11 +44,16 @@
 
 @final
 class Heartbeat(msgspec.Struct, frozen=True):
-    """Newest heartbeat of an agent, `age_ms` ago."""
+    """Newest heartbeat of an agent, `age_ms` ago.
+
+    `renewed_for_ms` is the time from the first renewal of its incarnation that
+    this leader knows, since its election, to the newest one.
+    """
 
     incarnation: int
     age_ms: int
     leaving: bool
+    renewed_for_ms: int = 0
 
 
 @final
@@ -66,10 +75,17 @@
 
     The VM list lags behind, so a VM that is missing from it is not lost while
     its agent sends heartbeats. The runner counts as stopping as soon as the
-    agent reports its stop or the VM list marks the VM as leaving. Heartbeats of
-    an incarnation older than the recorded one are ignored.
+    agent reports its stop or the VM list marks the VM as leaving.
+
+    Heartbeats of an incarnation lower than the recorded one may be late, and
+    are ignored until they were renewed for `RESTART_EVIDENCE_MS`: then the
+    agent has started again after its clock was set back. `liveness` prefers
+    the higher incarnation while that one renews its lease.
     """
-    if heartbeat is None or heartbeat.incarnation < known.incarnation:
+    if heartbeat is None or (
+        heartbeat.incarnation < known.incarnation
+        and heartbeat.renewed_for_ms < RESTART_EVIDENCE_MS
+    ):
         cause = "no heartbeat"
         return PresenceDecision(state.Presence.LOST, known.incarnation, cause)
     incarnation = heartbeat.incarnation
@@ -121,7 +137,7 @@
         return outcomes.Dropped("no such runner")
     if command.term != term:
         return outcomes.Dropped("decided in another term")
-    if command.incarnation < runner.incarnation:
+    if command.incarnation < runner.incarnation and not command.is_restart:
         return outcomes.Dropped("an older incarnation")
     runner.presence = command.presence
     runner.incarnation = command.incarnation
