Remove no replica for a joining one without which no majority is left

Cause: a request to join under a new name removes the member on its host. If it arrives late, that member runs; with another one of three down, the removal leaves one of two voters, and nothing can be committed any more.

Change: before such a removal a majority of the voters that would be left must have replied within 500 ms and hold all that is committed. The leader is never removed in this way. Otherwise the reply says why not; a joining replica asks again after 500 ms. Of several members on one host, the one at the same address is taken. What remains possible: a voter that stopped in the last 500 ms while nothing was written counts as running.

--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -366,6 +366,15 @@
         reply = gateway_messages.JoinReply(True, "", _peer_addresses(raft))
         yield events.Answer(event.call_id, reply)
         return
+    reason = ""
+    if isinstance(request, events.RemoveReplicaRequest):
+        reason = replica_changes.unsafe_removal(
+            raft, request.replica, event.now_ms
+        )
+    if reason:
+        reply = gateway_messages.JoinReply(False, reason, _peer_addresses(raft))
+        yield events.Answer(event.call_id, reply)
+        return
     effects = replica_changes.start_change(raft, request, event.wall_ms)
     if isinstance(effects, events.ReplicasReply):
         reason = effects.refusal
--- a/src/wisteriawall/control/replica_changes.py
+++ b/src/wisteriawall/control/replica_changes.py
@@ -17,10 +17,18 @@
 REMOVE_AFTER_MS = 4_000
 # Heartbeats are sent every 100 ms; a restart takes about 2 s.
 REPLACE_AFTER_MS = 1_500
+# A refused request to join is repeated after 500 ms, so that a voter which
+# replies late only delays the removal of another one.
+CONTACT_TIMEOUT_MS = 500
 # With fewer voters, the loss of one stops the cluster.
 MIN_VOTERS = 3
 
-__all__ = ["find_lost_replica", "next_join_step", "start_change"]
+__all__ = [
+    "find_lost_replica",
+    "next_join_step",
+    "start_change",
+    "unsafe_removal",
+]
 
 
 def start_change(
@@ -61,15 +69,22 @@
 ) -> events.AddReplicaRequest | events.RemoveReplicaRequest | None:
     """Return the next step to make a joining replica a member, None if it is.
 
-    A member on the same host, or a single unresponsive one, is removed first:
-    if one of three voters is lost, a fourth voter would raise the quorum to
-    all three that are left.
+    A member at the same address, another one on the same host, or a single
+    unresponsive one, is removed first: if one of three voters is lost, a fourth
+    voter would raise the quorum to all three that are left.
     """
     if any(m.replica == join.replica for m in raft.members):
         return None
-    for member in raft.members:
-        if _host(member.peer_address) == _host(join.peer_address):
-            return events.RemoveReplicaRequest("leader", member.replica)
+    same_host = [
+        member
+        for member in raft.members
+        if _host(member.peer_address) == _host(join.peer_address)
+    ]
+    if same_host:
+        replaced = max(
+            same_host, key=lambda m: m.peer_address == join.peer_address
+        )
+        return events.RemoveReplicaRequest("leader", replaced.replica)
     unresponsive = link_health.unresponsive_peers(
         raft, now_ms, REPLACE_AFTER_MS
     )
@@ -84,6 +99,25 @@
     )
 
 
+def unsafe_removal(raft: raft_lib.Raft, replica: str, now_ms: int) -> str:
+    """Return why `replica` can't be removed for another one, empty if it can.
+
+    A request to join may arrive late, when the member on its host runs well.
+    A majority of the voters that are left must have replied recently and hold
+    all that is committed, or nothing could be committed after the removal.
+    """
+    if replica == raft.replica:
+        return "the member on this host leads"
+    voters = [name for name in raft.voters if name != replica]
+    in_contact = sum(
+        name == raft.replica or _is_in_contact(raft, name, now_ms)
+        for name in voters
+    )
+    if in_contact <= len(voters) // 2:
+        return f"without {replica} no majority of the voters would be left"
+    return ""
+
+
 def find_lost_replica(raft: raft_lib.Raft, now_ms: int) -> str | None:
     """Return an unresponsive member to remove, None if there is none.
 
@@ -99,5 +133,13 @@
     return unresponsive[0]
 
 
+def _is_in_contact(raft: raft_lib.Raft, peer: str, now_ms: int) -> bool:
+    progress = raft.progress_by_peer.get(peer)
+    if progress is None:
+        return False
+    replied = now_ms - progress.last_reply_ms <= CONTACT_TIMEOUT_MS
+    return replied and progress.match_index >= raft.commit_index
+
+
 def _host(address: str) -> str:
     return address.rpartition(":")[0]
--- a/testing/control/test_replica_changes.py
+++ b/testing/control/test_replica_changes.py
@@ -85,3 +85,27 @@
             assert (step, added) == ("add", "new")
         case None:
             raise AssertionError("expected a change")
+
+
+@pytest.mark.parametrize(
+    ("others", "unresponsive", "behind", "removed", "is_safe"),
+    [
+        pytest.param("bc", "", "", "b", True, id="two-of-three-left"),
+        pytest.param("bc", "b", "", "b", True, id="lost-one-of-three"),
+        pytest.param("bc", "c", "", "b", False, id="other-one-is-lost"),
+        pytest.param("bc", "", "c", "b", False, id="other-one-was-just-lost"),
+        pytest.param("bcd", "c", "", "b", True, id="two-of-three-stay"),
+        pytest.param("b", "", "", "b", True, id="leader-alone"),
+        pytest.param("bc", "", "", "a", False, id="leader"),
+    ],
+)
+def test_replica_without_which_nothing_is_committed_is_not_removed(
+    others: str, unresponsive: str, behind: str, removed: str, is_safe: bool
+) -> None:
+    """A late request to join stopped two of three replicas."""
+    raft = leader(*others, unresponsive=tuple(unresponsive))
+    raft.commit_index = 1
+    for name, progress in raft.progress_by_peer.items():
+        progress.match_index = 0 if name in behind else 1
+    reason = replica_changes.unsafe_removal(raft, removed, NOW_MS)
+    assert (reason == "") is is_safe
