Open a log whose last batch was not synced and lacks a page

Cause: a loss of power during a sync can leave any pages of the batch. If a page before an intact record was missing, the log was taken for damaged and the replica did not start.

Change: each record names the first record of its batch. A damaged record is dropped, with what follows, only if it is in the newest segment, every intact record after it is of the same batch, and a page of that batch reads as zeros. A batch is written only after the sync of the one before, so an intact record of a later batch proves that the damaged one was synced and may have been acknowledged: that stays an error, as do changed bits, zeros that are not whole pages, and zeros in the synced part of a shared page. A disk that loses whole pages of the last batch after it confirmed their sync can't be told apart, as before when it lost the last record. Old builds ignore the new field; records without it are treated as before.

--- a/src/wisteriawall/storage/records.py
+++ b/src/wisteriawall/storage/records.py
@@ -1,10 +1,14 @@
 """Framing of records in a file: marker, length, sequence and checksum.
 
 A crash during a write leaves an incomplete last record, which is dropped: it
-was never acknowledged. Damage before an intact record is an error instead,
-because dropping acknowledged records would break the agreement of replicas.
+was never acknowledged. After a loss of power any page of the batch that was
+being synced may be missing, also one before intact records of that batch. Any
+other damage before an intact record is an error, because dropping acknowledged
+records would break the agreement of replicas.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import pathlib
 import struct
 from typing import TypeVar
@@ -20,6 +24,8 @@
 MARKER = b"\x9eWRc"
 HEADER = struct.Struct("<4sIQQ")
 CHECKSUMMED_HEADER = struct.Struct("<IQ")
+# A file system with larger pages loses several of these.
+PAGE_BYTES = 4_096
 
 RecordT = TypeVar("RecordT")
 
@@ -45,17 +51,33 @@
     return HEADER.pack(MARKER, len(payload), sequence, checksum) + payload
 
 
+def _unknown_batch(_payload: bytes) -> int:
+    return -1
+
+
 def scan(
-    data: bytes, *, path: pathlib.Path, is_newest: bool
+    data: bytes,
+    *,
+    path: pathlib.Path,
+    is_newest: bool,
+    first_of_batch: Callable[[bytes], int] = _unknown_batch,
 ) -> tuple[list[bytes], int]:
     """Return the payloads of a file's intact records, and their size in bytes.
 
     The size includes the headers. Only the newest file may end in an
-    incomplete record, which is left out.
+    incomplete record, or in a batch of which a page is missing. That record,
+    and what follows, is left out.
+
+    Args:
+        data: Content of the file.
+        path: Path of the file, for the error.
+        is_newest: Whether no other file follows.
+        first_of_batch: Returns the sequence of the first record of a payload's
+            batch, a negative number if it is not known.
 
     Raises:
-        LogDamaged: A damaged record is not the last one, or the file is not
-            the newest.
+        LogDamaged: A damaged record is neither the last one nor in a batch
+            that was not synced, or the file is not the newest.
     """
     payloads: list[bytes] = []
     offset = 0
@@ -66,7 +88,9 @@
         payloads.append(payload)
         offset += HEADER.size + len(payload)
     is_damaged = offset < len(data)
-    if is_damaged and not (is_newest and _is_last_record(data, offset)):
+    if is_damaged and not (
+        is_newest and _is_unsynced(data, offset, payloads, first_of_batch)
+    ):
         raise LogDamaged(
             path,
             f"damaged record {len(payloads)} at byte {offset} of {len(data)}",
@@ -116,14 +140,72 @@
     return payload if _checksum(found_sequence, payload) == checksum else None
 
 
-def _is_last_record(data: bytes, offset: int) -> bool:
-    """Return whether no intact record follows the damaged one at `offset`."""
-    candidate = data.find(MARKER, offset + 1)
+def _is_unsynced(
+    data: bytes,
+    offset: int,
+    payloads: list[bytes],
+    first_of_batch: Callable[[bytes], int],
+) -> bool:
+    """Return whether the damaged record at `offset` can't have been synced.
+
+    A batch is written only after the sync of the one before. So an intact
+    record of a later batch proves that this one was synced, and may have been
+    acknowledged. If all intact records that follow are of the same batch, it
+    is taken for not synced only where a page of it reads as zeros, which is
+    what a file has in place of a page that was never written. Other damage,
+    such as a changed bit, is that of a page that was written.
+
+    Args:
+        data: Content of the file.
+        offset: Where the damaged record starts.
+        payloads: Payloads of all records before it.
+        first_of_batch: See `scan`.
+    """
+    following = list(_intact_records(data, offset + 1))
+    if not following:
+        return True
+    [batch, *others] = {first_of_batch(payload) for _, payload in following}
+    sequence = len(payloads)
+    if others or not 0 <= batch <= sequence:
+        return False
+    starts_batch = batch == sequence
+    if not starts_batch and first_of_batch(payloads[-1]) != batch:
+        return False
+    first_following, _ = following[0]
+    return _is_page_missing(
+        data, offset, first_following, starts_batch=starts_batch
+    )
+
+
+def _intact_records(data: bytes, offset: int) -> Iterator[tuple[int, bytes]]:
+    """Yield offset and payload of each intact record from `offset` on."""
+    candidate = data.find(MARKER, offset)
     while candidate >= 0:
-        if _read_record(data, candidate, None) is not None:
-            return False
+        payload = _read_record(data, candidate, None)
+        if payload is not None:
+            yield candidate, payload
         candidate = data.find(MARKER, candidate + 1)
-    return True
+
+
+def _is_page_missing(
+    data: bytes, start: int, end: int, *, starts_batch: bool
+) -> bool:
+    """Return whether a page from `start` to `end` has only zeros.
+
+    The page in which `start` lies counts, without its part before `start`, only
+    if a batch starts there: it may be missing though the part before, of an
+    earlier batch, was synced. That part begins with a marker, so a record
+    that was written is not all zeros there.
+    """
+    page_start = start - start % PAGE_BYTES
+    if page_start < start and not starts_batch:
+        page_start += PAGE_BYTES
+    while page_start + PAGE_BYTES <= end:
+        page_end = page_start + PAGE_BYTES
+        if not any(data[max(page_start, start) : page_end]):
+            return True
+        page_start = page_end
+    return False
 
 
 def _checksum(sequence: int, payload: bytes) -> int:
--- a/src/wisteriawall/storage/recovery.py
+++ b/src/wisteriawall/storage/recovery.py
@@ -11,6 +11,7 @@
 from wisteriawall.wire import raft_messages
 
 __all__ = [
+    "NO_BATCH",
     "EntryRecord",
     "HardStateRecord",
     "Record",
@@ -19,10 +20,17 @@
     "SegmentRecord",
     "TruncateRecord",
     "align_with_snapshot",
+    "first_of_batch",
     "replay",
 ]
 
 
+# Batch of a record from before batches were recorded.
+NO_BATCH = -1
+
+
+# In every record `batch` is the sequence of the first record that was written
+# and synced together with it.
 @final
 class SegmentRecord(msgspec.Struct, frozen=True, tag="segment"):
     """First record of a segment file.
@@ -34,6 +42,7 @@
     number: int
     term: int
     voted_for: str
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
 
 
 @final
@@ -42,6 +51,7 @@
 
     term: int
     voted_for: str
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
 
 
 @final
@@ -49,6 +59,7 @@
     """One entry of the replicated log."""
 
     entry: raft_messages.LogEntry
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
 
 
 @final
@@ -56,6 +67,7 @@
     """Deletes the entries before this record that have `index` or higher."""
 
     index: int
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
 
 
 @final
@@ -63,12 +75,22 @@
     """Deletes every entry before this record; the next one has `index` + 1."""
 
     index: int
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
 
 
 Record = (
     SegmentRecord | HardStateRecord | EntryRecord | TruncateRecord | ResetRecord
 )
 
+
+@final
+class _BatchRecord(msgspec.Struct, frozen=True):
+    """The field that all records have."""
+
+    batch: int = msgspec.field(default=NO_BATCH, name="b")
+
+
+_BATCH_DECODER = msgspec.msgpack.Decoder(_BatchRecord)
 _DECODER: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
 
@@ -98,6 +120,14 @@
     needs_reset: bool = False
 
 
+def first_of_batch(payload: bytes) -> int:
+    """Return the batch of a record, `NO_BATCH` if it has none."""
+    try:
+        return _BATCH_DECODER.decode(payload).batch
+    except msgspec.DecodeError:
+        return NO_BATCH
+
+
 def replay(
     recovered: RecoveredState,
     payloads: list[bytes],
--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -54,6 +54,7 @@
         self._failure: durable_files.StorageFailed | None = None
         self._unsynced_records: list[bytes] = []
         self._next_sequence = 0
+        self._batch = 0
         self._written_bytes = 0
         self._descriptor = -1
         snapshot = snapshot_file.load(folder.path)
@@ -146,7 +147,11 @@
         self._folder.close()
 
     def _buffer_record(self, record: recovery.Record) -> None:
-        payload = self._encoder.encode(record)
+        if not self._unsynced_records:
+            self._batch = self._next_sequence
+        payload = self._encoder.encode(
+            msgspec.structs.replace(record, batch=self._batch)
+        )
         self._unsynced_records.append(
             records.frame(sequence=self._next_sequence, payload=payload)
         )
@@ -223,7 +228,10 @@
         """Read one segment; return the number of the one to append to."""
         data = path.read_bytes()
         payloads, valid_bytes = records.scan(
-            data, path=path, is_newest=is_newest
+            data,
+            path=path,
+            is_newest=is_newest,
+            first_of_batch=recovery.first_of_batch,
         )
         if not payloads:
             return self._remove_incomplete_segment(path, previous_number)
@@ -261,7 +269,10 @@
             return 0
         previous_path = self._segment_path(previous_number)
         payloads, valid_bytes = records.scan(
-            previous_path.read_bytes(), path=previous_path, is_newest=False
+            previous_path.read_bytes(),
+            path=previous_path,
+            is_newest=False,
+            first_of_batch=recovery.first_of_batch,
         )
         self._next_sequence, self._written_bytes = len(payloads), valid_bytes
         self._descriptor = os.open(previous_path, os.O_WRONLY | os.O_APPEND)
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -15,6 +15,7 @@
 
 from wisteriawall.storage import data_folder
 from wisteriawall.storage import durable_files
+from wisteriawall.storage import records
 from wisteriawall.storage import replica_log
 from wisteriawall.wire import raft_messages
 
@@ -346,3 +347,53 @@
     log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
     assert log.recovered.entries == ENTRIES[:3]
     log.close()
+
+
+def _zero(data: bytearray, start: int, end: int) -> None:
+    data[start:end] = bytes(end - start)
+
+
+@pytest.mark.parametrize(
+    ("start", "end", "batches", "entries"),
+    [
+        pytest.param(4_096, 8_192, 1, 3, id="page-in-first-record"),
+        pytest.param(8_192, 12_288, 1, 4, id="page-in-later-record"),
+        pytest.param(None, 8_192, 1, 3, id="two-pages"),
+        pytest.param(None, 4_096, 2, -1, id="later-batch-is-intact"),
+        pytest.param(100, 4_096, 1, -1, id="synced-part-of-the-page"),
+        pytest.param(5_000, 5_001, 1, -1, id="one-byte"),
+        pytest.param(4_097, 8_192, 1, -1, id="part-of-a-page"),
+    ],
+)
+def test_only_missing_pages_of_the_last_batch_are_dropped(
+    disk: Disk, start: int | None, end: int, batches: int, entries: int
+) -> None:
+    """Other damage may be that of acknowledged entries; -1: it is reported."""
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    append(log, ENTRIES[:3])
+    synced_bytes = log.path.stat().st_size
+    added = [
+        raft_messages.LogEntry(index, 1, b"x" * 6_000) for index in (4, 5, 6)
+    ]
+    log.append(tuple(added))
+    log.sync()
+    if batches == 2:
+        log.append((raft_messages.LogEntry(7, 1, b"later"),))
+        log.sync()
+    log.close()
+    data = bytearray(log.path.read_bytes())
+    _zero(data, synced_bytes if start is None else start, end)
+    log.path.write_bytes(data)
+    if entries < 0:
+        with pytest.raises(records.LogDamaged):
+            open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+        assert log.path.read_bytes() == data
+        return
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert log.recovered.entries == [*ENTRIES[:3], *added][:entries]
+    log.append((raft_messages.LogEntry(entries + 1, 2, b"next"),))
+    log.sync()
+    log.close()
+    log = open_log(disk.path, segment_bytes=LARGE_SEGMENT_BYTES)
+    assert log.recovered.entries[-1].command == b"next"
+    log.close()
