--- a/src/wisteriawall/control/commands.py
+++ b/src/wisteriawall/control/commands.py
@@ -156,7 +156,11 @@
 
 @final
 class SetPresence(msgspec.Struct, frozen=True, tag="presence"):
-    """Record a runner's presence as the leader of `term` determined it."""
+    """Record a runner's presence as the leader of `term` determined it.
+
+    `is_restart` says that an incarnation lower than the recorded one is a
+    later start, after the clock was set back.
+    """
 
     runner: str
     presence: state.Presence
@@ -164,6 +168,7 @@
     cause: str
     at_ms: int
     term: int
+    is_restart: bool = False
 
 
 @final
@@ -178,21 +183,31 @@
 
 @final
 class SetDrain(msgspec.Struct, frozen=True, tag="drain"):
-    """Record that an operator drains a runner, or undoes that."""
+    """Record that an operator drains a runner, or undoes that.
+
+    A command whose `drain_id` was applied before changes nothing. It is empty
+    in logs from before it existed and for clients that send none.
+    """
 
     runner: str
     drained: bool
     operator: str
     at_ms: int
+    drain_id: str = ""
 
 
 @final
 class RecordEntryLost(msgspec.Struct, frozen=True, tag="entry-gone"):
-    """Record that an entry's incarnation and all earlier ones are lost."""
+    """Record that an entry's incarnation is lost.
+
+    Without `only`, as in older logs, all lower incarnations are lost too. One
+    of them may be the entry's present start, after its clock was set back.
+    """
 
     entry: str
     incarnation: int
     at_ms: int
+    only: bool = False
 
 
 @final
