Learn the prefill speeds of engines from all gateways' measurements

An engine's slowdown was a moving average of weight 0.05, clipped to 0.5, from prompts that were expected not to wait. Engines at three times the nominal speed were never forecast right, and others only after minutes.

Each gateway now measures the prefills that it sent, also those in a known queue, and names the result in the load event that ends the prefill. The median over a service is the prior of its engines; an engine's own median counts by the number and age of its measurements. The mean cost of stalls and the overhead of a measurement are learned for the service. The cost of occupying an engine no longer depends on the engine's own speed, so that slow engines keep their part of the work. Prompts that are only decoded at an engine no longer restart its active prefill, and events of peers are dated back by their usual delay.

--- a/src/wisteriawall/gateway/control_update.py
+++ b/src/wisteriawall/gateway/control_update.py
@@ -129,6 +129,7 @@
     yield from limits.note_contact(gateway, event)
     yield from limits.apply_known(gateway, event)
     yield from limits.report_usage(gateway, event.now_ms)
+    yield from loads.report_speeds(gateway, event.now_ms)
 
 
 def _apply_upstreams(
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -14,24 +14,38 @@
     "apply_steps",
     "apply_table",
     "apply_upstreams",
+    "measure_prefill",
+    "report_speeds",
     "report_step",
-    "update_slowdown",
 ]
 
+PERMILLE = 1_000
+SPEED_REPORT_INTERVAL_MS = 4_000
+# Load events wait up to 5 ms for others, and are sent and received in a few
+# more. Without the correction, a prefill after one of another gateway is
+# measured too short by this time.
+PEER_EVENT_DELAY_MS = 8
+
 
 def report_step(
     gateway: state_lib.Gateway,
     request: state_lib.Request,
     kind: gateway_messages.LoadEventKind,
     now_ms: int,
+    *,
+    prefill_permille: int = 0,
 ) -> Iterator[events.BroadcastLoad]:
     """Record that a request of this gateway changed state at its runner.
 
-    Yields the effect that broadcasts the change to the other gateways.
+    Yields the effect that broadcasts the change to the other gateways, with
+    the measured duration of the prefill if `prefill_permille` is not 0.
     """
     assert request.current_send is not None
     load_event = gateway_messages.LoadEvent(
-        kind, request.current_send.upstream.upstream_id, request.request_id
+        kind,
+        request.current_send.upstream.upstream_id,
+        request.request_id,
+        prefill_permille=prefill_permille,
     )
     apply_step(gateway, load_event, now_ms)
     yield events.BroadcastLoad(load_event=load_event)
@@ -44,22 +58,32 @@
 ) -> None:
     """Update runners' loads with events of another gateway."""
     for load_event in load_events:
-        apply_step(gateway, load_event, now_ms)
+        apply_step(gateway, load_event, now_ms, delay_ms=PEER_EVENT_DELAY_MS)
 
 
 def apply_step(
     gateway: state_lib.Gateway,
     load_event: gateway_messages.LoadEvent,
     now_ms: int,
+    *,
+    delay_ms: int = 0,
 ) -> None:
     """Update a runner's load with an event of this or another gateway.
 
-    Events about runners that are not in the list are ignored.
+    The event happened `delay_ms` ago. Events about runners that are not in the
+    list are ignored.
     """
+    happened_ms = now_ms - delay_ms
     load = gateway.load_by_id.get(load_event.upstream_id)
     if load is None:
         return
     start_id = gateway.upstream_by_id[load_event.upstream_id].start_id
+    if load_event.prefill_permille > 0:
+        load.add_measurement(
+            load_event.request_id,
+            load_event.prefill_permille / PERMILLE,
+            now_ms=happened_ms,
+        )
     match load_event.kind:
         case gateway_messages.LoadEventKind.SENT:
             tokens = sum(tokens for _, tokens in load_event.parts)
@@ -72,13 +96,13 @@
                     tokens=tokens,
                 ),
                 priority_class=load_event.priority_class,
-                now_ms=now_ms,
+                now_ms=happened_ms,
             )
         case gateway_messages.LoadEventKind.ANSWER_STARTED:
-            load.first_token_received(load_event.request_id, now_ms=now_ms)
+            load.first_token_received(load_event.request_id, now_ms=happened_ms)
             gateway.notices.note_success(start_id, now_ms)
         case gateway_messages.LoadEventKind.ENDED:
-            load.request_ended(load_event.request_id, now_ms=now_ms)
+            load.request_ended(load_event.request_id, now_ms=happened_ms)
         case gateway_messages.LoadEventKind.FAILED:
             gateway.notices.avoid(start_id, now_ms)
         case gateway_messages.LoadEventKind.LEAVING:
@@ -87,32 +111,42 @@
             )
 
 
-def update_slowdown(
+def measure_prefill(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
-) -> None:
-    """Update an engine's slowdown from the measured time of a prefill.
+) -> int:
+    """Return the time of a prefill that ends now, in permille of the nominal.
 
-    Does nothing for requests without a prompt. Prompts that were expected to
-    wait in the engine's queue are ignored too, because their time depends on
-    the queue more than on the engine's speed.
+    Returns 0 if it can't be measured.
     """
     assert request.current_send is not None
     load = gateway.load_by_id.get(request.current_send.upstream.upstream_id)
-    placement = request.placement
-    if load is None or placement is None:
-        return
-    speeds = gateway.tuning.placement_options.speeds
-    if request.prompt is None or placement.wait_ms > 0:
+    if load is None or request.prompt is None:
+        return 0
+    ratio = load.measure_prefill(request.request_id, now_ms=now_ms)
+    return 0 if ratio is None else max(1, round(ratio * PERMILLE))
+
+
+def report_speeds(
+    gateway: state_lib.Gateway, now_ms: int
+) -> Iterator[events.LogDecision]:
+    """Log the learned speeds of engines from time to time."""
+    if now_ms - gateway.speeds_reported_ms < SPEED_REPORT_INTERVAL_MS:
         return
-    expected_ms = load.slowdown * load.prefill_ms(
-        speeds,
-        uncached_tokens=placement.uncached_tokens,
-        tokens=request.prompt.tokens,
-    )
-    prefill_ms = now_ms - request.sent_ms - speeds.first_decode_ms
-    load.update_slowdown(
-        expected_ms=expected_ms, measured_ms=max(0.0, prefill_ms)
-    )
+    gateway.speeds_reported_ms = now_ms
+    for report in gateway.speeds.report():
+        yield events.LogDecision(
+            decision="engine-speed",
+            request_id="",
+            inputs={
+                "service": report.service,
+                "stage": "prefill" if report.is_prefill_engine else "decode",
+                "slowdown": round(report.ratio, 3),
+                "spread": round(report.spread, 3),
+                "stall_factor": round(report.stall_factor, 3),
+                "overhead_ms": round(report.overhead_ms, 1),
+                "measurements": report.measurements,
+            },
+        )
 
 
 def apply_upstreams(
@@ -141,12 +175,20 @@
         )
         load = gateway.load_by_id.get(upstream_id)
         is_prefill_engine = upstream.stage is gateway_messages.Stage.PREFILL
+        service_speed = gateway.speeds.service_speed(
+            upstream.service, is_prefill_engine=is_prefill_engine
+        )
         if load is not None and same_start:
-            load.is_prefill_engine = is_prefill_engine
+            if load.speed.service is not service_speed:
+                load.set_stage(
+                    is_prefill_engine=is_prefill_engine,
+                    service_speed=service_speed,
+                )
             continue
         gateway.load_by_id[upstream_id] = placement_lib.EngineLoad(
             kv_cache_tokens=_kv_cache_tokens(gateway, upstream.service),
             is_prefill_engine=is_prefill_engine,
+            service_speed=service_speed,
         )
 
 
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -258,13 +258,15 @@
     placement: placement_lib.Placement,
     decision: str,
 ) -> events.LogDecision:
-    prefill_upstream_id = placement.prefill_upstream_id
+    load = gateway.load_by_id[placement.prefill_upstream_id]
     return events.LogDecision(
         decision=decision,
         request_id=request.request_id,
         inputs={
             "route": request.route.name,
-            "queued": gateway.load_by_id[prefill_upstream_id].pending_prefills,
+            "queued": load.pending_prefills,
+            "slowdown": round(load.slowdown, 3),
+            "slowdown_error": round(load.uncertainty, 3),
             "wait_ms": round(placement.wait_ms),
             "first_token_ms": round(placement.first_token_ms),
             "unread_tokens": placement.uncached_tokens,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -211,10 +211,14 @@
     placement = request.placement
     assert isinstance(placement, placement_lib.EnginePair)
     prefiller = request.current_send.upstream
-    loads.update_slowdown(gateway, request, event.now_ms)
+    prefill_permille = loads.measure_prefill(gateway, request, event.now_ms)
     yield _phase_progress(request, "prompt-read", event.now_ms)
     yield from loads.report_step(
-        gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
+        gateway,
+        request,
+        gateway_messages.LoadEventKind.ENDED,
+        event.now_ms,
+        prefill_permille=prefill_permille,
     )
     if suspects.is_blocked(gateway, request, event.now_ms):
         yield from final_answers.refuse_blocked(gateway, request, event.now_ms)
@@ -251,8 +255,6 @@
     if request.answer_started:
         return
     request.answer_started = True
-    if request.current_send.phase is protocol.Phase.WHOLE:
-        loads.update_slowdown(gateway, request, event.now_ms)
     yield _phase_progress(request, "began", event.now_ms)
     if request.prompt is None:
         # Only a prompt's prefill ends with the start of the answer.
@@ -265,6 +267,7 @@
         request,
         gateway_messages.LoadEventKind.ANSWER_STARTED,
         event.now_ms,
+        prefill_permille=loads.measure_prefill(gateway, request, event.now_ms),
     )
 
 
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -438,6 +438,11 @@
             case (("began" | "ended"), {"ms": int(elapsed_ms)}):
                 self._metrics.count(decision)
                 self._metrics.record_duration_ms(decision, elapsed_ms)
+            case (
+                "engine-speed",
+                {"service": name, "stage": stage, "slowdown": float(slowdown)},
+            ):
+                self._metrics.set_gauge(f"slowdown.{name}.{stage}", slowdown)
             case _:
                 self._metrics.count(decision)
 
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -7,6 +7,7 @@
 from wisteriawall.config import route_table
 from wisteriawall.gateway import protocol
 from wisteriawall.policy import admission
+from wisteriawall.policy import engine_speeds
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import retry_window
@@ -107,6 +108,8 @@
     `newest_table` is the highest number of a table that control named, and
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
+    `speeds` are the learned speeds of each service's engines, last logged at
+    `speeds_reported_ms`.
     `suspects` are requests and parts of prompts under which runners crashed,
     and `lost_requests` the latest ones that a runner cut off here, with the
     time.
@@ -138,6 +141,12 @@
     load_by_id: dict[str, placement_lib.EngineLoad] = dataclasses.field(
         default_factory=dict
     )
+    speeds: engine_speeds.Speeds = dataclasses.field(
+        default_factory=lambda: engine_speeds.Speeds(
+            prior_overhead_ms=placement_lib.PrefillSpeeds().first_decode_ms
+        )
+    )
+    speeds_reported_ms: int = 0
     notices: runner_notices.RunnerNotices = dataclasses.field(
         default_factory=runner_notices.RunnerNotices
     )
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -24,6 +24,8 @@
 from typing import final
 import zlib
 
+from wisteriawall.policy import engine_speeds
+
 __all__ = [
     "Candidate",
     "EngineLoad",
@@ -43,15 +45,11 @@
 MAX_RUNNING_SHARE = 0.9
 # A prompt that finds the KV cache full waits until a long answer ends.
 KV_CACHE_WAIT_MS = 1_000.0
-# Weight of one measurement in the moving average of an engine's slowdown.
-SLOWDOWN_SMOOTHING = 0.05
-MIN_SLOWDOWN = 0.5
-MAX_SLOWDOWN = 6.0
+# Speeds change slowly; computing them for every placement takes too long.
+SLOWDOWN_INTERVAL_MS = 100
 # No request is in progress for longer: the longest deadline is 8 to 9 s.
 MAX_REQUEST_MS = 10_000
 MAX_CRC32 = 0xFFFF_FFFF
-# Shorter prefills measure the network more than the engine.
-MIN_EXPECTED_MS = 30.0
 
 
 @final
@@ -165,8 +163,10 @@
     Attributes:
         is_prefill_engine: True for an engine that only prefills and transfers
             its KV cache to another.
-        slowdown: Measured prefill time divided by the nominal one, as a moving
-            average: 2.0 means half the speed.
+        slowdown: Expected prefill time divided by the nominal one: 2.0 means
+            half the speed.
+        uncertainty: Standard error of `slowdown`, as a share of it.
+        speed: Learned speed, from which `slowdown` is computed.
     """
 
     __slots__ = (
@@ -177,15 +177,27 @@
         "_kv_cache_tokens",
         "_pending_by_id",
         "_running_by_id",
+        "_slowdown_ms",
         "is_prefill_engine",
         "slowdown",
+        "speed",
+        "uncertainty",
     )
 
     def __init__(
-        self, *, kv_cache_tokens: int, is_prefill_engine: bool
+        self,
+        *,
+        kv_cache_tokens: int,
+        is_prefill_engine: bool,
+        service_speed: engine_speeds.ServiceSpeed | None = None,
     ) -> None:
-        self.is_prefill_engine = is_prefill_engine
-        self.slowdown = 1.0
+        self.set_stage(
+            is_prefill_engine=is_prefill_engine,
+            service_speed=service_speed
+            or engine_speeds.ServiceSpeed(
+                prior_overhead_ms=PrefillSpeeds().first_decode_ms
+            ),
+        )
         self._kv_cache_tokens = kv_cache_tokens
         self._pending_by_id: OrderedDict[str, _SentPrompt] = OrderedDict()
         self._running_by_id: OrderedDict[str, _SentPrompt] = OrderedDict()
@@ -194,6 +206,17 @@
         self._active_since_ms = 0
         self._active_id = ""
 
+    def set_stage(
+        self,
+        *,
+        is_prefill_engine: bool,
+        service_speed: engine_speeds.ServiceSpeed,
+    ) -> None:
+        """Begin a stage, with the speed of the service's engines in it."""
+        self.is_prefill_engine = is_prefill_engine
+        self.speed = engine_speeds.EngineSpeed(service_speed)
+        self._update_slowdown(0)
+
     def set_kv_cache_tokens(self, tokens: int) -> None:
         """Replace the capacity of the engine's KV cache."""
         self._kv_cache_tokens = tokens
@@ -281,13 +304,14 @@
         sent = self._pending_by_id.pop(request_id, None)
         if sent is not None:
             self._running_by_id[request_id] = sent
-            self._finish_active(now_ms)
+            self._finish_prefill(sent, now_ms)
 
     def request_ended(self, request_id: str, *, now_ms: int) -> None:
         """Record the end or failure of a request."""
         self._running_by_id.pop(request_id, None)
-        if self._pending_by_id.pop(request_id, None) is not None:
-            self._finish_active(now_ms)
+        sent = self._pending_by_id.pop(request_id, None)
+        if sent is not None:
+            self._finish_prefill(sent, now_ms)
 
     def drop_expired(self, now_ms: int) -> None:
         """Drop requests that can't be in progress any more.
@@ -302,37 +326,82 @@
                     break
                 del by_id[request_id]
         self._select_active(now_ms)
+        if now_ms - self._slowdown_ms >= SLOWDOWN_INTERVAL_MS:
+            self._update_slowdown(now_ms)
+
+    def measure_prefill(self, request_id: str, *, now_ms: int) -> float | None:
+        """Return the measured time of a prefill divided by the nominal one.
 
-    def update_slowdown(
-        self, *, expected_ms: float, measured_ms: float
+        Called when the gateway that sent the prompt sees its prefill end. The
+        prefill began when the prompt was sent to an idle engine, or when the
+        one before it ended. Returns None if neither is known, or if the
+        prefill is too short to measure.
+        """
+        sent = self._pending_by_id.get(request_id)
+        if (
+            sent is None
+            or request_id != self._active_id
+            or sent.prefill_ms < engine_speeds.MIN_NOMINAL_MS
+        ):
+            return None
+        elapsed_ms: float = now_ms - self._active_since_ms
+        if self._active_since_ms == sent.sent_ms:
+            # Both ends of a prefill after another one are reported late by the
+            # same time, which therefore counts only here.
+            service = self.speed.service
+            overhead_ms = elapsed_ms - sent.prefill_ms * self.speed.typical
+            elapsed_ms -= service.overhead_ms
+            service.add_overhead(overhead_ms)
+        return max(0.0, elapsed_ms) / sent.prefill_ms
+
+    def add_measurement(
+        self, request_id: str, ratio: float, *, now_ms: int
     ) -> None:
-        """Update the engine's slowdown from one measured prefill.
+        """Learn from a prefill that this or another gateway measured.
 
         Args:
-            expected_ms: Prefill time as forecast with the current slowdown.
-            measured_ms: Measured prefill time.
+            request_id: The request, whose prefill ends now.
+            ratio: Measured prefill time divided by the nominal one.
+            now_ms: Monotonic clock.
         """
-        if expected_ms < MIN_EXPECTED_MS:
-            return
-        measured_slowdown = self.slowdown * measured_ms / expected_ms
-        slowdown = self.slowdown + SLOWDOWN_SMOOTHING * (
-            measured_slowdown - self.slowdown
+        sent = self._pending_by_id.get(request_id)
+        nominal_ms = sent.prefill_ms if sent else 0.0
+        self.speed.add(
+            ratio,
+            nominal_ms=max(engine_speeds.MIN_NOMINAL_MS, nominal_ms),
+            now_ms=now_ms,
         )
-        self.slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown))
+
+    def _update_slowdown(self, now_ms: int) -> None:
+        self._slowdown_ms = now_ms
+        self.speed.update(now_ms)
+        self.slowdown = self.speed.slowdown
+        self.uncertainty = self.speed.uncertainty
 
     def _select_active(self, now_ms: int) -> None:
         """Select the most urgent pending prompt if none is active."""
-        if self._active_id in self._pending_by_id or not self._pending_by_id:
+        if not self._pending_by_id:
+            return
+        active = self._pending_by_id.get(self._active_id)
+        # A prompt that is decoded after a prefill elsewhere needs none here.
+        if active is not None and active.prefill_ms > 0:
             return
         self._active_id = min(
             self._pending_by_id,
-            key=lambda name: self._pending_by_id[name].priority_class,
+            key=lambda name: (
+                self._pending_by_id[name].prefill_ms <= 0,
+                self._pending_by_id[name].priority_class,
+            ),
         )
         self._active_since_ms = now_ms
 
-    def _finish_active(self, now_ms: int) -> None:
-        """Start the next prefill now that a prompt has been completed."""
-        self._active_since_ms = now_ms
+    def _finish_prefill(self, sent: _SentPrompt, now_ms: int) -> None:
+        """Start the next prefill now that a prompt has been completed.
+
+        A prompt that is only decoded here doesn't delay the active prefill.
+        """
+        if sent.prefill_ms > 0:
+            self._active_since_ms = now_ms
         self._select_active(now_ms)
 
     def _cache_parts(self, parts: Iterable[tuple[str, int]]) -> None:
@@ -482,8 +551,17 @@
     return options.spread_ms * zlib.crc32(pair) / MAX_CRC32
 
 
-def _occupancy_penalty_ms(prefill_ms: float, options: Options) -> float:
-    return options.occupancy_weight * prefill_ms
+def _occupancy_penalty_ms(
+    nominal_ms: float, candidate: Candidate, options: Options
+) -> float:
+    """Return a cost for the prompts that arrive later and wait for this one.
+
+    It is the same at all engines of a service: a slow engine is occupied for
+    longer, but fewer prompts go there. Otherwise slow engines would be left
+    idle while the others have queues.
+    """
+    service_ratio = candidate.load.speed.service.ratio
+    return options.occupancy_weight * nominal_ms * service_ratio
 
 
 def _forecast_single(
@@ -491,17 +569,20 @@
 ) -> SingleEngine:
     wait_ms = _wait_ms(candidate, prompt, now_ms, options)
     uncached_tokens = candidate.load.uncached_tokens(prompt.parts)
-    prefill_ms = candidate.load.slowdown * candidate.load.prefill_ms(
+    nominal_ms = candidate.load.prefill_ms(
         options.speeds, uncached_tokens=uncached_tokens, tokens=prompt.tokens
     )
-    first_token_ms = wait_ms + prefill_ms + options.speeds.first_decode_ms
+    prefill_ms = candidate.load.slowdown * nominal_ms
+    first_token_ms = (
+        wait_ms + prefill_ms + candidate.load.speed.service.overhead_ms
+    )
     return SingleEngine(
         upstream_id=candidate.upstream_id,
         uncached_tokens=uncached_tokens,
         wait_ms=wait_ms,
         first_token_ms=first_token_ms,
         cost_ms=first_token_ms
-        + _occupancy_penalty_ms(prefill_ms, options)
+        + _occupancy_penalty_ms(nominal_ms, candidate, options)
         + _zone_penalty_ms(candidate, options)
         + _spread_penalty_ms(prompt, candidate, options),
     )
@@ -518,9 +599,10 @@
 ) -> EnginePair:
     wait_ms = _wait_ms(prefill_engine, prompt, now_ms, options)
     uncached_tokens = prefill_engine.load.uncached_tokens(prompt.parts)
-    prefill_ms = prefill_engine.load.slowdown * prefill_engine.load.prefill_ms(
+    nominal_ms = prefill_engine.load.prefill_ms(
         options.speeds, uncached_tokens=uncached_tokens, tokens=prompt.tokens
     )
+    prefill_ms = prefill_engine.load.slowdown * nominal_ms
     transferred_ms = (
         wait_ms + prefill_ms + options.speeds.transfer_overhead_ms + transfer_ms
     )
@@ -537,7 +619,7 @@
         first_token_ms=first_token_ms,
         cost_ms=first_token_ms
         + options.pair_cost_ms
-        + _occupancy_penalty_ms(prefill_ms, options)
+        + _occupancy_penalty_ms(nominal_ms, prefill_engine, options)
         + _spread_penalty_ms(prompt, prefill_engine, options)
         + _zone_penalty_ms(prefill_engine, options)
         + _zone_penalty_ms(decode_engine, options),
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -400,6 +400,9 @@
     `per_s` of LIMITED is `NO_LIMIT_PER_S` if the runner has none any more, and
     `age_ms` the time since the request was sent whose answer named it. In
     events that control passes on, `age_ms` is the time since the loss.
+
+    `prefill_permille` is set if the event ends a prefill that the sender
+    measured: its duration, in permille of the nominal one.
     """
 
     kind: LoadEventKind
@@ -413,6 +416,7 @@
     age_ms: int = 0
     has_crashed: bool = False
     origin: StreamOrigin | None = None
+    prefill_permille: int = 0
 
 
 def with_age(event: LoadEvent, age_ms: int) -> LoadEvent:
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -1,5 +1,6 @@
 """Tests of placement under load patterns, replayed in virtual time."""
 
+import collections
 import dataclasses
 import itertools
 import random
@@ -11,6 +12,7 @@
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import admission
+from wisteriawall.policy import engine_speeds
 from wisteriawall.policy import placement
 from wisteriawall.wire import gateway_messages
 
@@ -215,3 +217,65 @@
         list(reducer.reduce(state, update))
     result = replay.Replay([state]).play(brief_requests(1, 1, subjects=1))
     assert result.in_time(TARGET_LATENCY_MS) == 1
+
+
+@pytest.mark.parametrize(
+    ("speed", "every_ms"),
+    [
+        pytest.param(0.6, 500, id="slow-engines"),
+        pytest.param(3.0, 80, id="fast-engines"),
+    ],
+)
+def test_speed_of_new_kinds_of_engines_is_learned_within_seconds(
+    speed: float, every_ms: int
+) -> None:
+    """Every gateway learns it, from the prefills of all of them."""
+    factor_by_id = {engine.upstream_id: speed for engine in FLEET}
+    gateways = [replay.gateway(FLEET) for _ in range(4)]
+    player = replay.Replay(
+        gateways,
+        speed_factor_by_id=factor_by_id,
+        stall_share=0.15,
+        overlaps_decoding=True,
+    )
+    player.play(brief_requests(30, every_ms, subjects=1_000))
+    for gateway in gateways:
+        loads_of_prefill = [gateway.load_by_id[name] for name in ("p1", "p2")]
+        for load in loads_of_prefill:
+            load.drop_expired(30 * every_ms + 1_000)
+            assert load.speed.typical == pytest.approx(1 / speed, rel=0.2)
+
+
+def test_slow_engines_get_less_work_and_none_is_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Engines of 0.6, 1.0 and 1.6 of the nominal speed, with stalls."""
+    fleet = [
+        *(replay.upstream(f"p{n}", PREFILL) for n in range(6)),
+        *(replay.upstream(f"d{n}", DECODE) for n in range(6)),
+    ]
+    factor_by_id = {
+        engine.upstream_id: (0.6, 1.0, 1.6)[number % 3]
+        for number, engine in enumerate(fleet)
+    }
+    load = brief_requests(1_200, 24, subjects=300, shared=4_000)
+
+    def play() -> tuple[int, dict[str, int]]:
+        gateways = [replay.gateway(fleet) for _ in range(4)]
+        player = replay.Replay(
+            gateways,
+            update_delay_ms=10,
+            speed_factor_by_id=factor_by_id,
+            stall_share=0.15,
+            overlaps_decoding=True,
+        )
+        result = player.play(load)
+        count_by_id = collections.Counter(player.dispatched_upstream_ids)
+        return result.in_time(TARGET_LATENCY_MS), count_by_id
+
+    in_time, count_by_id = play()
+    with monkeypatch.context() as patch:
+        patch.setattr(engine_speeds.EngineSpeed, "add", lambda *_, **__: None)
+        in_time_without, _ = play()
+    assert in_time >= 1.05 * in_time_without
+    assert 0 < count_by_id["p0"] < count_by_id["p1"] < count_by_id["p2"]
--- a/testing/policy/test_placement.py
+++ b/testing/policy/test_placement.py
@@ -101,13 +101,33 @@
 
 def test_slowdown_follows_measurements_of_long_prefills() -> None:
     engine = idle_load()
-    for _ in range(500):
-        engine.update_slowdown(
-            expected_ms=100 * engine.slowdown, measured_ms=300
+    for number in range(500):
+        name, sent_ms = f"r{number}", 1_000 * number
+        engine.request_sent(
+            name, ((name, 9),), prefill_ms=100, priority_class=3, now_ms=sent_ms
         )
+        end_ms = sent_ms + 318
+        ratio = engine.measure_prefill(name, now_ms=end_ms)
+        assert ratio is not None
+        engine.add_measurement(name, ratio, now_ms=end_ms)
+        engine.request_ended(name, now_ms=end_ms)
+        engine.drop_expired(end_ms)
     assert engine.slowdown == pytest.approx(3, rel=0.05)
-    engine.update_slowdown(expected_ms=10, measured_ms=10_000)
-    assert engine.slowdown == pytest.approx(3, rel=0.05)
+    send_prompt(engine, "short", 10)
+    assert engine.measure_prefill("short", now_ms=10_000) is None
+
+
+def test_prefill_in_a_queue_is_measured_from_the_end_of_the_one_before() -> (
+    None
+):
+    engine = idle_load()
+    send_prompt(engine, "first", 100)
+    send_prompt(engine, "second", 200)
+    # It needs no prefill here, so that it delays none.
+    send_prompt(engine, "decoded", 0, priority_class=1)
+    assert engine.measure_prefill("second", now_ms=150) is None
+    engine.first_token_received("first", now_ms=150)
+    assert engine.measure_prefill("second", now_ms=550) == pytest.approx(2)
 
 
 def best_placement(
--- a/testing/support/replay.py
+++ b/testing/support/replay.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 import heapq
 import itertools
@@ -25,6 +26,8 @@
 PREFILL_TOKENS_PER_MS = 33.0
 DECODE_TOKENS_PER_MS = 14.0
 DEADLINE_MS = 8_000
+STALL_FACTOR = 2.5
+FIRST_TOKEN_MS = 15
 
 
 def route(name: str, *, goal_ms: int, rank: int) -> route_table.Route:
@@ -142,10 +145,12 @@
     It prefills one prompt at a time, the most urgent first.
     """
 
-    def __init__(self, stage: gateway_messages.Stage) -> None:
-        self.tokens_per_ms = DECODE_TOKENS_PER_MS
+    def __init__(
+        self, stage: gateway_messages.Stage, speed_factor: float
+    ) -> None:
+        self.tokens_per_ms = DECODE_TOKENS_PER_MS * speed_factor
         if stage is gateway_messages.Stage.PREFILL:
-            self.tokens_per_ms = PREFILL_TOKENS_PER_MS
+            self.tokens_per_ms = PREFILL_TOKENS_PER_MS * speed_factor
         self.waiting: list[tuple[int, int, Any]] = []
         self.is_busy = False
         self.cached_parts: set[str] = set()
@@ -158,6 +163,11 @@
         gateways: Each request goes to the next of them in turn.
         share_load: Whether gateways broadcast load events to each other.
         update_delay_ms: Time that a load event takes.
+        speed_factor_by_id: Speed of engines relative to the nominal one.
+        stall_share: Share of the prefills that take `STALL_FACTOR` times as
+            long.
+        overlaps_decoding: Whether engines decode while they prefill. Without
+            it, each decoding step occupies the engine.
     """
 
     def __init__(
@@ -166,13 +176,21 @@
         *,
         share_load: bool = True,
         update_delay_ms: int = UPDATE_DELAY_MS,
+        speed_factor_by_id: Mapping[str, float] | None = None,
+        stall_share: float = 0.0,
+        overlaps_decoding: bool = False,
     ) -> None:
         """Create a model for each engine of the first gateway."""
         self._update_delay_ms = update_delay_ms
         self._gateways = gateways
         self._share_load = share_load
+        self._stall_share = stall_share
+        self._overlaps_decoding = overlaps_decoding
+        self._random = random.Random(7)
         self._engine_by_id = {
-            name: _Engine(engine.stage)
+            name: _Engine(
+                engine.stage, (speed_factor_by_id or {}).get(name, 1.0)
+            )
             for name, engine in gateways[0].upstream_by_id.items()
         }
         self._event_numbers = itertools.count()
@@ -218,11 +236,15 @@
                     load_events=(step,), now_ms=round(now_ms)
                 )
                 list(reducer.reduce(gateway, update))
-            case ("prefilled", engine, key, request, gateway, send):
+            case ("prefilled", engine, request, ended):
                 engine.is_busy = False
                 engine.cached_parts.update(part for part, _ in request.parts)
-                self._complete_prefill(now_ms, key, request, gateway, send)
+                if ended is not None:
+                    key, gateway, send = ended
+                    self._complete_prefill(now_ms, key, request, gateway, send)
                 self._start_next(engine, now_ms)
+            case ("decoding", key, request, gateway, send):
+                self._complete_prefill(now_ms, key, request, gateway, send)
             case ("end", key, gateway):
                 ended = events.Ended(
                     request_key=_request_key(key),
@@ -297,6 +319,11 @@
     ) -> None:
         self.dispatched_upstream_ids.append(send.upstream.upstream_id)
         engine = self._engine_by_id[send.upstream.upstream_id]
+        if self._overlaps_decoding and send.phase is protocol.Phase.DECODE:
+            action = ("decoding", key, request, gateway, send)
+            engine.cached_parts.update(part for part, _ in request.parts)
+            self._schedule(now_ms + FIRST_TOKEN_MS, action)
+            return
         waiting = (key, request, gateway, send)
         heapq.heappush(
             engine.waiting,
@@ -315,10 +342,19 @@
                     uncached_tokens += tokens
         self.result.prefilled_tokens += uncached_tokens
         engine.is_busy = True
-        done_ms = now_ms + 15 + uncached_tokens / engine.tokens_per_ms
-        self._schedule(
-            done_ms, ("prefilled", engine, key, request, gateway, send)
-        )
+        prefill_ms = uncached_tokens / engine.tokens_per_ms
+        if self._random.random() < self._stall_share:
+            prefill_ms *= STALL_FACTOR
+        if self._overlaps_decoding:
+            self._schedule(
+                now_ms + prefill_ms + FIRST_TOKEN_MS,
+                ("decoding", key, request, gateway, send),
+            )
+            done: Any = ("prefilled", engine, request, None)
+        else:
+            prefill_ms += FIRST_TOKEN_MS
+            done = ("prefilled", engine, request, (key, gateway, send))
+        self._schedule(now_ms + prefill_ms, done)
 
 
 def _request_key(key: str) -> int:
