Bound the wait for the first table by the request's deadline

Requests that arrived before table and runners were known waited 0.5 s. After a loss of power of all VMs, gateways run about 0.9 s before they have both, and callers that were refused had spent one of their two attempts.

They wait for a third of their remaining time now, at most 1.2 s. At most half of the threads that serve callers wait at once; further requests are refused immediately.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -21,6 +21,7 @@
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import run as run_lib
+from wisteriawall.gateway import start_gate
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import suspects as suspects_lib
 from wisteriawall.gateway import table_relay
@@ -48,10 +49,6 @@
 # Two calls to the leader, on a silent connection and on a new one, take less
 # time than a table may stay outdated.
 CONTROL_TIMEOUT_MS = 600
-# Requests that arrive before the routing table and the list of runners wait for
-# them at most this long. After a loss of power all gateways start at once, and
-# callers that were refused would come back later than both arrive.
-START_WAIT_S = 0.5
 # Short, since trying another runner is better than waiting for a host that
 # doesn't respond.
 CONNECT_TIMEOUT_S = 0.5
@@ -66,6 +63,9 @@
 # A balancer's connection without a request would keep a thread busy.
 READY_STOP_TIMEOUT_S = 0.5
 CALLER_THREADS = 96
+# Threads in which requests may wait for the first routing table and runners.
+# The others refuse requests whose deadline is close in time.
+START_WAIT_THREADS = CALLER_THREADS // 2
 READY_THREADS = 2
 
 
@@ -183,7 +183,7 @@
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
         self._arrivals_closed = False
-        self._can_serve = threading.Event()
+        self._start_gate = start_gate.StartGate(max_waiting=START_WAIT_THREADS)
         self._connected = False
         self._peer_count = 0
         self._peers_version = 0
@@ -312,14 +312,13 @@
     ) -> server_lib.Response:
         received_ms = clock.monotonic_ms()
         headers = server_lib.raw_headers(environ)
-        if not self._can_serve.is_set():
-            self._can_serve.wait(START_WAIT_S)
         try:
             head = self._dialect.parse_request_head(headers)
         except protocol.MalformedCall as error:
             return server_lib.send_refusal(
                 start_response, refusals.malformed_head(str(error))
             )
+        self._start_gate.wait(head.remaining_ms - server_lib.queued_ms(environ))
         body = server_lib.read_body(environ)
         target = environ["REQUEST_URI"]
         request_key = next(self._request_keys)
@@ -558,7 +557,7 @@
         if self._gateway.route_index is not None and (
             self._gateway.upstream_by_id
         ):
-            self._can_serve.set()
+            self._start_gate.open()
         self._pool.close_other_addresses(
             {u.address for u in self._gateway.upstream_by_id.values()}
         )
--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -3,12 +3,13 @@
 import http.client
 import json
 import threading
+import time
 
 import pytest
 from support import platform_site as sites
 import urllib3
 
-from wisteriawall.gateway import shell as gateway_shell
+from wisteriawall.gateway import start_gate
 from wisteriawall.platform import headers
 
 PROMPT = {
@@ -335,7 +336,8 @@
     site: sites.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """After a restart of everything, callers arrive before the table."""
-    monkeypatch.setattr(gateway_shell, "START_WAIT_S", sites.WAIT_S)
+    monkeypatch.setattr(start_gate, "MAX_WAIT_MS", sites.WAIT_S * 1_000)
+    monkeypatch.setattr(start_gate, "WAIT_SHARE", 1.0)
     site.add_runner("i-1", "shop")
     sites.wait_until(
         lambda: bool(site.gateway.upstream_by_id), "the list of runners"
@@ -359,3 +361,14 @@
     answer = site.call("/pay/", attempt="a1")
     assert answer.status == 503
     assert answer.headers["Retry-After"] == "1.000"
+
+
+def test_a_close_deadline_is_refused_in_time_without_a_table(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller with 500 ms got its refusal when it had given up."""
+    monkeypatch.setattr(start_gate, "MAX_WAIT_MS", sites.WAIT_S * 1_000)
+    started = time.monotonic()
+    answer = site.call("/pay/", attempt="a1", deadline_ms=600)
+    assert answer.status == 503
+    assert time.monotonic() - started < 0.55
