Learn what engines hold after all gateways have started

After a loss of power of all VMs the engines' KV caches are warm, but no gateway knew what they hold: prompts were forecast as cold until about 4 s later.

Gateways that started together divide the engines by a rendezvous hash over the list that control sends, ask each once (GET /kv-list), and tell the others in paced datagrams. A gateway asks up to four others first how long they have served, so that no engine is asked when it restarts alone. Requests that were sent before every gateway was in the list are told again.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -43,6 +43,7 @@
     incarnation: int
     seen_ms: int
     stopping: bool
+    table_address: str
 
 
 @final
@@ -211,7 +212,9 @@
         peers=None
         if request.peers_version == peers_version
         else [
-            gateway_messages.GatewayPeer(name, gateway.address)
+            gateway_messages.GatewayPeer(
+                name, gateway.address, gateway.table_address
+            )
             for name, gateway in sorted(updates.gateway_by_name.items())
             if name != request.gateway and not gateway.stopping
         ],
@@ -302,7 +305,7 @@
     """Return a number that differs for different lists of gateways, never 0."""
     if not updates.peers_version:
         names = sorted(
-            f"{name}={gateway.address}"
+            f"{name}={gateway.address}={gateway.table_address}"
             for name, gateway in updates.gateway_by_name.items()
             if not gateway.stopping
         )
@@ -323,6 +326,7 @@
         known is None
         or known.address != request.address
         or known.stopping != request.stopping
+        or known.table_address != request.table_address
     ):
         updates.peers_version = 0
     updates.gateway_by_name[request.gateway] = _Gateway(
@@ -330,6 +334,7 @@
         incarnation=request.incarnation,
         seen_ms=now_ms,
         stopping=request.stopping,
+        table_address=request.table_address,
     )
     for name, gateway in list(updates.gateway_by_name.items()):
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -284,6 +284,48 @@
     source: str = ""
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class EngineAsked:
+    """An engine is about to be asked what it holds."""
+
+    upstream: gateway_messages.Upstream
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class EngineAnswered:
+    """An engine answered what it holds.
+
+    `held` is None if it gave no valid answer, and `reason` says why.
+    """
+
+    upstream: gateway_messages.Upstream
+    held: protocol.HeldParts | None
+    reason: str
+    took_ms: int
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ContentsTold:
+    """Another gateway told what engines hold.
+
+    `source` names it, or the way by which this arrived.
+    """
+
+    contents: tuple[gateway_messages.EngineContents, ...]
+    source: str
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class PeersSettled:
+    """After its start, this gateway has the list of all other gateways."""
+
+    now_ms: int
+
+
 Event: TypeAlias = (
     Arrived
     | PrefillDone
@@ -299,6 +341,10 @@
     | PeerLoadReceived
     | ControlUpdate
     | TableAnnounced
+    | EngineAsked
+    | EngineAnswered
+    | ContentsTold
+    | PeersSettled
 )
 
 
--- a/src/wisteriawall/gateway/limits.py
+++ b/src/wisteriawall/gateway/limits.py
@@ -97,6 +97,10 @@
     if upstream is None:
         return
     runner, request_id = upstream.start_id, load_event.request_id
+    if load_event.kind is gateway_messages.LoadEventKind.SENT and (
+        load_event.age_ms > 0
+    ):
+        return  # It is repeated, and the runner may have counted it long ago.
     match load_event.kind:
         case gateway_messages.LoadEventKind.SENT:
             gateway.limits.note_sent(runner, request_id, now_ms, is_own=is_own)
--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -42,9 +42,34 @@
     load_events: Iterable[gateway_messages.LoadEvent],
     now_ms: int,
 ) -> None:
-    """Update runners' loads with events of another gateway."""
+    """Update runners' loads with events of another gateway.
+
+    A SENT event that is repeated counts from when the request was sent.
+    """
     for load_event in load_events:
-        apply_step(gateway, load_event, now_ms)
+        sent_ms = now_ms
+        if load_event.kind is gateway_messages.LoadEventKind.SENT:
+            if _is_outdated(gateway, load_event):
+                continue
+            sent_ms = now_ms - load_event.age_ms
+        elif load_event.kind is gateway_messages.LoadEventKind.ENDED:
+            gateway.recent_ends.note(
+                load_event.upstream_id, load_event.request_id
+            )
+        apply_step(gateway, load_event, sent_ms)
+
+
+def _is_outdated(
+    gateway: state_lib.Gateway, load_event: gateway_messages.LoadEvent
+) -> bool:
+    """Return whether a repeated SENT event says nothing new."""
+    load = gateway.load_by_id.get(load_event.upstream_id)
+    request_id = load_event.request_id
+    return load_event.age_ms > 0 and (
+        load is None
+        or load.has_request(request_id)
+        or gateway.recent_ends.has_ended(load_event.upstream_id, request_id)
+    )
 
 
 def apply_step(
--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -15,7 +15,9 @@
 from typing import TypeAlias
 from typing import final
 
+from wisteriawall.gateway import engine_contents
 from wisteriawall.gateway import load_mesh
+from wisteriawall.gateway import paced_sender
 from wisteriawall.wire import envelope
 from wisteriawall.wire import gateway_messages
 
@@ -46,6 +48,8 @@
         address: Host and port to bind; port 0 selects a free port.
         codec: Encodes and authenticates messages with the cluster key.
         receive: Called with the events of a datagram, on the receiving thread.
+        receive_contents: Called there with what other gateways tell about
+            engines.
     """
 
     def __init__(
@@ -55,6 +59,9 @@
         address: str,
         codec: envelope.Codec[gateway_messages.LoadEventBatch],
         receive: Callable[[list[gateway_messages.LoadEvent]], None],
+        receive_contents: Callable[
+            [list[gateway_messages.EngineContents]], None
+        ] = lambda contents: None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -64,6 +71,7 @@
         self._name = name
         self._codec = codec
         self._receive = receive
+        self._receive_contents = receive_contents
         self._row_addresses: list[Address] = []
         self._column_addresses: list[Address] = []
         self._lock = threading.Lock()
@@ -71,6 +79,9 @@
         self._forwarded: list[gateway_messages.LoadEvent] = []
         self._has_pending = threading.Event()
         self._closing = threading.Event()
+        self._paced = paced_sender.PacedSender(
+            lambda data, address: self._send_datagram(data, [address])
+        )
         self._threads = [
             threading.Thread(target=target, name=name, daemon=True)
             for target, name in (
@@ -81,13 +92,15 @@
 
     def start(self) -> None:
         """Start the threads that receive and send datagrams."""
+        self._paced.start()
         for thread in self._threads:
             thread.start()
 
     def close(self) -> None:
-        """Stop both threads and release the port; unsent events are dropped."""
+        """Stop the threads and release the port; unsent events are dropped."""
         self._closing.set()
         self._has_pending.set()
+        self._paced.close()
         # Ends the receive; the error is that the socket is not connected.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
@@ -112,6 +125,26 @@
                 self._pending.append(event)
         self._has_pending.set()
 
+    def tell_contents(self, contents: gateway_messages.EngineContents) -> None:
+        """Send what an engine holds, in several datagrams and with pauses."""
+        for piece in engine_contents.in_datagrams(contents):
+            for addresses, forward in (
+                (self._column_addresses, True),
+                (self._row_addresses, False),
+            ):
+                self._queue_contents([piece], addresses, forward=forward)
+
+    def _queue_contents(
+        self,
+        contents: list[gateway_messages.EngineContents],
+        addresses: list[Address],
+        *,
+        forward: bool,
+    ) -> None:
+        if addresses:
+            batch = gateway_messages.LoadEventBatch([], forward, contents)
+            self._paced.queue(self._codec.encode(batch), addresses)
+
     def _forward(self, events: list[gateway_messages.LoadEvent]) -> None:
         """Queue events of other gateways for the row."""
         with self._lock:
@@ -200,14 +233,24 @@
                 )
                 self._closing.wait(ERROR_PAUSE_S)
                 continue
-            if message.forward:
-                self._forward(message.events)
             try:
-                self._receive(message.events)
+                self._apply(message)
             except Exception:
                 # Nothing but this thread would receive the next events.
                 _LOG.exception("gateway: applying load events failed")
 
+    def _apply(self, message: gateway_messages.LoadEventBatch) -> None:
+        if message.events:
+            if message.forward:
+                self._forward(message.events)
+            self._receive(message.events)
+        if message.contents:
+            if message.forward:
+                self._queue_contents(
+                    message.contents, self._row_addresses, forward=False
+                )
+            self._receive_contents(message.contents)
+
 
 def _parse_address(address: str) -> Address:
     host, _, port = address.rpartition(":")
--- a/src/wisteriawall/gateway/protocol.py
+++ b/src/wisteriawall/gateway/protocol.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "AnswerHead",
+    "ContentsQuery",
     "Dialect",
+    "HeldParts",
     "MalformedCall",
     "NamedLimit",
     "Phase",
@@ -149,6 +151,31 @@
     transfer_handle: str
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ContentsQuery:
+    """GET request that asks an engine what its KV cache holds.
+
+    `target` is path and query.
+    """
+
+    target: str
+    headers: Mapping[str, str]
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class HeldParts:
+    """Parts that an engine says it holds, as id and number of tokens.
+
+    `malformed` counts the entries that name no part; the list is complete if
+    there are none.
+    """
+
+    parts: tuple[tuple[str, int], ...]
+    malformed: int
+
+
 class Dialect(Protocol):
     """Translates between a protocol's headers and the types of this module.
 
@@ -187,3 +214,11 @@
 
     def parse_prefill_answer(self, body: bytes) -> PrefillAnswer | None:
         """Return the parsed answer to a prefill, None if it is invalid."""
+
+    def contents_query(
+        self, upstream: gateway_messages.Upstream
+    ) -> ContentsQuery:
+        """Return the request that asks an engine what it holds."""
+
+    def parse_held_parts(self, status: int, body: bytes) -> HeldParts | None:
+        """Return the parsed answer to it, None if it is invalid."""
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -10,6 +10,7 @@
 from wisteriawall.config import route_table
 from wisteriawall.gateway import control_update
 from wisteriawall.gateway import diagnostics
+from wisteriawall.gateway import engine_contents
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import limits
@@ -65,6 +66,10 @@
             events.PeerLoadReceived()
             | events.ControlUpdate()
             | events.TableAnnounced()
+            | events.EngineAsked()
+            | events.EngineAnswered()
+            | events.ContentsTold()
+            | events.PeersSettled()
         ):
             yield from _handle_news(gateway, event)
 
@@ -467,9 +472,13 @@
     gateway: state_lib.Gateway,
     event: events.PeerLoadReceived
     | events.ControlUpdate
-    | events.TableAnnounced,
+    | events.TableAnnounced
+    | events.EngineAsked
+    | events.EngineAnswered
+    | events.ContentsTold
+    | events.PeersSettled,
 ) -> Iterator[events.Effect]:
-    """Apply what other gateways or control tell."""
+    """Apply what other gateways, engines or control tell."""
     match event:
         case events.PeerLoadReceived(load_events=load_events, now_ms=now_ms):
             gateway.load_events_heard += len(load_events)
@@ -481,3 +490,5 @@
             yield from control_update.apply(gateway, event)
         case events.TableAnnounced():
             yield from control_update.announce_table(gateway, event)
+        case _:
+            yield from engine_contents.apply(gateway, event)
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -11,7 +11,9 @@
 
 from wisteriawall import clock
 from wisteriawall.config import route_table
+from wisteriawall.gateway import cache_learner
 from wisteriawall.gateway import control_update
+from wisteriawall.gateway import engine_contents
 from wisteriawall.gateway import events
 from wisteriawall.gateway import fingerprint as fingerprint_lib
 from wisteriawall.gateway import limits
@@ -43,8 +45,9 @@
 # Interval at which control is polled. A published routing table must be in use
 # within 2 s.
 CONTROL_POLL_S = 0.35
-# Polling interval while control is unreachable, or while the newest routing
-# table or the list of runners is missing.
+# Polling interval while control is unreachable, while the newest routing table
+# or the list of runners is missing, or shortly after, while other gateways that
+# start at the same time become known.
 INCOMPLETE_POLL_S = 0.1
 # Two calls to the leader, on a silent connection and on a new one, take less
 # time than a table may stay outdated.
@@ -145,6 +148,17 @@
             address=identity.load_address,
             codec=codec,
             receive=self._apply_peer_load,
+            receive_contents=lambda contents: self._learner.receive(contents),
+        )
+        self._learner = cache_learner.CacheLearner(
+            name=identity.name,
+            key=key,
+            sender=sender,
+            dialect=dialect,
+            find_engines=lambda: engine_contents.engines(self._gateway),
+            submit=self._submit,
+            tell=self._peer_load.tell_contents,
+            log=log,
         )
         self._origins = origin_keeper.OriginKeeper(
             control=control_client.ControlClient(
@@ -155,7 +169,10 @@
             )
         )
         self._relay = table_relay.TableRelay(
-            address=identity.table_address, key=key, sender=sender
+            address=identity.table_address,
+            key=key,
+            sender=sender,
+            describe_engines=self._learner.describe,
         )
         self._load_events_sent = 0
         self._table_fetch_failed = False
@@ -208,6 +225,7 @@
         self._relay.start()
         self._origins.start()
         self._thread.start()
+        self._learner.start()
         self._ready.start()
         self._http.start()
         self._log.write("start", inputs={"address": self._http.address})
@@ -245,6 +263,7 @@
         for closed in closing:
             closed.result()
         self._stopping.set()
+        self._learner.close()
         self._peer_load.close()
         self._relay.close()
         self._origins.close()
@@ -509,7 +528,7 @@
         )
         return (
             CONTROL_POLL_S
-            if self._connected and complete
+            if self._connected and complete and not self._learner.needs_peers
             else INCOMPLETE_POLL_S
         )
 
@@ -518,6 +537,7 @@
     ) -> None:
         if reply.peers is not None:
             self._peer_load.set_peers(reply.peers)
+            self._learner.note_peers(reply.peers)
             self._peers_version = reply.peers_version
             self._peer_count = len(reply.peers)
         if reply.rpc_address_by_replica:
@@ -558,6 +578,7 @@
             self._gateway.upstream_by_id
         ):
             self._start_gate.open()
+            self._learner.note_complete()
         self._pool.close_other_addresses(
             {u.address for u in self._gateway.upstream_by_id.values()}
         )
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -9,6 +9,7 @@
 from wisteriawall.policy import admission
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import recent_ends as recent_ends_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.policy import runner_notices
@@ -120,7 +121,9 @@
     use, None if it named none, and `late_table` the number of the last one
     that was awaited for long.
     `error_by_part` are the parts of control's answers whose last application
-    failed.
+    failed. `settled_parts_by_start` are the parts known of an engine when it
+    was asked what it holds, and `recent_ends` are requests of other gateways
+    that ended lately.
     """
 
     name: str
@@ -166,6 +169,12 @@
     table_awaited_ms: int | None = None
     late_table: int = 0
     error_by_part: dict[str, str] = dataclasses.field(default_factory=dict)
+    settled_parts_by_start: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    recent_ends: recent_ends_lib.RecentEnds = dataclasses.field(
+        default_factory=recent_ends_lib.RecentEnds
+    )
 
     @property
     def table_number(self) -> int:
--- a/src/wisteriawall/gateway/table_relay.py
+++ b/src/wisteriawall/gateway/table_relay.py
@@ -1,5 +1,6 @@
 """Fetches changes of the routing table, and serves them to other gateways."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import logging
@@ -39,11 +40,22 @@
         address: Host and port to listen on; port 0 selects a free port.
         key: Shared cluster key that authenticates the messages.
         sender: Identity of this process.
+        describe_engines: Answers what this gateway knows of engines, None to
+            give no answer.
     """
 
     def __init__(
-        self, *, address: str, key: bytes, sender: envelope.Sender
+        self,
+        *,
+        address: str,
+        key: bytes,
+        sender: envelope.Sender,
+        describe_engines: Callable[
+            [gateway_messages.ContentsRequest],
+            gateway_messages.ContentsReply | None,
+        ] = lambda request: None,
     ) -> None:
+        self._describe_engines = describe_engines
         self._lock = threading.Lock()
         # Client of the fetch in progress.
         self._client: transport.RpcClient | None = None
@@ -54,7 +66,8 @@
             message_type=control_messages.ControlReply, key=key, sender=sender
         )
         self._serve_codec: envelope.Codec[object] = envelope.Codec(
-            message_type=gateway_messages.TablePartRequest,
+            message_type=gateway_messages.TablePartRequest
+            | gateway_messages.ContentsRequest,
             key=key,
             sender=sender,
         )
@@ -159,8 +172,13 @@
         try:
             _, request = self._serve_codec.decode(data)
         except envelope.MessageRejected as error:
-            _LOG.warning("gateway: rejected a request for a table: %s", error)
+            _LOG.warning(
+                "gateway: rejected a request of another gateway: %s", error
+            )
             return None
+        if isinstance(request, gateway_messages.ContentsRequest):
+            reply = self._describe_engines(request)
+            return None if reply is None else self._serve_codec.encode(reply)
         assert isinstance(request, gateway_messages.TablePartRequest)
         with self._lock:
             encoded = self._tables.encoded_change(
--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -10,6 +10,8 @@
 
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import run as run_lib
+from wisteriawall.platform import engine_contents
+from wisteriawall.wire import gateway_messages
 
 __all__ = ["PlatformDialect"]
 
@@ -177,6 +179,24 @@
             return None
         return protocol.PrefillAnswer(transfer_handle=answer.transfer_handle)
 
+    def contents_query(
+        self, upstream: gateway_messages.Upstream
+    ) -> protocol.ContentsQuery:
+        """Return the request that asks an engine what it holds.
+
+        A runner that took over the engine's address answers 421.
+        """
+        return protocol.ContentsQuery(
+            target=engine_contents.TARGET,
+            headers={EXPECT_INSTANCE: upstream.upstream_id},
+        )
+
+    def parse_held_parts(
+        self, status: int, body: bytes
+    ) -> protocol.HeldParts | None:
+        """Return the parsed answer to it, None if it is invalid."""
+        return engine_contents.parse(status, body)
+
 
 def _parse_milliseconds(
     headers: Mapping[str, str], name: str, default: int
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -17,6 +17,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -148,12 +149,14 @@
         priority_class: Priority class; lower values are served first.
         tokens: Tokens of the whole prompt.
         sent_ms: When it was sent.
+        part_ids: Identifiers of the prompt's parts.
     """
 
     prefill_ms: float
     priority_class: int
     tokens: int
     sent_ms: int
+    part_ids: tuple[str, ...] = ()
 
 
 @final
@@ -271,7 +274,11 @@
         """Record a prompt that some gateway sent to the engine."""
         tokens = sum(tokens for _, tokens in parts)
         self._pending_by_id[request_id] = _SentPrompt(
-            prefill_ms, priority_class, tokens, now_ms
+            prefill_ms,
+            priority_class,
+            tokens,
+            now_ms,
+            tuple(part for part, _ in parts),
         )
         self._select_active(now_ms)
         self._cache_parts(parts)
@@ -289,6 +296,50 @@
         if self._pending_by_id.pop(request_id, None) is not None:
             self._finish_active(now_ms)
 
+    def has_request(self, request_id: str) -> bool:
+        """Return whether a request is known to be in progress."""
+        return (
+            request_id in self._pending_by_id
+            or request_id in self._running_by_id
+        )
+
+    @property
+    def settled_parts(self) -> frozenset[str]:
+        """Cached parts, without those that a pending prompt brings."""
+        pending = {
+            part
+            for sent in self._pending_by_id.values()
+            for part in sent.part_ids
+        }
+        return frozenset(self._cached_tokens_by_part.keys() - pending)
+
+    def restore_parts(
+        self,
+        parts: Iterable[tuple[str, int]],
+        *,
+        absent: Collection[str] = (),
+    ) -> int:
+        """Record parts that the engine holds; return how many were not known.
+
+        They count as less recently used than the parts that are known.
+
+        Args:
+            parts: Identifier and token count, the most valuable first.
+            absent: Parts that the engine does not hold, as far as no pending
+                prompt brings them.
+        """
+        for part in self.settled_parts.intersection(absent):
+            self._cached_tokens -= self._cached_tokens_by_part.pop(part)
+        known_before = len(self._cached_tokens_by_part)
+        for part, tokens in parts:
+            if part not in self._cached_tokens_by_part:
+                self._cached_tokens_by_part[part] = tokens
+                self._cached_tokens_by_part.move_to_end(part, last=False)
+                self._cached_tokens += tokens
+        restored = len(self._cached_tokens_by_part) - known_before
+        self._evict_parts()
+        return restored
+
     def drop_expired(self, now_ms: int) -> None:
         """Drop requests that can't be in progress any more.
 
@@ -340,6 +391,9 @@
             previous = self._cached_tokens_by_part.pop(part, 0)
             self._cached_tokens_by_part[part] = tokens
             self._cached_tokens += tokens - previous
+        self._evict_parts()
+
+    def _evict_parts(self) -> None:
         while self._cached_tokens > MAX_CACHED_SHARE * self._kv_cache_tokens:
             _, tokens = self._cached_tokens_by_part.popitem(last=False)
             self._cached_tokens -= tokens
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -13,6 +13,9 @@
 
 __all__ = [
     "NO_LIMIT_PER_S",
+    "ContentsReply",
+    "ContentsRequest",
+    "EngineContents",
     "FindStreamRequest",
     "FollowRequest",
     "Followed",
@@ -101,10 +104,15 @@
 
 @final
 class GatewayPeer(msgspec.Struct, frozen=True, array_like=True):
-    """A gateway and the UDP address at which it receives load events."""
+    """A gateway and the UDP address at which it receives load events.
+
+    `table_address` is the RPC address at which it serves routing tables and
+    what it knows of engines; it is empty if the leader is of an older version.
+    """
 
     name: str
     address: str
+    table_address: str = ""
 
 
 @final
@@ -399,7 +407,8 @@
 
     `per_s` of LIMITED is `NO_LIMIT_PER_S` if the runner has none any more, and
     `age_ms` the time since the request was sent whose answer named it. In
-    events that control passes on, `age_ms` is the time since the loss.
+    events that control passes on, `age_ms` is the time since the loss. SENT has
+    an `age_ms` if it is repeated for gateways that may have missed it.
     """
 
     kind: LoadEventKind
@@ -420,6 +429,37 @@
     return msgspec.structs.replace(event, age_ms=age_ms)
 
 
+@final
+class EngineContents(msgspec.Struct, frozen=True, array_like=True):
+    """What one start of an engine holds in its KV cache.
+
+    `born_ms` is that of the runner, so that it isn't taken for what a later
+    start holds. The engine held `parts`, as id and number of tokens, `age_ms`
+    before this was sent. It may hold further ones.
+    """
+
+    upstream_id: str
+    born_ms: int
+    age_ms: int
+    parts: list[tuple[str, int]] = []
+
+
+@final
+class ContentsRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="contents"
+):
+    """Question of a gateway that has started for what another one knows."""
+
+
+@final
+class ContentsReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="contents-are"
+):
+    """Answer of a gateway that has been able to serve for `up_ms`."""
+
+    up_ms: int
+
+
 @final
 class LoadEventBatch(
     msgspec.Struct, frozen=True, array_like=True, tag="load-news"
@@ -427,8 +467,11 @@
     """Load events of one or more gateways, sent in one datagram.
 
     With `forward`, the receiver forwards the events to its row of the grid in
-    `gateway.load_mesh`. A lost datagram is not sent again.
+    `gateway.load_mesh`. A lost datagram is not sent again. `contents` are sent
+    after a start, apart from events; a gateway of an older version ignores
+    them.
     """
 
     events: list[LoadEvent]
     forward: bool = False
+    contents: list[EngineContents] = []
--- a/src/wisteriawall/wire/http_call.py
+++ b/src/wisteriawall/wire/http_call.py
@@ -45,6 +45,7 @@
     total_timeout_s: float | None = None,
     body: bytes = b"",
     headers: Mapping[str, str] | None = None,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> Response:
     """Send a request and return its complete response.
 
@@ -59,10 +60,11 @@
             response; None sets no limit.
         body: Request body.
         headers: Further request headers.
+        max_body_bytes: Maximum size of the response body.
 
     Raises:
         CallFailed: The connection failed, or the response is incomplete,
-            malformed, interim, late or has a body over `MAX_BODY_BYTES`.
+            malformed, interim, late or has a body over `max_body_bytes`.
     """
     try:
         parts = parse.urlsplit(url)
@@ -83,7 +85,7 @@
                 preload_content=False,
             )
             response = connection.getresponse()
-            connection.limit_reads(MAX_BODY_BYTES)
+            connection.limit_reads(max_body_bytes)
             data = response.read()
     except runner_connection.EXCHANGE_ERRORS as error:
         raise CallFailed(f"{type(error).__name__}: {error}") from error
--- a/testing/support/platform_site.py
+++ b/testing/support/platform_site.py
@@ -67,6 +67,9 @@
     answers a second time when the next request has arrived. `take_up` returns
     the bytes that answer a request with a `Last-Event-Id`, from the headers
     that name the request and the runner; the runner closes the connection then.
+
+    `held` are the entries of its answer to `GET /kv-list`, and `contents_calls`
+    counts these calls, which are not in `received`.
     """
 
     def __init__(self, name: str, service: str, stage: str = "") -> None:
@@ -78,6 +81,8 @@
         self.stutter: Callable[[bytes], bytes] | None = None
         self.take_up: Callable[[bytes], bytes] | None = None
         self.state = "ready"
+        self.held: list[Any] = []
+        self.contents_calls = 0
         self.finish = threading.Event()
         self.disconnected = threading.Event()
         super().__init__()
@@ -113,12 +118,27 @@
             self.disconnected.set()
             return False
         headers_by_name = _read_head(reader)
+        if start[1] == "/kv-list":
+            self._answer_contents(connection, headers_by_name)
+            return True
         body = reader.read(int(headers_by_name.get("content-length", "0")))
         self.received.append((start[0], start[1], headers_by_name, body))
         if self.stutter is not None:
             connection.repeat(self.stutter)
         return self._answer(connection, headers_by_name, body)
 
+    def _answer_contents(
+        self, connection: "_RecordedAnswers", headers_by_name: dict[str, str]
+    ) -> None:
+        """Answer what the runner holds, if it is the one that was meant."""
+        self.contents_calls += 1
+        if headers_by_name["x-wisteriawall-expect-instance"] != self.name:
+            _send(connection, "421 Misdirected", "", b"")
+            return
+        listing = {"epoch": 1, "next": len(self.held), "held": self.held}
+        body = json.dumps(listing).encode()
+        _send(connection, "200 OK", "", body)
+
     def _answer(
         self,
         connection: "_RecordedAnswers",
