--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -13,7 +13,9 @@
 from wisteriawall import clock
 from wisteriawall.config import route_table
 from wisteriawall.gateway import accounts
+from wisteriawall.gateway import cache_learner
 from wisteriawall.gateway import control_update
+from wisteriawall.gateway import engine_contents
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
 from wisteriawall.gateway import fingerprint as fingerprint_lib
@@ -24,6 +26,7 @@
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import run as run_lib
+from wisteriawall.gateway import start_gate
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import suspects as suspects_lib
 from wisteriawall.gateway import table_relay
@@ -48,8 +51,9 @@
 # Interval at which control is polled. A published routing table must be in use
 # within 2 s.
 CONTROL_POLL_S = 0.35
-# Polling interval while control is unreachable, or while the newest routing
-# table or the list of runners is missing.
+# Polling interval while control is unreachable, while the newest routing table
+# or the list of runners is missing, or shortly after, while other gateways that
+# start at the same time become known.
 INCOMPLETE_POLL_S = 0.1
 # Age of the proof that the table is the newest from which control is polled at
 # that interval too, as after a pause of the process.
@@ -57,10 +61,6 @@
 # Two calls to the leader, on a silent connection and on a new one, take less
 # time than a table may stay outdated.
 CONTROL_TIMEOUT_MS = 600
-# Requests that arrive before the routing table and the list of runners wait for
-# them at most this long. After a loss of power all gateways start at once, and
-# callers that were refused would come back later than both arrive.
-START_WAIT_S = 0.5
 # Short, since trying another runner is better than waiting for a host that
 # doesn't respond.
 CONNECT_TIMEOUT_S = 0.5
@@ -77,6 +77,9 @@
 # A balancer's connection without a request would keep a thread busy.
 READY_STOP_TIMEOUT_S = 0.5
 CALLER_THREADS = 96
+# Threads in which requests may wait for the first routing table and runners.
+# The others refuse requests whose deadline is close in time.
+START_WAIT_THREADS = CALLER_THREADS // 2
 READY_THREADS = 2
 
 
@@ -159,6 +162,17 @@
             address=identity.load_address,
             codec=codec,
             receive=self._apply_peer_load,
+            receive_contents=lambda contents: self._learner.receive(contents),
+        )
+        self._learner = cache_learner.CacheLearner(
+            name=identity.name,
+            key=key,
+            sender=sender,
+            dialect=dialect,
+            find_engines=lambda: engine_contents.engines(self._gateway),
+            submit=self._submit,
+            tell=self._peer_load.tell_contents,
+            log=log,
         )
         self._origins = origin_keeper.OriginKeeper(
             control=control_client.ControlClient(
@@ -169,7 +183,10 @@
             )
         )
         self._relay = table_relay.TableRelay(
-            address=identity.table_address, key=key, sender=sender
+            address=identity.table_address,
+            key=key,
+            sender=sender,
+            describe_engines=self._learner.describe,
         )
         self._load_events_sent = 0
         self._table_fetch_failed = False
@@ -199,7 +216,7 @@
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
         self._arrivals_closed = False
-        self._can_serve = threading.Event()
+        self._start_gate = start_gate.StartGate(max_waiting=START_WAIT_THREADS)
         self._connected = False
         self._peer_count = 0
         self._peers_version = 0
@@ -224,6 +241,7 @@
         self._relay.start()
         self._origins.start()
         self._thread.start()
+        self._learner.start()
         self._ready.start()
         self._http.start()
         self._log.write("start", inputs={"address": self._http.address})
@@ -263,6 +281,7 @@
         self._stopping.set()
         if not self._gateway.usage.is_committed:
             self._thread.join(timeout=LAST_REPORT_TIMEOUT_S)
+        self._learner.close()
         self._peer_load.close()
         self._relay.close()
         self._origins.close()
@@ -330,14 +349,13 @@
     ) -> server_lib.Response:
         received_ms = clock.monotonic_ms()
         headers = server_lib.raw_headers(environ)
-        if not self._can_serve.is_set():
-            self._can_serve.wait(START_WAIT_S)
         try:
             head = self._dialect.parse_request_head(headers)
         except protocol.MalformedCall as error:
             return server_lib.send_refusal(
                 start_response, refusals.malformed_head(str(error))
             )
+        self._start_gate.wait(head.remaining_ms - server_lib.queued_ms(environ))
         target = environ["REQUEST_URI"]
         refusal = self._check_head(environ["REQUEST_METHOD"], target, headers)
         if refusal is not None:
@@ -572,7 +590,7 @@
         )
         return (
             CONTROL_POLL_S
-            if self._connected and complete
+            if self._connected and complete and not self._learner.needs_peers
             else INCOMPLETE_POLL_S
         )
 
@@ -587,6 +605,7 @@
     ) -> None:
         if reply.peers is not None:
             self._peer_load.set_peers(reply.peers)
+            self._learner.note_peers(reply.peers)
             self._peers_version = reply.peers_version
             self._peer_count = len(reply.peers)
         if reply.rpc_address_by_replica:
@@ -627,7 +646,8 @@
         if self._gateway.route_index is not None and (
             self._gateway.upstream_by_id
         ):
-            self._can_serve.set()
+            self._start_gate.open()
+            self._learner.note_complete()
         self._pool.close_other_addresses(
             {u.address for u in self._gateway.upstream_by_id.values()}
         )
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -11,6 +11,7 @@
 from wisteriawall.policy import engine_speeds
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import recent_ends as recent_ends_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.policy import runner_notices
@@ -140,7 +141,9 @@
     that was awaited for long.
     `usage` counts what client accounts used.
     `error_by_part` are the parts of control's answers whose last application
-    failed.
+    failed. `settled_parts_by_start` are the parts known of an engine when it
+    was asked what it holds, and `recent_ends` are requests of other gateways
+    that ended lately.
     """
 
     name: str
@@ -195,6 +198,12 @@
     usage: usage_lib.UsageCounts = dataclasses.field(
         default_factory=usage_lib.UsageCounts
     )
+    settled_parts_by_start: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    recent_ends: recent_ends_lib.RecentEnds = dataclasses.field(
+        default_factory=recent_ends_lib.RecentEnds
+    )
 
     @property
     def table_number(self) -> int:
--- a/src/wisteriawall/wire/http_call.py
+++ b/src/wisteriawall/wire/http_call.py
@@ -67,7 +67,7 @@
             response; None sets no limit.
         body: Request body.
         headers: Further request headers.
-        max_body_bytes: Largest body of a response.
+        max_body_bytes: Maximum size of the response body.
         resets: Whether a call that fails ends its connection with a reset, so
             that no part of the request arrives later.
         check: Called on the open connection, right before the request is sent.
