Ask a running gateway what engines hold after a restart

A gateway that restarted alone forecast cold prompts and empty queues until it had sent and heard of enough requests.

It asks another gateway that has served for 2.5 s or longer for the presumed cache contents and the requests in progress at each engine, in replies of about 16 KiB with pauses, over the address that serves routing tables.

--- a/src/wisteriawall/gateway/cache_learner.py
+++ b/src/wisteriawall/gateway/cache_learner.py
@@ -31,6 +31,10 @@
 MAX_ANSWER_BYTES = 256 * 1024
 # A reply of 16 KiB takes 35 ms on a link of 3.75 Mbit/s.
 PEER_TIMEOUT_MS = 400
+# Lets requests pass between the replies of an exchange.
+REPLY_PAUSE_S = 0.06
+# Bounds an exchange to about 1 MB.
+MAX_REPLIES = 64
 MAX_LOGGED_LENGTH = 200
 CLOSE_TIMEOUT_S = 0.6
 
@@ -45,6 +49,8 @@
         sender: Identity of this process.
         dialect: Translates the platform's calls.
         find_engines: Returns the engines of the newest list of runners.
+        describe_engines: Returns what this gateway knows of engines behind an
+            id, at a time, and if these are the last.
         submit: Reduces an event.
         tell: Tells the other gateways what an engine holds.
         log: Receives what was asked.
@@ -58,6 +64,9 @@
         sender: envelope.Sender,
         dialect: protocol.Dialect,
         find_engines: Callable[[], list[gateway_messages.Upstream]],
+        describe_engines: Callable[
+            [str, int], tuple[list[gateway_messages.EngineContents], bool]
+        ],
         submit: Callable[[events.Event], object],
         tell: Callable[[gateway_messages.EngineContents], None],
         log: decisions.DecisionLog,
@@ -67,6 +76,9 @@
         self._submit = submit
         self._tell = tell
         self._log = log
+        self._describe_engines = describe_engines
+        # Last engine that another gateway described.
+        self._after = ""
         self._codec: envelope.Codec[object] = envelope.Codec(
             message_type=gateway_messages.ContentsReply, key=key, sender=sender
         )
@@ -118,16 +130,27 @@
             for told in contents:
                 self._learning.note_told(f"{told.upstream_id}/{told.born_ms}")
         self._submit(
-            events.ContentsTold(contents=tuple(contents), source="gateway")
+            events.ContentsTold(
+                contents=tuple(contents),
+                source="datagram",
+                now_ms=clock.monotonic_ms(),
+            )
         )
 
     def describe(
         self, request: gateway_messages.ContentsRequest
     ) -> gateway_messages.ContentsReply:
-        """Answer another gateway's question."""
+        """Answer another gateway's question.
+
+        A gateway that started lately knows little itself.
+        """
+        now_ms = clock.monotonic_ms()
         with self._lock:
-            up_ms = self._learning.up_ms(clock.monotonic_ms())
-        return gateway_messages.ContentsReply(up_ms)
+            up_ms = self._learning.up_ms(now_ms)
+        if up_ms < cache_learning.LONG_UP_MS:
+            return gateway_messages.ContentsReply(up_ms)
+        engines, is_last = self._describe_engines(request.after, now_ms)
+        return gateway_messages.ContentsReply(up_ms, engines, is_last)
 
     def _learn(self) -> None:
         while not self._closing.is_set():
@@ -198,14 +221,16 @@
             )
 
     def _ask_peer(self, peer: cache_learning.AskPeer) -> None:
-        """Ask a gateway how long it has served."""
-        reply, reason = None, ""
+        """Ask a gateway how long it has served, and then what it knows."""
+        up_ms, reason = None, ""
+        engines = parts = requests = 0
+        started_ms = clock.monotonic_ms()
         try:
-            with self._open_client(peer.address) as client:
-                data = client.call(
-                    self._codec.encode(gateway_messages.ContentsRequest())
-                )
-            _, reply = self._codec.decode(data)
+            for reply in self._exchange(peer.address):
+                up_ms = reply.up_ms
+                engines += len(reply.engines)
+                parts += sum(len(e.parts) for e in reply.engines)
+                requests += sum(len(e.requests) for e in reply.engines)
         except (
             transport.AddressRejected,
             transport.RpcClosed,
@@ -213,18 +238,48 @@
             envelope.MessageRejected,
         ) as error:
             reason = str(error)[:MAX_LOGGED_LENGTH]
-        up_ms = (
-            reply.up_ms
-            if isinstance(reply, gateway_messages.ContentsReply)
-            else None
-        )
         with self._lock:
-            self._learning.note_peer(up_ms)
+            # After a break, the next gateway is asked for the rest.
+            self._learning.note_peer(None if reason else up_ms)
         self._log.write(
             "gateway-asked",
-            inputs={"gateway": peer.name, "up_ms": up_ms, "reason": reason},
+            inputs={
+                "gateway": peer.name,
+                "up_ms": up_ms,
+                "engines": engines,
+                "parts": parts,
+                "requests": requests,
+                "took_ms": clock.monotonic_ms() - started_ms,
+                "reason": reason,
+            },
         )
 
+    def _exchange(
+        self, address: str
+    ) -> Iterator[gateway_messages.ContentsReply]:
+        """Yield the replies of a gateway, whose contents are adopted."""
+        with self._open_client(address) as client:
+            for _ in range(MAX_REPLIES):
+                request = gateway_messages.ContentsRequest(self._after)
+                _, reply = self._codec.decode(
+                    client.call(self._codec.encode(request))
+                )
+                assert isinstance(reply, gateway_messages.ContentsReply)
+                if reply.engines:
+                    self._after = reply.engines[-1].upstream_id
+                    self._submit(
+                        events.ContentsTold(
+                            contents=tuple(reply.engines),
+                            source="gateway",
+                            now_ms=clock.monotonic_ms(),
+                        )
+                    )
+                yield reply
+                if reply.is_last or not reply.engines:
+                    return
+                if self._closing.wait(REPLY_PAUSE_S):
+                    return
+
     @contextlib.contextmanager
     def _open_client(self, address: str) -> Iterator[transport.RpcClient]:
         client = transport.RpcClient(
--- a/src/wisteriawall/gateway/cache_learning.py
+++ b/src/wisteriawall/gateway/cache_learning.py
@@ -38,7 +38,7 @@
 # what the gateways that started with it have asked for.
 LONG_UP_MS = 2_500
 # The chance that all of these started lately while others did not is small.
-MAX_PEERS_ASKED = 4
+MAX_CALLS_TO_PEERS = 4
 # What engines hold is known from the requests by then.
 MAX_LEARNING_MS = 10_000
 
@@ -112,6 +112,7 @@
         "_address_by_peer",
         "_asked_engines",
         "_asked_peers",
+        "_calls_to_peers",
         "_changed_ms",
         "_complete_ms",
         "_has_announced",
@@ -127,6 +128,7 @@
         self._changed_ms = 0
         self._complete_ms: int | None = None
         self._asked_peers: set[str] = set()
+        self._calls_to_peers = 0
         self._young_peers = 0
         self._asked_engines: set[str] = set()
         self._told_engines: set[str] = set()
@@ -213,18 +215,21 @@
         return settling_ms >= MIN_SETTLE_MS and unchanged_ms >= UNCHANGED_MS
 
     def _next_peer(self) -> AskPeer | None:
-        """Return a gateway to ask, in an order of this gateway's own."""
-        if len(self._asked_peers) >= MAX_PEERS_ASKED:
+        """Return a gateway to ask, in an order of this gateway's own.
+
+        If none of a few has answered, they are asked again.
+        """
+        if self._calls_to_peers >= MAX_CALLS_TO_PEERS:
             return None
-        names = {
-            name
-            for name, address in self._address_by_peer.items()
-            if address and name not in self._asked_peers
-        }
+        listed = {n for n, address in self._address_by_peer.items() if address}
+        names = listed - self._asked_peers
+        if not names and not self._young_peers:
+            names = listed
         if not names:
             return None
         name = owner(names, self._name)
         self._asked_peers.add(name)
+        self._calls_to_peers += 1
         return AskPeer(name=name, address=self._address_by_peer[name])
 
     def _finish(self, reason: str) -> Finish:
--- a/src/wisteriawall/gateway/engine_contents.py
+++ b/src/wisteriawall/gateway/engine_contents.py
@@ -13,7 +13,7 @@
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.wire import gateway_messages
 
-__all__ = ["apply", "engines", "in_datagrams"]
+__all__ = ["apply", "describe", "engines", "in_datagrams"]
 
 # Parts of one engine that are kept from its answer or told to other gateways.
 # Prompts share their largest parts with others more often than their own ends.
@@ -23,6 +23,15 @@
 MAX_PARTS_BYTES = 1_200
 # Bytes of a part beside its id.
 PART_OVERHEAD_BYTES = 7
+# Requests in progress at one engine; engines have up to 128 slots.
+MAX_REQUESTS = 200
+# What a gateway is told of one runs out by itself after this time anyway.
+MAX_REQUEST_AGE_MS = 10_000
+# Size of a part of an exchange, estimated. It takes 35 ms on a link of
+# 3.75 Mbit/s.
+MAX_REPLY_BYTES = 16 * 1024
+# Bytes of a request beside its id.
+REQUEST_OVERHEAD_BYTES = 24
 # Requests that are repeated after a start; this gateway has sent few by then.
 MAX_REPEATED_REQUESTS = 100
 
@@ -70,6 +79,64 @@
         )
 
 
+def describe(
+    gateway: state_lib.Gateway, after: str, now_ms: int
+) -> tuple[list[gateway_messages.EngineContents], bool]:
+    """Return what this gateway knows of some engines, and if it is the last.
+
+    Args:
+        gateway: State of the gateway.
+        after: Id of the last engine that was described before.
+        now_ms: Monotonic clock.
+    """
+    described: list[gateway_messages.EngineContents] = []
+    size = 0
+    for upstream in sorted(engines(gateway), key=lambda u: u.upstream_id):
+        if upstream.upstream_id <= after:
+            continue
+        contents = _describe_one(gateway, upstream, now_ms)
+        size += _estimated_bytes(contents)
+        if described and size > MAX_REPLY_BYTES:
+            return described, False
+        described.append(contents)
+    return described, True
+
+
+def _describe_one(
+    gateway: state_lib.Gateway,
+    upstream: gateway_messages.Upstream,
+    now_ms: int,
+) -> gateway_messages.EngineContents:
+    load = gateway.load_by_id[upstream.upstream_id]
+    load.drop_expired(now_ms)
+    return gateway_messages.EngineContents(
+        upstream.upstream_id,
+        upstream.born_ms,
+        0,
+        load.cached_parts[:MAX_PARTS],
+        [
+            gateway_messages.RequestInProgress(
+                progress.request_id,
+                progress.prefill_ms,
+                progress.priority_class,
+                progress.tokens,
+                max(0, now_ms - progress.sent_ms),
+                progress.has_begun,
+            )
+            for progress in load.requests_in_progress[:MAX_REQUESTS]
+        ],
+    )
+
+
+def _estimated_bytes(contents: gateway_messages.EngineContents) -> int:
+    return sum(
+        len(part) + PART_OVERHEAD_BYTES for part, _ in contents.parts
+    ) + sum(
+        len(request.request_id) + REQUEST_OVERHEAD_BYTES
+        for request in contents.requests
+    )
+
+
 def apply(
     gateway: state_lib.Gateway,
     event: events.EngineAsked
@@ -92,6 +159,7 @@
                 yield from _restore(
                     gateway, contents, absent=frozenset(), source=event.source
                 )
+                _restore_requests(gateway, contents, event.now_ms)
         case events.PeersSettled(now_ms=now_ms):
             yield from _repeat_requests(gateway, now_ms)
 
@@ -165,11 +233,40 @@
             "parts": len(contents.parts),
             "new": new,
             "forgotten": len(absent),
+            "requests": len(contents.requests),
             "age_ms": contents.age_ms,
         },
     )
 
 
+def _restore_requests(
+    gateway: state_lib.Gateway,
+    contents: gateway_messages.EngineContents,
+    now_ms: int,
+) -> None:
+    """Record requests in progress, without those that ended meanwhile."""
+    upstream_id = contents.upstream_id
+    load = _find_load(gateway, upstream_id, contents.born_ms)
+    if load is None:
+        return
+    for request in sorted(
+        contents.requests[:MAX_REQUESTS], key=lambda r: r.age_ms
+    ):
+        if not 0 <= request.age_ms < MAX_REQUEST_AGE_MS or (
+            gateway.recent_ends.has_ended(upstream_id, request.request_id)
+        ):
+            continue
+        progress = placement_lib.Progress(
+            request_id=request.request_id,
+            prefill_ms=request.prefill_ms,
+            priority_class=request.priority_class,
+            tokens=request.tokens,
+            sent_ms=now_ms - request.age_ms,
+            has_begun=request.has_begun,
+        )
+        load.restore_request(progress, now_ms=now_ms)
+
+
 def _find_load(
     gateway: state_lib.Gateway, upstream_id: str, born_ms: int
 ) -> placement_lib.EngineLoad | None:
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -316,6 +316,7 @@
 
     contents: tuple[gateway_messages.EngineContents, ...]
     source: str
+    now_ms: int
 
 
 @final
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -156,6 +156,7 @@
             sender=sender,
             dialect=dialect,
             find_engines=lambda: engine_contents.engines(self._gateway),
+            describe_engines=self._describe_engines,
             submit=self._submit,
             tell=self._peer_load.tell_contents,
             log=log,
@@ -468,6 +469,12 @@
             )
         )
 
+    def _describe_engines(
+        self, after: str, now_ms: int
+    ) -> tuple[list[gateway_messages.EngineContents], bool]:
+        with self._lock:
+            return engine_contents.describe(self._gateway, after, now_ms)
+
     def _poll_control(self) -> None:
         while not self._stopping.wait(self._poll_interval_s()):
             try:
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -32,6 +32,7 @@
     "Options",
     "Placement",
     "PrefillSpeeds",
+    "Progress",
     "Prompt",
     "SingleEngine",
     "cheapest",
@@ -159,6 +160,22 @@
     part_ids: tuple[str, ...] = ()
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Progress:
+    """A request in progress at an engine, as one gateway tells another.
+
+    `prefill_ms` is nominal, and `has_begun` says that its prefill is complete.
+    """
+
+    request_id: str
+    prefill_ms: float
+    priority_class: int
+    tokens: int
+    sent_ms: int
+    has_begun: bool
+
+
 @final
 class EngineLoad:
     """Requests in progress at one engine, and its presumed KV cache content.
@@ -303,6 +320,51 @@
             or request_id in self._running_by_id
         )
 
+    @property
+    def requests_in_progress(self) -> list[Progress]:
+        """Requests that were sent and have not ended, the newest first."""
+        progress = [
+            Progress(
+                request_id=request_id,
+                prefill_ms=sent.prefill_ms,
+                priority_class=sent.priority_class,
+                tokens=sent.tokens,
+                sent_ms=sent.sent_ms,
+                has_begun=has_begun,
+            )
+            for by_id, has_begun in (
+                (self._pending_by_id, False),
+                (self._running_by_id, True),
+            )
+            for request_id, sent in by_id.items()
+        ]
+        return sorted(progress, key=lambda p: p.sent_ms, reverse=True)
+
+    def restore_request(self, progress: Progress, *, now_ms: int) -> None:
+        """Record a request in progress that another gateway knows of.
+
+        It must be older than those restored before it.
+        """
+        if self.has_request(progress.request_id):
+            return
+        by_id = (
+            self._running_by_id if progress.has_begun else self._pending_by_id
+        )
+        by_id[progress.request_id] = _SentPrompt(
+            progress.prefill_ms,
+            progress.priority_class,
+            progress.tokens,
+            progress.sent_ms,
+        )
+        # Requests expire in this order.
+        by_id.move_to_end(progress.request_id, last=False)
+        self._select_active(now_ms)
+
+    @property
+    def cached_parts(self) -> list[tuple[str, int]]:
+        """Parts presumed to be cached, the most recently used first."""
+        return list(reversed(self._cached_tokens_by_part.items()))
+
     @property
     def settled_parts(self) -> frozenset[str]:
         """Cached parts, without those that a pending prompt brings."""
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -27,6 +27,7 @@
     "LoadEventBatch",
     "LoadEventKind",
     "RecordStreamsRequest",
+    "RequestInProgress",
     "RunnerLimit",
     "Stage",
     "StreamFound",
@@ -429,35 +430,64 @@
     return msgspec.structs.replace(event, age_ms=age_ms)
 
 
+@final
+class RequestInProgress(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was sent to an engine `age_ms` ago and has not ended.
+
+    `prefill_ms` is the nominal prefill time, `tokens` the length of the prompt,
+    and `has_begun` says that its first token has arrived.
+    """
+
+    request_id: str
+    prefill_ms: float
+    priority_class: int
+    tokens: int
+    age_ms: int
+    has_begun: bool
+
+
 @final
 class EngineContents(msgspec.Struct, frozen=True, array_like=True):
     """What one start of an engine holds in its KV cache.
 
     `born_ms` is that of the runner, so that it isn't taken for what a later
     start holds. The engine held `parts`, as id and number of tokens, `age_ms`
-    before this was sent. It may hold further ones.
+    before this was sent. It may hold further ones. `requests` are those that
+    the sender knows to be in progress, the newest first.
     """
 
     upstream_id: str
     born_ms: int
     age_ms: int
     parts: list[tuple[str, int]] = []
+    requests: list[RequestInProgress] = []
 
 
 @final
 class ContentsRequest(
     msgspec.Struct, frozen=True, array_like=True, tag="contents"
 ):
-    """Question of a gateway that has started for what another one knows."""
+    """Question of a gateway that has started for what another one knows.
+
+    It asks for engines whose ids come behind `after`.
+    """
+
+    after: str = ""
 
 
 @final
 class ContentsReply(
     msgspec.Struct, frozen=True, array_like=True, tag="contents-are"
 ):
-    """Answer of a gateway that has been able to serve for `up_ms`."""
+    """Answer of a gateway that has been able to serve for `up_ms`.
+
+    `engines` are in the order of their ids, and there are more unless
+    `is_last`. A gateway that started lately names none.
+    """
 
     up_ms: int
+    engines: list[EngineContents] = []
+    is_last: bool = True
 
 
 @final
