--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -333,6 +333,7 @@
 
     contents: tuple[gateway_messages.EngineContents, ...]
     source: str
+    now_ms: int
 
 
 @final
--- a/testing/gateway/test_engine_contents.py
+++ b/testing/gateway/test_engine_contents.py
@@ -1,5 +1,7 @@
 """Tests of what gateways adopt about engines after a start."""
 
+import random
+
 import msgspec
 import pytest
 from support import replay
@@ -111,7 +113,7 @@
     contents = gateway_messages.EngineContents(
         upstream_id, born_ms, 100, [("a", 900)]
     )
-    told = events.ContentsTold(contents=(contents,), source="gateway")
+    told = events.ContentsTold(contents=(contents,), source="gateway", now_ms=0)
     list(reducer.reduce(gateway, told))
     load = gateway.load_by_id["d1"]
     assert load.uncached_tokens([("a", 900)]) == uncached
@@ -123,7 +125,7 @@
     contents = gateway_messages.EngineContents(
         "d1", 0, 0, [(f"p{n}", 100_000) for n in range(6)]
     )
-    told = events.ContentsTold(contents=(contents,), source="gateway")
+    told = events.ContentsTold(contents=(contents,), source="gateway", now_ms=0)
     list(reducer.reduce(gateway, told))
     load = gateway.load_by_id["d1"]
     assert load.uncached_tokens([("recent", 1), ("p0", 1), ("p3", 1)]) == 0
@@ -179,6 +181,50 @@
     assert gateway.load_by_id["d1"].in_flight == in_flight
 
 
+def test_gateway_that_restarts_alone_gets_what_another_knows() -> None:
+    """It would forecast cold prompts, and engines without a queue."""
+    fleet = [
+        replay.upstream(f"d{n}", gateway_messages.Stage.DECODE)
+        for n in range(1, 9)
+    ]
+    known, started = (replay.gateway(fleet) for _ in range(2))
+    for engine in fleet:
+        receive(
+            known,
+            *(
+                gateway_messages.LoadEvent(
+                    SENT,
+                    engine.upstream_id,
+                    f"{engine.upstream_id}-{n}",
+                    2_000,
+                    ((f"{n:016x}", 2_000),),
+                )
+                for n in range(150)
+            ),
+        )
+    receive(started, gateway_messages.LoadEvent(ENDED, "d1", "d1-149"))
+    after, is_last, replies = "", False, 0
+    while not is_last:
+        described, is_last = engine_contents.describe(known, after, 2_000)
+        after = described[-1].upstream_id
+        replies += 1
+        assert len(msgspec.msgpack.encode(described)) < 24 * 1024
+        told = events.ContentsTold(
+            contents=tuple(described), source="gateway", now_ms=2_000
+        )
+        list(reducer.reduce(started, told))
+    assert replies > 1
+    for engine in fleet:
+        expected = known.load_by_id[engine.upstream_id]
+        load = started.load_by_id[engine.upstream_id]
+        assert load.cached_parts == expected.cached_parts
+        ended = int(engine.upstream_id == "d1")
+        assert load.pending_prefills == 150 - ended
+    # Requests whose end is missed expire as those of the other gateway do.
+    started.load_by_id["d2"].drop_expired(11_001)
+    assert started.load_by_id["d2"].in_flight == 0
+
+
 def test_requests_in_progress_are_repeated_for_gateways_that_missed_them() -> (
     None
 ):
@@ -206,3 +252,54 @@
     assert [event.age_ms for event in repeated] == [500]
     receive(missed, *repeated)
     assert missed.load_by_id["d1"].pending_prefills == 1
+
+
+FLEET = [
+    replay.upstream("p1", gateway_messages.Stage.PREFILL),
+    replay.upstream("p2", gateway_messages.Stage.PREFILL),
+    replay.upstream("d1", gateway_messages.Stage.DECODE),
+    replay.upstream("d2", gateway_messages.Stage.DECODE),
+]
+
+
+def play_restart(*, learns: bool) -> replay.Result:
+    """Return what new gateways serve in 4 s in front of warm engines."""
+    rng = random.Random(9)
+
+    def requests(name: str, count: int) -> list[replay.Request]:
+        return [
+            replay.Request(
+                number * 70,
+                "brief",
+                ((f"s{rng.randrange(16)}", 13_000), (f"{name}{number}", 3_000)),
+            )
+            for number in range(count)
+        ]
+
+    before = replay.Replay([replay.gateway(FLEET) for _ in range(4)])
+    before.play(requests("before", 150))
+    gateways = [replay.gateway(FLEET) for _ in range(4)]
+    after = replay.Replay(gateways)
+    for engine, old in before._engine_by_id.items():
+        after._engine_by_id[engine].cached_parts = old.cached_parts
+        if learns:
+            held = [
+                (part, 13_000 if part[0] == "s" else 3_000)
+                for part in sorted(old.cached_parts)
+            ]
+            contents = gateway_messages.EngineContents(engine, 0, 0, held)
+            for gateway in gateways:
+                told = events.ContentsTold(
+                    contents=tuple(engine_contents.in_datagrams(contents)),
+                    source="datagram",
+                    now_ms=0,
+                )
+                list(reducer.reduce(gateway, told))
+    return after.play(requests("after", 57))
+
+
+def test_learning_serves_more_in_time_after_a_restart() -> None:
+    """Cold forecasts refused prompts, and sent others to cold engines."""
+    learned, cold = (play_restart(learns=learns) for learns in (True, False))
+    assert learned.in_time(600) >= 1.3 * cold.in_time(600)
+    assert learned.prefilled_tokens < cold.prefilled_tokens
