Read requests in an event loop, within a budget of the process

Each connection that had sent anything occupied a worker thread until its request was complete: 400 connections that stopped halfway gave every ordinary caller 503, and 120 bodies that stopped one byte short took 597 MB.

One event loop per server now reads heads and bodies without blocking and hands complete requests to the workers. Memory and connections of all listeners of a process are counted by one budget. Slow writers, slow readers, thousands of header fields and unused connections are bounded. check_head refuses a request before its body is read.

--- a/src/wisteriawall/web/connection_monitor.py
+++ b/src/wisteriawall/web/connection_monitor.py
@@ -1,18 +1,18 @@
-"""Detect callers that disconnect or send their request too slowly."""
+"""Detect callers that disconnect."""
 
 from collections.abc import Callable
 import contextlib
+import logging
 import os
 import select
 import socket
 import threading
-import time
 from typing import final
 
 __all__ = ["ConnectionMonitor"]
 
-# Longest delay until an expired read deadline is detected.
-POLL_TIMEOUT_S = 0.25
+_LOG = logging.getLogger("http")
+
 DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -20,8 +20,7 @@
 class ConnectionMonitor:
     """One thread that monitors the connections of a server.
 
-    Each connection can have a callback for the caller's disconnect and a
-    deadline for reading its request.
+    Each connection can have a callback for the caller's disconnect.
     """
 
     def __init__(self) -> None:
@@ -30,7 +29,6 @@
         self._wakeup = os.eventfd(0)
         self._epoll.register(self._wakeup, select.EPOLLIN)
         self._on_disconnect_by_fd: dict[int, Callable[[], None]] = {}
-        self._deadline_s_by_socket: dict[socket.socket, float] = {}
         self._stopped = False
         self._thread = threading.Thread(
             target=self._run, name="monitor", daemon=True
@@ -52,18 +50,6 @@
         self._epoll.close()
         os.close(self._wakeup)
 
-    def set_read_deadline(
-        self, connection: socket.socket, *, seconds: float
-    ) -> None:
-        """Shut down reading after `seconds`, unless cleared before."""
-        with self._lock:
-            self._deadline_s_by_socket[connection] = time.monotonic() + seconds
-
-    def clear_read_deadline(self, connection: socket.socket) -> None:
-        """Remove the read deadline of `connection`, if it has one."""
-        with self._lock:
-            self._deadline_s_by_socket.pop(connection, None)
-
     def on_disconnect(
         self, connection: socket.socket, callback: Callable[[], None]
     ) -> None:
@@ -81,22 +67,21 @@
             callback()
 
     def stop_monitoring(self, connection: socket.socket) -> None:
-        """Remove the read deadline and callback of `connection`.
+        """Remove the callback of `connection`, if it has one.
 
         Must be called before the connection is closed or reused.
         """
         with self._lock:
-            self._deadline_s_by_socket.pop(connection, None)
             self._take_callback(connection.fileno())
 
     @property
     def registration_count(self) -> int:
-        """Return the number of callbacks and read deadlines that are set."""
-        return len(self._on_disconnect_by_fd) + len(self._deadline_s_by_socket)
+        """Return the number of callbacks that are set."""
+        return len(self._on_disconnect_by_fd)
 
     def _run(self) -> None:
         while not self._stopped:
-            for fd, _ in self._epoll.poll(POLL_TIMEOUT_S):
+            for fd, _ in self._epoll.poll(None):
                 with self._lock:
                     # Since the poll, the connection may have been closed and
                     # its descriptor given to another one.
@@ -106,8 +91,7 @@
                         else None
                     )
                 if callback is not None:
-                    callback()
-            self._shut_down_overdue_reads()
+                    _call(callback)
 
     def _take_callback(self, fd: int) -> Callable[[], None] | None:
         """Remove and return the callback of a connection, if it has one."""
@@ -117,20 +101,13 @@
                 self._epoll.unregister(fd)
         return callback
 
-    def _shut_down_overdue_reads(self) -> None:
-        now_s = time.monotonic()
-        with self._lock:
-            overdue = [
-                connection
-                for connection, deadline_s in self._deadline_s_by_socket.items()
-                if deadline_s <= now_s
-            ]
-            for connection in overdue:
-                del self._deadline_s_by_socket[connection]
-                # The reader sees the end of the input; a response can
-                # still be sent.
-                with contextlib.suppress(OSError):
-                    connection.shutdown(socket.SHUT_RD)
+
+def _call(callback: Callable[[], None]) -> None:
+    """Call a callback; its failure must not end the thread."""
+    try:
+        callback()
+    except Exception:
+        _LOG.warning("http: a disconnect callback failed", exc_info=True)
 
 
 def _is_disconnected(fd: int) -> bool:
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -1,7 +1,11 @@
-"""HTTP server on cheroot: one worker thread for each request in progress."""
+"""HTTP server on cheroot.
+
+An event loop reads requests; each complete one is served by a worker thread.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import http
 import logging
 import queue
@@ -11,15 +15,17 @@
 from typing import TypeAlias
 from typing import final
 
-from cheroot import connections
 from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
 from wisteriawall import clock
 from wisteriawall import errors
+from wisteriawall.web import connection_loop
 from wisteriawall.web import connection_monitor
-from wisteriawall.web import idle_connections
+from wisteriawall.web import memory_budget
 from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import request_reader
+from wisteriawall.web import response_writer
 from wisteriawall.web import server_connection
 from wisteriawall.web import worker_pool
 
@@ -47,13 +53,15 @@
 DEFAULT_WORKER_THREADS = 32
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
-SOCKET_TIMEOUT_S = 30
 LISTEN_BACKLOG = 512
 
 MAX_QUEUED_CONNECTIONS = 64
 REQUEST_READ_TIMEOUT_S = 10.0
 RESPONSE_TIMEOUT_S = 5.0
 MS_PER_S = 1_000
+MIN_DRAIN_MS = 100
+DEFAULT_READ_LIMITS = request_reader.ReadLimits()
+DEFAULT_WRITE_LIMITS = response_writer.WriteLimits()
 
 
 @final
@@ -92,6 +100,16 @@
         threads: Number of worker threads, each serving one request.
         request_read_timeout_s: Seconds within which the headers and body of a
             request must arrive; a slower one is refused with status 408.
+        budget: Memory and connections, shared by the servers of a process;
+            None for one of this server alone.
+        check_head: Called with method, target and headers once the head of a
+            request is complete, in the event loop; it must not block. Its
+            refusal is sent before the body is read, and the connection closed.
+            Repeated `Authorization` fields are joined by a comma.
+        drops_body: Whether the application reads no bodies; they are dropped
+            as they arrive.
+        read_limits: Further limits on requests.
+        write_limits: Limits on callers that read slowly.
     """
 
     def __init__(
@@ -101,6 +119,11 @@
         app: Callable[[Environ, StartResponse], Response],
         threads: int = DEFAULT_WORKER_THREADS,
         request_read_timeout_s: float = REQUEST_READ_TIMEOUT_S,
+        budget: memory_budget.MemoryBudget | None = None,
+        check_head: request_reader.CheckHead | None = None,
+        drops_body: bool = False,
+        read_limits: request_reader.ReadLimits = DEFAULT_READ_LIMITS,
+        write_limits: response_writer.WriteLimits = DEFAULT_WRITE_LIMITS,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._app = app
@@ -111,7 +134,7 @@
             numthreads=threads,
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
-            timeout=SOCKET_TIMEOUT_S,
+            timeout=read_limits.idle_ms // MS_PER_S,
         )
         self._workers = worker_pool.WorkerPool(
             self._server,
@@ -121,7 +144,17 @@
         self._server.requests = self._workers
         self._server.gateway = server_connection.WsgiGateway
         self._server.monitor = self._monitor
-        self._server.request_read_timeout_s = request_read_timeout_s
+        limits = dataclasses.replace(
+            read_limits, request_ms=round(request_read_timeout_s * MS_PER_S)
+        )
+        self._server.new_loop = lambda: connection_loop.ConnectionLoop(
+            self._server,
+            budget=budget or memory_budget.for_limits(),
+            read_limits=limits,
+            write_limits=write_limits,
+            check_head=check_head,
+            drops_body=drops_body,
+        )
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.prepare()
@@ -152,10 +185,16 @@
         self.disable_keep_alive()
         if on_timeout is not None:
             self._workers.on_timeout = on_timeout
-        self._workers.stop_deadline_ms = clock.monotonic_ms() + round(
+        deadline_ms = clock.monotonic_ms() + round(
             response_timeout_s * MS_PER_S
         )
+        self._workers.stop_deadline_ms = deadline_ms
+        loop = self._server.loop
+        loop.drain_deadline_ms = deadline_ms
         self._server.stop()
+        remaining_ms = max(MIN_DRAIN_MS, deadline_ms - clock.monotonic_ms())
+        loop.drain_deadline_ms = clock.monotonic_ms() + remaining_ms
+        loop.join_drainer(2 * remaining_ms / MS_PER_S)
         self._thread.join(timeout=5.0)
         self._monitor.stop()
 
@@ -168,9 +207,14 @@
         """Return the number of workers that are serving a connection."""
         return self._workers.busy_threads
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return self._server.loop.open_connections
+
     @property
     def monitor_registrations(self) -> int:
-        """Return the number of disconnect callbacks and read deadlines.
+        """Return the number of disconnect callbacks.
 
         It is 0 when no request is in progress.
         """
@@ -189,26 +233,25 @@
 class _CherootServer(wsgi.Server):
     """Cheroot server that uses `ServerConnection` and the `http` logger."""
 
-    ConnectionClass = server_connection.ServerConnection
     monitor: connection_monitor.ConnectionMonitor
-    request_read_timeout_s: float
+    new_loop: Callable[[], connection_loop.ConnectionLoop]
+    loop: connection_loop.ConnectionLoop
     shutdown_timeout: float
-    _connections: connections.ConnectionManager
+    _connections: Any
     closes_after_response = False
 
     def prepare(self) -> None:
         """Bind the socket and start the workers."""
         super().prepare()
         self._connections.close()
-        self._connections = idle_connections.IdleConnections(self)
+        self.loop = self._connections = self.new_loop()
 
     def put_conn(self, conn: server_connection.ServerConnection) -> None:
         """Wait for the next request of a connection, unless stopping."""
-        self._connections.put(conn)
+        self.loop.put(conn)
 
     def process_conn(self, conn: server_connection.ServerConnection) -> None:
         """Queue a connection for a worker; refuse it if the queue is full."""
-        conn.queued_at_ms = clock.monotonic_ms()
         try:
             self.requests.put(conn)
         except queue.Full:
@@ -234,7 +277,7 @@
 
 
 def queued_ms(environ: Environ) -> int:
-    """Return how long the request's connection waited for a worker thread."""
+    """Return the time from the request's first bytes to its worker thread."""
     value: int = environ[server_connection.QUEUED_MS_KEY]
     return value
 
@@ -245,34 +288,26 @@
     Unlike the `HTTP_` keys of a WSGI environ, the names distinguish hyphens
     from underscores.
     """
-    headers = environ[server_connection.RAW_HEADERS_KEY]
-    return {
-        name.decode("latin-1"): value.decode("latin-1")
-        for name, value in headers.items()
-    }
+    return request_reader.header_texts(
+        environ[server_connection.RAW_HEADERS_KEY]
+    )
 
 
 def read_body(environ: Environ) -> bytes:
-    """Return the whole request body and clear its read deadline.
+    """Return the whole request body.
 
     Raises:
-        BodyRefused: The body ended early, missed the read deadline, was too
-            large or was malformed.
+        BodyRefused: The body ended early, was too large or was malformed.
     """
     try:
         body: bytes = environ["wsgi.input"].read()
     except cheroot_errors.MaxSizeExceeded as error:
         raise BodyRefused(_BODY_TOO_LARGE) from error
-    except TimeoutError as error:
-        raise BodyRefused(_BODY_TOO_SLOW) from error
-    except (OSError, ValueError) as error:
-        raise _incomplete_body(environ, str(error)) from error
-    expected = int(environ.get("CONTENT_LENGTH") or "0")
-    if not environ["wsgi.input_terminated"] and len(body) < expected:
-        raise _incomplete_body(
-            environ, f"got {len(body)} bytes, expected {expected}"
-        )
-    caller_connection(environ).clear_read_deadline()
+    except ValueError as error:
+        raise _incomplete_body(str(error)) from error
+    if not environ["wsgi.input"].is_complete:
+        expected = environ.get("CONTENT_LENGTH")
+        raise _incomplete_body(f"got {len(body)} bytes, expected {expected}")
     return body
 
 
@@ -335,20 +370,10 @@
     code=refusal_lib.Code.BODY_TOO_LARGE,
     message=f"expected a body of at most {MAX_BODY_BYTES} bytes",
 )
-_BODY_TOO_SLOW = refusal_lib.Refusal(
-    status=408,
-    code=refusal_lib.Code.REQUEST_TIMEOUT,
-    message="the body did not arrive in time",
-)
 
 
-def _incomplete_body(environ: Environ, message: str) -> BodyRefused:
-    """Return the refusal of a body that ended early or is malformed.
-
-    One that the read deadline ends looks like either.
-    """
-    if caller_connection(environ).read_timed_out:
-        return BodyRefused(_BODY_TOO_SLOW)
+def _incomplete_body(message: str) -> BodyRefused:
+    """Return the refusal of a body that ended early or is malformed."""
     return BodyRefused(
         refusal_lib.Refusal(
             status=400,
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -1,7 +1,6 @@
 """Cheroot connection, request and WSGI gateway classes of the HTTP server.
 
-They send errors as JSON, bound the time that a request takes to arrive and
-report callers that disconnect.
+They send errors as JSON and report callers that disconnect.
 """
 
 import array
@@ -9,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import enum
 import errno
 import fcntl
 import logging
@@ -16,7 +16,6 @@
 import select
 import socket
 import struct
-import time
 from typing import Any
 from typing import final
 
@@ -25,18 +24,21 @@
 from cheroot import wsgi
 
 from wisteriawall import clock
-from wisteriawall.web import chunked_body
 from wisteriawall.web import connection_monitor
-from wisteriawall.web import refusal as refusal_lib
+from wisteriawall.web import error_response
+from wisteriawall.web import received_body
+from wisteriawall.web import request_reader
+from wisteriawall.web import response_writer
 
 __all__ = [
     "CONNECTION_KEY",
     "QUEUED_MS_KEY",
     "RAW_HEADERS_KEY",
     "CallerConnection",
+    "Phase",
     "ServerConnection",
     "WsgiGateway",
-    "error_response",
+    "unsent_bytes",
 ]
 
 _LOG = logging.getLogger("http")
@@ -47,20 +49,17 @@
 QUEUED_MS_KEY = "wisteriawall.queued_ms"
 # SO_LINGER with a timeout of 0 makes `close` send a TCP reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
-CODE_BY_STATUS = {
-    408: refusal_lib.Code.REQUEST_TIMEOUT,
-    413: refusal_lib.Code.BODY_TOO_LARGE,
-    414: refusal_lib.Code.BODY_TOO_LARGE,
-    500: refusal_lib.Code.INTERNAL,
-    503: refusal_lib.Code.OVERLOADED,
-}
-OVERLOAD_RETRY_AFTER_S = 1
 MAX_DISCARDED_BYTES = 65_536
 # Longest wait for the end of a response to be sent, and interval of the checks.
 MAX_LINGER_MS = 500
 LINGER_POLL_MS = 10
 # Linux's ioctl for the number of bytes in the send queue that are not sent yet.
 SIOCOUTQNSD = 0x894B
+# Cheroot keeps the last field of a repeated name. Joined, a repeated length or
+# credential is malformed instead of ambiguous.
+JOINED_FIELDS = frozenset(
+    {b"Authorization", b"Content-Length", b"Transfer-Encoding"}
+)
 
 
 @final
@@ -71,33 +70,19 @@
         self,
         connection: socket.socket,
         monitor: connection_monitor.ConnectionMonitor,
+        writer: response_writer.ResponseWriter | None = None,
     ) -> None:
         self._socket = connection
         self._monitor = monitor
+        self._writer = writer
         self.aborted = False
-        self._read_deadline_s = float("inf")
-
-    @property
-    def read_timed_out(self) -> bool:
-        """Whether the read deadline of the request has passed."""
-        return time.monotonic() >= self._read_deadline_s
-
-    def start_read_deadline(self, *, seconds: float) -> None:
-        """Set the read deadline for the headers and body, from now."""
-        self._read_deadline_s = time.monotonic() + seconds
-        self._monitor.set_read_deadline(self._socket, seconds=seconds)
-
-    def clear_read_deadline(self) -> None:
-        """Clear the read deadline, once the whole request has been read."""
-        self._read_deadline_s = float("inf")
-        self._monitor.clear_read_deadline(self._socket)
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call `callback` in the monitor thread if the caller disconnects."""
         self._monitor.on_disconnect(self._socket, callback)
 
     def stop_monitoring(self) -> None:
-        """Clear the read deadline and the disconnect callback."""
+        """Clear the disconnect callback."""
         self._monitor.stop_monitoring(self._socket)
 
     def abort_response(self) -> None:
@@ -106,6 +91,8 @@
         The caller then can't mistake a truncated response for a complete one.
         """
         self.aborted = True
+        if self._writer is not None:
+            self._writer.is_aborted = True
         self._socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
         )
@@ -113,7 +100,7 @@
     def cut(self) -> None:
         """Reset the connection as soon as its thread closes it.
 
-        A thread that reads the request or runs the application is told to end.
+        A thread that writes or runs the application is told to end.
         """
         with contextlib.suppress(OSError):
             self.abort_response()
@@ -121,34 +108,15 @@
             self._socket.shutdown(socket.SHUT_RD)
 
 
-def error_response(protocol: str, status: str, message: str) -> bytes:
-    """Return an HTTP response in JSON for an error that cheroot reports.
+@final
+class _HeaderFields(dict[bytes, bytes]):
+    """Header fields by name."""
 
-    Args:
-        protocol: HTTP version of the response.
-        status: Status code and reason phrase.
-        message: Error message; if empty, the reason phrase is sent.
-    """
-    status_code = int(status[:3])
-    # Cheroot sends 500 after the application was called, and every other
-    # status before that.
-    run_state = refusal_lib.RunState
-    refusal = refusal_lib.Refusal(
-        status=status_code,
-        code=CODE_BY_STATUS.get(status_code, refusal_lib.Code.BAD_REQUEST),
-        message=message or status[4:],
-        run=run_state.UNKNOWN if status_code == 500 else run_state.NOT_RUN,
-    )
-    body = refusal_lib.encode_json(refusal)
-    header_lines = [
-        f"{protocol} {status}",
-        "Content-Type: application/json",
-        f"Content-Length: {len(body)}",
-        "Connection: close",
-    ]
-    if status_code == 503:
-        header_lines.append(f"Retry-After: {OVERLOAD_RETRY_AFTER_S}")
-    return "\r\n".join([*header_lines, "", ""]).encode("latin-1") + body
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        """Set a field; join it to an earlier one if both must be seen."""
+        if name in JOINED_FIELDS and name in self:
+            value = self[name] + b", " + value
+        super().__setitem__(name, value)
 
 
 @final
@@ -159,6 +127,17 @@
     rest of it can't be taken for a request.
     """
 
+    def __init__(self, server: Any, conn: Any) -> None:
+        super().__init__(server, conn)
+        self.inheaders = _HeaderFields()
+
+    def parse_head(self) -> None:
+        """Parse the head, and set `ready` if that succeeds."""
+        super().parse_request()
+
+    def parse_request(self) -> None:
+        """Do nothing: the head was parsed before."""
+
     def read_request_headers(self) -> bool:
         """Read the headers; return whether to go on with the request."""
         if not super().read_request_headers():  # type: ignore[no-untyped-call]
@@ -171,57 +150,31 @@
 
     def respond(self) -> None:
         """Call the application and send its response."""
-        if not self.chunked_read:
-            super().respond()
-            return
-        self.rfile = chunked_body.ChunkedBody(
-            self.conn.rfile, max_bytes=self.server.max_request_body_size
-        )
+        self.rfile = self.conn.body
         self.server.gateway(self).respond()
         if self.chunked_write:
-            self.conn.wfile.write(b"0\r\n\r\n")
+            self.conn.wfile.finish_with(b"0\r\n\r\n")
 
     def send_headers(self) -> None:
         """Send the head; ask the caller to close if there is a reason."""
-        if self.server.closes_after_response:
-            self.close_connection = True
-        if not self.close_connection and not self._read_to_end():
+        if self.server.closes_after_response or not self._was_read_to_end():
             self.close_connection = True
         super().send_headers()
 
-    def _read_to_end(self) -> bool:
-        """Drop the rest of the body; return whether its end was reached.
-
-        Waits for the rest until the read deadline, as closing the connection
-        could reset it before the caller has read the response.
-        """
+    def _was_read_to_end(self) -> bool:
         headers = self.inheaders
         if b"Transfer-Encoding" in headers and (
             b"Content-Length" in headers or not self.chunked_read
         ):
             # A proxy may see the end of the body elsewhere.
             return False
-        with contextlib.suppress(
-            OSError, ValueError, cheroot_errors.MaxSizeExceeded
-        ):
-            self.rfile.read()
-        # After the deadline the connection is shut down for reading.
-        if self.conn.caller.read_timed_out:
-            return False
-        if self.chunked_read:
-            return bool(self.rfile.is_complete)
-        return bool(self.rfile.remaining == 0)
+        return bool(self.rfile.is_complete)
 
     def simple_response(self, status: object, msg: object = "") -> None:
         """Send an error and close, even while the caller still sends."""
         self.close_connection = True
         text = msg.decode("latin-1") if isinstance(msg, bytes) else str(msg)
-        if self.conn.caller.read_timed_out:
-            status, text = (
-                "408 Request Timeout",
-                "the request came too slowly",
-            )
-        data = error_response(self.server.protocol, str(status), text)
+        data = error_response.encode(str(status), text, self.server.protocol)
         try:
             self.conn.wfile.write(data)
         except OSError as error:
@@ -229,46 +182,139 @@
                 raise
 
 
-def _unsent_bytes(connection: socket.socket) -> int:
+def unsent_bytes(connection: socket.socket) -> int:
+    """Return how many bytes the kernel has not sent yet."""
     count = array.array("i", [0])
     fcntl.ioctl(connection, SIOCOUTQNSD, count)
     return count[0]
 
 
+@final
+class Phase(enum.Enum):
+    """What a connection does.
+
+    Those that are SERVING belong to a worker thread or wait for one, the others
+    to the event loop.
+    """
+
+    IDLE = enum.auto()
+    READING = enum.auto()
+    SERVING = enum.auto()
+    DRAINING = enum.auto()
+    LINGERING = enum.auto()
+
+
 @final
 class ServerConnection(cheroot_server.HTTPConnection):
-    """Server connection that sets a read deadline for each request."""
+    """Server connection whose requests are read by the event loop.
+
+    Attributes:
+        phase: What the connection does.
+        reader: Reads the current request; None while idle.
+        body: Body of the request that is served.
+        input: Bytes that follow the request that is served.
+        held_bytes: Bytes reserved for the current request.
+        received_bytes: Bytes received of the current request.
+        since_ms: When the phase began, on the monotonic clock.
+        keeps_open: Whether the connection goes on once its answer is sent.
+        waits_for_end: Whether closing waits until the caller closes, too.
+    """
 
-    RequestHandlerClass = HttpRequest
     caller: CallerConnection | None = None
-    # When the connection was queued for a worker, on the monotonic clock, and
-    # how long it waited there.
-    queued_at_ms = 0
-    queued_ms = 0
+
+    def __init__(
+        self,
+        server: Any,
+        connection: socket.socket,
+        peer: tuple[str, int],
+        writer: response_writer.ResponseWriter,
+    ) -> None:
+        # Cheroot's constructor opens buffered files, which aren't used.
+        self.server = server
+        self.socket = connection
+        self.remote_addr, self.remote_port = peer
+        self.wfile = writer
+        self.rfile = None
+        self.ssl_env: dict[str, str] = {}
+        self.requests_seen = 0
+        self.RequestHandlerClass = self._take_request
+        self.fd = connection.fileno()
+        self.phase = Phase.IDLE
+        self.reader: request_reader.RequestReader | None = None
+        self.body: received_body.ReceivedBody | None = None
+        self.input = b""
+        self.held_bytes = 0
+        self.received_bytes = 0
+        self.rate_mark_ms = 0
+        self.rate_mark_bytes = 0
+        self.last_read_ms = 0
+        self.since_ms = clock.monotonic_ms()
+        self.keeps_open = False
+        self.waits_for_end = False
+        # When the first bytes of the request arrived, and how long it waited
+        # from then on for a worker.
+        self.queued_at_ms = 0
+        self.queued_ms = 0
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request has begun to arrive on this connection."""
+        return self.phase is Phase.IDLE and not self.requests_seen
+
+    def new_request(self) -> HttpRequest:
+        """Return a request of this connection that is not parsed yet."""
+        return HttpRequest(self.server, self)
+
+    def _take_request(self, server: Any, connection: Any) -> Any:
+        """Return the parsed request; stands in for cheroot's request class."""
+        del server, connection
+        assert self.reader is not None
+        return self.reader.request
 
     def communicate(self) -> bool:
         """Serve one request; return whether to keep the connection open."""
         self.queued_ms = clock.monotonic_ms() - self.queued_at_ms
-        self.caller = CallerConnection(self.socket, self.server.monitor)
-        self.caller.start_read_deadline(
-            seconds=self.server.request_read_timeout_s
+        self.wfile.begin_answer()
+        self.caller = CallerConnection(
+            self.socket, self.server.monitor, self.wfile
         )
         try:
             keep_open: bool = super().communicate()  # type: ignore[no-untyped-call]
             return keep_open
         finally:
             self.caller.stop_monitoring()
+            self.requests_seen += 1
+            self.waits_for_end = not (self.body and self.body.is_complete)
+            self.reader = self.body = None
 
     def close(self) -> None:
         """Close the connection, with a reset if its response was aborted."""
-        if self.caller is None or not self.caller.aborted:
-            self._finish_sending()
-            super().close()
+        self.server.loop.release_bytes(self)
+        if self.caller is not None and self.caller.aborted:
+            self.reset()
             return
+        with contextlib.suppress(OSError):
+            if not self.wfile.has_pending:
+                self.socket.shutdown(socket.SHUT_WR)
+                if not (self.waits_for_end or self._has_input()) and (
+                    not unsent_bytes(self.socket)
+                ):
+                    self.close_idle()
+                    return
+        if not self.server.loop.finish(self):
+            self._finish_sending()
+
+    def reset(self) -> None:
+        """Close the connection with a reset."""
+        self.server.loop.forget(self)
         # Cheroot's `close` shuts the socket down first. A response body whose
         # end is marked only by the end of the connection would then look
         # complete to the caller.
-        os.close(self.socket.detach())
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+            )
+            os.close(self.socket.detach())
 
     def cut(self) -> None:
         """End the request in progress with a reset, from another thread."""
@@ -277,58 +323,66 @@
             caller.cut()
 
     def _finish_sending(self) -> None:
-        """Discard input until the response is sent, for `MAX_LINGER_MS`.
+        """Send the rest of the response, then discard input for a while.
 
         Input that is unread at the close, or arrives after it, makes the kernel
         send a reset and discard the rest of the response.
         """
+        try:
+            self.wfile.flush()
+        except OSError:
+            self.reset()
+            return
         end_ms = clock.monotonic_ms() + MAX_LINGER_MS
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
-            self.socket.setblocking(False)
             readable = select.poll()
             readable.register(self.socket, select.POLLIN)
             wait_ms = 0
             while clock.monotonic_ms() < end_ms:
                 if readable.poll(wait_ms):
                     if not self.socket.recv(MAX_DISCARDED_BYTES):
-                        return
-                elif not _unsent_bytes(self.socket):
-                    return
+                        break
+                elif not (self.waits_for_end or unsent_bytes(self.socket)):
+                    break
                 wait_ms = LINGER_POLL_MS
+        self.close_idle()
 
     def close_unserved(self) -> None:
         """Close without serving; refuse a request that has begun to arrive."""
-        if self._has_input():
+        if self.phase in (Phase.READING, Phase.SERVING) or self._has_input():
             self.refuse()
         else:
             self.close_idle()
 
     def close_idle(self) -> None:
         """Close without waiting; the kernel sends the rest of the response."""
-        super().close()
+        self.server.loop.forget(self)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
 
     def _has_input(self) -> bool:
-        if self.rfile.has_data():
+        if self.input:
             return True
         try:
-            self.socket.setblocking(False)
             return bool(self.socket.recv(1, socket.MSG_PEEK))
         except OSError:
             return False
 
     def refuse(self) -> None:
-        """Send status 503 and close, when no worker can serve the request."""
-        _LOG.info("http: refused a request of %s unread", self.remote_addr)
-        data = error_response("HTTP/1.1", "503 Service Unavailable", "")
+        """Send status 503 and close, when the request can't be served."""
+        data = error_response.encode("503 Service Unavailable")
+        self.server.loop.log_refusal(self, data)
         with contextlib.suppress(OSError):
-            self.socket.setblocking(False)
             self.socket.send(data)
             self.socket.shutdown(socket.SHUT_WR)
+        if not self.server.loop.finish(self):
             # Unread input would make `close` reset the connection, and the
             # caller could lose the response.
-            self.socket.recv(MAX_DISCARDED_BYTES)
-        super().close()
+            with contextlib.suppress(OSError):
+                self.socket.recv(MAX_DISCARDED_BYTES)
+            self.close_idle()
 
 
 @final
@@ -374,7 +428,12 @@
         if self.req.method == b"HEAD":
             return
         with self._reset_on_error():
-            super().write(chunk)
+            if self.remaining_bytes_out == len(chunk):
+                # The end of the answer needs no thread that waits for it.
+                self.remaining_bytes_out = 0
+                self.req.conn.wfile.finish_with(chunk)
+            else:
+                super().write(chunk)
 
     def _send_head(self) -> None:
         """Send the head, unless that was done."""
@@ -402,8 +461,6 @@
         if caller.aborted or self.req.sent_headers:
             caller.abort_response()
             return
-        # The application was called, so a slow caller is not the reason.
-        caller.clear_read_deadline()
         self.req.simple_response("500 Internal Server Error")
         self.req.sent_headers = True
 
--- a/testing/test_connections.py
+++ b/testing/test_connections.py
@@ -46,6 +46,7 @@
     "web/connection_pool.py": "opens connections for its users",
     "web/http_exchange.py": "its users say how an answer names its request",
     "web/runner_connection.py": "skips responses that name another request",
+    "web/connection_loop.py": "server side",
     "web/server_connection.py": "server side",
     "wire/http_call.py": "one connection for each call",
     "wire/transport.py": "NNG gives each request an id",
