--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -29,6 +29,7 @@
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.web import connection_pool
+from wisteriawall.web import memory_budget
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
 from wisteriawall.wire import control_client
@@ -107,6 +108,8 @@
         unready_ms: First part of the grace period, in which the gateway
             reports that it is not ready but still serves new requests, until
             the balancer sends no more.
+        memory: Budget of the callers' connections, shared with other listeners
+            of the process; None for the default.
     """
 
     def __init__(
@@ -122,7 +125,9 @@
         metrics: metrics_lib.Metrics,
         grace_ms: int,
         unready_ms: int = UNREADY_MS,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        memory = memory or memory_budget.for_limits()
         self._identity = identity
         self._dialect = dialect
         self._log = log
@@ -192,11 +197,14 @@
             address=identity.listen_address,
             app=self._serve_caller,
             threads=CALLER_THREADS,
+            budget=memory,
         )
         self._ready = server_lib.HttpServer(
             address=identity.ready_address,
             app=self._serve_ready,
             threads=READY_THREADS,
+            budget=memory,
+            drops_body=True,
         )
         self._thread = threading.Thread(
             target=self._poll_control, name="poll-control", daemon=True
--- a/src/wisteriawall/observability/prometheus.py
+++ b/src/wisteriawall/observability/prometheus.py
@@ -4,6 +4,7 @@
 
 import prometheus_client
 
+from wisteriawall.web import memory_budget
 from wisteriawall.web import server as server_lib
 
 __all__ = ["PrometheusMetrics"]
@@ -33,9 +34,15 @@
     Args:
         address: HOST:PORT to listen on; port 0 chooses a free port. The
             attribute `address` has the chosen one.
+        memory: Budget of the process's connections; None for one of its own.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        memory: memory_budget.MemoryBudget | None = None,
+    ) -> None:
         registry = prometheus_client.CollectorRegistry()
         self._registry = registry
         self._counters = prometheus_client.Counter(
@@ -52,7 +59,11 @@
             buckets=BUCKET_BOUNDS_MS,
         )
         self._server = server_lib.HttpServer(
-            address=address, app=self._serve, threads=SERVER_THREADS
+            address=address,
+            app=self._serve,
+            threads=SERVER_THREADS,
+            budget=memory,
+            drops_body=True,
         )
         self.address = self._server.address
 
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -17,6 +17,7 @@
 from wisteriawall.platform import runners
 from wisteriawall.platform import settings as settings_lib
 from wisteriawall.storage import data_folder
+from wisteriawall.web import memory_budget
 from wisteriawall.web import server as server_lib
 from wisteriawall.wire import control_client
 from wisteriawall.wire import envelope
@@ -45,12 +46,13 @@
     settings = settings_lib.load()
     log = roles.open_log(settings, "control")
     with roles.end_on_failure(log):
-        metrics = roles.open_metrics(settings, metrics_port)
+        memory = roles.open_memory(settings)
+        metrics = roles.open_metrics(settings, metrics_port, memory)
         if data is None and not settings.data_directory:
-            _redirect_to_seeds(settings, log, metrics)
+            _redirect_to_seeds(settings, log, metrics, memory)
         else:
             folder = data or pathlib.Path(settings.data_directory or "")
-            _run_replica(settings, folder, key, log, metrics)
+            _run_replica(settings, folder, key, log, metrics, memory)
 
 
 def _run_replica(
@@ -59,6 +61,7 @@
     key: bytes,
     log: decisions.DecisionLog,
     metrics: metrics_lib.Metrics,
+    memory: memory_budget.MemoryBudget,
 ) -> None:
     """Run a control replica until SIGTERM."""
     incarnation = lifecycle.new_incarnation()
@@ -104,6 +107,7 @@
         address=settings.listen_addresses.control,
         app=operators.OperatorApp(shell=shell),
         threads=OPERATOR_THREADS,
+        budget=memory,
     )
 
     def start() -> None:
@@ -138,6 +142,7 @@
     settings: settings_lib.Settings,
     log: decisions.DecisionLog,
     metrics: metrics_lib.Metrics,
+    memory: memory_budget.MemoryBudget,
 ) -> None:
     """Redirect operators to the seeds: without a disk there is no replica."""
     redirect = operators.SeedRedirect(seeds=settings.seeds)
@@ -145,6 +150,7 @@
         address=settings.listen_addresses.control,
         app=redirect,
         threads=OPERATOR_THREADS,
+        budget=memory,
     )
 
     def reload() -> None:
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -18,6 +18,7 @@
     """
     settings = settings_lib.load()
     log = roles.open_log(settings, "gateway")
+    memory = roles.open_memory(settings)
     with roles.end_on_failure(log):
         shell = gateway_shell.GatewayShell(
             identity=gateway_shell.Identity(
@@ -35,8 +36,9 @@
             budget=settings.retry_budget,
             tuning=gateway_state.Tuning(),
             log=log,
-            metrics=roles.open_metrics(settings, metrics_port),
+            metrics=roles.open_metrics(settings, metrics_port, memory),
             grace_ms=settings.grace_ms,
+            memory=memory,
         )
         lifecycle.run_until_signalled(
             start=shell.start,
