Go on receiving load datagrams after an unexpected error

An exception other than a rejected message or a socket error while a datagram was decoded or forwarded would have ended the only receiving thread.

--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -200,9 +200,13 @@
                 )
                 self._closing.wait(ERROR_PAUSE_S)
                 continue
-            if message.forward:
-                self._forward(message.events)
+            except Exception:
+                # Nothing but this thread would receive the next datagram.
+                _LOG.exception("gateway: reading a load datagram failed")
+                continue
             try:
+                if message.forward:
+                    self._forward(message.events)
                 self._receive(message.events)
             except Exception:
                 # Nothing but this thread would receive the next events.
