--- a/src/wisteriawall/gateway/peers.py
+++ b/src/wisteriawall/gateway/peers.py
@@ -233,6 +233,10 @@
                 )
                 self._closing.wait(ERROR_PAUSE_S)
                 continue
+            except Exception:
+                # Nothing but this thread would receive the next datagram.
+                _LOG.exception("gateway: reading a load datagram failed")
+                continue
             try:
                 self._apply(message)
             except Exception:
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -37,6 +37,7 @@
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.web import connection_pool
+from wisteriawall.web import memory_budget
 from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.web import server as server_lib
 from wisteriawall.web import server_connection
@@ -123,6 +124,8 @@
             the balancer sends no more.
         usage_window_ms: Length of a window of the usage report; 0 counts no
             usage.
+        memory: Budget of the callers' connections, shared with other listeners
+            of the process; None for the default.
     """
 
     def __init__(
@@ -139,7 +142,9 @@
         grace_ms: int,
         unready_ms: int = UNREADY_MS,
         usage_window_ms: int = 0,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        memory = memory or memory_budget.for_limits()
         self._identity = identity
         self._dialect = dialect
         self._log = log
@@ -226,11 +231,15 @@
             address=identity.listen_address,
             app=self._serve_caller,
             threads=CALLER_THREADS,
+            check_head=self._check_head,
+            budget=memory,
         )
         self._ready = server_lib.HttpServer(
             address=identity.ready_address,
             app=self._serve_ready,
             threads=READY_THREADS,
+            budget=memory,
+            drops_body=True,
         )
         self._thread = threading.Thread(
             target=self._poll_control, name="poll-control", daemon=True
@@ -360,7 +369,6 @@
         target = environ["REQUEST_URI"]
         refusal = self._check_head(environ["REQUEST_METHOD"], target, headers)
         if refusal is not None:
-            server_lib.caller_connection(environ).skips_body = True
             return server_lib.send_refusal(
                 start_response, refusal, fractional_retry_after=True
             )
