--- a/testing/support/hostile_clients.py
+++ b/testing/support/hostile_clients.py
@@ -1,10 +1,12 @@
 """Hostile clients of an HTTP server, beside ordinary callers.
 
-    PYTHONPATH=testing python -m support.hostile_clients [CASE ...]
+    PYTHONPATH=testing python -m support.hostile_clients [--gateway] [CASE ...]
 
 runs the cases at full size and prints a table: the in-time share of ordinary
 callers before, during and after each, and the server's peak memory and
-descriptors. The server is a process of its own, and so are the clients.
+descriptors. The server is a process of its own, and so are the clients. With
+`--gateway` the process has a gateway, a control replica and a runner, otherwise
+two servers without them.
 """
 
 from collections.abc import Callable
@@ -20,7 +22,6 @@
 import sys
 import threading
 import time
-from typing import Any
 from typing import final
 
 __all__ = ["CASES", "Case", "Result", "Site", "run_case"]
@@ -34,9 +35,12 @@
 CALM_S = 2.0
 # A server closes what stalls after 4 s.
 RECOVERY_S = 5.0
+FULL_S = 8.0
 RECONNECTS_PER_S = 400
 SEND_BYTES = 65_536
-ANSWER = b"x" * 200
+BODY = b"b" * 300
+# As the stand-in of a runner answers.
+ANSWERS = (b"answer to " + BODY, b'{"ready":true}')
 LARGE_ANSWER_BYTES = 2_000_000
 
 PROGRAM = """
@@ -47,15 +51,14 @@
 def serve(environ, start_response):
     body = server_lib.read_body(environ)
     threading.Event().wait(0.005)
-    large = environ["PATH_INFO"] == "/large"
-    size = int(sys.argv[3]) if large else 200
-    return server_lib.send_response(
-        start_response, status=200, body=b"x" * size
-    )
+    answer = b"answer to " + body
+    if environ["PATH_INFO"] == "/large":
+        answer = b"x" * int(sys.argv[3])
+    return server_lib.send_response(start_response, status=200, body=answer)
 
 def ready(environ, start_response):
     return server_lib.send_response(
-        start_response, status=200, body=b"x" * 200
+        start_response, status=200, body=b"answer to " + b"b" * 300
     )
 
 memory_budget.return_large_blocks()
@@ -77,10 +80,38 @@
 sys.stdin.read()
 """
 
+GATEWAY_PROGRAM = """
+import functools, pathlib, sys, tempfile
+from support import platform_site as sites
+from wisteriawall.web import memory_budget
+
+memory_budget.return_large_blocks()
+# The gateway and the operators' server of the site take the default.
+memory_budget.for_limits = functools.partial(
+    memory_budget.for_limits,
+    memory_mb=int(sys.argv[1]),
+    file_descriptors=int(sys.argv[2]),
+)
+site = sites.Site(pathlib.Path(tempfile.mkdtemp()))
+site.add_runner("i-1", "shop")
+site.start_serving()
+sites.wait_until(lambda: "i-1" in site.gateway.upstream_by_id, "the runner")
+print(site.gateway.address, site.gateway.ready_address, flush=True)
+sys.stdin.read()
+"""
+
+_attempts = itertools.count()
 
-def _head(*fields: str, path: str = "/") -> bytes:
-    lines = [f"POST {path} HTTP/1.1", "Host: app.example", *fields, "", ""]
-    return "\r\n".join(lines).encode()
+
+def _head(*fields: str, path: str = "/read/") -> bytes:
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "Host: app.example",
+        f"X-Wisteriawall-Attempt-Id: a{next(_attempts)}",
+        "X-Wisteriawall-Deadline-Remaining: 3000",
+        *fields,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
 def _repeat(piece: bytes, times: int) -> Iterator[bytes]:
@@ -357,9 +388,9 @@
 
     def _call(self, connection: socket.socket) -> None:
         connection.settimeout(IN_TIME_S)
-        connection.sendall(_head("Content-Length: 300") + b"b" * 300)
+        connection.sendall(_head(f"Content-Length: {len(BODY)}") + BODY)
         data = b""
-        while not data.endswith(ANSWER):
+        while not data.endswith(ANSWERS):
             piece = connection.recv(SEND_BYTES)
             data += piece
             if not piece or not data.startswith(b"HTTP/1.1 200"):
@@ -377,12 +408,13 @@
         *,
         memory_mb: int = MEMORY_MB,
         file_descriptors: int = FILE_DESCRIPTORS,
+        program: str = PROGRAM,
     ) -> None:
         """Start the server."""
         command: list[str] = [
             sys.executable,
             "-c",
-            PROGRAM,
+            program,
             str(memory_mb),
             str(file_descriptors),
             str(LARGE_ANSWER_BYTES),
@@ -427,10 +459,15 @@
 
 
 def run_case(
-    name: str, *, connections: int, seconds: float, calm_s: float = CALM_S
+    name: str,
+    *,
+    connections: int,
+    seconds: float,
+    calm_s: float = CALM_S,
+    program: str = PROGRAM,
 ) -> Result:
     """Run one case against a server of its own."""
-    site = Site()
+    site = Site(program=program)
     address = site.addresses[CASES[name].server]
     callers = OrdinaryCallers(address)
     try:
@@ -469,12 +506,17 @@
     _Attacker(CASES[name], address, int(connections)).run(float(seconds))
 
 
-def _print_table(names: list[str]) -> None:
+def _print_table(names: list[str], program: str) -> None:
     print("| case | connections | before | during | after | MB | descriptors |")
     print("|---|---|---|---|---|---|---|")
     for name in names or CASES:
         case = CASES[name]
-        result: Any = run_case(name, connections=case.connections, seconds=12)
+        result = run_case(
+            name,
+            connections=case.connections,
+            seconds=FULL_S,
+            program=program,
+        )
         shares = (result.before, result.during, result.after)
         print(
             f"| {name} | {case.connections:,} |",
@@ -489,4 +531,6 @@
     if sys.argv[1:2] == ["attack"]:
         _attack(sys.argv[2:])
     else:
-        _print_table(sys.argv[1:])
+        names = [name for name in sys.argv[1:] if name != "--gateway"]
+        is_gateway = "--gateway" in sys.argv
+        _print_table(names, GATEWAY_PROGRAM if is_gateway else PROGRAM)
