Close a client's connection to control only after the calls on it

Cause: RpcClient.close closed the socket of calls in progress to end them, and NNG aborts the process if a call is on it (pthread_mutex_lock or _unlock: Invalid argument). That happened to gateways that stopped without contact to control, before or during the exit handler of pynng.

Change: a closed client's socket is closed by its last call. A call sends in attempts of 100 ms, so that one whose request was not sent ends soon after the close; one that waits for an answer ends with it or its timeout. Programs that have stopped and flushed their output leave with os._exit, before pynng frees the memory that NNG's threads still use.

The test of calls that time out is now one of two cases, its check unchanged.

--- a/src/wisteriawall/commands/agent.py
+++ b/src/wisteriawall/commands/agent.py
@@ -111,3 +111,4 @@
         stop=shell.stop,
         ready_message=f"agent: entries at {shell.address}",
     )
+    lifecycle.end_process()
--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -150,6 +150,7 @@
         stop=stop,
         ready_message=f"control: operators at {admin_server.address}",
     )
+    lifecycle.end_process()
 
 
 def _parse_admin_peers(
--- a/src/wisteriawall/commands/entry.py
+++ b/src/wisteriawall/commands/entry.py
@@ -112,3 +112,4 @@
         stop=shell.stop,
         ready_message=f"entry: callers at {shell.address}",
     )
+    lifecycle.end_process()
--- a/src/wisteriawall/commands/lifecycle.py
+++ b/src/wisteriawall/commands/lifecycle.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import contextvars
 import logging
 import os
 import signal
+import sys
 import time
 import types
+from typing import NoReturn
 from typing import Protocol
 
 from wisteriawall import errors
@@ -16,6 +19,7 @@
     "CheckableSettings",
     "check",
     "check_only",
+    "end_process",
     "new_incarnation",
     "run_until_signalled",
 ]
@@ -69,6 +73,20 @@
     return time.time_ns()
 
 
+def end_process() -> NoReturn:
+    """End a process that has stopped everything, with exit code 0.
+
+    The exit handlers of the interpreter are left out. That of pynng frees
+    the memory of NNG while its threads may still be closing connections, and
+    NNG then aborts the process.
+    """
+    logging.shutdown()
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, ValueError):
+            stream.flush()
+    os._exit(0)
+
+
 def run_until_signalled(
     *,
     start: Callable[[], None],
--- a/src/wisteriawall/platform/commands.py
+++ b/src/wisteriawall/platform/commands.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from wisteriawall.commands import lifecycle
 from wisteriawall.commands import options
 from wisteriawall.settings import parsers
 
@@ -39,6 +40,7 @@
     from wisteriawall.platform import gateway_role
 
     gateway_role.run(key=_key(cluster_key), metrics_port=metrics_port)
+    lifecycle.end_process()
 
 
 @app.command()
@@ -59,6 +61,7 @@
     control_role.run(
         key=_key(cluster_key), metrics_port=metrics_port, data=data
     )
+    lifecycle.end_process()
 
 
 def _key(text: str) -> bytes:
--- a/src/wisteriawall/platform/launch.py
+++ b/src/wisteriawall/platform/launch.py
@@ -6,6 +6,7 @@
 import sys
 
 from wisteriawall import errors
+from wisteriawall.commands import lifecycle
 from wisteriawall.settings import parsers
 
 __all__ = ["main"]
@@ -27,6 +28,7 @@
     except errors.WisteriawallError as error:
         sys.stderr.write(f"wisteriawall: {error}\n")
         sys.exit(error.exit_code)
+    lifecycle.end_process()
 
 
 def _run(role: str) -> None:
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -71,7 +71,7 @@
             clients = dict(self._client_by_replica)
             for replica, address in self._address_by_replica.items():
                 if address_by_replica.get(replica) != address:
-                    clients.pop(replica).close()
+                    clients.pop(replica).close_after_calls()
             addresses = dict(address_by_replica)
             for replica, address in address_by_replica.items():
                 if replica in clients:
@@ -143,6 +143,8 @@
         """Close the connections to all replicas and end calls in progress."""
         with self._lock:
             self._closed = True
+        for client in self._client_by_replica.values():
+            client.close_after_calls()
         for client in self._client_by_replica.values():
             client.close()
 
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -11,8 +11,9 @@
 called repeatedly.
 
 NNG may also abort the process when one thread closes a socket while another
-begins to send or receive on it. So servers first wait for the threads that use
-the socket, which look now and then whether it is being closed.
+sends or receives on it, or begins to. So servers first wait for the threads
+that use the socket, which look now and then whether it is being closed, and a
+client's socket is closed after its last call.
 """
 
 from collections.abc import Callable
@@ -45,12 +46,16 @@
 _LOG = logging.getLogger("rpc")
 
 RPC_TIMEOUT_MS = 1_000
+MS_PER_S = 1_000
 # Pause of a serving thread after an error, which may last.
 ERROR_PAUSE_S = 0.01
 # Interval at which a receiving thread looks whether its socket is being closed.
 RECEIVE_TIMEOUT_MS = 100
 # An error that lasts comes with each message.
 ERROR_LOG_INTERVAL_S = 10.0
+# Longest time that a call sends without looking whether its client was closed.
+# A request is sent as soon as the server is connected.
+SEND_ATTEMPT_MS = 100
 RPC_THREADS = 8
 PEER_BUFFER_MESSAGES = 64
 # NNG must not repeat a request: it could be carried out twice.
@@ -195,7 +200,7 @@
         with self._hold_socket() as socket:
             try:
                 with socket.new_context() as context:
-                    context.send(request)
+                    self._send(context, request)
                     answer: bytes = context.recv()
                     return answer
             except pynng.NNGException as error:
@@ -205,22 +210,51 @@
                 ) from error
 
     def close(self) -> None:
-        """Close the connection, end calls in progress and wait for them."""
-        with self._condition:
-            self._closed = True
-            sockets = {self._socket, *self._call_count_by_socket}
-        for socket in sockets:
-            socket.close()
+        """Close the connection after calls in progress, and wait for them.
+
+        A call whose request was not sent ends within `SEND_ATTEMPT_MS`, the
+        others with their answer or their timeout.
+        """
+        self.close_after_calls()
         with self._condition:
             has_ended = self._condition.wait_for(
-                lambda: not self._call_count_by_socket, timeout=CLOSE_TIMEOUT_S
+                lambda: not self._call_count_by_socket,
+                timeout=self._timeout_ms / MS_PER_S + CLOSE_TIMEOUT_S,
             )
         if not has_ended:
             _LOG.error("rpc: a call did not end when its client was closed")
 
+    def close_after_calls(self) -> None:
+        """Refuse new calls, and close the connection after those in progress.
+
+        This does not wait for them.
+        """
+        with self._condition:
+            self._closed = True
+            if self._socket not in self._call_count_by_socket:
+                self._socket.close()
+
+    def _send(self, context: pynng.Context, request: bytes) -> None:
+        """Send a request within the timeout, or until the client is closed.
+
+        An attempt that timed out has sent nothing, so it can be repeated.
+        """
+        deadline_s = time.monotonic() + self._timeout_ms / MS_PER_S
+        while True:
+            try:
+                context.send(request)
+            except pynng.Timeout:
+                if self._closed or time.monotonic() >= deadline_s:
+                    raise
+            else:
+                return
+
     @contextlib.contextmanager
     def _hold_socket(self) -> Iterator[pynng.Req0]:
-        """Yield the socket; a replaced one is closed after its last call."""
+        """Yield the socket.
+
+        If it was replaced or the client was closed, the last call closes it.
+        """
         with self._condition:
             if self._closed:
                 raise RpcClosed("the client is closed")
@@ -234,14 +268,14 @@
                 self._call_count_by_socket[socket] -= 1
                 if not self._call_count_by_socket[socket]:
                     del self._call_count_by_socket[socket]
-                    if socket is not self._socket:
+                    if self._closed or socket is not self._socket:
                         socket.close()
                 self._condition.notify_all()
 
     def _connect(self) -> pynng.Req0:
         socket = pynng.Req0(
             recv_timeout=self._timeout_ms,
-            send_timeout=self._timeout_ms,
+            send_timeout=min(self._timeout_ms, SEND_ATTEMPT_MS),
             resend_time=RESEND_DISABLED_MS,
         )
         try:
--- a/testing/wire/test_transport.py
+++ b/testing/wire/test_transport.py
@@ -36,6 +36,38 @@
 client.close()
 """
 
+CLOSING_SCRIPT = """
+import socket, sys, threading, time
+from wisteriawall.wire import transport
+
+mute = socket.create_server(("127.0.0.1", 0), backlog=0)
+server = transport.RpcServer(address="127.0.0.1:0", handler=lambda data: data)
+server.start()
+addresses = [sys.argv[1], server.address, f"127.0.0.1:{mute.getsockname()[1]}"]
+clients = [
+    transport.RpcClient(address=address, timeout_ms=timeout_ms)
+    for address in addresses * 2
+    for timeout_ms in (5, 20, 100)
+]
+
+def call(client):
+    while True:
+        try:
+            client.call(b"x")
+        except transport.RpcTimeout:
+            pass
+        except transport.RpcClosed:
+            return
+
+for client in clients:
+    for _ in range(2):
+        threading.Thread(target=call, args=(client,), daemon=True).start()
+time.sleep(0.2)
+for client in clients:
+    client.close()
+server.close()
+"""
+
 
 def test_subscriber_receives_from_publisher_on_port_0() -> None:
     # Messages sent before the subscription is complete are lost, so the message
@@ -106,15 +138,19 @@
         resource.close()
 
 
-def test_process_goes_on_when_calls_of_several_threads_time_out() -> None:
-    """One call closed the socket of the others, and NNG aborted."""
+@pytest.mark.parametrize(
+    "script",
+    [
+        pytest.param(TIMEOUTS_SCRIPT, id="calls-time-out"),
+        pytest.param(CLOSING_SCRIPT, id="clients-are-closed"),
+    ],
+)
+def test_process_goes_on_when_calls_of_several_threads_end(
+    script: str,
+) -> None:
+    """A socket was closed while other calls used it, and NNG aborted."""
     ended = subprocess.run(
-        [
-            sys.executable,
-            "-c",
-            TIMEOUTS_SCRIPT,
-            cluster.unused_loopback_address(),
-        ],
+        [sys.executable, "-c", script, cluster.unused_loopback_address()],
         stderr=subprocess.PIPE,
         timeout=platform_site.WAIT_S,
         check=False,
