--- a/testing/gateway/test_peers.py
+++ b/testing/gateway/test_peers.py
@@ -11,6 +11,7 @@
 from wisteriawall.wire import gateway_messages
 
 WAIT_S = 10.0
+ENGINES = 20
 
 
 class Channels:
@@ -19,6 +20,7 @@
     def __init__(self, count: int) -> None:
         """Open a channel for each gateway, and make all known to all."""
         self.received: dict[str, list[str]] = {}
+        self.contents: dict[str, list[gateway_messages.EngineContents]] = {}
         self.by_name = {
             name: self._open(name)
             for name in (f"g{number:02}" for number in range(count))
@@ -33,6 +35,7 @@
 
     def _open(self, name: str) -> peers.PeerLoadChannel:
         received = self.received.setdefault(name, [])
+        contents = self.contents.setdefault(name, [])
         return peers.PeerLoadChannel(
             name=name,
             address="127.0.0.1:0",
@@ -44,6 +47,7 @@
             receive=lambda events: received.extend(
                 event.request_id for event in events
             ),
+            receive_contents=contents.extend,
         )
 
     def close(self) -> None:
@@ -73,6 +77,43 @@
     assert all(channels.received[name] == ["r1"] for name in others)
 
 
+@pytest.mark.parametrize(
+    "count", [pytest.param(3, id="direct"), pytest.param(14, id="mesh")]
+)
+def test_contents_arrive_everywhere_and_do_not_delay_events(
+    count: int,
+) -> None:
+    """Load events that wait behind bulk make gateways choose one engine."""
+    channels = Channels(count)
+    with contextlib.closing(channels):
+        sender = channels.by_name["g01"]
+        parts = [(f"{number:08x}", 1_000) for number in range(200)]
+        for number in range(ENGINES):
+            sender.tell_contents(
+                gateway_messages.EngineContents(f"e{number}", 0, 0, parts)
+            )
+        send(sender, "r1", 1)
+        others = [name for name in channels.by_name if name != "g01"]
+        deadline = time.monotonic() + WAIT_S
+        while not all(channels.received[name] for name in others):
+            assert time.monotonic() < deadline, channels.received
+            time.sleep(0.002)
+        assert len(channels.contents["g00"]) < ENGINES * 3
+        while any(
+            len(channels.contents[name]) < ENGINES * 3 for name in others
+        ):
+            assert time.monotonic() < deadline, channels.contents
+            time.sleep(0.01)
+    assert channels.contents["g01"] == []
+    for name in others:
+        told = [
+            c
+            for c in channels.contents[name]
+            if c.upstream_id == f"e{ENGINES - 1}"
+        ]
+        assert sorted(part for c in told for part in c.parts) == parts
+
+
 def test_closed_channel_has_no_thread() -> None:
     others = set(threading.enumerate())
     channels = Channels(1)
