Place plain requests by expected completion

Plain requests went to the runner with the fewest requests in flight, and were refused from twice its slots on with a retry after 50 ms.

The work is learned by service and route from requests that found a free slot, and a runner's factor from the same measurements of all gateways, which load events carry. A request goes where it is expected to be complete first; gateways stay in their zone while most slots are free. It is refused only if no runner finishes it before the deadline, or each would shed it (22 in flight at 6 slots; less is learned from refusals of runners), and comes back when the queue is half as long, spread over that time. Requests that must not run twice go to the runner with most free slots.

--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -7,6 +7,7 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import runner_notices
+from wisteriawall.web import refusal as refusal_lib
 from wisteriawall.wire import gateway_messages
 
 __all__ = [
@@ -15,11 +16,14 @@
     "apply_table",
     "apply_upstreams",
     "measure_prefill",
+    "note_shed",
+    "report_plain_end",
     "report_speeds",
     "report_step",
 ]
 
 PERMILLE = 1_000
+OVERLOAD_STATUSES = (429, 503)
 SPEED_REPORT_INTERVAL_MS = 4_000
 # Load events wait up to 5 ms for others, and are sent and received in a few
 # more. Without the correction, a prefill after one of another gateway is
@@ -34,11 +38,13 @@
     now_ms: int,
     *,
     prefill_permille: int = 0,
+    work_ms: int = 0,
 ) -> Iterator[events.BroadcastLoad]:
     """Record that a request of this gateway changed state at its runner.
 
     Yields the effect that broadcasts the change to the other gateways, with
-    the measured duration of the prefill if `prefill_permille` is not 0.
+    the measured duration of the prefill if `prefill_permille` is not 0, and
+    the time to the answer of a request without a prompt if `work_ms` is not 0.
     """
     assert request.current_send is not None
     load_event = gateway_messages.LoadEvent(
@@ -46,6 +52,7 @@
         request.current_send.upstream.upstream_id,
         request.request_id,
         prefill_permille=prefill_permille,
+        work_ms=work_ms,
     )
     apply_step(gateway, load_event, now_ms)
     yield events.BroadcastLoad(load_event=load_event)
@@ -78,7 +85,11 @@
     if load is None:
         return
     start_id = gateway.upstream_by_id[load_event.upstream_id].start_id
-    if load_event.prefill_permille > 0:
+    if load_event.prefill_permille > 0 and _is_plain(gateway, load_event):
+        gateway.plain_times.add_ratio(
+            start_id, load_event.prefill_permille / PERMILLE, now_ms
+        )
+    elif load_event.prefill_permille > 0:
         load.add_measurement(
             load_event.request_id,
             load_event.prefill_permille / PERMILLE,
@@ -90,7 +101,8 @@
             load.request_sent(
                 load_event.request_id,
                 load_event.parts,
-                prefill_ms=load.prefill_ms(
+                prefill_ms=max(0, load_event.work_ms)
+                or load.prefill_ms(
                     gateway.tuning.placement_options.speeds,
                     uncached_tokens=load_event.uncached_tokens,
                     tokens=tokens,
@@ -103,6 +115,12 @@
             gateway.notices.note_success(start_id, now_ms)
         case gateway_messages.LoadEventKind.ENDED:
             load.request_ended(load_event.request_id, now_ms=happened_ms)
+            if load_event.work_ms > 0:
+                gateway.plain_times.add_time(
+                    gateway.upstream_by_id[load_event.upstream_id].service,
+                    "",
+                    load_event.work_ms,
+                )
         case gateway_messages.LoadEventKind.FAILED:
             gateway.notices.avoid(start_id, now_ms)
         case gateway_messages.LoadEventKind.LEAVING:
@@ -126,6 +144,56 @@
     return 0 if ratio is None else max(1, round(ratio * PERMILLE))
 
 
+def report_plain_end(
+    gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
+) -> Iterator[events.BroadcastLoad]:
+    """Record that a request without a prompt was answered.
+
+    Its time counts if it found a free slot at the runner.
+    """
+    kind = gateway_messages.LoadEventKind.ENDED
+    if not request.found_free_slot or not request.began_ms:
+        yield from report_step(gateway, request, kind, now_ms)
+        return
+    measured_ms = max(1, request.began_ms - request.sent_ms)
+    service, route = request.service.name, request.route.name
+    is_measured = gateway.plain_times.is_measured(service, route)
+    gateway.plain_times.add_time(service, route, measured_ms)
+    yield from report_step(
+        gateway,
+        request,
+        kind,
+        now_ms,
+        prefill_permille=max(
+            1, round(PERMILLE * measured_ms / max(1.0, request.work_ms))
+        )
+        if is_measured
+        else 0,
+        work_ms=measured_ms,
+    )
+
+
+def note_shed(
+    gateway: state_lib.Gateway,
+    request: state_lib.Request,
+    event: events.PhaseFailed,
+) -> None:
+    """Learn at how many requests in flight a plain runner sheds."""
+    assert request.current_send is not None
+    upstream = request.current_send.upstream
+    load = gateway.load_by_id.get(upstream.upstream_id)
+    if (
+        load is not None
+        and request.prompt is None
+        and event.run is refusal_lib.RunState.NOT_RUN
+        and event.status in OVERLOAD_STATUSES
+        and load.in_flight >= upstream.slots
+    ):
+        gateway.plain_times.add_shed(
+            upstream.start_id, load.in_flight - 1, event.now_ms
+        )
+
+
 def report_speeds(
     gateway: state_lib.Gateway, now_ms: int
 ) -> Iterator[events.LogDecision]:
@@ -164,6 +232,7 @@
     listed = {upstream.start_id for upstream in upstreams}
     gateway.notices.drop_expired(listed, now_ms)
     gateway.limits.drop_unlisted(listed, now_ms)
+    gateway.plain_times.drop_unlisted(listed)
     for ended in set(gateway.ended_ms_by_start) - listed:
         del gateway.ended_ms_by_start[ended]
     for removed_id in set(gateway.load_by_id) - set(gateway.upstream_by_id):
@@ -204,6 +273,16 @@
         )
 
 
+def _is_plain(
+    gateway: state_lib.Gateway, load_event: gateway_messages.LoadEvent
+) -> bool:
+    upstream = gateway.upstream_by_id[load_event.upstream_id]
+    if gateway.route_index is None:
+        return False
+    service = gateway.route_index.service_by_name.get(upstream.service)
+    return service is not None and service.engine is None
+
+
 def _kv_cache_tokens(gateway: state_lib.Gateway, service: str) -> int:
     if gateway.route_index is None:
         return 0
--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -1,6 +1,7 @@
 """Placement of requests: choose a runner, or refuse the request.
 
-Plain requests go to the runner with the fewest requests in flight. Prompts go
+Plain requests go to the runner at which `policy.plain_times` expects them to be
+complete first, and are refused if that is too late at all of them. Prompts go
 where `policy.placement` finds the lowest cost, which is mostly the time to the
 first token, unless `policy.admission` rejects them.
 """
@@ -22,6 +23,7 @@
 from wisteriawall.gateway import suspects
 from wisteriawall.policy import admission
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import plain_times
 from wisteriawall.wire import gateway_messages
 
 __all__ = [
@@ -114,34 +116,40 @@
     candidates: list[gateway_messages.Upstream],
     now_ms: int,
 ) -> Iterator[events.Effect]:
-    """Dispatch a request without a prompt to the least loaded runner.
+    """Dispatch a request without a prompt by expected completion.
 
-    Among equally loaded runners, those in the gateway's own zone go first.
-    The request is refused if even the chosen runner has twice as many requests
-    in flight as it has slots.
+    Among similar runners, those in the gateway's own zone go first.
     """
-
-    def sort_key(upstream: gateway_messages.Upstream) -> tuple[int, bool, int]:
-        load = gateway.load_by_id[upstream.upstream_id]
-        other_zone = upstream.zone != gateway.zone
-        # A fixed order per gateway sends consecutive requests to the same
-        # runner, which has an open connection already.
-        tie_breaker = zlib.crc32(
-            f"{gateway.name}/{upstream.upstream_id}".encode()
+    service, route = request.service.name, request.route.name
+    times = gateway.plain_times
+    forecasts = [
+        times.forecast(_plain_load(gateway, upstream), service, route, now_ms)
+        for upstream in candidates
+    ]
+    chosen = plain_times.choose(
+        forecasts,
+        remaining_ms=request.deadline_at_ms - now_ms,
+        deviation_ms=times.deviation_ms(service, route),
+        at_most_once=(
+            request.route.kind is route_table.RequestKind.AT_MOST_ONCE
+        ),
+    )
+    if chosen is None:
+        yield _plain_decision(
+            request, min(forecasts, key=_completion_ms), "turned-away"
         )
-        return load.in_flight, other_zone, tie_breaker
-
-    chosen = min(candidates, key=sort_key)
-    load = gateway.load_by_id[chosen.upstream_id]
-    if load.in_flight >= 2 * max(1, chosen.slots):
-        refusal = refusals.overloaded(refusals.PLAIN_OVERLOAD_RETRY_MS)
+        retry_ms = plain_times.retry_ms(forecasts, gateway.random.random())
+        refusal = refusals.overloaded(retry_ms)
         yield from final_answers.refuse(gateway, request, refusal, "full")
         return
+    yield _plain_decision(request, chosen, "placed")
+    request.work_ms = times.work_ms(service, route)
+    request.found_free_slot = chosen.load.in_flight < chosen.load.slots
     yield from dispatch(
         gateway,
         request,
         protocol.Send(
-            upstream=chosen,
+            upstream=gateway.upstream_by_id[chosen.load.upstream_id],
             phase=protocol.Phase.WHOLE,
             attempt=request.attempts + 1,
             priority_class=TOP_PRIORITY_CLASS,
@@ -152,6 +160,46 @@
     )
 
 
+def _plain_load(
+    gateway: state_lib.Gateway, upstream: gateway_messages.Upstream
+) -> plain_times.RunnerLoad:
+    load = gateway.load_by_id[upstream.upstream_id]
+    # A fixed order per gateway sends consecutive requests to the same runner,
+    # which has an open connection already.
+    order = zlib.crc32(f"{gateway.name}/{upstream.upstream_id}".encode())
+    return plain_times.RunnerLoad(
+        upstream_id=upstream.upstream_id,
+        start_id=upstream.start_id,
+        slots=upstream.slots,
+        in_flight=load.in_flight,
+        work_ms=load.pending_work_ms,
+        same_zone=upstream.zone == gateway.zone,
+        preference=order / placement_lib.MAX_CRC32,
+    )
+
+
+def _completion_ms(forecast: plain_times.Forecast) -> float:
+    return forecast.completion_ms
+
+
+def _plain_decision(
+    request: state_lib.Request, forecast: plain_times.Forecast, decision: str
+) -> events.LogDecision:
+    return events.LogDecision(
+        decision=decision,
+        request_id=request.request_id,
+        inputs={
+            "route": request.route.name,
+            "upstream": forecast.load.upstream_id,
+            "in_flight": forecast.load.in_flight,
+            "max_in_flight": forecast.max_in_flight,
+            "wait_ms": round(forecast.wait_ms),
+            "run_ms": round(forecast.run_ms),
+            "slowdown": round(forecast.factor, 3),
+        },
+    )
+
+
 def _max_idle_ms(route: route_table.Route) -> int | None:
     """Return how long a reused connection may have been idle.
 
@@ -350,6 +398,7 @@
         uncached_tokens,
         request.prompt.parts if request.prompt else (),
         send.priority_class,
+        work_ms=0 if request.prompt else round(request.work_ms),
     )
     loads.apply_step(gateway, load_event, now_ms)
     limits.apply_step(gateway, load_event, now_ms, is_own=True)
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -313,6 +313,7 @@
             "peer": event.peer_state.value,
         },
     )
+    loads.note_shed(gateway, request, event)
     yield from loads.report_step(
         gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
     )
@@ -457,9 +458,12 @@
             "ms": event.now_ms - request.arrived_ms,
         },
     )
-    yield from loads.report_step(
-        gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
-    )
+    if event.is_success and request.prompt is None:
+        yield from loads.report_plain_end(gateway, request, event.now_ms)
+    else:
+        yield from loads.report_step(
+            gateway, request, gateway_messages.LoadEventKind.ENDED, event.now_ms
+        )
     if event.is_success:
         yield from suspects.report_complete_answer(
             gateway, request, event.now_ms
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -9,7 +9,6 @@
     "ORIGIN_UNAVAILABLE",
     "ORIGIN_UNKNOWN",
     "OUTDATED_TABLE",
-    "PLAIN_OVERLOAD_RETRY_MS",
     "STOPPING",
     "VERSION_GONE",
     "after_possible_run",
@@ -21,8 +20,6 @@
     "phase_failed",
 ]
 
-# Plain requests take about 20 ms, so a full runner soon has capacity again.
-PLAIN_OVERLOAD_RETRY_MS = 50.0
 # A runner's restart, or the next update of the runner list, takes about 1 s.
 UNAVAILABLE_RETRY_MS = 1_000
 NOT_RUN_RETRY_MS = 300
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -10,6 +10,7 @@
 from wisteriawall.policy import engine_speeds
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import plain_times as plain_times_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
 from wisteriawall.policy import runner_notices
@@ -51,7 +52,9 @@
     requests that a caller repeats, and `is_trial` is set if it is sent although
     it is blocked. `may_have_run` is set once a runner may have run the request.
     `origin` is the version that began the stream, None before the first event.
-    `account` is the name of the client account, empty without one. Times are on
+    `account` is the name of the client account, empty without one. `work_ms` is
+    the expected work of a request without a prompt, and `found_free_slot` is
+    set if its runner was expected to serve it at once. Times are on
     the monotonic clock.
     """
 
@@ -76,6 +79,8 @@
     may_have_run: bool = False
     origin: stream_origins_lib.Origin | None = None
     account: str = ""
+    work_ms: float = 0.0
+    found_free_slot: bool = False
 
     @property
     def traits(self) -> tuple[str, ...]:
@@ -109,7 +114,8 @@
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
     `speeds` are the learned speeds of each service's engines, last logged at
-    `speeds_reported_ms`.
+    `speeds_reported_ms`. `plain_times` are the learned times of requests
+    without a prompt.
     `suspects` are requests and parts of prompts under which runners crashed,
     and `lost_requests` the latest ones that a runner cut off here, with the
     time.
@@ -147,6 +153,9 @@
         )
     )
     speeds_reported_ms: int = 0
+    plain_times: plain_times_lib.PlainTimes = dataclasses.field(
+        default_factory=plain_times_lib.PlainTimes
+    )
     notices: runner_notices.RunnerNotices = dataclasses.field(
         default_factory=runner_notices.RunnerNotices
     )
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -231,6 +231,11 @@
         """Number of prompts whose first token has not arrived."""
         return len(self._pending_by_id)
 
+    @property
+    def pending_work_ms(self) -> float:
+        """Nominal work of the requests in `pending_prefills`."""
+        return sum(sent.prefill_ms for sent in self._pending_by_id.values())
+
     def uncached_tokens(self, parts: Iterable[tuple[str, int]]) -> int:
         """Return the tokens that the engine would have to prefill.
 
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -402,7 +402,9 @@
     events that control passes on, `age_ms` is the time since the loss.
 
     `prefill_permille` is set if the event ends a prefill that the sender
-    measured: its duration, in permille of the nominal one.
+    measured: its duration, in permille of the nominal one. Of a request without
+    a prompt, it is the time to its answer, in permille of the expected one,
+    which SENT names as `work_ms`. In ENDED, `work_ms` is the measured time.
     """
 
     kind: LoadEventKind
@@ -417,6 +419,7 @@
     has_crashed: bool = False
     origin: StreamOrigin | None = None
     prefill_permille: int = 0
+    work_ms: int = 0
 
 
 def with_age(event: LoadEvent, age_ms: int) -> LoadEvent:
