Accept long prompts at idle engines up to the caller's time-out

A prompt whose forecast exceeded 0.8 of the time that its caller waits was rejected although nothing waited at the engine and half of its slots were free. The reserve covers a queue, and there is none. Such prompts are now accepted, behind all prompts that can meet their target.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -261,6 +261,7 @@
         ),
         is_retry=request.earlier_wait_ms > 0,
         has_begun=has_begun,
+        is_idle=_is_mostly_idle(gateway, at_late_priority),
         jitter=gateway.random.random(),
         bounds=gateway.tuning.admission_bounds,
     )
@@ -279,6 +280,21 @@
             )
 
 
+def _is_mostly_idle(
+    gateway: state_lib.Gateway, placement: placement_lib.Placement
+) -> bool:
+    """Return whether half of the slots are free and no prompt waits."""
+    return placement.wait_ms <= 0 and all(
+        2 * gateway.load_by_id[upstream_id].in_flight
+        <= gateway.upstream_by_id[upstream_id].slots
+        and not gateway.load_by_id[upstream_id].pending_prefills
+        for upstream_id in (
+            placement.prefill_upstream_id,
+            placement.upstream_id,
+        )
+    )
+
+
 def _cheapest_placement(
     prompt: placement_lib.Prompt,
     *,
--- a/src/wisteriawall/policy/admission.py
+++ b/src/wisteriawall/policy/admission.py
@@ -8,7 +8,8 @@
 A request that can't meet its target is accepted as long as it can be served
 before its caller times out. It gets a lower priority than all requests that
 can meet theirs, so that it doesn't delay them. Thus prompts of any length are
-served, and few retries are rejected again.
+served, and few retries are rejected again. The forecast of a long prompt at
+engines that are mostly idle is taken without a reserve.
 """
 
 import dataclasses
@@ -111,6 +112,7 @@
     jitter: float,
     bounds: AdmissionBounds,
     has_begun: bool = False,
+    is_idle: bool = False,
 ) -> Decision:
     """Accept one of two placements, or reject the request.
 
@@ -126,6 +128,9 @@
         bounds: Largest forecasts that are accepted.
         has_begun: Whether the caller has events of the stream already. It then
             goes on while the caller waits for the next one.
+        is_idle: Whether half of the slots of the late placement's engines are
+            free and nothing waits there. A refusal would only leave them idle,
+            so a late request is accepted up to the caller's time-out.
     """
     accepted_ms = bounds.late_share * remaining_ms
     if has_begun and on_time.first_token_ms <= accepted_ms:
@@ -135,7 +140,9 @@
         <= bounds.in_time_share * target_latency_ms
     ):
         return Accept(placement=on_time, in_time=True)
-    meets_timeout = late.first_token_ms <= accepted_ms
+    meets_timeout = late.first_token_ms <= (
+        remaining_ms if is_idle else accepted_ms
+    )
     max_wait_share = (
         bounds.retry_wait_share if is_retry else bounds.late_wait_share
     )
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -279,3 +279,12 @@
         in_time_without, _ = play()
     assert in_time >= 1.05 * in_time_without
     assert 0 < count_by_id["p0"] < count_by_id["p1"] < count_by_id["p2"]
+
+
+def test_long_prompt_is_served_by_an_idle_engine() -> None:
+    """It was rejected as too long, while the engine had nothing to do."""
+    load = [replay.Request(0, "brief", (("long", 26_500),))]
+    fleet = [replay.upstream("d1", DECODE)]
+    result = replay.Replay([replay.gateway(fleet)]).play(load)
+    assert not result.refusals
+    assert result.in_time(2_400) == 1
--- a/testing/policy/test_admission.py
+++ b/testing/policy/test_admission.py
@@ -61,6 +61,32 @@
             assert retry_ms >= max(admission.MIN_RETRY_AFTER_MS, wait_ms)
 
 
+@pytest.mark.parametrize(
+    ("wait_ms", "own_ms", "accepted"),
+    [
+        pytest.param(0, 2_200, True, id="before-the-timeout"),
+        pytest.param(0, 2_500, False, id="after-the-timeout"),
+        pytest.param(400, 1_000, False, id="queue-too-long"),
+    ],
+)
+def test_prompt_is_not_refused_at_idle_engines_that_can_serve_it(
+    wait_ms: float, own_ms: float, accepted: bool
+) -> None:
+    forecast = single_engine_placement(wait_ms=wait_ms, own_ms=own_ms)
+    decision = admission.decide(
+        forecast,
+        forecast,
+        target_latency_ms=600,
+        waited_ms=0,
+        remaining_ms=2_400,
+        is_retry=False,
+        jitter=0.5,
+        bounds=admission.AdmissionBounds(),
+        is_idle=True,
+    )
+    assert isinstance(decision, admission.Accept) is accepted
+
+
 @pytest.mark.parametrize(
     ("first_token_ms", "expected"),
     [
