Share scarce engine time among client accounts

A burst of one large account made the requests of all accounts late, and they were rejected alike.

Each gateway counts the engine time that it accepted for each account. While an account under its share was late or rejected lately, accounts over theirs don't wait at engines; those under it may wait as long as a retry. Requests that meet their target, and those without an account, are treated as before.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -262,11 +262,13 @@
         is_retry=request.earlier_wait_ms > 0,
         has_begun=has_begun,
         is_idle=_is_mostly_idle(gateway, at_late_priority),
+        standing=gateway.fair_share.standing(request.account, now_ms),
         jitter=gateway.random.random(),
         bounds=gateway.tuning.admission_bounds,
     )
     match decision:
         case admission.Reject(reason=reason, retry_ms=retry_ms):
+            gateway.fair_share.add_shortage(request.account, now_ms)
             yield _placement_decision(
                 gateway, request, at_late_priority, "turned-away"
             )
@@ -274,12 +276,35 @@
             yield from final_answers.refuse(gateway, request, refusal, reason)
         case admission.Accept(placement=placement, in_time=in_time):
             request.placement = placement
+            _count_work(gateway, request, placement, now_ms, in_time=in_time)
             yield _placement_decision(gateway, request, placement, "placed")
             yield from _send_prompt(
                 gateway, request, placement, now_ms, in_time=in_time
             )
 
 
+def _count_work(
+    gateway: state_lib.Gateway,
+    request: state_lib.Request,
+    placement: placement_lib.Placement,
+    now_ms: int,
+    *,
+    in_time: bool,
+) -> None:
+    """Count the engine time of an accepted prompt for its account."""
+    if not request.account or request.prompt is None:
+        return
+    load = gateway.load_by_id[placement.prefill_upstream_id]
+    work_ms = load.prefill_ms(
+        gateway.tuning.placement_options.speeds,
+        uncached_tokens=placement.uncached_tokens,
+        tokens=request.prompt.tokens,
+    )
+    gateway.fair_share.add_work(request.account, work_ms, now_ms)
+    if not in_time:
+        gateway.fair_share.add_shortage(request.account, now_ms)
+
+
 def _is_mostly_idle(
     gateway: state_lib.Gateway, placement: placement_lib.Placement
 ) -> bool:
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -8,6 +8,7 @@
 from wisteriawall.gateway import protocol
 from wisteriawall.policy import admission
 from wisteriawall.policy import engine_speeds
+from wisteriawall.policy import fair_share as fair_share_lib
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import plain_times as plain_times_lib
@@ -115,7 +116,7 @@
     known to be the newest, 0 before the first one.
     `speeds` are the learned speeds of each service's engines, last logged at
     `speeds_reported_ms`. `plain_times` are the learned times of requests
-    without a prompt.
+    without a prompt, and `fair_share` compares the accounts' accepted work.
     `suspects` are requests and parts of prompts under which runners crashed,
     and `lost_requests` the latest ones that a runner cut off here, with the
     time.
@@ -153,6 +154,9 @@
         )
     )
     speeds_reported_ms: int = 0
+    fair_share: fair_share_lib.FairShare = dataclasses.field(
+        default_factory=fair_share_lib.FairShare
+    )
     plain_times: plain_times_lib.PlainTimes = dataclasses.field(
         default_factory=plain_times_lib.PlainTimes
     )
--- a/src/wisteriawall/policy/admission.py
+++ b/src/wisteriawall/policy/admission.py
@@ -16,6 +16,7 @@
 from typing import TypeAlias
 from typing import final
 
+from wisteriawall.policy import fair_share
 from wisteriawall.policy import placement as placement_lib
 
 __all__ = [
@@ -113,6 +114,7 @@
     bounds: AdmissionBounds,
     has_begun: bool = False,
     is_idle: bool = False,
+    standing: fair_share.Standing = fair_share.Standing.NEUTRAL,
 ) -> Decision:
     """Accept one of two placements, or reject the request.
 
@@ -131,6 +133,9 @@
         is_idle: Whether half of the slots of the late placement's engines are
             free and nothing waits there. A refusal would only leave them idle,
             so a late request is accepted up to the caller's time-out.
+        standing: Work of the request's account compared with its share. An
+            account with less may wait as long as a retry, and one with more
+            doesn't wait.
     """
     accepted_ms = bounds.late_share * remaining_ms
     if has_begun and on_time.first_token_ms <= accepted_ms:
@@ -144,8 +149,12 @@
         remaining_ms if is_idle else accepted_ms
     )
     max_wait_share = (
-        bounds.retry_wait_share if is_retry else bounds.late_wait_share
+        bounds.retry_wait_share
+        if is_retry or standing is fair_share.Standing.UNDER
+        else bounds.late_wait_share
     )
+    if standing is fair_share.Standing.OVER:
+        max_wait_share = 0.0
     if meets_timeout and late.wait_ms <= max_wait_share * target_latency_ms:
         return Accept(placement=late, in_time=False)
     retry_ms = max(MIN_RETRY_AFTER_MS, late.wait_ms) + jitter * RETRY_JITTER_MS
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -1,6 +1,7 @@
 """Tests of placement under load patterns, replayed in virtual time."""
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 import itertools
 import random
@@ -9,6 +10,7 @@
 from support import replay
 
 from wisteriawall.gateway import events
+from wisteriawall.gateway import placing
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import admission
@@ -288,3 +290,31 @@
     result = replay.Replay([replay.gateway(fleet)]).play(load)
     assert not result.refusals
     assert result.in_time(2_400) == 1
+
+
+def test_burst_of_a_large_account_leaves_small_ones_their_share(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Their requests were rejected as often as those of the large one."""
+    place = placing.place
+
+    def play(*, has_accounts: bool) -> int:
+        def place_with_account(
+            gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
+        ) -> Iterator[events.Effect]:
+            number = int(request.request_id.rpartition("-")[2])
+            if has_accounts:
+                small = f"small{number // 8 % 3}"
+                request.account = "large" if number % 8 else small
+            yield from place(gateway, request, now_ms)
+
+        monkeypatch.setattr(placing, "place", place_with_account)
+        result = replay.Replay(
+            [replay.gateway(FLEET)], overlaps_decoding=True
+        ).play(brief_requests(600, 55, subjects=1_000, shared=3_000))
+        return sum(
+            int(key.rpartition("-")[2]) % 8 == 0
+            for key in result.first_token_ms_by_key
+        )
+
+    assert play(has_accounts=True) >= 1.2 * play(has_accounts=False)
