Bound measurements of other gateways, and count a prompt's tokens once

A load event with an absurd work_ms could make a runner seem busy until the event expired; times from outside are now at most that of the longest request.

--- a/src/wisteriawall/gateway/loads.py
+++ b/src/wisteriawall/gateway/loads.py
@@ -101,7 +101,7 @@
             load.request_sent(
                 load_event.request_id,
                 load_event.parts,
-                prefill_ms=max(0, load_event.work_ms)
+                prefill_ms=_bounded_ms(load_event.work_ms)
                 or load.prefill_ms(
                     gateway.tuning.placement_options.speeds,
                     uncached_tokens=load_event.uncached_tokens,
@@ -119,7 +119,7 @@
                 gateway.plain_times.add_time(
                     gateway.upstream_by_id[load_event.upstream_id].service,
                     "",
-                    load_event.work_ms,
+                    _bounded_ms(load_event.work_ms),
                 )
         case gateway_messages.LoadEventKind.FAILED:
             gateway.notices.avoid(start_id, now_ms)
@@ -283,6 +283,11 @@
     return service is not None and service.engine is None
 
 
+def _bounded_ms(work_ms: int) -> int:
+    """Return a time from outside, at most that of the longest request."""
+    return min(max(0, work_ms), placement_lib.MAX_REQUEST_MS)
+
+
 def _kv_cache_tokens(gateway: state_lib.Gateway, service: str) -> int:
     if gateway.route_index is None:
         return 0
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -46,7 +46,7 @@
 # A prompt that finds the KV cache full waits until a long answer ends.
 KV_CACHE_WAIT_MS = 1_000.0
 # Speeds change slowly; computing them for every placement takes too long.
-SLOWDOWN_INTERVAL_MS = 100
+SLOWDOWN_INTERVAL_MS = 250
 # No request is in progress for longer: the longest deadline is 8 to 9 s.
 MAX_REQUEST_MS = 10_000
 MAX_CRC32 = 0xFFFF_FFFF
@@ -114,17 +114,20 @@
             Prompts that begin with the same parts share their KV cache.
         output_tokens: Expected length of the answer.
         priority_class: Priority class; lower values are served first.
+        tokens: Number of tokens in the whole prompt, computed once because the
+            forecast for each engine uses it.
     """
 
     request_id: str
     parts: tuple[tuple[str, int], ...]
     output_tokens: int
     priority_class: int
+    tokens: int = dataclasses.field(init=False)
 
-    @property
-    def tokens(self) -> int:
-        """Number of tokens in the whole prompt."""
-        return sum(tokens for _, tokens in self.parts)
+    def __post_init__(self) -> None:
+        """Count the tokens."""
+        tokens = sum(tokens for _, tokens in self.parts)
+        object.__setattr__(self, "tokens", tokens)
 
     @property
     def subject(self) -> str:
@@ -283,9 +286,12 @@
 
     def must_wait_for_kv_cache(self, tokens: int) -> bool:
         """Return whether a prompt would wait until the KV cache has space."""
-        used = sum(sent.tokens for sent in self._pending_by_id.values())
-        used += sum(sent.tokens for sent in self._running_by_id.values())
-        return used + tokens > MAX_RUNNING_SHARE * self._kv_cache_tokens
+        used = tokens
+        for sent in self._pending_by_id.values():
+            used += sent.tokens
+        for sent in self._running_by_id.values():
+            used += sent.tokens
+        return used > MAX_RUNNING_SHARE * self._kv_cache_tokens
 
     def request_sent(
         self,
--- a/testing/gateway/test_loads.py
+++ b/testing/gateway/test_loads.py
@@ -318,3 +318,30 @@
         )
 
     assert play(has_accounts=True) >= 1.2 * play(has_accounts=False)
+
+
+@pytest.mark.parametrize("number", [-(2**63), -1, 2**63])
+@pytest.mark.parametrize("kind", ["SENT", "ANSWER_STARTED", "ENDED"])
+def test_impossible_measurement_of_another_gateway_does_no_harm(
+    kind: str, number: int
+) -> None:
+    """One event could have kept an engine from getting prompts."""
+    gateway = replay.gateway(FLEET)
+    event = gateway_messages.LoadEvent(
+        gateway_messages.LoadEventKind[kind],
+        "p1",
+        "r",
+        prefill_permille=number,
+        work_ms=number,
+    )
+    list(
+        reducer.reduce(
+            gateway, events.PeerLoadReceived(load_events=(event,), now_ms=50)
+        )
+    )
+    load = gateway.load_by_id["p1"]
+    load.drop_expired(1_000)
+    assert 0.5 <= load.slowdown <= 5
+    assert 0 <= load.wait_ms(now_ms=1_000, priority_class=9) <= 50_000
+    load.drop_expired(20_000)
+    assert load.wait_ms(now_ms=20_000, priority_class=9) == 0
