--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -9,8 +9,10 @@
 from wisteriawall.gateway import usage as usage_lib
 from wisteriawall.policy import admission
 from wisteriawall.policy import engine_speeds
+from wisteriawall.policy import fair_share as fair_share_lib
 from wisteriawall.policy import hearing as hearing_lib
 from wisteriawall.policy import placement as placement_lib
+from wisteriawall.policy import plain_times as plain_times_lib
 from wisteriawall.policy import recent_ends as recent_ends_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.policy import runner_limits
@@ -60,7 +62,9 @@
     `origin` is the version that began the stream, None before the first event.
     `account` is the name of the client account, empty without one, and
     `account_rank` its rank, None without one. `counted_attempt` is the last of
-    `attempts` that is counted as its usage. Times are on the monotonic clock.
+    `attempts` that is counted as its usage. `work_ms` is the expected work of a
+    request without a prompt, and `found_free_slot` is set if its runner was
+    expected to serve it at once. Times are on the monotonic clock.
     """
 
     request_key: int
@@ -86,6 +90,8 @@
     account: str = ""
     account_rank: int | None = None
     counted_attempt: int = 0
+    work_ms: float = 0.0
+    found_free_slot: bool = False
 
     @property
     def rank(self) -> int:
@@ -126,7 +132,8 @@
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
     `speeds` are the learned speeds of each service's engines, last logged at
-    `speeds_reported_ms`.
+    `speeds_reported_ms`. `plain_times` are the learned times of requests
+    without a prompt, and `fair_share` compares the accounts' accepted work.
     `suspects` are requests and parts of prompts under which runners crashed,
     and `lost_requests` the latest ones that a runner cut off here, with the
     time.
@@ -167,6 +174,12 @@
         )
     )
     speeds_reported_ms: int = 0
+    fair_share: fair_share_lib.FairShare = dataclasses.field(
+        default_factory=fair_share_lib.FairShare
+    )
+    plain_times: plain_times_lib.PlainTimes = dataclasses.field(
+        default_factory=plain_times_lib.PlainTimes
+    )
     notices: runner_notices.RunnerNotices = dataclasses.field(
         default_factory=runner_notices.RunnerNotices
     )
--- a/src/wisteriawall/policy/admission.py
+++ b/src/wisteriawall/policy/admission.py
@@ -8,13 +8,15 @@
 A request that can't meet its target is accepted as long as it can be served
 before its caller times out. It gets a lower priority than all requests that
 can meet theirs, so that it doesn't delay them. Thus prompts of any length are
-served, and few retries are rejected again.
+served, and few retries are rejected again. The forecast of a long prompt at
+engines that are mostly idle is taken without a reserve.
 """
 
 import dataclasses
 from typing import TypeAlias
 from typing import final
 
+from wisteriawall.policy import fair_share
 from wisteriawall.policy import placement as placement_lib
 
 __all__ = [
@@ -111,6 +113,8 @@
     jitter: float,
     bounds: AdmissionBounds,
     has_begun: bool = False,
+    is_idle: bool = False,
+    standing: fair_share.Standing = fair_share.Standing.NEUTRAL,
 ) -> Decision:
     """Accept one of two placements, or reject the request.
 
@@ -126,6 +130,12 @@
         bounds: Largest forecasts that are accepted.
         has_begun: Whether the caller has events of the stream already. It then
             goes on while the caller waits for the next one.
+        is_idle: Whether half of the slots of the late placement's engines are
+            free and nothing waits there. A refusal would only leave them idle,
+            so a late request is accepted up to the caller's time-out.
+        standing: Work of the request's account compared with its share. An
+            account with less may wait as long as a retry, and one with more
+            doesn't wait.
     """
     accepted_ms = bounds.late_share * remaining_ms
     if has_begun and on_time.first_token_ms <= accepted_ms:
@@ -135,10 +145,16 @@
         <= bounds.in_time_share * target_latency_ms
     ):
         return Accept(placement=on_time, in_time=True)
-    meets_timeout = late.first_token_ms <= accepted_ms
+    meets_timeout = late.first_token_ms <= (
+        remaining_ms if is_idle else accepted_ms
+    )
     max_wait_share = (
-        bounds.retry_wait_share if is_retry else bounds.late_wait_share
+        bounds.retry_wait_share
+        if is_retry or standing is fair_share.Standing.UNDER
+        else bounds.late_wait_share
     )
+    if standing is fair_share.Standing.OVER:
+        max_wait_share = 0.0
     if meets_timeout and late.wait_ms <= max_wait_share * target_latency_ms:
         return Accept(placement=late, in_time=False)
     retry_ms = max(MIN_RETRY_AFTER_MS, late.wait_ms) + jitter * RETRY_JITTER_MS
