--- a/src/wisteriawall/policy/engine_speeds.py
+++ b/src/wisteriawall/policy/engine_speeds.py
@@ -47,7 +47,7 @@
 # Once the service has this many measurements, its median changes slowly and is
 # computed only after every `MEDIAN_INTERVAL` of them, to save processor time.
 STEADY_MEASUREMENTS = 16
-MEDIAN_INTERVAL = 16
+MEDIAN_INTERVAL = 32
 # Measurements of an engine lose half of their weight in this time, so that an
 # engine that was slow is tried again.
 HALF_LIFE_MS = 30_000
@@ -78,6 +78,7 @@
         spread: Typical distance of a measurement from `log_ratio`.
         stall_factor: Mean cost of a prefill divided by its typical cost.
         ratio: Typical ratio with the mean of stalls.
+        revision: Number of times that `log_ratio` was computed.
         measurements: Number of measurements in use.
         overhead_ms: Time from the end of a prefill to its report.
     """
@@ -91,6 +92,7 @@
         "log_ratio",
         "overhead_ms",
         "ratio",
+        "revision",
         "spread",
         "stall_factor",
     )
@@ -107,6 +109,7 @@
         self.spread = PRIOR_SPREAD
         self.stall_factor = 1.0
         self.ratio = 1.0
+        self.revision = 0
         self.overhead_ms = prior_overhead_ms
 
     @property
@@ -152,6 +155,7 @@
         )
 
     def _update(self) -> None:
+        self.revision += 1
         prior = (
             OTHER_STAGE_SHARE * self._other.log_ratio
             if self._other is not None and self._other._measured
--- a/src/wisteriawall/policy/placement.py
+++ b/src/wisteriawall/policy/placement.py
@@ -180,6 +180,7 @@
         "_kv_cache_tokens",
         "_pending_by_id",
         "_running_by_id",
+        "_service_revision",
         "_slowdown_ms",
         "is_prefill_engine",
         "slowdown",
@@ -337,7 +338,11 @@
                     break
                 del by_id[request_id]
         self._select_active(now_ms)
-        if now_ms - self._slowdown_ms >= SLOWDOWN_INTERVAL_MS:
+        # The service's first measurements count at once.
+        if (
+            self._service_revision != self.speed.service.revision
+            or now_ms - self._slowdown_ms >= SLOWDOWN_INTERVAL_MS
+        ):
             self._update_slowdown(now_ms)
 
     def measure_prefill(self, request_id: str, *, now_ms: int) -> float | None:
@@ -385,6 +390,7 @@
 
     def _update_slowdown(self, now_ms: int) -> None:
         self._slowdown_ms = now_ms
+        self._service_revision = self.speed.service.revision
         self.speed.update(now_ms)
         self.slowdown = self.speed.slowdown
         self.uncertainty = self.speed.uncertainty
