--- a/testing/platform/test_arbitrary_bytes.py
+++ b/testing/platform/test_arbitrary_bytes.py
@@ -74,6 +74,14 @@
         sites.wait_until(
             lambda: bool(self.site.gateway.upstream_by_id), "the runner"
         )
+        # This thread ends by itself once the gateway has learned.
+        sites.wait_until(
+            lambda: all(
+                thread.name != "learn-contents"
+                for thread in threading.enumerate()
+            ),
+            "the end of learning what engines hold",
+        )
         self.threads = set(threading.enumerate())
         self.calls = 0
 
