Keep values of accounts out of validation errors

A token that an operator put into the wrong field of an account was repeated in the error of the patch, and so in terminals and logs.

--- a/src/wisteriawall/config/integers.py
+++ b/src/wisteriawall/config/integers.py
@@ -27,7 +27,5 @@
         for position, item in enumerate(value):
             yield from find_faults(item, f"{path}[{position}]")
     elif isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
-        yield (
-            f"{path or 'document'}: got {value}, "
-            "expected a signed 64-bit integer"
-        )
+        # The value isn't shown, since it may be a key in the wrong place.
+        yield f"{path or 'document'}: expected a signed 64-bit integer"
--- a/src/wisteriawall/config/type_checks.py
+++ b/src/wisteriawall/config/type_checks.py
@@ -8,6 +8,9 @@
 
 __all__ = ["find_faults"]
 
+# Values in this section may be tokens that were put in the wrong place.
+HIDDEN_SECTION = "accounts"
+
 
 def find_faults(
     value: object, expected_type: object, path: str = ""
@@ -38,7 +41,7 @@
     value: object, expected_type: type[msgspec.Struct], path: str
 ) -> Iterator[str]:
     if not isinstance(value, dict):
-        yield f"{path or 'document'}: got {value!r}, expected an object"
+        yield f"{path or 'document'}: {_got(value, path)}expected an object"
         return
     type_by_name = typing.get_type_hints(expected_type)
     for field in msgspec.structs.fields(expected_type):
@@ -63,7 +66,16 @@
     try:
         msgspec.convert(value, expected_type)
     except msgspec.ValidationError as error:
-        yield f"{path}: got {value!r}: {error}"
+        shown = "" if _is_hidden(path) else f"got {value!r}: "
+        yield f"{path}: {shown}{error}"
+
+
+def _got(value: object, path: str) -> str:
+    return "" if _is_hidden(path) else f"got {value!r}, "
+
+
+def _is_hidden(path: str) -> bool:
+    return path.partition(".")[0] == HIDDEN_SECTION
 
 
 def _join_path(path: str, name: str) -> str:
--- a/src/wisteriawall/config/validation.py
+++ b/src/wisteriawall/config/validation.py
@@ -150,10 +150,10 @@
     for name, account in candidate.accounts.items():
         path = f"accounts.{name}"
         if not TOKEN_DIGEST_PATTERN.fullmatch(account.token_digest):
-            yield _fault(
-                f"{path}.token_digest",
-                account.token_digest,
-                "64 lower-case hex digits, the SHA-256 of the token",
+            # The value may be the token itself, put here by mistake.
+            yield (
+                f"{path}.token_digest: expected 64 lower-case hex digits, "
+                "the SHA-256 of the token"
             )
         other = account_by_digest.setdefault(account.token_digest, name)
         if other != name:
