End the platform's command line with the documented exit codes

python -m wisteriawall.platform with flags printed a traceback and exited with 1 for every error. It now shares the error handling of the main command line.

--- a/src/wisteriawall/cli.py
+++ b/src/wisteriawall/cli.py
@@ -1,12 +1,11 @@
 """The `wisteriawall` command line, with every command."""
 
-import sys
 from typing import Annotated
 
 import typer
 
 import wisteriawall
-from wisteriawall import errors
+from wisteriawall import command_line
 from wisteriawall.commands import agent as agent_command
 from wisteriawall.commands import audit as audit_command
 from wisteriawall.commands import bench as bench_command
@@ -21,7 +20,6 @@
 from wisteriawall.commands import status as status_command
 from wisteriawall.observability import logs
 from wisteriawall.platform import commands as platform_commands
-from wisteriawall.settings import parsers
 
 __all__ = ["app", "main"]
 
@@ -87,17 +85,5 @@
 
 
 def main() -> None:
-    """Run the command line and exit.
-
-    Errors are written to standard error, one line each. The exit code is one
-    of `errors.ExitCode`.
-    """
-    try:
-        app()
-    except parsers.SettingErrors as invalid:
-        for setting_error in invalid.exceptions:
-            sys.stderr.write(f"wisteriawall: {setting_error}\n")
-        sys.exit(errors.ExitCode.USAGE)
-    except errors.WisteriawallError as error:
-        sys.stderr.write(f"wisteriawall: {error}\n")
-        sys.exit(error.exit_code)
+    """Run the command line and exit; the exit code is an `ExitCode`."""
+    command_line.run(app)
--- a/src/wisteriawall/platform/__main__.py
+++ b/src/wisteriawall/platform/__main__.py
@@ -25,9 +25,10 @@
             launch.main(role)
         case _:
             gc.enable()
+            from wisteriawall import command_line
             from wisteriawall.platform import commands
 
-            commands.app()
+            command_line.run(commands.app)
 
 
 if __name__ == "__main__":
