Add config check for configurations and routing tables

config check FILE [--against live|FILE] reports errors of the product's own validation, entries without effect, contradictory limits and differences, as text or JSON. python -m wisteriawall.platform check does the same for a routing table in the platform's form.

--- a/src/wisteriawall/commands/config.py
+++ b/src/wisteriawall/commands/config.py
@@ -1,4 +1,4 @@
-"""`wisteriawall config`: read and patch the configuration."""
+"""`wisteriawall config`: read, check and patch the configuration."""
 
 import pathlib
 import sys
@@ -9,16 +9,19 @@
 import typer
 
 from wisteriawall import errors
+from wisteriawall.config import check as check_lib
+from wisteriawall.config import document
 from wisteriawall.config import patch as patch_lib
 from wisteriawall.control import events
 from wisteriawall.operator import client as client_lib
+from wisteriawall.operator import findings_output
 from wisteriawall.operator import options
 from wisteriawall.operator import text_tables
 
 __all__ = ["app"]
 
 app = typer.Typer(
-    help="Read and patch the configuration.", no_args_is_help=True
+    help="Read, check and patch the configuration.", no_args_is_help=True
 )
 
 Number = Annotated[
@@ -67,7 +70,7 @@
         response = client.call(
             "PATCH",
             "/v1/config",
-            body=_read_patch_file(file),
+            body=_read_file(file),
             headers={"If-Match": f'"{number}"', "Idempotency-Key": patch_id},
         )
     except client_lib.Unavailable as error:
@@ -133,9 +136,36 @@
     typer.echo(msgspec.json.format(msgspec.json.encode(merge_patch), indent=2))
 
 
+@app.command()
+def check(
+    file: Annotated[
+        str,
+        typer.Argument(
+            help="File with a configuration as JSON; - reads standard input."
+        ),
+    ],
+    against: Annotated[
+        str,
+        typer.Option(
+            help="Report differences from this file; live: the active version."
+        ),
+    ] = "",
+    control: options.OperatorControl = options.DEFAULT_ADDRESS,
+    token: options.OperatorToken = "",
+    as_json: options.JsonOutput = False,
+) -> None:
+    """Check a configuration file; exit with 1 if there are findings."""
+    candidate, findings = check_lib.check_source(_read_file(file))
+    if against:
+        base = _read_base(against, control, token)
+        if candidate is not None:
+            findings += check_lib.compare_documents(base, candidate)
+    findings_output.report(file, findings, as_json=as_json)
+
+
 @app.callback()
 def _group_help() -> None:
-    """Read and patch the configuration."""
+    """Read, check and patch the configuration."""
 
 
 class _PatchReply(msgspec.Struct, frozen=True):
@@ -149,7 +179,20 @@
     return client.call("GET", "/v1/config", query=query).body
 
 
-def _read_patch_file(name: str) -> bytes:
+def _read_base(against: str, control: str, token: str) -> document.Document:
+    if against == "live":
+        client = options.make_client(control, token)
+        response = client.call("GET", "/v1/config")
+        return response.decode(document.Document)
+    base, findings = check_lib.check_source(_read_file(against))
+    if base is None:
+        raise errors.UsageError(
+            f"--against {against}: {findings[0].place}: {findings[0].message}"
+        )
+    return base
+
+
+def _read_file(name: str) -> bytes:
     if name == "-":
         return sys.stdin.buffer.read()
     try:
--- a/src/wisteriawall/platform/commands.py
+++ b/src/wisteriawall/platform/commands.py
@@ -25,6 +25,7 @@
     name="platform",
     help="Run on the users' platform, from the settings file it writes.",
     no_args_is_help=True,
+    pretty_exceptions_enable=False,
 )
 
 
@@ -64,5 +65,24 @@
     lifecycle.end_process()
 
 
+@app.command()
+def check(
+    file: Annotated[
+        pathlib.Path, typer.Argument(help="File with a routing table as JSON.")
+    ],
+    against: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Report differences from the table of this file."),
+    ] = None,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print JSON instead of lines.")
+    ] = False,
+) -> None:
+    """Check a routing table; exit with 1 if there are findings."""
+    from wisteriawall.platform import check_command
+
+    check_command.run(file=file, against=against, as_json=as_json)
+
+
 def _key(text: str) -> bytes:
     return parsers.parse_key("WISTERIAWALL_CLUSTER_KEY", text)
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -42,7 +42,14 @@
 
 
 class TableInvalid(ValueError):
-    """A published document is not a valid routing table."""
+    """A published document is not a valid routing table.
+
+    `faults` has a message per fault.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
 
 
 @final
@@ -128,10 +135,10 @@
     try:
         document = msgspec.json.decode(body, type=_Document)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise TableInvalid(str(error)) from error
+        raise TableInvalid([str(error)]) from error
     integer_faults = list(integers.find_faults(msgspec.to_builtins(document)))
     if integer_faults:
-        raise TableInvalid("; ".join(integer_faults))
+        raise TableInvalid(integer_faults)
     account_faults = accounts_lib.find_faults(
         (tenant.name, tenant.api_keys) for tenant in document.tenants or ()
     )
@@ -154,7 +161,7 @@
     )
     faults = [*route_table.find_faults(table), *account_faults]
     if faults:
-        raise TableInvalid("; ".join(faults))
+        raise TableInvalid(faults)
     return table
 
 
--- a/testing/operator/test_commands.py
+++ b/testing/operator/test_commands.py
@@ -133,6 +133,23 @@
     assert current_number(cluster) == before
 
 
+def test_check_against_the_active_configuration(
+    cluster: cluster_lib.DemoCluster, tmp_path: pathlib.Path
+) -> None:
+    file = tmp_path / "config.json"
+    active = msgspec.json.decode(run_command(cluster, "config", "get").stdout)
+    for capacity in (active["capacity_pieces"], active["capacity_pieces"] + 1):
+        file.write_bytes(
+            msgspec.json.encode(active | {"capacity_pieces": capacity})
+        )
+        result = run_command(
+            cluster, "config", "check", str(file), "--against", "live"
+        )
+        differs = capacity != active["capacity_pieces"]
+        assert ("difference: capacity_pieces: " in result.stdout) is differs
+        assert result.exit_code == differs, result.output
+
+
 def test_drain_and_undo_show_in_status(
     cluster: cluster_lib.DemoCluster,
 ) -> None:
