--- a/src/wisteriawall/config/table_check.py
+++ b/src/wisteriawall/config/table_check.py
@@ -119,14 +119,17 @@
 
 def _service_warnings(service: route_table.RoutedService) -> Iterator[str]:
     if service.max_connections < 1:
-        yield f"{service.max_connections} connections serve no request"
+        yield (
+            f"limit of {service.max_connections} connections, "
+            "expected 1 or more"
+        )
     engine = service.engine
     if engine is None:
         return
     for field in engine.__struct_fields__:
         value = getattr(engine, field)
         if not value > 0:
-            yield f"engine {field} of {value} serves no request"
+            yield f"engine {field} of {value}, expected above 0"
     if engine.slots > service.max_connections:
         yield (
             f"{engine.slots} slots of an engine exceed the limit of "
