Judge client accounts and revocation in the soak

The soak published tables without accounts, so no fault of keys, accounts or revocation could be seen under restarts, pauses and cut links. Repeated headers are joined instead of overwritten, so that none is hidden from the checks. Two figures show calls with removed keys, and reported usage beside the runs.

The schedule of a seed is as before except for the changes of keys, which have a chance of their own.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -11,6 +11,7 @@
 
 from support import platform_site
 
+from soak import accounts
 from soak import operators
 from soak import records
 from soak import schedule
@@ -85,7 +86,7 @@
         address_by_gateway: dict[str, str],
         seen: records.Records,
     ) -> None:
-        self._number, self._seen = number, seen
+        self._number, self._seed, self._seen = number, seed, seen
         self._address_by_gateway = address_by_gateway
         self._chance = random.Random(f"{seed}/caller/{number}")
         self._habits = Habits(
@@ -208,6 +209,10 @@
             platform_site.ATTEMPT_ID: attempt,
             "X-Wisteriawall-Deadline-Remaining": f"{DEADLINE_S * 1_000:.0f}",
         }
+        # A chance of its own leaves the other draws of a seed as they were.
+        header_by_name |= accounts.draw_headers(
+            random.Random(f"{self._seed}/key/{attempt}")
+        )
         if kind.is_stream:
             header_by_name |= _prompt_headers(chance, attempt)
         if kind is records.Kind.RESUMABLE and chance.random() < 0.1:
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -11,6 +11,7 @@
 
 from support import duty_platform
 
+from soak import accounts
 from soak import fleet
 from soak import limits
 from soak import lost
@@ -32,6 +33,7 @@
     "STOP",
     "LIMIT",
     "DUTY",
+    "KEY",
 )
 # A signal before the program handles it ends it with one of these codes. It
 # ignores SIGHUP from its first instruction on.
@@ -158,6 +160,7 @@
         _check_stops,
         _check_limits,
         _check_duties,
+        _check_keys,
     )
     return [finding for check in checks for finding in check(evidence)]
 
@@ -199,6 +202,17 @@
         yield Finding("DUTY", "", text)
 
 
+def _check_keys(evidence: _Evidence) -> Iterator[Finding]:
+    for call, text in accounts.find_refused(evidence.seen):
+        yield evidence.finding("KEY", call.key, text)
+    for arrival in evidence.seen.arrivals:
+        call_of_it = evidence.call(arrival)
+        if call_of_it is None:
+            continue
+        for text in accounts.arrival_faults(evidence.seen, call_of_it, arrival):
+            yield evidence.finding("KEY", evidence.key(arrival), text)
+
+
 def _check_answers(evidence: _Evidence) -> Iterator[Finding]:
     for call in evidence.seen.calls:
         arrivals = evidence.arrivals_by_key[call.key]
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -19,6 +19,7 @@
 from support import duty_platform
 from support import odd_entries
 
+from soak import accounts
 from soak import links as links_lib
 from soak import proxied
 from soak import records
@@ -31,7 +32,6 @@
 MAX_ODD_ENTRIES = 3
 OVERLOADED_STATUS = 429
 DUTY_STATUSES = (200, 200, 200, 500, OVERLOADED_STATUS)
-USAGE_WINDOW_S = 1.0
 KEY = "6f" * 32
 FIRST_HOST = 2
 HOSTS_PER_BLOCK = 250
@@ -469,7 +469,9 @@
             "bounds": {
                 "grace_s": GRACE_S,
                 "retry_budget_slack": 1_000,
-                "window_s": USAGE_WINDOW_S,
+                "window_s": accounts.USAGE_WINDOW_S,
+                "strict_revocation": True,
+                "revoke_ms": accounts.REVOKE_MS,
             },
         }
         path = self._folder / f"{name}.json"
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -11,6 +11,7 @@
 from support import platform_site
 import urllib3
 
+from soak import accounts
 from soak import records
 from soak import schedule
 
@@ -35,6 +36,7 @@
         self.version = 1
         self._extra: set[int] = set()
         self._blocks: set[int] = set()
+        self._withdrawn: set[str] = set()
         self._weights = (50, 51)
         self._timeout_ms = ROUTE_TIMEOUT_MS
 
@@ -43,6 +45,7 @@
         fault: (
             schedule.ToggleRoute
             | schedule.ToggleBlock
+            | schedule.ToggleKey
             | schedule.SetWeights
             | schedule.SetTimeout
         ),
@@ -54,6 +57,8 @@
                 self._extra ^= {number}
             case schedule.ToggleBlock(number=number):
                 self._blocks ^= {number}
+            case schedule.ToggleKey(key=key):
+                self._withdrawn ^= {key}
             case schedule.SetWeights(weights=weights):
                 self._weights = weights
             case schedule.SetTimeout(timeout_ms=timeout_ms):
@@ -78,7 +83,11 @@
             )
         ]
         split = platform_site.route(
-            "/split/", "read_only", "shop", timeout_ms=self._timeout_ms
+            accounts.PUBLIC_PREFIX,
+            "read_only",
+            "shop",
+            timeout_ms=self._timeout_ms,
+            public=True,
         )
         del split["service"]
         routes.append(split | {"weighted_services": weighted})
@@ -97,6 +106,7 @@
         return document | {
             "routes": routes,
             "services": [*services, store],
+            "tenants": accounts.document(self._withdrawn),
             "limits": document["limits"] | {"idle_ms": IDLE_MS},
         }
 
@@ -183,6 +193,7 @@
                 sent_s,
                 acknowledged_s,
                 frozenset(r["path_prefix"] for r in document["routes"]),
+                accounts.keys(document),
             )
         )
 
--- a/testing/soak/readings.py
+++ b/testing/soak/readings.py
@@ -9,7 +9,8 @@
 BACK_S = 0.25
 CONTACT_S = 3.0
 NOT_FOUND_STATUS = 404
-DENIED_STATUSES = (400, 401, 403, 404, 405, 411, 413, 431)
+# Refusals with 401 are judged by the rule KEY, each of them.
+DENIED_STATUSES = (400, 403, 404, 405, 411, 413, 431)
 MAX_DENIED = 5
 PREFIX = re.compile(r"/[^/]*/")
 DISRUPTIONS = (
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -180,6 +180,8 @@
     acknowledged_s: float = 0.0
     # Prefixes of the routes.
     prefixes: frozenset[str] = frozenset()
+    # Keys of the accounts, None without accounts.
+    keys: frozenset[str] | None = None
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -16,6 +16,7 @@
 
 import urllib3
 
+from soak import accounts
 from soak import callers
 from soak import checks
 from soak import fleet
@@ -205,6 +206,7 @@
             case (
                 schedule.ToggleRoute()
                 | schedule.ToggleBlock()
+                | schedule.ToggleKey()
                 | schedule.SetWeights()
                 | schedule.SetTimeout()
             ):
@@ -348,6 +350,9 @@
     # They tell a soak that is too slow from a system that is.
     yield f"links between processes: {soak.fleet.links.report}"
     yield f"duty calls: {_describe_duties(seen)}"
+    yield f"after the removal of their keys: {accounts.describe_keys(seen)}"
+    usage = accounts.describe_usage(seen, time.time() - time.monotonic())
+    yield f"usage, reported of begun: {usage}"
     yield f"links to runners: {soak.proxy.report()}"
     counts = collections.Counter(finding.rule for finding in findings)
     yield "findings: " + ", ".join(
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -6,6 +6,7 @@
 import random
 from typing import final
 
+from soak import accounts
 from soak import proxy
 
 ROLLING_GAP_S = (0.5, 2.0)
@@ -67,6 +68,14 @@
     number: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToggleKey:
+    """Remove a key of an account from the configuration, or give it back."""
+
+    key: str
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetWeights:
@@ -139,6 +148,7 @@
     | Kill
     | ToggleRoute
     | ToggleBlock
+    | ToggleKey
     | SetWeights
     | SetTimeout
     | DrainRunner
@@ -208,6 +218,9 @@
             for fault in series(chance, scope)
         ]
         start_s += chance.uniform(*SERIES_GAP_S)
+    # They have a chance of their own, and begin early: a removed key is judged
+    # only some seconds later.
+    timed += _key_changes(random.Random(f"{seed}/keys"))
     in_time = (fault for fault in timed if fault.at_s < duration_s)
     return tuple(sorted(in_time, key=lambda fault: fault.at_s))
 
@@ -292,6 +305,16 @@
         at_s += chance.uniform(*BURST_GAP_S)
 
 
+def _key_changes(chance: random.Random) -> Iterator[Timed]:
+    """Remove keys and give them back, some before they are out of use."""
+    for key in accounts.CHANGING_KEYS:
+        at_s = chance.uniform(0.2, 2.0)
+        yield Timed(at_s, ToggleKey(key))
+        back_s = at_s + chance.uniform(0.5, 2.5) * accounts.REVOKE_MS / 1_000
+        yield Timed(back_s, ToggleKey(key))
+        yield Timed(back_s + chance.uniform(0.5, 3.0), ToggleKey(key))
+
+
 def _large_changes(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     """Add or remove many routes, with smaller changes right after."""
     yield Timed(0.0, ToggleBlock(chance.randrange(ROUTE_BLOCKS)))
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -9,6 +9,7 @@
 import pytest
 from support import duty_platform
 
+from soak import accounts
 from soak import checks
 from soak import misbehavior
 from soak import readings
@@ -740,3 +741,130 @@
     )
     found = [f for f in checks.judge(seen) if "versions" in f.text]
     assert [f.rule for f in found] == rules
+
+
+def _with_key(
+    key: str, *, account: str, target: str = "/pay/1"
+) -> records.Records:
+    """Return records of a call with a key, and an account at the runner.
+
+    The first configuration has every key; 15 s before the call a second one
+    removes those that change.
+    """
+    seen = _sound_records(PAYMENT)
+    every = frozenset(accounts.ACCOUNT_BY_KEY)
+    seen.publications[:] = [
+        records.Publication(4, "four", 80.0, 81.0, keys=every),
+        records.Publication(
+            5, "five", 84.0, 85.0, keys=frozenset(accounts.STEADY_KEYS)
+        ),
+    ]
+    seen.readings = [
+        records.Reading("c1", 5, "five", 110.0, 110.1, is_final=True)
+    ]
+    _change_call(
+        target=target,
+        header_by_name={
+            **seen.calls[0].header_by_name,
+            accounts.AUTHORIZATION: accounts.SCHEME + key,
+        },
+    )(seen)
+    _change_arrival(target=target)(seen)
+    if account:
+        seen.arrivals[0].header_by_name[accounts.TENANT.lower()] = account
+    return seen
+
+
+def _refuse(seen: records.Records) -> None:
+    seen.arrivals.clear()
+    _change_call(status=401, answer_header_by_name={}, answer=b"")(seen)
+
+
+def _remove_late(seen: records.Records) -> None:
+    """Acknowledge the removal shortly before the call."""
+    seen.publications[1] = dataclasses.replace(
+        seen.publications[1], acknowledged_s=98.0
+    )
+
+
+def _give_back(seen: records.Records) -> None:
+    """Send another configuration with all keys just before the arrival."""
+    seen.publications.append(
+        dataclasses.replace(
+            seen.publications[0], version=6, sent_s=100.0, acknowledged_s=0.0
+        )
+    )
+
+
+def _show_key(seen: records.Records) -> None:
+    seen.arrivals[0].header_by_name["x-copy"] = "Token key-of-north"
+
+
+def _keep(seen: records.Records) -> None:
+    del seen
+
+
+@pytest.mark.parametrize(
+    ("key", "account", "target", "change", "rules"),
+    [
+        pytest.param(*case, id=name)
+        for name, *case in (
+            ("steady", "key-of-north", "north", "/pay/1", _keep, []),
+            ("key-shown", "key-of-north", "north", "/p/", _show_key, ["KEY"]),
+            ("other-account", "key-of-north", "south", "/p/", _keep, ["KEY"]),
+            ("spoofed", "key-of-north", "spoofed", "/p/", _keep, ["KEY"]),
+            ("no-account", "key-of-north", "", "/p/", _keep, ["KEY"]),
+            ("steady-refused", "key-of-north", "", "/p/", _refuse, ["KEY"]),
+            (
+                "public-refused",
+                "key-of-nobody",
+                "",
+                "/split/",
+                _refuse,
+                ["KEY"],
+            ),
+            ("public", "key-of-north", "", "/split/", _keep, []),
+            ("public-other", "key-of-north", "east", "/split/", _keep, ["KEY"]),
+            ("public-removed", "key-of-east-1", "east", "/split/", _keep, []),
+            ("unknown-run", "key-of-nobody", "", "/p/", _keep, ["KEY"]),
+            ("unknown-refused", "key-of-nobody", "", "/p/", _refuse, []),
+            ("removed-run", "key-of-east-1", "east", "/p/", _keep, ["KEY"]),
+            ("removed-refused", "key-of-east-1", "", "/p/", _refuse, []),
+            ("just-removed", "key-of-east-1", "east", "/p/", _remove_late, []),
+            ("given-back", "key-of-east-1", "east", "/p/", _give_back, []),
+        )
+    ],
+)
+def test_keys_are_judged(
+    key: str,
+    account: str,
+    target: str,
+    change: Callable[[records.Records], None],
+    rules: list[str],
+) -> None:
+    """Guards against a check that misses a fault of accounts, or makes one."""
+    seen = _with_key(key, account=account, target=target)
+    change(seen)
+    assert [finding.rule for finding in checks.judge(seen)] == rules
+
+
+@pytest.mark.parametrize(
+    ("reported", "expected"),
+    [
+        pytest.param(1, "0 more missing, 0 too many", id="right"),
+        pytest.param(0, "1 more missing, 0 too many", id="missing"),
+        pytest.param(3, "0 more missing, 2 too many", id="too many"),
+    ],
+)
+def test_usage_is_compared_with_runs(reported: int, expected: str) -> None:
+    seen = _with_key("key-of-north", account="north")
+    call = duty_platform.DutyCall(
+        at_ms=0,
+        path="/usage",
+        holder="c1",
+        token=1,
+        body=b'{"window_id":100,"counts":{"north":%d}}' % reported,
+    )
+    # A report that is sent twice counts once.
+    seen.duty_calls += [(call, True), (call, True)]
+    assert expected in accounts.describe_usage(seen, 0.0)
--- a/testing/soak/wire.py
+++ b/testing/soak/wire.py
@@ -66,7 +66,11 @@
             name = match[1].decode().lower()
             if name in header_by_name and name in FRAMING_HEADERS:
                 raise MalformedMessage(f"two headers {name}")
-            header_by_name[name] = match[2].decode("latin-1").strip()
+            value = match[2].decode("latin-1").strip()
+            if name in header_by_name:
+                # No value of a repeated header is hidden from the checks.
+                value = f"{header_by_name[name]}, {value}"
+            header_by_name[name] = value
         return first, header_by_name
 
     def read_body(self, header_by_name: dict[str, str], default: int) -> bytes:
