Add hostile clients to the soak

They have an account of their own. A runner that gets one of the incomplete requests breaks the rule UNASKED; complete ones are marked and left out.

--- a/testing/soak/accounts.py
+++ b/testing/soak/accounts.py
@@ -21,7 +21,9 @@
     "key-of-east-2": "east",
     "key-of-south-2": "south",
 }
-ACCOUNT_BY_KEY = STEADY_KEYS | CHANGING_KEYS
+# Key of the hostile clients, whose requests the checks do not know.
+HOSTILE_KEY, HOSTILE_ACCOUNT = "key-of-hostile", "hostile"
+ACCOUNT_BY_KEY = STEADY_KEYS | CHANGING_KEYS | {HOSTILE_KEY: HOSTILE_ACCOUNT}
 UNKNOWN_KEYS = ("key-of-nobody", "")
 # Requests of this route need no key.
 PUBLIC_PREFIX = "/split/"
@@ -174,6 +176,7 @@
     reported: collections.Counter[str] = collections.Counter()
     for counts in reports.values():
         reported.update(counts)
+    del reported[HOSTILE_ACCOUNT]
     gateway_by_key = {call.key: call.gateway for call in seen.calls}
     killed_s_by_gateway = collections.defaultdict(list)
     for incident in seen.incidents:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -20,6 +20,7 @@
 from soak import callers
 from soak import checks
 from soak import fleet
+from soak import hostile
 from soak import operators
 from soak import proxy
 from soak import records
@@ -67,6 +68,7 @@
         large_tables: Whether changes add and remove many routes too.
         limits: Whether runners name limits.
         versions: Whether runners of two software versions serve.
+        hostile_count: Number of hostile clients.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -83,6 +85,7 @@
         large_tables: bool = False,
         limits: bool = False,
         versions: bool = False,
+        hostile_count: int = 0,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
@@ -119,6 +122,14 @@
             )
             for number in range(caller_count)
         ]
+        self._hostile_clients = [
+            hostile.HostileClient(
+                number=number,
+                seed=seed,
+                address_by_gateway=self.fleet.gateway_address_by_name,
+            )
+            for number in range(hostile_count)
+        ]
         self._first_runners = FIRST_RUNNERS + (MORE_ENGINES if versions else ())
         self.schedule = schedule.draw(
             seed,
@@ -145,7 +156,11 @@
             self._operator.start()
             for caller in self._callers:
                 caller.start()
+            for client in self._hostile_clients:
+                client.start()
             self._play_schedule()
+            for client in self._hostile_clients:
+                client.stop()
             for caller in self._callers:
                 caller.stop()
             last_s = time.monotonic() + LAST_CALLS_S
@@ -285,6 +300,7 @@
     large_tables: bool = False,
     limits: bool = False,
     versions: bool = False,
+    hostile_count: int = 0,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -299,6 +315,7 @@
         large_tables=large_tables,
         limits=limits,
         versions=versions,
+        hostile_count=hostile_count,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -435,6 +452,7 @@
     parser.add_argument("--large-tables", action="store_true")
     parser.add_argument("--limits", action="store_true")
     parser.add_argument("--versions", action="store_true")
+    parser.add_argument("--hostile", type=int, default=0)
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -455,6 +473,7 @@
             large_tables=arguments.large_tables,
             limits=arguments.limits,
             versions=arguments.versions,
+            hostile_count=arguments.hostile,
         )
     return 1 if findings else 0
 
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -11,6 +11,7 @@
 from typing import Any
 from typing import final
 
+from soak import hostile
 from soak import misbehavior
 from soak import proxy
 from soak import records
@@ -210,7 +211,8 @@
         )
         number = self._arrivals_by_attempt.get(attempt, 0)
         self._arrivals_by_attempt[attempt] = number + 1
-        self._seen.arrivals.append(arrival)
+        if hostile.MARK.lower() not in headers:
+            self._seen.arrivals.append(arrival)
         chance = random.Random(f"{self._seed}/{attempt}/{self.name}/{number}")
         return arrival, chance
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -11,6 +11,7 @@
 
 from soak import accounts
 from soak import checks
+from soak import hostile
 from soak import misbehavior
 from soak import readings
 from soak import records
@@ -44,7 +45,7 @@
     ("seed", "duration_s", "more"),
     [
         pytest.param(1, 7.0, {}, id="1"),
-        pytest.param(2, 7.0, {}, id="2"),
+        pytest.param(2, 7.0, {"hostile_count": 5}, id="2 hostile"),
         pytest.param(
             3,
             7.0,
@@ -868,3 +869,14 @@
     # A report that is sent twice counts once.
     seen.duty_calls += [(call, True), (call, True)]
     assert expected in accounts.describe_usage(seen, 0.0)
+
+
+@pytest.mark.parametrize("name", hostile.NAMES)
+def test_only_complete_requests_of_hostile_clients_are_marked(
+    name: str,
+) -> None:
+    """Guards against hiding an incomplete request that a runner gets."""
+    sent = b"".join(hostile.pieces(name, random.Random(1)))
+    is_complete = sent.endswith(b"Content-Length: 0\r\n\r\n")
+    assert (hostile.MARK.encode() in sent) == is_complete
+    assert is_complete == (name == hostile.UNREAD)
