--- a/testing/platform/test_path.py
+++ b/testing/platform/test_path.py
@@ -78,7 +78,13 @@
     assert answer.status == 502
     assert json.loads(answer.data)["run"] == "unknown"
     decisions = [line["decision"] for line in site.decisions("a1")]
-    assert decisions == ["sent", "request-error", "leg-failed", "refused"]
+    assert decisions == [
+        "placed",
+        "sent",
+        "request-error",
+        "leg-failed",
+        "refused",
+    ]
 
 
 def test_read_only_request_is_retried_after_a_failure(site: sites.Site) -> None:
