--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -56,9 +56,10 @@
 # or the list of runners is missing, or shortly after, while other gateways that
 # start at the same time become known.
 INCOMPLETE_POLL_S = 0.1
-# Age of the proof that the table is the newest from which control is polled at
-# that interval too, as after a pause of the process.
-OLD_PROOF_MS = 1_500
+# Age of the proof that the table is the newest, as a part of the limit of
+# revocation, from which control is polled at that interval too, as after a
+# pause of the process.
+OLD_PROOF_PART = 0.3
 # Two calls to the leader, on a silent connection and on a new one, take less
 # time than a table may stay outdated.
 CONTROL_TIMEOUT_MS = 600
@@ -612,8 +613,9 @@
     def _needs_proof(self) -> bool:
         """Return whether keys will soon be refused for lack of a proof."""
         gateway = self._gateway
+        revoke_ms = gateway.tuning.revoke_ms
         age_ms = clock.monotonic_ms() - gateway.table_confirmed_ms
-        return gateway.tuning.revoke_ms is not None and age_ms > OLD_PROOF_MS
+        return revoke_ms is not None and age_ms > OLD_PROOF_PART * revoke_ms
 
     def _apply_reply(
         self, reply: gateway_messages.Followed, called_ms: int
