Order requests by the rank of the account first, and of the route within it

Accounts of two ranks replaced the ranks of the routes, so that short requests of an urgent route waited behind long ones.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -38,6 +38,9 @@
 # Priority class of routes of rank 0; each further rank adds one. A lower class
 # is served first.
 TOP_PRIORITY_CLASS = 3
+# Classes of each rank of accounts, for the ranks of routes. Routes without an
+# account have those of the accounts of rank 1.
+CLASSES_PER_ACCOUNT_RANK = 3
 # Priority class of prompts that can't meet their target latency. They are
 # served after all prompts that can.
 LATE_PRIORITY_CLASS = 8
@@ -410,11 +413,19 @@
 
 
 def priority_class(request: state_lib.Request) -> int:
-    """Return the priority class of a request's account or route.
+    """Return the priority class of a request.
 
+    The rank of its account goes first, then that of its route, so that short
+    requests of an urgent route don't wait behind long ones of accounts of the
+    same rank. Without the rank of an account, that of the route counts alone.
     The platform's scale is 0 to 9, with 0 served first.
     """
-    return max(0, min(LATE_PRIORITY_CLASS, TOP_PRIORITY_CLASS + request.rank))
+    account_rank, route_rank = request.account_rank, request.route.rank
+    if account_rank is None:
+        return min(LATE_PRIORITY_CLASS, TOP_PRIORITY_CLASS + route_rank)
+    route_class = max(0, min(CLASSES_PER_ACCOUNT_RANK - 1, route_rank))
+    account_class = CLASSES_PER_ACCOUNT_RANK * max(0, account_rank)
+    return min(LATE_PRIORITY_CLASS - 1, account_class + route_class)
 
 
 def dispatch(
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -93,13 +93,6 @@
     work_ms: float = 0.0
     found_free_slot: bool = False
 
-    @property
-    def rank(self) -> int:
-        """Return the rank of the account, or of the route without that."""
-        if self.account_rank is None:
-            return self.route.rank
-        return self.account_rank
-
     @property
     def traits(self) -> tuple[str, ...]:
         """Return what this request has in common with others like it."""
--- a/testing/gateway/test_accounts.py
+++ b/testing/gateway/test_accounts.py
@@ -307,9 +307,9 @@
         key("k1"), "/brief/x", host=replay.HOST, prompt=prompt
     )
     assert isinstance(prefill, protocol.Send)
-    # The rank of the account is more urgent than that of the route, which is 2.
     assert prefill.phase is protocol.Phase.PREFILL
-    assert prefill.priority_class == placing.TOP_PRIORITY_CLASS
+    # The account has rank 0, and the route rank 2.
+    assert prefill.priority_class == 2
     caller.poll(2, tables[1], engines)
     done = events.PrefillDone(
         request_key=1, transfer_handle="t", now_ms=caller.now_ms
@@ -362,3 +362,38 @@
         exchange.close()
     runner.close()
     assert len(runner.script) == 1
+
+
+@pytest.mark.parametrize(
+    ("account_ranks", "route_ranks"),
+    [
+        pytest.param((0, 1), (2, 0), id="account-before-route"),
+        pytest.param((1, 1), (0, 2), id="route-within-a-rank-of-accounts"),
+        pytest.param((0, 1), (9, -9), id="ranks-out-of-range"),
+        pytest.param((-5, 1), (0, 0), id="account-rank-below-0"),
+    ],
+)
+def test_first_of_two_requests_is_the_more_urgent_one(
+    account_ranks: tuple[int, int], route_ranks: tuple[int, int]
+) -> None:
+    """Short requests waited behind long ones of accounts of the same rank."""
+    [first, second] = [
+        state_lib.Request(
+            request_key=1,
+            request_id="a",
+            head=protocol.RequestHead(
+                attempt_id="a", remaining_ms=1, prompt=None
+            ),
+            route=msgspec.structs.replace(
+                replay.TABLE.routes[0], rank=route_rank
+            ),
+            service=replay.TABLE.services[0],
+            arrived_ms=0,
+            account_rank=account_rank,
+        )
+        for account_rank, route_rank in zip(
+            account_ranks, route_ranks, strict=True
+        )
+    ]
+    classes = [placing.priority_class(each) for each in (first, second)]
+    assert 0 <= classes[0] < classes[1] < placing.LATE_PRIORITY_CLASS
