--- a/src/wisteriawall/config/accounts.py
+++ b/src/wisteriawall/config/accounts.py
@@ -31,7 +31,8 @@
     """A client account.
 
     `key_digests` are the sorted digests of the keys that name it. `rank`
-    replaces the priority class of the route, None keeps that of the route.
+    goes before the rank of the route; without one, that of the route counts
+    alone.
     """
 
     name: str
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -101,7 +101,7 @@
 
 @final
 class _Tenant(msgspec.Struct, frozen=True):
-    """A client account; `priority` replaces that of the route."""
+    """A client account; `priority` goes before that of the route."""
 
     name: str
     api_keys: list[str]
