--- a/src/wisteriawall/gateway/accounts.py
+++ b/src/wisteriawall/gateway/accounts.py
@@ -31,9 +31,9 @@
 class Accepted:
     """The request may run for `account`, which is empty without one.
 
-    `rank` goes before that of the route unless it is None. `hides_key` is set if
-    the table has accounts. The request must not be sent at `valid_until_ms` or
-    later, None for no limit.
+    `rank` goes before that of the route unless it is None. `hides_key` is set
+    if the table has accounts. The request must not be sent at `valid_until_ms`
+    or later, None for no limit.
     """
 
     account: str = ""
