--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 import contextlib
 import http.client
 import http.server
+import itertools
 import json
 import os
 import pathlib
@@ -371,3 +372,150 @@
             "idle_ms": 15000,
         },
     }
+
+
+def wait_until_ready(machine: Machine, within_s: float) -> bool:
+    """Wait until the gateway of a machine says that it is ready."""
+    end_s = time.monotonic() + within_s
+    while time.monotonic() < end_s:
+        if call("GET", machine.ready, "/readiness")[0] == 200:
+            return True
+        time.sleep(0.1)
+    return False
+
+
+class PlainRunner:
+    """A sound runner of a plain service; each answer takes 15 ms."""
+
+    def __init__(self, host: str, identifier: str, service: str) -> None:
+        """Serve at a free port of `host`."""
+        self.identifier, self.service = identifier, service
+        # Attempt ids of the requests that it ran, in order.
+        self.ran: list[str] = []
+        owner = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def do_GET(self) -> None:
+                owner._answer(self)
+
+            do_POST = do_GET  # noqa: N815
+
+            def log_message(self, *_: object) -> None:
+                pass
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 128
+
+            def handle_error(self, *_: object) -> None:
+                pass
+
+        server = Server((host, 0), Handler)
+        self.address = f"{host}:{server.server_address[1]}"
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def entry(self) -> dict[str, Any]:
+        """Return its entry in the platform's list."""
+        return {
+            "identifier": self.identifier,
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "born": 1,
+        }
+
+    def _answer(self, handler: http.server.BaseHTTPRequestHandler) -> None:
+        length = int(handler.headers.get("Content-Length", "0"))
+        handler.rfile.read(length)
+        attempt = handler.headers.get("X-Wisteriawall-Attempt-Id", "")
+        if handler.path == "/health":
+            body = b""
+        else:
+            self.ran.append(attempt)
+            time.sleep(0.015)
+            body = b"a" * 800
+        handler.send_response(200)
+        if body:
+            handler.send_header("X-Wisteriawall-Attempt-Id", attempt)
+            handler.send_header("X-Wisteriawall-Response-Seal", "s")
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+
+class Clients:
+    """Ordinary clients; each opens a new connection for each request."""
+
+    def __init__(self, machine: Machine, count: int, pause_s: float) -> None:
+        """Start `count` clients of the gateway of a machine."""
+        self._address = machine.frontend
+        self._pause_s = pause_s
+        self._lock = threading.Lock()
+        # Client, when it tried, when it was connected (or None), and status.
+        self._tries: list[tuple[int, float, float | None, int]] = []
+        for number in range(count):
+            threading.Thread(
+                target=self._run, args=(number,), daemon=True
+            ).start()
+
+    def describe(self, since_s: float, until_s: float) -> str:
+        """Return how the tries of a span ended."""
+        tries = [t for t in self._copy() if since_s <= t[1] < until_s]
+        connected = sum(t[2] is not None for t in tries)
+        served = sum(t[3] == 200 for t in tries)
+        return f"{len(tries)} tries, {connected} connected, {served} served"
+
+    def longest_gap(
+        self, since_s: float, until_s: float
+    ) -> tuple[float, float]:
+        """Return the longest span in which no client was connected."""
+        times_s = sorted(
+            t[2] for t in self._copy() if t[2] and since_s <= t[2] < until_s
+        )
+        bounds = [since_s, *times_s, until_s]
+        return max(itertools.pairwise(bounds), key=lambda b: b[1] - b[0])
+
+    def clients_that_tried(self, since_s: float, until_s: float) -> int:
+        """Return how many clients tried to connect in a span."""
+        return len({t[0] for t in self._copy() if since_s < t[1] < until_s})
+
+    def _copy(self) -> list[tuple[int, float, float | None, int]]:
+        with self._lock:
+            return list(self._tries)
+
+    def _run(self, number: int) -> None:
+        count = 0
+        while True:
+            count += 1
+            tried_s = time.monotonic()
+            connected_s, status = self._try_once(f"c{number}-{count}")
+            with self._lock:
+                self._tries.append((number, tried_s, connected_s, status))
+            time.sleep(self._pause_s)
+
+    def _try_once(self, attempt: str) -> tuple[float | None, int]:
+        connection = http.client.HTTPConnection(self._address, timeout=1.0)
+        connected_s = None
+        try:
+            connection.connect()
+            connected_s = time.monotonic()
+            headers = {
+                "Host": "shop.example",
+                "X-Wisteriawall-Attempt-Id": attempt,
+                "X-Wisteriawall-Deadline-Remaining": "600",
+            }
+            connection.request("GET", "/look/1", headers=headers)
+            response = connection.getresponse()
+            response.read()
+            return connected_s, response.status
+        except (OSError, http.client.HTTPException):
+            return connected_s, 0
+        finally:
+            connection.close()
