Show that two core machines that come back together shut each other out

Two of five control replicas freeze for 5.8 s and wake. The leader has removed both, and both ask to join again. 6.05 s later, when they no longer count as lost, two others lose their disks; in most runs nothing can be read or acknowledged any more, although three replicas run with their disks.

A member that was just added counts as unresponsive until its first reply, as link_health._last_reply_ms then takes the time of the leader's election, and the leader sends its first message with the next heartbeat. A second replica that joins in this time makes replica_changes.next_join_step remove the first one, again and again; 14 s of this were seen in a log.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,193 +1,116 @@
-"""A caller sends the parts of its prompt in two header lines of one name."""
+"""Two of five core machines freeze and wake; later two lose their disks."""
 
-import http.server
 import os
 import pathlib
-import socket
+import signal
 import sys
-import threading
-from typing import Any
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
 import standins
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REQUESTS = 10
-PROMPT_PREFIX = "X-Wisteriawall-Prompt-Prefix"
-PARTS = ["5c1e07a2:800", "91bd3f06:410", "e4402b7d:250"]
-EVENTS = 4
-ANSWER_TIMEOUT_S = 8.0
+SUBNET = os.environ.get("SUBNET", "127.19.4")
+# Bounds of `large/ritrattini-prod-large.toml`.
+BOUNDS = standins.BOUNDS | {
+    "contact_ms": 5000,
+    "ack_ms": 6000,
+    "catch_up_s": 6,
+    "drain_ms": 4000,
+    "config_ms": 3000,
+    "max_stretch_ms": 8000,
+    "retry_budget_slack": 180,
+    "recovery_s": 15,
+    "delivery_deadline_ms": 200,
+}
+CATCH_UP_S = BOUNDS["catch_up_s"] + 0.05
+READ_BACK_S = BOUNDS["recovery_s"] + BOUNDS["contact_ms"] / 1000
+FROZEN_S = 5.8
+WAKE_GAP_S = float(os.environ.get("WAKE_GAP_S", "0.006"))
+DOWN_S = 0.5
+# Each round takes 19 s, and the last read takes READ_BACK_S.
+LAST_ROUND_S = 82.0
 
 
 def main() -> int:
     """Return 1 if the rule was broken, 0 if it held, 2 if nothing ran."""
     record = standins.Record(pathlib.Path(__file__).parent / "record.txt")
-    with standins.Fleet("127.19.3", ["a"], seeds=1) as fleet:
-        machine = fleet.machines[0]
-        runner = StreamRunner("127.19.3.1")
-        fleet.runner_list.entries = [runner.entry()]
-        machine.start("control", bootstrap=True)
-        machine.start("gateway", disk=False)
+    began_s = time.monotonic()
+    with standins.Fleet(
+        SUBNET, ["a", "b", "c", "d", "e"], tolerated=2, bounds=BOUNDS
+    ) as fleet:
         operator = standins.Operator(record)
-        if not operator.put([machine], prompt_table(), 20):
+        for machine in fleet.machines:
+            machine.start("control", bootstrap=True)
+        version = 1
+        if not operator.put(fleet.machines, standins.plain_table(1), 20):
             return 2
-        if not standins.wait_until_ready(machine, 20):
-            return 2
-        whole = ",".join(PARTS)
-        served, changed = 0, 0
-        for number in range(REQUESTS):
-            lines = [PARTS[0], ",".join(PARTS[1:])] if TROUBLE else [whole]
-            attempt = f"a{number}"
-            status = send(machine.frontend, attempt, lines)
-            served += status == 200
-            got = runner.prefix_by_attempt.get(attempt)
-            changed += got is not None and got != whole
-            record.write(
-                f"{attempt}: sent {lines}, answered {status}, run with {got!r}"
-            )
-        record.write(
-            f"of {REQUESTS} requests {served} were answered 200, {changed} were"
-            " run with other parts than those that the caller sent"
-        )
-        if served < REQUESTS:
-            return 2
-        return 1 if changed else 0
-
-
-def send(address: str, attempt: str, prefix_lines: list[str]) -> int:
-    """Send a request on a connection of its own; return the status."""
-    host, _, port = address.rpartition(":")
-    lines = [
-        "POST /draft/1 HTTP/1.1",
-        "Host: shop.example",
-        f"X-Wisteriawall-Attempt-Id: {attempt}",
-        "X-Wisteriawall-Model: m",
-        "X-Wisteriawall-Token-Counts: 1460,4",
-        *(f"{PROMPT_PREFIX}: {value}" for value in prefix_lines),
-        "X-Wisteriawall-Deadline-Remaining: 8000",
-        "Connection: close",
-        "Content-Length: 5",
-        "",
-        "brief",
+        time.sleep(2)
+        while time.monotonic() - began_s < LAST_ROUND_S:
+            if TROUBLE:
+                frozen = freeze_two(fleet, operator, record)
+                time.sleep(CATCH_UP_S)
+            version += 1
+            if not operator.put(
+                fleet.machines, standins.plain_table(version), 5
+            ):
+                return 2
+            if not TROUBLE:
+                time.sleep(1)
+                continue
+            lose_two_disks(fleet, operator, record, frozen)
+            if operator.get(fleet.machines, READ_BACK_S) != version:
+                record.write(f"version {version}, acknowledged, can't be read")
+                return 1
+            time.sleep(CATCH_UP_S)
+        if operator.get(fleet.machines, READ_BACK_S) != version:
+            return 1
+        record.write(f"version {version}, acknowledged, was read")
+        return 0
+
+
+def freeze_two(
+    fleet: standins.Fleet, operator: standins.Operator, record: standins.Record
+) -> list[standins.Machine]:
+    """Stop two machines that don't lead, and let them go on together."""
+    frozen = [m for m in fleet.machines if m.control != operator.answered_by][
+        :2
     ]
-    answer = b""
-    with socket.create_connection((host, int(port)), 1.0) as connection:
-        connection.settimeout(ANSWER_TIMEOUT_S)
-        connection.sendall("\r\n".join(lines).encode())
-        while data := connection.recv(65_536):
-            answer += data
-    return int(answer.split(b" ", 2)[1]) if answer else 0
-
-
-def prompt_table() -> dict[str, Any]:
-    """Return a configuration with a model service, as PROTOCOL.md shows it."""
-    table = standins.plain_table(1)
-    table["routes"].append(
-        {
-            "name": "r-draft",
-            "host": "shop.example",
-            "path_prefix": "/draft/",
-            "type": "streaming",
-            "timeout_ms": 8000,
-            "target_latency_ms": 600,
-            "priority": 2,
-            "service": "brush",
-            "max_attempts": 1,
-            "sticky_sessions": True,
-            "resumable": False,
-            "target_gap_ms": 200,
-        }
+    for machine in frozen:
+        machine.process_by_role["control"].send_signal(signal.SIGSTOP)
+    names = " and ".join(machine.name for machine in frozen)
+    record.write(f"platform: machines {names} froze")
+    time.sleep(FROZEN_S)
+    for machine in frozen:
+        machine.process_by_role["control"].send_signal(signal.SIGCONT)
+        time.sleep(WAKE_GAP_S)
+    record.write(f"platform: machines {names} woke after {FROZEN_S} s")
+    return frozen
+
+
+def lose_two_disks(
+    fleet: standins.Fleet,
+    operator: standins.Operator,
+    record: standins.Record,
+    frozen: list[standins.Machine],
+) -> None:
+    """Empty the machine that acknowledged, and one that was not frozen."""
+    acknowledged = next(
+        m for m in fleet.machines if m.control == operator.answered_by
     )
-    table["services"].append(
-        {
-            "name": "brush",
-            "health_path": "/health",
-            "connection_limit": 380,
-            "protocol": "h1",
-            "tls": False,
-            "engine": {
-                "slots": 64,
-                "kv_cache_tokens": 539752,
-                "kv_token_bytes": 327680,
-                "link_mbps": 3200000.0,
-                "moves": True,
-                "backups": True,
-                "stride": 6,
-                "most": 12,
-                "handle_lifetime_s": 5.0,
-                "role_switch_s": 3.0,
-                "pin_ms": 4000.0,
-                "hold_ms": 2000.0,
-                "models": [{"name": "m"}],
-            },
-        }
-    )
-    return table
-
-
-class StreamRunner:
-    """A sound model runner; it notes the parts of each prompt that it runs."""
-
-    def __init__(self, host: str) -> None:
-        """Serve at a free port of `host`."""
-        # Field lines of one name make one list, in their order (RFC 9110,
-        # section 5.2).
-        self.prefix_by_attempt: dict[str, str] = {}
-        owner = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def do_GET(self) -> None:
-                body = b'{"epoch":1,"next":0,"held":[]}'
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def do_POST(self) -> None:
-                self.rfile.read(int(self.headers.get("Content-Length", "0")))
-                attempt = self.headers["X-Wisteriawall-Attempt-Id"]
-                values = self.headers.get_all(PROMPT_PREFIX, [])
-                owner.prefix_by_attempt[attempt] = ",".join(
-                    part.strip() for v in values for part in v.split(",")
-                )
-                body = b"".join(
-                    b"id: %d\ndata: t\n\n" % number
-                    for number in range(1, EVENTS + 1)
-                )
-                self.send_response(200)
-                self.send_header("Content-Type", "text/event-stream")
-                self.send_header("X-Wisteriawall-Attempt-Id", attempt)
-                self.send_header("X-Wisteriawall-Response-Seal", "s")
-                self.send_header("X-Wisteriawall-Weight-Versions", "1")
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def log_message(self, *_: object) -> None:
-                pass
-
-        server = http.server.ThreadingHTTPServer((host, 0), Handler)
-        server.daemon_threads = True
-        self.address = f"{host}:{server.server_address[1]}"
-        threading.Thread(target=server.serve_forever, daemon=True).start()
-
-    def entry(self) -> dict[str, Any]:
-        """Return its entry in the platform's list."""
-        return {
-            "identifier": "i-brush",
-            "service": "brush",
-            "address": self.address,
-            "zone": "z1",
-            "version": "v1",
-            "slots": 64,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "stage": "decode",
-            "models": [{"name": "m", "version": 1, "adapters": []}],
-            "born": 1,
-        }
+    others = [m for m in fleet.machines if m not in (acknowledged, *frozen)]
+    wiped = [acknowledged, others[0]]
+    for machine in wiped:
+        machine.process_by_role["control"].kill()
+    for machine in wiped:
+        machine.stop("control", signal.SIGKILL)
+        machine.lose_disk()
+    names = " and ".join(machine.name for machine in wiped)
+    record.write(f"platform: machines {names} lost their disks")
+    time.sleep(DOWN_S)
+    for machine in wiped:
+        machine.start("control")
+    record.write(f"platform: machines {names} are back, empty")
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -3,6 +3,7 @@
 It uses the standard library alone, and loopback addresses alone.
 """
 
+from collections.abc import Mapping
 import contextlib
 import http.client
 import http.server
@@ -173,8 +174,12 @@
             "entry": "virtual_ip",
             "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry"],
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "fault_tolerance": {
+                "machines": self._fleet.tolerated,
+                "zones": 0,
+                "regions": 0,
+            },
+            "bounds": self._fleet.bounds,
             "config_mode": "highest",
             "cloud_api": {
                 "address": self._fleet.runner_list.address,
@@ -218,8 +223,17 @@
 class Fleet:
     """Machines of a deployment; all processes end with the block."""
 
-    def __init__(self, subnet: str, names: list[str], seeds: int = 3) -> None:
+    def __init__(
+        self,
+        subnet: str,
+        names: list[str],
+        *,
+        seeds: int = 3,
+        tolerated: int = 1,
+        bounds: Mapping[str, Any] = BOUNDS,
+    ) -> None:
         """Create the machines; the first `seeds` of them are the seeds."""
+        self.tolerated, self.bounds = tolerated, bounds
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._temporary.name)
         hosts = [f"{subnet}.{number}" for number in range(2, 2 + len(names))]
