Remove a silent spare voter after one second

The successor makes four voters with a quorum of three. The leader removed a silent voter 4 s after its last reply or the election, and looked every 0.5 s, so the removed machine still counted when the disk was lost. Two of four voters can't elect a leader, and an emptied replica is added by a leader only.

Voters beyond what `fault_tolerance` needs are removed after 1 s of silence, looked for at each tick; others are not removed for silence alone.

--- a/src/wisteriawall/commands/control.py
+++ b/src/wisteriawall/commands/control.py
@@ -107,9 +107,10 @@
         operators=operators,
     )
     lifecycle.check(settings)
+    peer_address_by_replica = parsers.parse_addresses("--peers", peers)
     shell = shell_lib.ControlShell(
         replica=replica,
-        peer_address_by_replica=parsers.parse_addresses("--peers", peers),
+        peer_address_by_replica=peer_address_by_replica,
         rpc_address=rpc,
         folder=data,
         key=parsers.parse_key("WISTERIAWALL_CLUSTER_KEY", cluster_key),
@@ -120,6 +121,7 @@
         bootstrap=bootstrap,
         cluster=cluster,
         on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
+        tolerated_losses=max(1, (len(peer_address_by_replica) - 1) // 2),
     )
     app = admin_lib.AdminApp(
         shell=shell,
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -453,6 +453,7 @@
         yield from _submit_command(
             control, commands.RecordLeader(raft.replica, wall_ms), now_ms
         )
+    yield from _remove_lost_replica(control, now_ms, wall_ms)
     if (
         now_ms < control.leader_commands_due_ms
         or raft.applied_index < control.last_leader_command_index
@@ -461,7 +462,6 @@
         # and the same commands would be due again.
         return
     control.leader_commands_due_ms = now_ms + LEADER_DUTIES_INTERVAL_MS
-    yield from _remove_lost_replica(control, now_ms, wall_ms)
     liveness.drop_expired(control.processes, now_ms)
     for command in list(_due_commands(control, now_ms, wall_ms)):
         yield from _submit_command(control, command, now_ms)
@@ -472,7 +472,9 @@
     control: replica_state.ReplicaState, now_ms: int, wall_ms: int
 ) -> Iterator[events.Effect]:
     """Remove a replica that has been lost for too long, if there is one."""
-    lost = replica_changes.find_lost_replica(control.raft, now_ms)
+    lost = replica_changes.find_lost_replica(
+        control.raft, now_ms, tolerated_losses=control.tolerated_losses
+    )
     if lost is None:
         return
     request = events.RemoveReplicaRequest("leader", lost)
--- a/src/wisteriawall/control/replica_changes.py
+++ b/src/wisteriawall/control/replica_changes.py
@@ -12,9 +12,9 @@
 from wisteriawall.wire import gateway_messages
 from wisteriawall.wire import raft_messages
 
-# A replica restarts within this time, and one that takes longer can join again.
-# Until a lost replica is removed, the cluster tolerates one loss less.
-REMOVE_AFTER_MS = 4_000
+# Until a lost spare voter is removed, the cluster tolerates one loss less. With
+# an election before it, the removal has to end within `catch_up_s`.
+REMOVE_SPARE_AFTER_MS = 1_000
 # Heartbeats are sent every 100 ms; a restart takes about 2 s.
 REPLACE_AFTER_MS = 1_500
 # A refused request to join is repeated after 500 ms, so that a voter which
@@ -25,6 +25,7 @@
 
 __all__ = [
     "find_lost_replica",
+    "needed_voters",
     "next_join_step",
     "start_change",
     "unsafe_removal",
@@ -118,19 +119,32 @@
     return ""
 
 
-def find_lost_replica(raft: raft_lib.Raft, now_ms: int) -> str | None:
+def needed_voters(tolerated_losses: int) -> int:
+    """Return with how many voters this number of losses is tolerated."""
+    return 2 * tolerated_losses + 1
+
+
+def find_lost_replica(
+    raft: raft_lib.Raft, now_ms: int, *, tolerated_losses: int
+) -> str | None:
     """Return an unresponsive member to remove, None if there is none.
 
-    No member is removed if fewer than `MIN_VOTERS` voters would be left, or if
-    no majority of the voters responds.
+    Only spare voters are removed: those beyond the number that tolerates
+    `tolerated_losses`. A lost one would raise the quorum for nothing. None is
+    removed while no majority of the voters responds.
     """
-    if len(raft.voters) <= MIN_VOTERS:
+    if len(raft.voters) <= needed_voters(tolerated_losses):
         return None
-    unresponsive = link_health.unresponsive_peers(raft, now_ms, REMOVE_AFTER_MS)
+    unresponsive = link_health.unresponsive_peers(
+        raft, now_ms, REMOVE_SPARE_AFTER_MS
+    )
     responsive = [name for name in raft.voters if name not in unresponsive]
-    if not unresponsive or len(responsive) <= len(raft.voters) // 2:
+    if len(responsive) <= len(raft.voters) // 2:
         return None
-    return unresponsive[0]
+    removable = (
+        name for name in unresponsive if not unsafe_removal(raft, name, now_ms)
+    )
+    return next(removable, None)
 
 
 def _is_in_contact(raft: raft_lib.Raft, peer: str, now_ms: int) -> bool:
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -77,6 +77,7 @@
             leader submitted by itself.
         usage: Usage that gateways reported, beyond the ledger.
         now_ms: Monotonic time of the newest event.
+        tolerated_losses: How many replicas may be lost at the same time.
     """
 
     raft: raft_lib.Raft
@@ -110,3 +111,4 @@
     planner_due_ms: int = 0
     last_leader_command_index: int = 0
     now_ms: int = 0
+    tolerated_losses: int = 1
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -114,6 +114,7 @@
         usage_settings: Windows of the usage report, None without one.
         on_decision: Writes a decision to the decision log; by default it goes
             to the standard log.
+        tolerated_losses: How many replicas may be lost at the same time.
 
     Raises:
         data_folder.FolderRefused: The folder can't be used by this replica.
@@ -137,6 +138,7 @@
         process_started_ms: int = -1,
         usage_settings: usage.UsageSettings | None = None,
         on_decision: Callable[[str, dict[str, object]], None] | None = None,
+        tolerated_losses: int = 1,
     ) -> None:
         self._metrics = metrics or metrics_lib.NullMetrics()
         sender = envelope.Sender(replica, incarnation)
@@ -165,6 +167,7 @@
             ),
             ledger=snapshot.decode(self._log.recovered.snapshot.data),
             usage=usage.UsageMerger(settings=usage_settings),
+            tolerated_losses=tolerated_losses,
         )
         self._on_decision = on_decision or _log_decision
         self._on_failure = on_failure
--- a/src/wisteriawall/platform/control_role.py
+++ b/src/wisteriawall/platform/control_role.py
@@ -89,6 +89,7 @@
         on_failure=lambda: os.kill(os.getpid(), signal.SIGTERM),
         usage_settings=duties.usage_settings(settings),
         on_decision=write_decision,
+        tolerated_losses=settings.tolerated_losses,
     )
     client = control_client.ControlClient(
         address_by_replica=settings.seed_rpc_by_replica(),
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -70,6 +70,15 @@
     usage_tolerance: float = 0.05
 
 
+@final
+class _FaultTolerance(msgspec.Struct, frozen=True):
+    """Machines, zones or regions that may be lost at the same time."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
 @final
 class _Limits(msgspec.Struct, frozen=True):
     """Resources of the process's VM; 0 if they are not stated."""
@@ -98,6 +107,13 @@
     data_directory: str | None = None
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    fault_tolerance: _FaultTolerance = _FaultTolerance()
+
+    @property
+    def tolerated_losses(self) -> int:
+        """Return how many control replicas may be lost at the same time."""
+        tolerance = self.fault_tolerance
+        return max(1, tolerance.machines, tolerance.zones, tolerance.regions)
 
     @property
     def peer_address(self) -> str:
--- a/testing/control/test_replica_changes.py
+++ b/testing/control/test_replica_changes.py
@@ -29,19 +29,24 @@
 
 
 @pytest.mark.parametrize(
-    ("others", "unresponsive", "lost"),
+    ("others", "unresponsive", "tolerated_losses", "lost"),
     [
-        pytest.param("bc", "c", None, id="not-below-three-voters"),
-        pytest.param("bcd", "", None, id="all-responsive"),
-        pytest.param("bcd", "d", "d", id="unresponsive-one-of-four"),
-        pytest.param("bcd", "cd", None, id="no-responsive-majority"),
+        pytest.param("bc", "c", 1, None, id="not-below-three-voters"),
+        pytest.param("bcd", "", 1, None, id="all-responsive"),
+        pytest.param("bcd", "d", 1, "d", id="unresponsive-one-of-four"),
+        pytest.param("bcd", "cd", 1, None, id="no-responsive-majority"),
+        pytest.param("bcde", "de", 2, None, id="not-below-five-voters"),
+        pytest.param("bcdef", "ef", 2, "e", id="two-of-six"),
     ],
 )
 def test_lost_replica_is_found(
-    others: str, unresponsive: str, lost: str | None
+    others: str, unresponsive: str, tolerated_losses: int, lost: str | None
 ) -> None:
     raft = leader(*others, unresponsive=tuple(unresponsive))
-    assert replica_changes.find_lost_replica(raft, NOW_MS) == lost
+    found = replica_changes.find_lost_replica(
+        raft, NOW_MS, tolerated_losses=tolerated_losses
+    )
+    assert found == lost
 
 
 def test_member_on_the_same_host_is_replaced() -> None:
