Earn the retry slack over the first window after a start

Each start of a gateway gave it its whole part of the slack at once. Processes that were killed every 2.5 s got it four times in one window of 10 s (BUDGET).

The slack now grows from nothing to its full part over the first window. With the margin of two that the gateway keeps, a restart can't exceed the rule.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -214,6 +214,7 @@
                 ratio=budget.ratio / 2,
                 slack=budget.slack / 2,
                 gateways=control_update.MIN_BUDGET_GATEWAYS,
+                started_ms=clock.monotonic_ms(),
             ),
             usage=usage_lib.UsageCounts(window_ms=usage_window_ms),
         )
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -39,6 +39,9 @@
         ratio: Retries allowed for each request in the window.
         slack: Retries that all gateways together may always make in a window.
         gateways: Initial number of gateways that the slack is divided among.
+        started_ms: When this gateway started. The slack is earned over the
+            first window, as an earlier process may have used it just before.
+            With None it is available at once.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "_requests_by_service",
         "_retries_by_service",
         "_slack",
+        "_started_ms",
         "_window_ms",
     )
 
@@ -57,11 +61,13 @@
         ratio: float,
         slack: float,
         gateways: int = 1,
+        started_ms: int | None = None,
     ) -> None:
         self._gateways = gateways
         self._window_ms = window_ms
         self._ratio = ratio
         self._slack = slack
+        self._started_ms = started_ms
         self._requests_by_service: dict[str, collections.deque[int]] = (
             collections.defaultdict(collections.deque)
         )
@@ -83,12 +89,18 @@
         self._drop_expired(service, now_ms)
         requests = self._requests_by_service[service]
         retries = self._retries_by_service[service]
-        max_retries = self._ratio * len(requests) + self._slack / self._gateways
+        max_retries = self._ratio * len(requests) + self._earned_slack(now_ms)
         if len(retries) + 1 > max_retries:
             return False
         retries.append(now_ms)
         return True
 
+    def _earned_slack(self, now_ms: int) -> float:
+        share = self._slack / self._gateways
+        if self._started_ms is None:
+            return share
+        return share * min(1.0, (now_ms - self._started_ms) / self._window_ms)
+
     def _drop_expired(self, service: str, now_ms: int) -> None:
         for times in (
             self._requests_by_service[service],
--- a/testing/policy/test_retry_window.py
+++ b/testing/policy/test_retry_window.py
@@ -69,6 +69,18 @@
     assert retry_count == allowed
 
 
+def test_slack_is_earned_over_the_first_window() -> None:
+    window = retry_window.RetryWindow(
+        window_ms=WINDOW_MS, ratio=RATIO, slack=10, started_ms=0
+    )
+    assert not window.take_retry("a", 0)
+    retry_count = sum(
+        window.take_retry("a", now_ms) for now_ms in range(WINDOW_MS)
+    )
+    assert retry_count == 9
+    assert window.take_retry("a", WINDOW_MS)
+
+
 @dataclasses.dataclass(kw_only=True)
 class Day:
     """Gateways of a deployment, of which one service fails each first try.
@@ -76,11 +88,15 @@
     Attributes:
         requests_per_s: Requests of all services.
         share: Part of them that is for the failing service.
+        restarts_ms: When all gateways are killed, to be back at once.
+        killed: Number of gateways that are killed.
     """
 
     gateways: int
     requests_per_s: int
     share: float
+    restarts_ms: tuple[int, ...] = ()
+    killed: int = 0
 
 
 BUDGET_WINDOW_MS = 10_000
@@ -101,26 +117,52 @@
             Day(gateways=33, requests_per_s=1_000, share=0.1),
             id="many-gateways",
         ),
+        pytest.param(
+            Day(
+                gateways=8,
+                requests_per_s=20,
+                share=1.0,
+                restarts_ms=tuple(range(20_000, 40_000, 2_500)),
+                killed=8,
+            ),
+            id="killed-again-and-again",
+        ),
+        pytest.param(
+            Day(
+                gateways=26,
+                requests_per_s=60,
+                share=0.5,
+                restarts_ms=tuple(range(20_000, 40_000, 2_000)),
+                killed=20,
+            ),
+            id="most-killed-again-and-again",
+        ),
     ],
 )
 def test_repeats_of_a_fleet_stay_within_the_budget_of_a_service(
     day: Day, seed: int
 ) -> None:
-    """Repeats for one service were paid by the requests for the others."""
+    """Repeats for one service were paid by the requests for the others.
+
+    A restart also gave the slack once more, to each gateway.
+    """
     rng = random.Random(seed)
 
-    def start() -> retry_window.RetryWindow:
+    def start(started_ms: int) -> retry_window.RetryWindow:
         return retry_window.RetryWindow(
             window_ms=BUDGET_WINDOW_MS,
             ratio=DEPLOYMENT_RATIO / 2,
             slack=DEPLOYMENT_SLACK / 2,
             gateways=day.gateways,
+            started_ms=started_ms,
         )
 
-    windows = [start() for _ in range(day.gateways)]
+    windows = [start(-DAY_MS) for _ in range(day.gateways)]
     requests: list[int] = []
     repeats: list[int] = []
     for now_ms in range(DAY_MS):
+        if now_ms in day.restarts_ms:
+            windows[: day.killed] = [start(now_ms) for _ in range(day.killed)]
         if rng.random() >= day.requests_per_s / 1_000:
             continue
         window = rng.choice(windows)
