Let a first start have its retry slack at once

A fleet that starts for the first time then couldn't repeat a rejected request for its first seconds: a payment that a runner rejected got 503 (test_endless_answers[rejection, payment] failed).

Only a restart can follow a process that used the slack. The platform says which it is: `bootstrap` is true only when the whole system starts for the first time. The test passes again; test_retry_window is unchanged.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -128,6 +128,8 @@
             usage.
         memory: Budget of the callers' connections, shared with other listeners
             of the process; None for the default.
+        is_restart: Whether an earlier process may have used this gateway's part
+            of the retry budget just before.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         unready_ms: int = UNREADY_MS,
         usage_window_ms: int = 0,
         memory: memory_budget.MemoryBudget | None = None,
+        is_restart: bool = False,
     ) -> None:
         memory = memory or memory_budget.for_limits()
         self._identity = identity
@@ -214,7 +217,7 @@
                 ratio=budget.ratio / 2,
                 slack=budget.slack / 2,
                 gateways=control_update.MIN_BUDGET_GATEWAYS,
-                started_ms=clock.monotonic_ms(),
+                started_ms=clock.monotonic_ms() if is_restart else None,
             ),
             usage=usage_lib.UsageCounts(window_ms=usage_window_ms),
         )
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -40,6 +40,7 @@
             grace_ms=settings.grace_ms,
             usage_window_ms=settings.usage_window_ms,
             memory=memory,
+            is_restart=not settings.bootstrap,
         )
         lifecycle.run_until_signalled(
             start=shell.start,
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -39,9 +39,9 @@
         ratio: Retries allowed for each request in the window.
         slack: Retries that all gateways together may always make in a window.
         gateways: Initial number of gateways that the slack is divided among.
-        started_ms: When this gateway started. The slack is earned over the
-            first window, as an earlier process may have used it just before.
-            With None it is available at once.
+        started_ms: When this gateway started again. The slack is earned over
+            the first window, as an earlier process may have used it just
+            before. With None it is available at once.
     """
 
     __slots__ = (
