Judge the retry budget of each service in the soak

The soak judged BUDGET by the attempts of single requests alone, and its gateways had a slack of 1,000 retries, so it couldn't see repeats that pile up.

A test adds 100 lookups that arrive twice each within 5 s: it has a finding now, and had none before.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -12,6 +12,7 @@
 from support import duty_platform
 
 from soak import accounts
+from soak import budget
 from soak import fleet
 from soak import limits
 from soak import lost
@@ -152,6 +153,7 @@
         _check_handles,
         _check_runs,
         _check_budget,
+        _check_repeats,
         _check_requests,
         _check_lost,
         _check_streams,
@@ -339,6 +341,11 @@
         )
 
 
+def _check_repeats(evidence: _Evidence) -> Iterator[Finding]:
+    for arrival, text in budget.find(evidence.seen, evidence.arrivals_by_key):
+        yield evidence.finding("BUDGET", evidence.key(arrival), text)
+
+
 def _check_requests(evidence: _Evidence) -> Iterator[Finding]:
     for arrival in evidence.seen.arrivals:
         call = evidence.call(arrival)
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -20,6 +20,7 @@
 from support import odd_entries
 
 from soak import accounts
+from soak import budget
 from soak import links as links_lib
 from soak import proxied
 from soak import records
@@ -468,7 +469,9 @@
             else None,
             "bounds": {
                 "grace_s": GRACE_S,
-                "retry_budget_slack": 1_000,
+                "budget_ratio": budget.RATIO,
+                "budget_window_s": budget.WINDOW_S,
+                "retry_budget_slack": budget.SLACK,
                 "window_s": accounts.USAGE_WINDOW_S,
                 "strict_revocation": True,
                 "revoke_ms": accounts.REVOKE_MS,
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -362,6 +362,25 @@
     return replace
 
 
+def _repeat_too_often(seen: records.Records) -> None:
+    """Let 100 lookups within 5 s arrive twice each, at the same runner."""
+    call, (arrival,) = seen.calls[0], seen.arrivals
+    del arrival.header_by_name[runners.KV_SOURCE]
+    del call.answer_header_by_name[records.ATTEMPT_ID]
+    for number in range(100):
+        attempt = f"b{number}"
+        changed: dict[str, Any] = {
+            "attempt": attempt,
+            "target": f"/{attempt}",
+        }
+        at_s = call.started_s + number / 20
+        seen.calls.append(dataclasses.replace(call, **changed, started_s=at_s))
+        for _ in range(2):
+            seen.arrivals.append(
+                dataclasses.replace(arrival, **changed, at_s=at_s)
+            )
+
+
 UNANSWERED = {"ending": records.Ending.UNANSWERED, "status": 0, "answer": b""}
 
 
@@ -497,6 +516,7 @@
             ("handle-of-a-caller", "UNASKED", STREAM, _use_unknown_handle),
             ("not-sent-completely", "UNASKED", PAYMENT, _change_call(sent_s=0)),
             ("more-runners-than-attempts", "BUDGET", LOOKUP, _exceed_budget),
+            ("more-repeats-than-budget", "BUDGET", LOOKUP, _repeat_too_often),
             ("cut-around-sigterm", "LOST", PAYMENT, _change_call(**UNANSWERED)),
             (
                 "reset-within-a-stream",
