Never hold a small answer back for memory

Since answers reserve memory, one that fits into a few kilobytes would have waited, and at its deadline been replaced by 502, while callers' requests use up the budget. Each worker has one answer, so the small ones are counted but never wait. The new test failed before.

One constant says when a voter counts as silent; it stood in two modules.

--- a/src/wisteriawall/control/replica_changes.py
+++ b/src/wisteriawall/control/replica_changes.py
@@ -9,6 +9,7 @@
 from wisteriawall.control import events
 from wisteriawall.control import link_health
 from wisteriawall.control import raft as raft_lib
+from wisteriawall.control import raft_members
 from wisteriawall.wire import gateway_messages
 from wisteriawall.wire import raft_messages
 
@@ -17,10 +18,6 @@
 REMOVE_SPARE_AFTER_MS = 1_000
 # A replica that was added but doesn't reply delays other ones.
 REMOVE_LEARNER_AFTER_MS = 1_500
-# A refused request to join is repeated after 500 ms, so that a voter which
-# replies late only delays the removal of another one.
-CONTACT_TIMEOUT_MS = 500
-
 __all__ = [
     "find_lost_replica",
     "needed_voters",
@@ -89,7 +86,6 @@
 def unsafe_removal(raft: raft_lib.Raft, replica: str, now_ms: int) -> str:
     """Return why `replica` can't be removed for another one, empty if it can.
 
-    A request to join may arrive late, when the member on its host runs well.
     A majority of the voters that are left must have replied recently and hold
     all that is committed, or nothing could be committed after the removal.
     """
@@ -148,5 +144,5 @@
     progress = raft.progress_by_peer.get(peer)
     if progress is None:
         return False
-    replied = now_ms - progress.last_reply_ms <= CONTACT_TIMEOUT_MS
+    replied = now_ms - progress.last_reply_ms <= raft_members.CONTACT_TIMEOUT_MS
     return replied and progress.match_index >= raft.commit_index
--- a/src/wisteriawall/gateway/answer_memory.py
+++ b/src/wisteriawall/gateway/answer_memory.py
@@ -35,10 +35,11 @@
 class AnswerMemory:
     """Hands out room for answers; any thread may use it.
 
-    Answers of up to `memory_budget.SMALL_REQUEST_BYTES` only need room in the
-    budget. The larger ones of a runner have its share, and wait for each other
-    when it is used up. The oldest one of a runner may exceed the share, and the
-    oldest of all the budget, so that one answer always goes on.
+    Answers of up to `memory_budget.SMALL_REQUEST_BYTES` are counted, but never
+    wait, as each worker has only one. The larger ones of a runner have its
+    share, and wait for each other when it is used up. The oldest one of a
+    runner may exceed the share, and the oldest of all the budget, so that one
+    answer always goes on.
 
     Args:
         budget: Budget of the process.
@@ -121,7 +122,8 @@
     def _try_reserve(self, buffer: "AnswerBuffer", size: int) -> bool:
         held_bytes = buffer.held_bytes
         if held_bytes + size <= memory_budget.SMALL_REQUEST_BYTES:
-            return self._budget.reserve(size, held=held_bytes)
+            self._budget.reserve_answer(size)
+            return True
         if buffer not in self._large:
             self._large.append(buffer)
         of_runner = [b for b in self._large if b.runner == buffer.runner]
--- a/testing/gateway/test_answer_memory.py
+++ b/testing/gateway/test_answer_memory.py
@@ -72,6 +72,17 @@
         )
 
 
+def test_small_answer_is_not_held_back_when_the_budget_is_used_up(
+    budget: memory_budget.MemoryBudget,
+) -> None:
+    """An answer that is ready reaches its caller."""
+    memory = answer_memory.AnswerMemory(budget=budget)
+    budget.reserve_answer(2 * BUDGET_BYTES)
+    with open_buffer(memory, "r") as buffer:
+        buffer.append(b"whole answer")
+        assert buffer.take() == b"whole answer"
+
+
 def test_oldest_answer_goes_on_when_the_budget_is_used_up(
     budget: memory_budget.MemoryBudget,
 ) -> None:
