Use the whole retry ratio, counted over two windows

Half of the ratio was kept back because requests leave the window of a gateway before the retries that they paid for. Each retry is now checked against 21 windows that end at it, and the requests of a window are the mean of those in it and those in the one half a length before. The rule takes the larger of the two sums over all gateways, which the sum of means can't exceed. Half of the slack is still kept back for restarts.

The fleets of test_retry_window pass with the whole ratio.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -215,7 +215,7 @@
             tuning=tuning,
             retries=retry_window.RetryWindow(
                 window_ms=budget.window_ms,
-                ratio=budget.ratio / 2,
+                ratio=budget.ratio,
                 slack=budget.slack / 2,
                 gateways=control_update.MIN_BUDGET_GATEWAYS,
                 started_ms=clock.monotonic_ms() if is_restart else None,
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -4,12 +4,16 @@
 allowed are divided evenly among the gateways of the deployment.
 """
 
+import bisect
 import collections
 import dataclasses
 from typing import final
 
 __all__ = ["RetryBudgetSettings", "RetryWindow"]
 
+# Windows that are checked at each retry begin at this many times.
+CHECKED_WINDOWS = 20
+
 
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -29,10 +33,13 @@
 
 @final
 class RetryWindow:
-    """Limits retries to a share of the requests in a sliding window.
+    """Limits retries to a share of the requests in any window.
 
     Requests and retries are counted for each service, as the budget of one
-    service must not be used up for another one.
+    service must not be used up for another one. The requests of a window are
+    the mean of those in it so far and those in the window half a length before
+    it, which any number of gateways may add up: the budget allows for the
+    larger one of both sums.
 
     Args:
         window_ms: Length of the window.
@@ -68,17 +75,21 @@
         self._ratio = ratio
         self._slack = slack
         self._started_ms = started_ms
-        self._requests_by_service: dict[str, collections.deque[int]] = (
-            collections.defaultdict(collections.deque)
+        # Times, oldest first.
+        self._requests_by_service: dict[str, list[int]] = (
+            collections.defaultdict(list)
         )
-        self._retries_by_service: dict[str, collections.deque[int]] = (
-            collections.defaultdict(collections.deque)
+        self._retries_by_service: dict[str, list[int]] = (
+            collections.defaultdict(list)
         )
 
     def add_request(self, service: str, now_ms: int) -> None:
         """Count a request of a caller, not its retries."""
-        self._requests_by_service[service].append(now_ms)
-        self._drop_expired(service, now_ms)
+        requests = self._requests_by_service[service]
+        requests.append(now_ms)
+        # Half of them at a time, as removing from the start moves the rest.
+        if now_ms - requests[len(requests) // 2] > 2 * self._window_ms:
+            del requests[: len(requests) // 2]
 
     def set_gateways(self, gateways: int) -> None:
         """Set the number of gateways that the slack is divided among."""
@@ -86,25 +97,30 @@
 
     def take_retry(self, service: str, now_ms: int) -> bool:
         """Count one retry; return False if the budget does not allow it."""
-        self._drop_expired(service, now_ms)
-        requests = self._requests_by_service[service]
         retries = self._retries_by_service[service]
-        max_retries = self._ratio * len(requests) + self._earned_slack(now_ms)
-        if len(retries) + 1 > max_retries:
-            return False
+        del retries[: bisect.bisect_left(retries, now_ms - self._window_ms)]
+        requests = self._requests_by_service[service]
+        slack = self._earned_slack(now_ms)
+        for number in range(CHECKED_WINDOWS + 1):
+            start_ms = now_ms - number * self._window_ms // CHECKED_WINDOWS
+            made = len(retries) - bisect.bisect_left(retries, start_ms)
+            allowed = self._ratio * self._mean_requests(requests, start_ms)
+            if made + 1 > allowed + slack:
+                return False
         retries.append(now_ms)
         return True
 
+    def _mean_requests(self, requests: list[int], start_ms: int) -> float:
+        """Return the requests of the window that begins at `start_ms`."""
+        half_ms = self._window_ms // 2
+        in_window = len(requests) - bisect.bisect_left(requests, start_ms)
+        before = bisect.bisect_left(
+            requests, start_ms + half_ms
+        ) - bisect.bisect_left(requests, start_ms - half_ms)
+        return (in_window + before) / 2
+
     def _earned_slack(self, now_ms: int) -> float:
         share = self._slack / self._gateways
         if self._started_ms is None:
             return share
         return share * min(1.0, (now_ms - self._started_ms) / self._window_ms)
-
-    def _drop_expired(self, service: str, now_ms: int) -> None:
-        for times in (
-            self._requests_by_service[service],
-            self._retries_by_service[service],
-        ):
-            while times and now_ms - times[0] > self._window_ms:
-                times.popleft()
