--- a/testing/platform/test_endless_answers_memory.py
+++ b/testing/platform/test_endless_answers_memory.py
@@ -10,7 +10,6 @@
 from wisteriawall.gateway import run
 
 CALLERS = 24
-SOUND_REQUESTS = 20
 
 
 @pytest.fixture
@@ -54,4 +53,6 @@
     assert statuses <= {502, 503}
     assert memory.usage.held_bytes == 0
     small_bytes = CALLERS * 64 * 1024
-    assert 0 < peak_bytes <= share_bytes + run.MAX_BUFFERED_BYTES + small_bytes
+    # What the answers hold is counted.
+    assert peak_bytes >= run.MAX_BUFFERED_BYTES // 2
+    assert peak_bytes <= share_bytes + run.MAX_BUFFERED_BYTES + small_bytes
