Forward every line of a repeated header field

Cause: the HTTP server's reader keeps the last line of each field except those that it knows as lists. Three names were joined here, one by one.

Change: an own reader joins the lines of any field in their order, cookies by semicolon, and folded lines by a space. Two Host fields are refused with 400, and so is a request with two ids, which a runner would otherwise run under an id that no caller sent.

--- a/src/wisteriawall/platform/headers.py
+++ b/src/wisteriawall/platform/headers.py
@@ -109,6 +109,11 @@
         attempt_id = headers.get(ATTEMPT_ID, "")
         if not attempt_id:
             raise protocol.MalformedCall(f"{ATTEMPT_ID}: missing")
+        if "," in attempt_id:
+            raise protocol.MalformedCall(
+                f"{ATTEMPT_ID}: got {attempt_id[:MAX_LOGGED_LENGTH]!r},"
+                " expected one id"
+            )
         return protocol.RequestHead(
             attempt_id=attempt_id,
             remaining_ms=_parse_milliseconds(
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -26,6 +26,7 @@
 from wisteriawall import clock
 from wisteriawall.web import connection_monitor
 from wisteriawall.web import error_response
+from wisteriawall.web import field_reader
 from wisteriawall.web import received_body
 from wisteriawall.web import request_reader
 from wisteriawall.web import response_writer
@@ -55,11 +56,6 @@
 LINGER_POLL_MS = 10
 # Linux's ioctl for the number of bytes in the send queue that are not sent yet.
 SIOCOUTQNSD = 0x894B
-# Cheroot keeps the last field of a repeated name. Joined, a repeated length or
-# credential is malformed instead of ambiguous.
-JOINED_FIELDS = frozenset(
-    {b"Authorization", b"Content-Length", b"Transfer-Encoding"}
-)
 
 
 @final
@@ -108,17 +104,6 @@
             self._socket.shutdown(socket.SHUT_RD)
 
 
-@final
-class _HeaderFields(dict[bytes, bytes]):
-    """Header fields by name."""
-
-    def __setitem__(self, name: bytes, value: bytes) -> None:
-        """Set a field; join it to an earlier one if both must be seen."""
-        if name in JOINED_FIELDS and name in self:
-            value = self[name] + b", " + value
-        super().__setitem__(name, value)
-
-
 @final
 class HttpRequest(cheroot_server.HTTPRequest):
     """Request that sends cheroot's own errors as JSON.
@@ -127,9 +112,7 @@
     rest of it can't be taken for a request.
     """
 
-    def __init__(self, server: Any, conn: Any) -> None:
-        super().__init__(server, conn)
-        self.inheaders = _HeaderFields()
+    header_reader = field_reader.FieldReader()
 
     def parse_head(self) -> None:
         """Parse the head, and set `ready` if that succeeds."""
