Log the course of polls of control that failed or took long

A gateway whose table was late left no trace of what it had waited for: `control-lost` comes only after a whole round has failed, and names no replica.

`control-polled` names each replica that a poll asked, what it answered (redirects with the leader that was named) and after how many ms, the time since the poll before and the age of the proof that the table is the newest.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -1,6 +1,7 @@
 """The gateway process: sockets and threads around the reducer."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from concurrent import futures
 import contextlib
 import dataclasses
@@ -23,6 +24,7 @@
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import origin_keeper
 from wisteriawall.gateway import peers as peers_lib
+from wisteriawall.gateway import poll_log
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import refusals
@@ -200,6 +202,7 @@
             sender=sender,
             describe_engines=self._learner.describe,
         )
+        self._poll_log = poll_log.PollLog()
         self._load_events_sent = 0
         self._table_fetch_failed = False
         self._newest_table = 0
@@ -588,11 +591,12 @@
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
         try:
-            reply = self._control.call(follow)
+            asked = self._control.ask(follow)
         except control_client.ControlUnavailable as error:
             if self._stopping.is_set():
                 return
             self._record_connection(False, str(error))
+            self._log_poll("", error.steps, called_ms)
             self._control.set_replicas(
                 {
                     **self._seed_address_by_replica,
@@ -600,9 +604,32 @@
                 }
             )
             return
+        answered_ms = clock.monotonic_ms()
         self._record_connection(True, "")
-        if isinstance(reply, gateway_messages.Followed):
-            self._apply_reply(reply, called_ms)
+        if isinstance(asked.reply, gateway_messages.Followed):
+            self._apply_reply(asked.reply, called_ms)
+        self._log_poll(asked.replica, asked.steps, called_ms, answered_ms)
+
+    def _log_poll(
+        self,
+        replica: str,
+        steps: Sequence[control_client.Step],
+        began_ms: int,
+        ended_ms: int | None = None,
+    ) -> None:
+        now_ms = clock.monotonic_ms()
+        line = self._poll_log.note(
+            poll_log.Poll(
+                replica=replica,
+                steps=steps,
+                began_ms=began_ms,
+                ended_ms=ended_ms or now_ms,
+                table=self._gateway.table_number,
+                table_age_ms=now_ms - self._gateway.table_confirmed_ms,
+            )
+        )
+        if line is not None:
+            self._run_shared_effect(line)
 
     def _poll_interval_s(self) -> float:
         """Return the time to the next poll, shorter while data is missing."""
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -5,23 +5,80 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+import dataclasses
+import enum
 import logging
 import threading
 from typing import final
 
+from wisteriawall import clock
 from wisteriawall import errors
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
 from wisteriawall.wire import transport
 
-__all__ = ["ControlClient", "ControlUnavailable"]
+__all__ = ["Asked", "ControlClient", "ControlUnavailable", "Outcome", "Step"]
 
 _LOG = logging.getLogger("rpc")
 
 
+@final
+class Outcome(enum.StrEnum):
+    """What came of a request to one replica."""
+
+    ANSWERED = "answered"
+    REDIRECTED = "redirected"
+    NO_CONNECTION = "no-connection"
+    NO_ANSWER = "no-answer"
+    MALFORMED = "malformed"
+    CLOSED = "closed"
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Step:
+    """One request to one replica, sent `asked_ms` after the call began.
+
+    `redirect` is the leader that the replica named, empty if it named none.
+    """
+
+    replica: str
+    outcome: Outcome
+    asked_ms: int
+    took_ms: int
+    redirect: str = ""
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class Asked:
+    """The answer to a call, the replica that gave it, and the steps to it."""
+
+    reply: control_messages.ControlReply
+    replica: str
+    steps: tuple[Step, ...]
+
+
 @final
 class ControlUnavailable(errors.WisteriawallError):
-    """No replica answered; a write may still have been carried out."""
+    """No replica answered; a write may still have been carried out.
+
+    Attributes:
+        steps: The requests to replicas that failed or were redirected.
+    """
+
+    def __init__(self, message: str, steps: tuple[Step, ...] = ()) -> None:
+        super().__init__(message)
+        self.steps = steps
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Result:
+    """What one request to one replica brought; `reply` is None if it failed."""
+
+    outcome: Outcome
+    reply: control_messages.ControlReply | None = None
 
 
 @final
@@ -100,24 +157,36 @@
             ControlUnavailable: No replica answered, or each of them answered
                 that it is not the leader, or the client is closed.
         """
+        return self.ask(request).reply
+
+    def ask(self, request: control_messages.ControlRequest) -> Asked:
+        """Return the answer that `call` returns, and how it was found.
+
+        Raises:
+            ControlUnavailable: As for `call`.
+        """
+        steps: list[Step] = []
+        started_ms = clock.monotonic_ms()
         first = self._preferred_replica
         for replica in self._replicas_to_try():
-            reply = self._call_replica(replica, request)
-            if reply is None and replica == first:
+            result = self._take_step(replica, request, started_ms, steps)
+            if result.reply is None and replica == first:
                 # Its connection may have gone silent, and is replaced now. The
                 # connections to the others may be no better.
-                reply = self._call_replica(replica, request)
-            if reply is None:
-                continue
-            if isinstance(reply, control_messages.NotLeader):
-                self._follow_redirect(reply)
-                continue
-            self._prefer(replica)
-            return reply
+                result = self._take_step(replica, request, started_ms, steps)
+            match result.reply:
+                case None:
+                    continue
+                case control_messages.NotLeader() as redirect:
+                    self._follow_redirect(redirect)
+                case reply:
+                    self._prefer(replica)
+                    return Asked(reply, replica, tuple(steps))
         raise ControlUnavailable(
             "the client is closed"
             if self._closed
-            else "no control replica could answer"
+            else "no control replica could answer",
+            tuple(steps),
         )
 
     def call_all(
@@ -125,9 +194,9 @@
     ) -> Iterator[control_messages.ControlReply]:
         """Call every replica in turn and yield each valid answer."""
         for replica in self._client_by_replica:
-            reply = self._call_replica(replica, request)
-            if reply is not None:
-                yield reply
+            result = self._call_replica(replica, request)
+            if result.reply is not None:
+                yield result.reply
 
     def connection_to(self, address: str) -> transport.RpcClient | None:
         """Return the connection to the replica at `address`, None if unknown.
@@ -190,20 +259,52 @@
             if replica in self._client_by_replica:
                 self._preferred_replica = replica
 
+    def _take_step(
+        self,
+        replica: str,
+        request: control_messages.ControlRequest,
+        started_ms: int,
+        steps: list[Step],
+    ) -> _Result:
+        """Call a replica and append what came of it to `steps`."""
+        asked_ms = clock.monotonic_ms()
+        result = self._call_replica(replica, request)
+        steps.append(_to_step(replica, result, started_ms, asked_ms))
+        return result
+
     def _call_replica(
         self, replica: str, request: control_messages.ControlRequest
-    ) -> control_messages.ControlReply | None:
-        """Return the answer of `replica`, None if no valid one arrived."""
+    ) -> _Result:
+        """Call a replica that may have been removed meanwhile."""
         client = self._client_by_replica.get(replica)
         if client is None:
-            return None
+            return _Result(Outcome.CLOSED)
         try:
             data = client.call(self._codec.encode(request))
             _, reply = self._codec.decode(data)
-        except (
-            transport.RpcClosed,
-            transport.RpcTimeout,
-            envelope.MessageRejected,
-        ):
-            return None
-        return reply  # type: ignore[return-value]
+        except transport.RpcClosed:
+            return _Result(Outcome.CLOSED)
+        except transport.RpcTimeout as error:
+            return _Result(
+                Outcome.NO_ANSWER if error.is_sent else Outcome.NO_CONNECTION
+            )
+        except envelope.MessageRejected:
+            return _Result(Outcome.MALFORMED)
+        if isinstance(reply, control_messages.NotLeader):
+            return _Result(Outcome.REDIRECTED, reply)
+        return _Result(Outcome.ANSWERED, reply)  # type: ignore[arg-type]
+
+
+def _to_step(
+    replica: str, result: _Result, started_ms: int, asked_ms: int
+) -> Step:
+    redirect = ""
+    if isinstance(result.reply, control_messages.NotLeader):
+        redirect = result.reply.leader
+    return Step(
+        replica=replica,
+        outcome=result.outcome,
+        asked_ms=asked_ms - started_ms,
+        took_ms=clock.monotonic_ms() - asked_ms,
+        redirect=redirect,
+    )
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -71,7 +71,15 @@
 
 @final
 class RpcTimeout(errors.WisteriawallError):
-    """No answer arrived; the request may still have been carried out."""
+    """No answer arrived; the request may still have been carried out.
+
+    Attributes:
+        is_sent: Whether there was a connection, on which the request was sent.
+    """
+
+    def __init__(self, message: str, *, is_sent: bool) -> None:
+        super().__init__(message)
+        self.is_sent = is_sent
 
 
 @final
@@ -199,16 +207,20 @@
                 within the timeout or before the client was closed.
             RpcClosed: The client was closed before the call.
         """
-        failure = "no connection"
+        is_sent = False
         with self._hold_socket() as socket:
             try:
                 with socket.new_context() as context:
                     self._send(context, request)
-                    failure = "no answer to the request"
+                    is_sent = True
                     answer: bytes = context.recv()
             except pynng.NNGException as error:
                 self._reconnect(socket)
-                raise RpcTimeout(f"{failure}: {error}") from error
+                failure = "no answer to the request"
+                raise RpcTimeout(
+                    f"{failure if is_sent else 'no connection'}: {error}",
+                    is_sent=is_sent,
+                ) from error
             if self._replaced is not None:
                 self._keep_only(socket)
             return answer
--- a/testing/wire/test_control_client.py
+++ b/testing/wire/test_control_client.py
@@ -219,3 +219,39 @@
         pytest.raises(control_client.ControlUnavailable),
     ):
         client.call(FOLLOW)
+
+
+def test_steps_of_a_call_tell_what_each_replica_answered() -> None:
+    """A late table could not be traced to the replicas that were asked."""
+    with serve_replica(FOLLOWED) as leader_address:
+        redirect = control_messages.NotLeader("joined-later", leader_address)
+        with (
+            serve_replica(redirect) as seed_address,
+            open_client(seed_address) as client,
+        ):
+            asked = client.ask(FOLLOW)
+    assert asked.replica == "joined-later"
+    assert [(s.replica, s.outcome, s.redirect) for s in asked.steps] == [
+        ("seed", control_client.Outcome.REDIRECTED, "joined-later"),
+        ("joined-later", control_client.Outcome.ANSWERED, ""),
+    ]
+
+
+def test_steps_of_a_call_without_an_answer_tell_a_mute_replica() -> None:
+    gone = cluster.unused_loopback_address()
+    with serve_mute_replica() as (address, _):
+        client = control_client.ControlClient(
+            address_by_replica={"gone": gone, "mute": address},
+            key=KEY,
+            sender=envelope.Sender("g1", 1),
+            timeout_ms=200,
+        )
+        with (
+            contextlib.closing(client),
+            pytest.raises(control_client.ControlUnavailable) as error,
+        ):
+            client.ask(FOLLOW)
+    assert {(s.replica, s.outcome) for s in error.value.steps} == {
+        ("gone", control_client.Outcome.NO_CONNECTION),
+        ("mute", control_client.Outcome.NO_ANSWER),
+    }
