Log denied retries and the division of the retry slack

After a report of repeats beyond the retry budget, the logs didn't show by how many gateways each one divided the slack, nor which retries the budget denied: such a request looked like one for which no retry was tried.

`retry-denied` names the service, the retries made and allowed in the interval that was exceeded, the share and the age of the last contact with control. `retry-share` shows a change of the divisor, at most once a second. Both are in gateway/retry_budget.py, which the divisor's lower bound moved to. What is allowed is unchanged.

Both tests of testing/gateway/test_retry_budget.py failed before: neither line was written.

--- a/src/wisteriawall/gateway/control_update.py
+++ b/src/wisteriawall/gateway/control_update.py
@@ -15,18 +15,15 @@
 from wisteriawall.gateway import events
 from wisteriawall.gateway import limits
 from wisteriawall.gateway import loads
+from wisteriawall.gateway import retry_budget
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
 from wisteriawall.gateway import usage_events
 from wisteriawall.wire import upstream_checks
 
-__all__ = ["MIN_BUDGET_GATEWAYS", "announce_table", "apply"]
+__all__ = ["announce_table", "apply"]
 
-# Lower bound on the number of gateways among which the retry budget is divided.
-# Gateways that lost their connection to control are missing from its count, and
-# a gateway that restarts starts with an empty retry window.
-MIN_BUDGET_GATEWAYS = 8
 # A newer table is in use within half of this time, as long as nothing fails.
 LATE_TABLE_MS = 1_000
 
@@ -118,13 +115,6 @@
         )
 
 
-def _apply_gateway_count(
-    gateway: state_lib.Gateway, event: events.ControlUpdate
-) -> Iterator[events.Effect]:
-    gateway.retries.set_gateways(max(MIN_BUDGET_GATEWAYS, event.gateway_count))
-    yield from ()
-
-
 def _apply_limits(
     gateway: state_lib.Gateway, event: events.ControlUpdate
 ) -> Iterator[events.Effect]:
@@ -164,7 +154,7 @@
     "table": _apply_table,
     "suspects": suspects.apply_control,
     "mixed-services": stream_origins.accept_mixed_services,
-    "gateway-count": _apply_gateway_count,
+    "gateway-count": retry_budget.apply_gateway_count,
     "limits": _apply_limits,
     "upstreams": _apply_upstreams,
     "usage": usage_events.accept_receipt,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -4,6 +4,7 @@
 effects.
 """
 
+from collections.abc import Generator
 from collections.abc import Iterator
 import zlib
 
@@ -18,6 +19,7 @@
 from wisteriawall.gateway import placing
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
+from wisteriawall.gateway import retry_budget
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
@@ -348,7 +350,8 @@
         request.attempts -= 1
     if run is not refusal_lib.RunState.NOT_RUN:
         request.may_have_run = True
-    if _may_retry(gateway, request, event, run):
+    may_retry = yield from _may_retry(gateway, request, event, run)
+    if may_retry:
         request.current_send = None
         yield from placing.place(gateway, request, event.now_ms)
         return
@@ -441,7 +444,7 @@
     request: state_lib.Request,
     event: events.PhaseFailed,
     run: refusal_lib.RunState,
-) -> bool:
+) -> Generator[events.LogDecision, None, bool]:
     if event.is_final or event.now_ms >= request.deadline_at_ms:
         return False
     if request.answer_started and not (
@@ -460,7 +463,7 @@
         return True
     if request.attempts >= request.route.max_attempts:
         return False
-    return gateway.retries.take_retry(request.service.name, event.now_ms)
+    return (yield from retry_budget.take_retry(gateway, request, event.now_ms))
 
 
 def _handle_end(
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -15,7 +15,6 @@
 from wisteriawall.gateway import accounts
 from wisteriawall.gateway import answer_memory
 from wisteriawall.gateway import cache_learner
-from wisteriawall.gateway import control_update
 from wisteriawall.gateway import engine_contents
 from wisteriawall.gateway import events
 from wisteriawall.gateway import final_answers
@@ -26,6 +25,7 @@
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
 from wisteriawall.gateway import refusals
+from wisteriawall.gateway import retry_budget
 from wisteriawall.gateway import run as run_lib
 from wisteriawall.gateway import start_gate
 from wisteriawall.gateway import state as state_lib
@@ -217,7 +217,7 @@
                 window_ms=budget.window_ms,
                 ratio=budget.ratio,
                 slack=budget.slack / 2,
-                gateways=control_update.MIN_BUDGET_GATEWAYS,
+                gateways=retry_budget.MIN_BUDGET_GATEWAYS,
                 started_ms=clock.monotonic_ms() if is_restart else None,
             ),
             usage=usage_lib.UsageCounts(window_ms=usage_window_ms),
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -21,7 +21,7 @@
 from wisteriawall.policy import suspects as suspects_lib
 from wisteriawall.wire import gateway_messages
 
-__all__ = ["Gateway", "Request", "Tuning"]
+__all__ = ["Gateway", "LoggedShare", "Request", "Tuning"]
 
 
 @final
@@ -111,16 +111,28 @@
         )
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class LoggedShare:
+    """By how many gateways the retry slack was divided when it was logged."""
+
+    gateways: int
+    at_ms: int
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Gateway:
     """Everything on which a gateway's decisions depend.
 
-    `retries` is this gateway's part of the shared retry budget. `route_index`
-    is None until the first routing table arrives. `upstream_by_id` holds the
-    runners of the newest list, `list_version` the version of that list, and
-    `load_by_id` the load of each of these runners and `notices` what speaks
-    against sending to them, and `limits` how many requests they take.
+    `retries` is this gateway's part of the shared retry budget,
+    `budget_contact_ms` when the newest poll was sent that control answered,
+    None before the first, and `budget_logged` what was last logged of it.
+    `route_index` is None until the first routing table arrives.
+    `upstream_by_id` holds the runners of the newest list, `list_version` the
+    version of that list, `load_by_id` the load of each of these runners,
+    `notices` what speaks against sending to them, and `limits` how many
+    requests they take.
     `newest_table` is the highest number of a table that control named, and
     `table_confirmed_ms` is the newest monotonic time at which the table was
     known to be the newest, 0 before the first one.
@@ -153,6 +165,8 @@
     random: random.Random
     tuning: Tuning
     retries: retry_window.RetryWindow
+    budget_contact_ms: int | None = None
+    budget_logged: LoggedShare | None = None
     route_index: route_table.RouteIndex | None = None
     newest_table: int = 0
     table_confirmed_ms: int = 0
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -9,7 +9,7 @@
 import dataclasses
 from typing import final
 
-__all__ = ["RetryBudgetSettings", "RetryWindow"]
+__all__ = ["Excess", "RetryBudgetSettings", "RetryWindow"]
 
 # Windows that are checked at each retry begin at this many times.
 CHECKED_WINDOWS = 20
@@ -31,6 +31,20 @@
     slack: float
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Excess:
+    """Why a retry is denied: `made` of `allowed` retries since `start_ms`.
+
+    The share of the slack of this gateway, `slack`, is a part of `allowed`.
+    """
+
+    start_ms: int
+    made: int
+    allowed: float
+    slack: float
+
+
 @final
 class RetryWindow:
     """Limits retries to a share of the requests in any window.
@@ -91,6 +105,11 @@
         if now_ms - requests[len(requests) // 2] > 2 * self._window_ms:
             del requests[: len(requests) // 2]
 
+    @property
+    def gateways(self) -> int:
+        """Return the number of gateways that the slack is divided among."""
+        return self._gateways
+
     def set_gateways(self, gateways: int) -> None:
         """Set the number of gateways that the slack is divided among."""
         self._gateways = gateways
@@ -99,16 +118,33 @@
         """Count one retry; return False if the budget does not allow it."""
         retries = self._retries_by_service[service]
         del retries[: bisect.bisect_left(retries, now_ms - self._window_ms)]
+        if self.find_excess(service, now_ms) is not None:
+            return False
+        retries.append(now_ms)
+        return True
+
+    def find_excess(self, service: str, now_ms: int) -> Excess | None:
+        """Return why the budget does not allow a retry, None if it does."""
+        retries = self._retries_by_service[service]
         requests = self._requests_by_service[service]
-        slack = self._earned_slack(now_ms)
+        slack = self.slack(now_ms)
         for number in range(CHECKED_WINDOWS + 1):
             start_ms = now_ms - number * self._window_ms // CHECKED_WINDOWS
             made = len(retries) - bisect.bisect_left(retries, start_ms)
             allowed = self._ratio * self._mean_requests(requests, start_ms)
-            if made + 1 > allowed + slack:
-                return False
-        retries.append(now_ms)
-        return True
+            allowed += slack
+            if made + 1 > allowed:
+                return Excess(
+                    start_ms=start_ms, made=made, allowed=allowed, slack=slack
+                )
+        return None
+
+    def slack(self, now_ms: int) -> float:
+        """Return this gateway's share of the slack."""
+        share = self._slack / self._gateways
+        if self._started_ms is None:
+            return share
+        return share * min(1.0, (now_ms - self._started_ms) / self._window_ms)
 
     def _mean_requests(self, requests: list[int], start_ms: int) -> float:
         """Return the requests of the window that begins at `start_ms`."""
@@ -118,9 +154,3 @@
             requests, start_ms + half_ms
         ) - bisect.bisect_left(requests, start_ms - half_ms)
         return (in_window + before) / 2
-
-    def _earned_slack(self, now_ms: int) -> float:
-        share = self._slack / self._gateways
-        if self._started_ms is None:
-            return share
-        return share * min(1.0, (now_ms - self._started_ms) / self._window_ms)
