Judge configurations of the soak while the core is not stable

A probe was dropped if any replica had got a signal in the 3 s before it. The rule goes on: the bound is stretched by max_stretch_ms while the core is not stable, for gateways that nothing disturbed and that reach the core, as long as more than half of it runs and is connected. Probes that were judged before are judged by the same bound as before.

A gateway that goes back to an older version in one incarnation is found too, in touch or not.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -184,13 +184,19 @@
 def _check_duties(evidence: _Evidence) -> Iterator[Finding]:
     """Check the order of duty calls.
 
-    Calls right after a process went on from a pause don't count.
+    Calls right after a process went on from a pause, or a link of it healed,
+    don't count.
     """
     taken = [call for call, is_taken in evidence.seen.duty_calls if is_taken]
     thaws = [
         (incident.name, incident.at_s * MS_PER_S)
         for incident in evidence.seen.incidents
         if incident.change is records.Change.THAW
+    ] + [
+        (name, incident.until_s * MS_PER_S)
+        for incident in evidence.seen.incidents
+        if incident.change is records.Change.CUT
+        for name in (incident.name, incident.other)
     ]
     counted = [
         call
@@ -461,6 +467,10 @@
     }
     for call, text in readings.find_disobeyed(evidence.seen, ran):
         yield evidence.finding("CONFIG", call.key, text)
+    for call, text in readings.find_regressed(
+        evidence.seen, evidence.arrivals_by_key
+    ):
+        yield evidence.finding("CONFIG", call.key, text)
     for call, text in readings.find_denied(evidence.seen):
         yield evidence.finding("DENIED", call.key, text)
 
--- /dev/null
+++ b/testing/soak/core_history.py
@@ -0,0 +1,210 @@
+"""When the core of a soak was stable, and which gateways were in touch.
+
+The core is the control replicas that have started and were not removed.
+"""
+
+import bisect
+import collections
+from collections.abc import Iterator
+import itertools
+from typing import final
+
+from soak import records
+
+__all__ = ["CATCH_UP_S", "CONTACT_S", "CoreHistory"]
+
+CONTACT_S = 3.0
+# A machine that is back stays lost for this long, `catch_up_s` of the settings.
+CATCH_UP_S = 4.0
+DISRUPTIONS = (
+    records.Change.START,
+    records.Change.END,
+    records.Change.TERM,
+    records.Change.KILL,
+    records.Change.FREEZE,
+    records.Change.THAW,
+)
+# Changes that begin and end a span in which a process doesn't run.
+SPANS = (
+    (records.Change.START, records.Change.END),
+    (records.Change.FREEZE, records.Change.THAW),
+)
+Span = tuple[float, float]
+
+
+def is_replica(name: str) -> bool:
+    """Return whether a machine of the soak runs a control replica."""
+    return name.startswith("c")
+
+
+@final
+class CoreHistory:
+    """What happened to the processes and to the links between them.
+
+    Args:
+        seen: Records of a soak.
+    """
+
+    def __init__(self, seen: records.Records) -> None:
+        incidents_by_name = collections.defaultdict(list)
+        self._cuts: list[tuple[frozenset[str], float, float]] = []
+        self._removed_s_by_name: dict[str, float] = {}
+        for incident in sorted(seen.incidents, key=lambda i: i.at_s):
+            match incident.change:
+                case records.Change.CUT:
+                    pair = frozenset((incident.name, incident.other))
+                    self._cuts.append((pair, incident.at_s, incident.until_s))
+                case records.Change.REMOVED:
+                    self._removed_s_by_name[incident.name] = incident.at_s
+                case change if change in DISRUPTIONS:
+                    incidents_by_name[incident.name].append(incident)
+        self._disrupted_s_by_name = {
+            name: [incident.at_s for incident in incidents]
+            for name, incidents in incidents_by_name.items()
+        }
+        self._runs_by_name, self._freezes_by_name = (
+            {
+                name: list(_spans(incidents, begin, end))
+                for name, incidents in incidents_by_name.items()
+            }
+            for begin, end in SPANS
+        )
+        self._replicas = sorted(filter(is_replica, incidents_by_name))
+        self._core_changes_s = sorted(
+            itertools.chain(
+                *(self._disrupted_s_by_name[name] for name in self._replicas),
+                self._removed_s_by_name.values(),
+                *(
+                    (from_s, until_s)
+                    for pair, from_s, until_s in self._cuts
+                    if all(map(is_replica, pair))
+                ),
+            )
+        )
+
+    def is_calm(self, name: str, from_s: float, until_s: float) -> bool:
+        """Return whether nothing disrupted a machine, beside cuts."""
+        return not _between(
+            self._disrupted_s_by_name.get(name, ()), from_s, until_s
+        )
+
+    def is_stable(self, from_s: float, until_s: float) -> bool:
+        """Return whether the core was not disrupted, and was connected."""
+        if _between(self._core_changes_s, from_s, until_s):
+            return False
+        is_cut = any(
+            all(map(is_replica, pair)) and cut_s <= until_s <= healed_s
+            for pair, cut_s, healed_s in self._cuts
+        )
+        return not is_cut or any(
+            self._reaches_most(name, until_s) for name in self._replicas
+        )
+
+    def has_run(self, from_s: float, until_s: float) -> bool:
+        """Return whether more than half of the core ran all the while.
+
+        A machine counts from when it has been back and connected for
+        `CATCH_UP_S`.
+        """
+        times_s = _between(self._core_changes_s, from_s, until_s)
+        return all(
+            any(
+                self._reaches_most(name, at_s, rest_s=CATCH_UP_S)
+                for name in self._replicas
+            )
+            for at_s in (from_s, *times_s)
+        )
+
+    def has_paths(self, name: str, from_s: float, until_s: float) -> bool:
+        """Return whether a machine reached the core.
+
+        It needs a path to each replica that runs and reaches more than half of
+        the core.
+        """
+        for pair, cut_s, healed_s in self._cuts:
+            if name not in pair or cut_s > until_s or healed_s < from_s:
+                continue
+            (other,) = pair - {name}
+            first_s, last_s = max(cut_s, from_s), min(healed_s, until_s)
+            changes_s = _between(self._core_changes_s, first_s, last_s)
+            if is_replica(other) and any(
+                self._reaches_most(other, at_s)
+                for at_s in (first_s, *changes_s)
+            ):
+                return False
+        return True
+
+    def runs_of(self, name: str) -> list[Span]:
+        """Return when the processes of a machine started and ended."""
+        return self._runs_by_name.get(name, [])
+
+    def _members(self, at_s: float) -> list[str]:
+        return [
+            name
+            for name in self._replicas
+            if self._disrupted_s_by_name[name][0] <= at_s
+            and self._removed_s_by_name.get(name, at_s + 1.0) > at_s
+        ]
+
+    def _reaches_most(
+        self, name: str, at_s: float, *, rest_s: float = 0.0
+    ) -> bool:
+        """Return whether a replica ran and reached more than half of the core.
+
+        Those that were down, frozen or cut in the last `rest_s` don't count.
+        """
+        members = self._members(at_s)
+        if name not in members or not self._runs(name, at_s, rest_s):
+            return False
+        reached = sum(
+            self._runs(other, at_s, rest_s)
+            and not any(
+                pair == {name, other} and cut_s <= at_s <= healed_s + rest_s
+                for pair, cut_s, healed_s in self._cuts
+            )
+            for other in members
+            if other != name
+        )
+        return 1 + reached > len(members) / 2
+
+    def _runs(self, name: str, at_s: float, rest_s: float) -> bool:
+        return any(
+            started_s + rest_s <= at_s < ended_s
+            for started_s, ended_s in self._runs_by_name[name]
+        ) and not any(
+            frozen_s <= at_s <= thawed_s + rest_s
+            for frozen_s, thawed_s in self._freezes_by_name[name]
+        )
+
+
+def _spans(
+    incidents: list[records.Incident],
+    begin: records.Change,
+    end: records.Change,
+) -> Iterator[Span]:
+    """Yield spans between two changes; the last one may not have ended."""
+    since_s = None
+    for incident in incidents:
+        if incident.change is begin:
+            since_s = incident.at_s
+        elif since_s is not None and incident.change in (
+            end,
+            records.Change.END,
+        ):
+            yield since_s, incident.at_s
+            since_s = None
+    if since_s is not None:
+        yield since_s, float("inf")
+
+
+def _between(
+    times_s: list[float] | tuple[float, ...], from_s: float, until_s: float
+) -> list[float]:
+    """Return those of the sorted times that are in a span."""
+    return list(
+        times_s[
+            bisect.bisect_left(times_s, from_s) : bisect.bisect_right(
+                times_s, until_s
+            )
+        ]
+    )
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -154,12 +154,19 @@
     GRACE_KILL = "SIGKILL at the end of the grace period"
     DISTURBED = "link disturbed"
     RUNNER_ENDED = "runner ended"
+    # The links between two machines carry nothing.
+    CUT = "links cut"
+    REMOVED = "removed for good"
+    DISK_LOST = "disk lost"
 
 
 @final
 @dataclasses.dataclass(slots=True, frozen=True)
 class Incident:
-    """A change of a process or runner; `code` is the exit code of an end."""
+    """A change of a process or runner; `code` is the exit code of an end.
+
+    `other` is the machine from which a machine is cut.
+    """
 
     name: str
     change: Change
@@ -167,6 +174,7 @@
     pid: int = 0
     code: int = 0
     until_s: float = 0.0
+    other: str = ""
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -23,6 +23,7 @@
 from soak import hostile
 from soak import operators
 from soak import proxy
+from soak import readings
 from soak import records
 from soak import runners
 from soak import schedule
@@ -371,6 +372,10 @@
     usage = accounts.describe_usage(seen, time.time() - time.monotonic())
     yield f"usage, reported of begun: {usage}"
     yield f"links to runners: {soak.proxy.report()}"
+    judged = readings.count_judged(seen)
+    yield "probes by bound: " + ", ".join(
+        f"{count} {bound}" for bound, count in judged.most_common()
+    )
     counts = collections.Counter(finding.rule for finding in findings)
     yield "findings: " + ", ".join(
         f"{rule} {counts[rule]}" for rule in checks.RULES
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -764,6 +764,241 @@
     assert [f.rule for f in found] == rules
 
 
+def _core(
+    *incidents: tuple[str, records.Change, float],
+) -> list[records.Incident]:
+    """Return starts of three replicas long ago, and more of what happened."""
+    starts = [
+        records.Incident(name, records.Change.START, 60.0)
+        for name in ("c1", "c2", "c3")
+    ]
+    return starts + [records.Incident(*incident) for incident in incidents]
+
+
+def _cut(
+    name: str, *others: str, from_s: float, until_s: float
+) -> list[records.Incident]:
+    return [
+        records.Incident(
+            name, records.Change.CUT, from_s, until_s=until_s, other=other
+        )
+        for other in others
+    ]
+
+
+START, END, TERM = (
+    records.Change.START,
+    records.Change.END,
+    records.Change.TERM,
+)
+KILL, FREEZE, THAW = (
+    records.Change.KILL,
+    records.Change.FREEZE,
+    records.Change.THAW,
+)
+KILLED = (("c1", KILL, 98.5), ("c1", END, 98.5), ("c1", START, 98.6))
+FROZEN = (("c2", FREEZE, 95.0), ("c2", THAW, 96.0))
+REPLACED = (
+    ("c4", START, 95.0),
+    ("c1", records.Change.REMOVED, 98.5),
+    ("c1", TERM, 98.5),
+    ("c1", END, 98.7),
+)
+
+
+@pytest.mark.parametrize(
+    ("incidents", "acknowledged_s", "rules"),
+    [
+        pytest.param(*case, id=name)
+        for name, *case in (
+            ("calm", _core(), 97.9, ["CONFIG"]),
+            ("calm-in-time", _core(), 98.1, []),
+            ("killed", _core(*KILLED), 92.9, ["CONFIG"]),
+            ("killed-in-time", _core(*KILLED), 93.1, []),
+            ("majority-lost", _core(*KILLED, *FROZEN), 91.0, []),
+            ("replaced", _core(*REPLACED), 92.9, ["CONFIG"]),
+            ("replaced-in-time", _core(*REPLACED), 93.1, []),
+            (
+                "another-lost-while-the-new-one-catches-up",
+                _core(*REPLACED, ("c2", KILL, 98.8), ("c2", END, 98.8)),
+                91.0,
+                [],
+            ),
+            (
+                "replica-cut",
+                _core() + _cut("c3", "c1", "c2", from_s=98.0, until_s=102.0),
+                92.9,
+                ["CONFIG"],
+            ),
+            (
+                "replica-cut-for-long",
+                _core() + _cut("c3", "c1", "c2", from_s=96.0, until_s=102.0),
+                97.9,
+                ["CONFIG"],
+            ),
+            (
+                "core-without-links",
+                _core()
+                + _cut("c3", "c1", "c2", from_s=96.0, until_s=102.0)
+                + _cut("c1", "c2", from_s=96.0, until_s=102.0),
+                91.0,
+                [],
+            ),
+            (
+                "gateway-cut-from-a-replica",
+                _core() + _cut("g1", "c1", from_s=95.0, until_s=97.5),
+                91.0,
+                [],
+            ),
+            (
+                "gateway-was-cut-before",
+                _core() + _cut("g1", "c1", from_s=93.0, until_s=96.5),
+                97.9,
+                ["CONFIG"],
+            ),
+            (
+                "gateway-cut-from-other-gateways",
+                _core() + _cut("g1", "g2", "g3", from_s=95.0, until_s=101.0),
+                97.9,
+                ["CONFIG"],
+            ),
+            (
+                "gateway-cut-from-a-replica-that-is-cut",
+                _core()
+                + _cut("c3", "c1", "c2", "g1", from_s=90.0, until_s=102.0),
+                97.9,
+                ["CONFIG"],
+            ),
+        )
+    ],
+)
+def test_bound_of_changes_follows_core_and_links(
+    incidents: list[records.Incident],
+    acknowledged_s: float,
+    rules: list[str],
+) -> None:
+    """Guards against probes that are judged too strictly, or not at all."""
+    seen = _sound_records(PROBE)
+    _probe("/extra-1/", frozenset(), status=200)(seen)
+    seen.publications[0] = dataclasses.replace(
+        seen.publications[0], acknowledged_s=acknowledged_s
+    )
+    seen.incidents += incidents
+    assert [finding.rule for finding in checks.judge(seen)] == rules
+
+
+EXTRA = frozenset({"/extra-1/"})
+
+
+@pytest.mark.parametrize(
+    ("is_run", "started_s", "versions", "restarted_s", "rules"),
+    [
+        pytest.param(*case, id=name)
+        for name, *case in (
+            ("went-back", False, 100.4, ((4, EXTRA),), 0, ["CONFIG"]),
+            ("at-once", False, 100.29, ((4, EXTRA),), 0, []),
+            ("restarted", False, 100.4, ((4, EXTRA),), 100.35, []),
+            (
+                "later-version",
+                False,
+                100.4,
+                ((4, EXTRA), (6, frozenset())),
+                0,
+                [],
+            ),
+            (
+                "run-after-a-later-version",
+                True,
+                100.4,
+                ((3, EXTRA), (5, frozenset())),
+                0,
+                [],
+            ),
+        )
+    ],
+)
+def test_gateway_that_goes_back_to_an_older_version_is_found(
+    is_run: bool,
+    started_s: float,
+    versions: tuple[tuple[int, frozenset[str]], ...],
+    restarted_s: float,
+    rules: list[str],
+) -> None:
+    """A run shows a version with its route; a refusal needs no older one."""
+    seen = _sound_records(PROBE)
+    _probe("/extra-1/", EXTRA, status=200)(seen)
+    seen.publications[:] = [
+        records.Publication(2, "two", 80.0),
+        *(
+            records.Publication(number, "four", 90.0, prefixes=prefixes)
+            for number, prefixes in versions
+        ),
+    ]
+    seen.readings[0] = dataclasses.replace(
+        seen.readings[0],
+        version=versions[-1][0],
+    )
+    _add_call(seen, is_run=is_run, started_s=started_s)
+    if restarted_s:
+        seen.incidents[1:1] = [
+            records.Incident("g1", KILL, restarted_s, 77),
+            records.Incident("g1", END, restarted_s, 77),
+            records.Incident("g1", START, restarted_s, 78),
+        ]
+        seen.incidents[-2:] = [
+            records.Incident("g1", change, 190.0, 78) for change in (KILL, END)
+        ]
+    assert [finding.rule for finding in checks.judge(seen)] == rules
+
+
+def test_route_that_is_dropped_again_after_its_removal_showed_is_found() -> (
+    None
+):
+    """A run of a later route shows that an earlier one is dropped."""
+    seen = _sound_records(PROBE)
+    _probe("/extra-2/", frozenset(), status=200)(seen)
+    seen.publications[:] = [
+        records.Publication(4, "four", 90.0, prefixes=EXTRA),
+        records.Publication(5, "five", 99.0, prefixes=frozenset({"/extra-2/"})),
+    ]
+    seen.readings[0] = records.Reading(
+        "c1", 5, "five", 110.0, 110.1, is_final=True
+    )
+    _add_call(seen, is_run=True, started_s=100.4)
+    found = [(f.rule, f.attempt) for f in checks.judge(seen)]
+    assert found == [("CONFIG", "a2")]
+
+
+def _add_call(seen: records.Records, *, is_run: bool, started_s: float) -> None:
+    """Add a probe that is run, or refused with 404."""
+    call, (arrival,) = seen.calls[0], seen.arrivals
+    changed: dict[str, Any] = {"attempt": "a2", "target": "/extra-1/2"}
+    seal = {records.SEAL: "seal-2", records.ATTEMPT_ID: "a2"}
+    seen.calls.append(
+        dataclasses.replace(
+            call,
+            **changed,
+            started_s=started_s,
+            sent_s=started_s,
+            first_byte_s=started_s + 0.1,
+            ended_s=started_s + 0.1,
+            status=200 if is_run else 404,
+            answer_header_by_name=seal if is_run else {},
+        )
+    )
+    if is_run:
+        seen.arrivals.append(
+            dataclasses.replace(
+                arrival,
+                **changed,
+                at_s=started_s + 0.05,
+                ended_s=started_s + 0.05,
+                seal="seal-2",
+                header_by_name={"x-wisteriawall-model": "m"},
+            )
+        )
+
+
 def _with_key(
     key: str, *, account: str, target: str = "/pay/1"
 ) -> records.Records:
