Answer 503 when every agent refused a request as not run

Cause: upstream_failed has status 502 whether or not the last attempt ran. The gateway answers 503 in the same case.

Change: 503 for a request that did not run; if an earlier attempt may have run, it is 502 with run unknown, as before.

Why agents refuse four times in a row in such a restart is still not recorded.

--- a/src/wisteriawall/entry/refusals.py
+++ b/src/wisteriawall/entry/refusals.py
@@ -83,12 +83,12 @@
 ) -> refusal_lib.Refusal:
     """Return the refusal of a request whose last attempt failed.
 
-    `run` tells the caller whether the request may have run; only one that
-    did not run is worth a retry soon.
+    `run` tells the caller whether the request may have run. Only one that did
+    not run is worth a retry soon; it has the status that promises this.
     """
     not_run = run is refusal_lib.RunState.NOT_RUN
     return refusal_lib.Refusal(
-        status=502,
+        status=503 if not_run else 502,
         code=refusal_lib.Code.UPSTREAM_FAILED,
         message=message,
         run=run,
