Take nothing but three digits for the status of a response

Callers got an answer whose status line was 'HTTP/1.1 2_00 OK' or 'HTTP/1.1 +200 OK' as a 200 with a seal, and 600 to 999 as they were.

http.client reads a status with int(), which takes underscores, a sign and leading zeros, and splits the line with str.split(), which takes NBSP, NEL and control characters for spaces. A status is now three ASCII digits from 100 to 599 behind 'HTTP/1.x' and spaces or tabs; anything else is a malformed answer: 502, run unknown. 600 to 999 are invalid by RFC 9110, and no caller can use them. Interim responses are held to the same line; 101 is malformed, since no request asks for an upgrade and what follows it is another protocol. Gateway, agent, entry and all calls by wire.http_call (runner list, duties, orders, kv-list, forwarding between replicas, the list of VMs, the operators' client) read through this class.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -39,6 +39,7 @@
 MAX_HEAD_BYTES = 128 * 1024
 # A chunk size with its extensions, or a trailer.
 MAX_LINE_BYTES = 64 * 1024
+MAX_LOGGED_BYTES = 80
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 # A late head without its body takes the next response for that body.
@@ -55,6 +56,12 @@
 MAX_OVERRUN_MS = 100
 FIRST_FINAL_STATUS = 200
 HTTP_NAME = b"HTTP/"
+# `int`, by which http.client reads the status, takes 2_00 and +200 for 200, and
+# `str.split` takes other characters for spaces. RFC 9110, section 15, calls
+# statuses over 599 invalid. 101 needs an upgrade, which is never asked for.
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[0-9])[ \t]+(?!101)([1-5][0-9]{2})(?:[ \t]([^\r\n]*))?\r?\n"
+)
 # A head that is cut within a line is continued by the next status line.
 STATUS_LINE_START = re.compile(r"HTTP/\d\.\d \d{3}")
 BODY_STATUS_LINE = re.compile(STATUS_LINE_START.pattern.encode())
@@ -269,13 +276,22 @@
         the end of the first line before it looks at it.
 
         Raises:
-            http.client.BadStatusLine: The first bytes are no HTTP version.
+            http.client.HTTPException: The first line is no status line.
             OSError: The connection failed.
         """
         start = self._reader.peek(1)[: len(HTTP_NAME)]
         if not HTTP_NAME.startswith(start):
             raise http.client.BadStatusLine(repr(start))
-        return super()._read_status()  # type: ignore[misc, no-any-return]
+        line = self._reader.readline()
+        if not line:
+            raise http.client.RemoteDisconnected(
+                "the connection ended without a response"
+            )
+        parts = STATUS_LINE.fullmatch(line)
+        if parts is None:
+            raise http.client.BadStatusLine(repr(line[:MAX_LOGGED_BYTES]))
+        version, status, reason = parts.groups(default=b"")
+        return version.decode(), int(status), reason.decode("iso-8859-1")
 
 
 @final
--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from support import status_lines
 from support import stuttering_server
 import urllib3
 
@@ -174,6 +175,20 @@
     assert answer.headers[headers.REFUSED] == "q0/1"
 
 
+@pytest.mark.parametrize("line", status_lines.MALFORMED)
+def test_malformed_status_line_of_an_upstream_is_not_relayed(
+    harness: ProxyHarness, line: bytes
+) -> None:
+    """`HTTP/1.1 2_00 OK` was relayed as a 200."""
+    harness.upstream.respond = lambda _: (
+        line + b"\r\nContent-Length: 1\r\n\r\na"
+    )
+    answer = harness.send(b"a")
+    assert answer.status == 502
+    assert msgspec.json.decode(answer.data)["run"] == "unknown"
+    assert not harness.ended.get(timeout=WAIT_S).not_run
+
+
 @pytest.mark.parametrize(
     ("changed", "status", "refused"),
     [
--- a/testing/entry/test_attempt.py
+++ b/testing/entry/test_attempt.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import pytest
+from support import status_lines
 from support import stuttering_server
 
 from wisteriawall.entry import attempt as attempt_lib
@@ -179,3 +180,18 @@
     entry.agent.respond = lambda _: answer_bytes
     entry.agent.closes_after_answer = True
     assert entry.send("q1") == UNKNOWN
+
+
+@pytest.mark.parametrize("line", status_lines.MALFORMED)
+def test_malformed_status_line_of_an_agent_is_an_unknown_outcome(
+    entry: EntrySide, line: bytes
+) -> None:
+    """An answer passed as a 200, and a refusal as a promise."""
+    for whole in (
+        lambda request: _answer(request),
+        lambda _: refusal_bytes("q1/1"),
+    ):
+        entry.agent.respond = lambda request, whole=whole: (
+            line + b"\r\n" + whole(request).split(b"\r\n", 1)[1]
+        )
+        assert entry.send("q1") == UNKNOWN
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -5,6 +5,7 @@
 
 import pytest
 from support import scripted_server
+from support import status_lines
 
 from wisteriawall import clock
 from wisteriawall.web import connection_pool
@@ -229,6 +230,68 @@
         exchange(pool, server, "r0")
 
 
+@pytest.mark.parametrize("line", status_lines.MALFORMED)
+def test_malformed_status_line_is_never_taken_for_a_status(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    line: bytes,
+) -> None:
+    """`int` takes more than three digits for a status; 2_00 came out as 200."""
+    server.script = [
+        line + b"\r\n" + answer("r0", b"body").split(b"\r\n", 1)[1]
+    ]
+    with pytest.raises(http_exchange.Broken) as caught:
+        exchange(pool, server, "r0")
+    assert not caught.value.timed_out
+
+
+@pytest.mark.parametrize("line", status_lines.MALFORMED)
+def test_malformed_status_line_behind_an_interim_one_is_no_status(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    line: bytes,
+) -> None:
+    response = line + b"\r\n" + answer("r0", b"body").split(b"\r\n", 1)[1]
+    server.script = [b"HTTP/1.1 100 Continue\r\n\r\n" + response]
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r0")
+
+
+@pytest.mark.parametrize(
+    "line", [b"HTTP/1.1 1_00 C", b"HTTP/1.1 +103 H", b"HTTP/1.1 101 Switch"]
+)
+def test_malformed_interim_status_line_is_not_skipped(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    line: bytes,
+) -> None:
+    """After a 101 the connection speaks another protocol."""
+    server.script = [line + b"\r\n\r\n" + answer("r0", b"body")]
+    with pytest.raises(http_exchange.Broken):
+        exchange(pool, server, "r0")
+
+
+@pytest.mark.parametrize(("line", "status"), status_lines.FINAL)
+def test_well_formed_status_line_is_accepted(
+    pool: connection_pool.ConnectionPool,
+    server: scripted_server.ScriptedServer,
+    line: bytes,
+    status: int,
+) -> None:
+    server.script = [line + b"\r\nContent-Length: 4\r\n\r\nbody"]
+    sent = http_exchange.HttpExchange(pool)
+    response = sent.send(
+        server.address,
+        method="GET",
+        target="/",
+        headers={"Host": "h"},
+        body=None,
+        timeout_s=WAIT_MS / 1_000,
+    )
+    assert (response.status, b"".join(sent.body_chunks())) == (status, b"body")
+    sent.close()
+
+
 def test_late_head_alone_does_not_hold_a_request_to_its_deadline(
     pool: connection_pool.ConnectionPool, server: scripted_server.ScriptedServer
 ) -> None:
--- a/testing/wire/test_http_call.py
+++ b/testing/wire/test_http_call.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
+from support import status_lines
 from support import stuttering_server
 
 from wisteriawall.wire import http_call
@@ -110,6 +111,16 @@
         _call(server, b"a")
 
 
+@pytest.mark.parametrize("line", status_lines.MALFORMED)
+def test_malformed_status_line_is_a_failed_call(
+    server: stuttering_server.StutteringServer, line: bytes
+) -> None:
+    """The list of runners, duties, orders and forwarding rely on a status."""
+    server.respond = lambda _: line + b"\r\nContent-Length: 2\r\n\r\n{}"
+    with pytest.raises(http_call.CallFailed):
+        _call(server, b"a")
+
+
 def test_refused_connection_is_a_failed_call(
     server: stuttering_server.StutteringServer,
 ) -> None:
