Let a control replica whose disk is full wait for room

Cause: any failed write ends the process, and the next one can't write either.

Change: after a write that failed for lack of room, the replica refuses calls, drops messages of others and tries a write each 250 ms; it ends once that succeeds, and starts from its disk. Other disk failures end it as before.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -50,6 +50,8 @@
 
 TICK_S = 0.02
 CALL_TIMEOUT_S = 5.0
+# Interval at which a replica without room on its disk tries a write.
+ROOM_CHECK_INTERVAL_S = 0.25
 MAX_BATCH_EVENTS = 512
 MAX_QUEUED_EVENTS = 8_192
 DEFAULT_CLUSTER = "wisteriawall"
@@ -104,7 +106,7 @@
             it is added.
         cluster: Name of the cluster that the folder belongs to.
         on_failure: Called once when a disk failure or an unexpected error
-            stops the replica.
+            stops the replica; if its disk was full, once there is room again.
         metrics: Counts the answers by class.
         founders: Members of a cluster founded with an empty folder, instead of
             those in `peer_address_by_replica`.
@@ -160,6 +162,7 @@
             replica=replica,
             founders=founders if bootstrap else (),
         )
+        self._folder = folder
         self._log = replica_log.ReplicaLog(owned_folder)
         self._control = replica_state.ReplicaState(
             raft=self._recovered_raft(
@@ -352,6 +355,8 @@
         try:
             self._run_batches()
         except durable_files.StorageFailed as failure:
+            if failure.is_full:
+                self._wait_for_room(failure)
             self._fail(str(failure))
         except Exception as error:
             _LOG.exception("control: unexpected error in the reducer thread")
@@ -374,6 +379,32 @@
             self._reconnect_peers()
             self._log_leader_change()
 
+    def _wait_for_room(self, failure: durable_files.StorageFailed) -> None:
+        """Wait until the disk has room, or the replica is stopped.
+
+        A replica that ended at once could not start before. Calls are answered
+        meanwhile, and messages of other replicas are dropped.
+        """
+        reason = str(failure)
+        _LOG.error("control: replica waits for room: %s", reason)
+        self._refuse_calls(reason)
+        since_ms = clock.monotonic_ms()
+        while not self._stopping.wait(ROOM_CHECK_INTERVAL_S):
+            with contextlib.suppress(queue.Empty):
+                while True:
+                    self._queue.get_nowait()
+            try:
+                durable_files.check_room(self._folder)
+            except durable_files.StorageFailed as error:
+                reason = str(error)
+                continue
+            break
+        _LOG.info(
+            "control: replica waited %d ms for room, last error: %s",
+            clock.monotonic_ms() - since_ms,
+            reason,
+        )
+
     def _log_leader_change(self) -> None:
         """Log the leader and term when either has changed."""
         replica = self._control.raft
--- a/src/wisteriawall/storage/durable_files.py
+++ b/src/wisteriawall/storage/durable_files.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "StorageFailed",
+    "check_room",
     "create_folder",
     "remove_file",
     "replace_file",
@@ -20,16 +21,24 @@
 ]
 
 TEMPORARY_SUFFIX = ".tmp"
+# A leftover is no file of a replica.
+ROOM_CHECK_NAME = f"room-check{TEMPORARY_SUFFIX}"
+# A record of the log, or a part of a snapshot, fits into it.
+ROOM_CHECK_BYTES = 64 * 1024
 
 
 @final
 class StorageFailed(errors.WisteriawallError):
-    """A write to disk failed; no later record may be acknowledged."""
+    """A write to disk failed; no later record may be acknowledged.
+
+    `is_full` is set if the disk had no room.
+    """
 
     def __init__(self, path: pathlib.Path, error: OSError) -> None:
-        expected = "a writable disk"
-        if error.errno == errno.ENOSPC:
-            expected = "free space on the disk"
+        self.is_full = error.errno == errno.ENOSPC
+        expected = (
+            "free space on the disk" if self.is_full else "a writable disk"
+        )
         super().__init__(f"{path}: {error.strerror}, expected {expected}")
 
 
@@ -93,6 +102,23 @@
         sync_folder(path.parent)
 
 
+def check_room(folder: pathlib.Path) -> None:
+    """Write a file in `folder`, and remove it.
+
+    Raises:
+        StorageFailed: The disk has no room, or the write failed otherwise.
+    """
+    path = folder / ROOM_CHECK_NAME
+    with storage_errors(path):
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            write_all(descriptor, bytes(ROOM_CHECK_BYTES))
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+            path.unlink()
+
+
 def remove_file(path: pathlib.Path) -> None:
     """Remove the file at `path` durably.
 
--- a/testing/control/test_full_disks.py
+++ b/testing/control/test_full_disks.py
@@ -156,7 +156,9 @@
         while not all(_holds(replica, number) for replica in replicas):
             assert time.monotonic() < deadline, "a replica has not caught up"
             time.sleep(0.05)
-        assert sum(replica.starts for replica in replicas) > len(NAMES)
+        restarts = sum(replica.starts for replica in replicas) - len(NAMES)
+        # One for each time that a disk was full, once it has room again.
+        assert 0 < restarts <= 2 * len(NAMES)
     finally:
         disks.full = ""
         for replica in replicas:
