Replace, wipe and cut control replicas in soaks

No disk is lost before the replicas that lost theirs have been back for catch_up_s.

Processes connect from an address of their machine, so that the links' proxy can cut pairs of machines. It holds back what is sent between them, without a reset. The report has the time from acknowledgement to the use of a table, from the gateways' logs, and the number of probes that are judged by each bound.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -55,6 +55,8 @@
 )
 KINDS = tuple(records.Kind)
 KIND_WEIGHTS = (3, 4, 2, 2, 1)
+# Where changes of the configuration are what is looked at.
+PROBING_WEIGHTS = (1, 1, 1, 1, 8)
 
 
 @final
@@ -76,6 +78,7 @@
         seed: Seed of its requests.
         address_by_gateway: The gateways that it chooses from.
         seen: Records of its calls.
+        weights: Shares of the kinds of requests.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         seed: int,
         address_by_gateway: dict[str, str],
         seen: records.Records,
+        weights: tuple[int, ...] = KIND_WEIGHTS,
     ) -> None:
+        self._weights = weights
         self._number, self._seed, self._seen = number, seed, seen
         self._address_by_gateway = address_by_gateway
         self._chance = random.Random(f"{seed}/caller/{number}")
@@ -198,7 +203,7 @@
 
     def _make_call(self) -> records.Call:
         chance = self._chance
-        (kind,) = chance.choices(KINDS, KIND_WEIGHTS)
+        (kind,) = chance.choices(KINDS, self._weights)
         self._calls += 1
         attempt = f"a{self._number:03}x{self._calls:05}"
         size = chance.choice((0, 20, 500, 20_000))
--- a/testing/soak/core_history.py
+++ b/testing/soak/core_history.py
@@ -47,13 +47,20 @@
 
     def __init__(self, seen: records.Records) -> None:
         incidents_by_name = collections.defaultdict(list)
-        self._cuts: list[tuple[frozenset[str], float, float]] = []
+        # Cuts between replicas, and those between a replica and a gateway.
+        self._core_cuts: list[tuple[frozenset[str], float, float]] = []
+        self._cuts_by_gateway = collections.defaultdict(list)
         self._removed_s_by_name: dict[str, float] = {}
         for incident in sorted(seen.incidents, key=lambda i: i.at_s):
             match incident.change:
                 case records.Change.CUT:
                     pair = frozenset((incident.name, incident.other))
-                    self._cuts.append((pair, incident.at_s, incident.until_s))
+                    gateways = [n for n in pair if not is_replica(n)]
+                    cut = pair, incident.at_s, incident.until_s
+                    if not gateways:
+                        self._core_cuts.append(cut)
+                    elif len(gateways) == 1:
+                        self._cuts_by_gateway[gateways[0]].append(cut)
                 case records.Change.REMOVED:
                     self._removed_s_by_name[incident.name] = incident.at_s
                 case change if change in DISRUPTIONS:
@@ -74,11 +81,7 @@
             itertools.chain(
                 *(self._disrupted_s_by_name[name] for name in self._replicas),
                 self._removed_s_by_name.values(),
-                *(
-                    (from_s, until_s)
-                    for pair, from_s, until_s in self._cuts
-                    if all(map(is_replica, pair))
-                ),
+                *((from_s, until_s) for _, from_s, until_s in self._core_cuts),
             )
         )
 
@@ -93,11 +96,11 @@
         if _between(self._core_changes_s, from_s, until_s):
             return False
         is_cut = any(
-            all(map(is_replica, pair)) and cut_s <= until_s <= healed_s
-            for pair, cut_s, healed_s in self._cuts
+            cut_s <= until_s <= healed_s
+            for _, cut_s, healed_s in self._core_cuts
         )
         return not is_cut or any(
-            self._reaches_most(name, until_s) for name in self._replicas
+            self.reaches_most(name, until_s) for name in self._replicas
         )
 
     def has_run(self, from_s: float, until_s: float) -> bool:
@@ -109,7 +112,7 @@
         times_s = _between(self._core_changes_s, from_s, until_s)
         return all(
             any(
-                self._reaches_most(name, at_s, rest_s=CATCH_UP_S)
+                self.reaches_most(name, at_s, rest_s=CATCH_UP_S)
                 for name in self._replicas
             )
             for at_s in (from_s, *times_s)
@@ -121,15 +124,14 @@
         It needs a path to each replica that runs and reaches more than half of
         the core.
         """
-        for pair, cut_s, healed_s in self._cuts:
-            if name not in pair or cut_s > until_s or healed_s < from_s:
+        for pair, cut_s, healed_s in self._cuts_by_gateway.get(name, ()):
+            if cut_s > until_s or healed_s < from_s:
                 continue
             (other,) = pair - {name}
             first_s, last_s = max(cut_s, from_s), min(healed_s, until_s)
             changes_s = _between(self._core_changes_s, first_s, last_s)
-            if is_replica(other) and any(
-                self._reaches_most(other, at_s)
-                for at_s in (first_s, *changes_s)
+            if any(
+                self.reaches_most(other, at_s) for at_s in (first_s, *changes_s)
             ):
                 return False
         return True
@@ -146,7 +148,7 @@
             and self._removed_s_by_name.get(name, at_s + 1.0) > at_s
         ]
 
-    def _reaches_most(
+    def reaches_most(
         self, name: str, at_s: float, *, rest_s: float = 0.0
     ) -> bool:
         """Return whether a replica ran and reached more than half of the core.
@@ -160,7 +162,7 @@
             self._runs(other, at_s, rest_s)
             and not any(
                 pair == {name, other} and cut_s <= at_s <= healed_s + rest_s
-                for pair, cut_s, healed_s in self._cuts
+                for pair, cut_s, healed_s in self._core_cuts
             )
             for other in members
             if other != name
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -21,9 +22,11 @@
 
 from soak import accounts
 from soak import budget
+from soak import core_history
 from soak import links as links_lib
 from soak import proxied
 from soak import records
+from soak import schedule
 import wisteriawall
 from wisteriawall.platform import settings as settings_lib
 from wisteriawall.web import server as server_lib
@@ -44,6 +47,8 @@
 }
 ABORT_S = 0.3
 RESTART_PAUSE_S = 0.05
+# Longer than any soak.
+REMOVED_S = 86_400.0
 SOURCE_FOLDER = pathlib.Path(wisteriawall.__file__).parent.parent
 TESTING_FOLDER = pathlib.Path(__file__).parent.parent
 
@@ -222,6 +227,7 @@
         settings: Path of its settings file, as the first start reads it.
         log: Path of its log.
         seen: Records that get its starts, signals and ends.
+        data: Data folder of a control replica.
     """
 
     def __init__(
@@ -232,10 +238,13 @@
         settings: pathlib.Path,
         log: pathlib.Path,
         seen: records.Records,
+        data: pathlib.Path | None = None,
     ) -> None:
         self.name = name
         self.log_path = log
         self._role, self._settings, self._seen = role, settings, seen
+        self._data = data
+        self._loses_disk = False
         self._is_finishing = False
         self._lock = threading.Lock()
         self._program: _Program | None = None
@@ -251,8 +260,57 @@
             self._is_finishing = True
         self.terminate()
 
+    def remove(self, *, with_term: bool) -> None:
+        """Remove the machine for good, with SIGTERM or SIGKILL."""
+        with self._lock:
+            self._is_finishing = True
+            self._seen.incidents.append(
+                records.Incident(
+                    self.name, records.Change.REMOVED, time.monotonic()
+                )
+            )
+        if with_term:
+            self.terminate()
+        else:
+            self.kill()
+
+    def lose_disk(self) -> None:
+        """Send SIGKILL, and restart with an empty data folder."""
+        with self._lock:
+            self._loses_disk = True
+        if self._signal(signal.SIGKILL, records.Change.KILL) is None:
+            self._loses_disk = False
+
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Write new seeds to the settings file, without a signal."""
+        with self._lock:
+            _change_settings(self._settings, {"seeds": seeds})
+
+    def last_start_s(self) -> float:
+        """Return when the program had started last, by its log.
+
+        Infinity if it has not started since its process was.
+        """
+        started_s = max(
+            (
+                incident.at_s
+                for incident in list(self._seen.incidents)
+                if incident.name == self.name
+                and incident.change is records.Change.START
+            ),
+            default=float("inf"),
+        )
+        offset_s = time.time() - time.monotonic()
+        for line in reversed(self.log_path.read_bytes().splitlines()):
+            if b'"decision":"start"' in line:
+                at_s = json.loads(line)["t"] / 1_000 - offset_s
+                return float(at_s) if at_s >= started_s else float("inf")
+        return float("inf")
+
     def join(self) -> None:
         """Wait for the end after `finish`."""
+        if self._watcher.ident is None:
+            return  # It was never started.
         self._watcher.join(2 * GRACE_S)
         if self._watcher.is_alive():
             raise AssertionError(f"{self.name} is still running")
@@ -330,7 +388,13 @@
             with self._lock:
                 self._add(records.Change.END, time.monotonic(), program, code)
                 program.close()
-            _set_bootstrap(self._settings, False)
+                _change_settings(self._settings, {"bootstrap": False})
+                if self._loses_disk and self._data is not None:
+                    self._loses_disk = False
+                    shutil.rmtree(self._data, ignore_errors=True)
+                    self._add(
+                        records.Change.DISK_LOST, time.monotonic(), program
+                    )
             time.sleep(RESTART_PAUSE_S)
 
     def _start_program(self) -> _Program | None:
@@ -343,10 +407,12 @@
             return self._program
 
 
-def _set_bootstrap(path: pathlib.Path, value: bool) -> None:
-    settings = json.loads(path.read_text())
-    settings["bootstrap"] = value
-    path.write_text(json.dumps(settings))
+def _change_settings(path: pathlib.Path, changes: dict[str, Any]) -> None:
+    """Change a settings file; a process never reads a part of it."""
+    settings = json.loads(path.read_text()) | changes
+    written = path.with_suffix(".new")
+    written.write_text(json.dumps(settings))
+    written.replace(path)
 
 
 @final
@@ -357,6 +423,7 @@
         folder: Folder of settings files, data folders and logs.
         gateways: Number of gateways.
         replicas: Number of control replicas.
+        spares: Number of further replicas, which are started later.
         list_address: Address of the list of runners.
         seen: Records of what happens to the processes.
         link_bytes_s: Bytes a second that fit through the link of each machine,
@@ -372,8 +439,12 @@
         list_address: str,
         seen: records.Records,
         link_bytes_s: int = 0,
+        spares: int = 0,
     ) -> None:
-        hosts = [_host(number) for number in range(replicas + gateways)]
+        count = replicas + gateways
+        hosts = [_host(number) for number in range(count + spares)]
+        hosts_of_replicas = hosts[:replicas] + hosts[count:]
+        self._seen = seen
         self._folder, self._list_address = folder, list_address
         self._ports = find_ports(hosts)
         self._seeds = [
@@ -381,17 +452,31 @@
         ]
         self.replica_address_by_name = {
             f"c{number}": f"{host}:{self._ports.control}"
-            for number, host in enumerate(hosts[:replicas], start=1)
+            for number, host in enumerate(hosts_of_replicas, start=1)
         }
+        # Operators' list of replicas.
+        self.listed = [f"c{number + 1}" for number in range(replicas)]
+        self._founders = frozenset(self.listed)
+        self._spares = [
+            name
+            for name in self.replica_address_by_name
+            if name not in self.listed
+        ]
         self.gateway_address_by_name = {
             f"g{number}": f"{host}:{self._ports.frontend}"
-            for number, host in enumerate(hosts[replicas:], start=1)
+            for number, host in enumerate(hosts[replicas:count], start=1)
         }
         self.ready_address_by_name = {
             f"g{number}": f"{host}:{self._ports.ready}"
-            for number, host in enumerate(hosts[replicas:], start=1)
+            for number, host in enumerate(hosts[replicas:count], start=1)
         }
-        self.links = links_lib.Links(link_bytes_s)
+        self.links = links_lib.Links(
+            link_bytes_s,
+            {
+                proxied.source_host(address.rpartition(":")[0]): name
+                for name, _, address in self._programs()
+            },
+        )
         for name, role, address in self._programs():
             self._add_links(name, role, address)
         (folder / "logs").mkdir(parents=True)
@@ -403,8 +488,74 @@
     def start(self) -> None:
         """Start all processes, after the links between them."""
         self.links.start()
+        for name, node in self.node_by_name.items():
+            if name not in self._spares:
+                node.start()
+
+    def start_spare(self) -> None:
+        """Start a further replica, with an empty disk, and list it."""
+        name = self._spares.pop(0)
+        node = self.node_by_name[name]
+        node.set_seeds(self.newest_seeds())
+        node.start()
+        self.listed = [*self.listed, name]
+
+    def remove_replica(self, name: str, *, how: schedule.Removal) -> None:
+        """Remove a replica for good, and from the operators' list."""
+        self.listed = [other for other in self.listed if other != name]
+        if how is schedule.Removal.SILENT:
+            # Its connections don't end with it.
+            pairs = [(name, other) for other in self.node_by_name]
+            self.links.cut(pairs, REMOVED_S)
+        self.node_by_name[name].remove(
+            with_term=how is schedule.Removal.STOPPED
+        )
+
+    def newest_seeds(self) -> list[str]:
+        """Return the addresses of the last three replicas that are listed."""
+        return [self.replica_address_by_name[name] for name in self.listed[-3:]]
+
+    def write_seeds(self) -> None:
+        """Write the newest seeds to all settings files."""
         for node in self.node_by_name.values():
-            node.start()
+            node.set_seeds(self.newest_seeds())
+
+    def cut(self, pairs: list[tuple[str, str]], for_s: float) -> None:
+        """Cut the links between pairs of machines for some seconds."""
+        now_s = time.monotonic()
+        self.links.cut(pairs, for_s)
+        self._seen.incidents.extend(
+            records.Incident(
+                name,
+                records.Change.CUT,
+                now_s,
+                until_s=now_s + for_s,
+                other=other,
+            )
+            for name, other in pairs
+        )
+
+    def may_lose_disk(self) -> bool:
+        """Return whether all replicas that had lost their disks are back.
+
+        They and most of the core have been there for `catch_up_s`.
+        """
+        now_s = time.monotonic()
+        history = core_history.CoreHistory(self._seen)
+        had_loss = {
+            incident.name
+            for incident in list(self._seen.incidents)
+            if incident.change is records.Change.DISK_LOST
+        }
+        return all(
+            self.node_by_name[name].last_start_s()
+            < now_s - core_history.CATCH_UP_S
+            and history.reaches_most(
+                name, now_s, rest_s=core_history.CATCH_UP_S
+            )
+            for name in self.listed
+            if name in had_loss or name not in self._founders
+        )
 
     def close(self) -> None:
         """End all processes; fail if one is still running."""
@@ -444,6 +595,7 @@
     ) -> Node:
         host = address.rpartition(":")[0]
         ports = self._ports
+        data = self._folder / name if role == "control" else None
         settings = {
             "node_name": name,
             "ip_address": host,
@@ -463,10 +615,8 @@
                 "ready": f"{host}:{ports.ready}",
                 "control": f"{host}:{ports.control}",
             },
-            "bootstrap": True,
-            "data_directory": str(self._folder / name)
-            if role == "control"
-            else None,
+            "bootstrap": name not in self._spares,
+            "data_directory": str(data) if data else None,
             "bounds": {
                 "grace_s": GRACE_S,
                 "budget_ratio": budget.RATIO,
@@ -485,4 +635,5 @@
             settings=path,
             log=self._folder / "logs" / f"{name}.log",
             seen=seen,
+            data=data,
         )
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -1,11 +1,13 @@
 """Operators that publish configurations and read them back."""
 
+from collections.abc import Callable
 import json
 import random
 import threading
 import time
 from typing import Any
 from typing import final
+import urllib.parse
 
 from support import large_tables
 from support import platform_site
@@ -117,7 +119,9 @@
 
     Args:
         seed: Seed of the choice of replicas.
-        address_by_replica: Operator address of each replica.
+        address_by_replica: Operator address of each replica, of those too that
+            are started later or were removed.
+        listed: Returns the names of those that are listed.
         seen: Records of its calls.
     """
 
@@ -126,8 +130,12 @@
         *,
         seed: int,
         address_by_replica: dict[str, str],
+        listed: Callable[[], list[str]],
         seen: records.Records,
     ) -> None:
+        self._listed = listed
+        # The replica that acknowledged last.
+        self.leader = listed()[0]
         self._chance = random.Random(f"{seed}/operator")
         self._address_by_replica = address_by_replica
         self._replica_by_address = {
@@ -163,7 +171,7 @@
     def read_last(self) -> bool:
         """Read the configuration at the end; return whether it came."""
         deadline_s = time.monotonic() + ACKNOWLEDGEMENT_TIMEOUT_S
-        waiting = set(self._address_by_replica)
+        waiting = set(self._listed())
         while waiting and time.monotonic() < deadline_s:
             for name in sorted(waiting):
                 if self._read(self._address_by_replica[name], is_final=True):
@@ -178,12 +186,16 @@
         deadline_s = sent_s + ACKNOWLEDGEMENT_TIMEOUT_S
         acknowledged_s = 0.0
         while not acknowledged_s and time.monotonic() < deadline_s:
-            address = self._chance.choice([*self._replica_by_address])
-            response = self._call(
+            address = self._address_by_replica[
+                self._chance.choice(self._listed())
+            ]
+            response, url = self._call(
                 "POST", f"http://{address}/Configuration.Put", body
             )
             if response is not None and response.status == 200:
                 acknowledged_s = time.monotonic()
+                host = urllib.parse.urlsplit(url).netloc
+                self.leader = self._replica_by_address[host]
             else:
                 time.sleep(RETRY_PAUSE_S)
         self._seen.publications.append(
@@ -203,7 +215,7 @@
 
     def _read(self, address: str, *, is_final: bool = False) -> bool:
         sent_s = time.monotonic()
-        response = self._call("GET", f"http://{address}/Configuration.Get")
+        response, _ = self._call("GET", f"http://{address}/Configuration.Get")
         if response is None or response.status != 200:
             return False
         document = json.loads(response.data)
@@ -221,7 +233,8 @@
 
     def _call(
         self, method: str, url: str, body: bytes | None = None
-    ) -> urllib3.BaseHTTPResponse | None:
+    ) -> tuple[urllib3.BaseHTTPResponse | None, str]:
+        """Return the answer, None if none came, and the URL that gave it."""
         for _ in range(MAX_REDIRECTS + 1):
             try:
                 response = self._pool.request(
@@ -233,8 +246,8 @@
                 )
             except urllib3.exceptions.HTTPError:
                 # A lost call is sent again, to any replica.
-                return None
+                return None, url
             if response.status != 307:
-                return response
+                return response, url
             url = response.headers["Location"]
-        return None
+        return None, url
--- a/testing/soak/proxied.py
+++ b/testing/soak/proxied.py
@@ -1,7 +1,9 @@
 """`python -m soak.proxied ROLE`: a program whose servers are behind a proxy.
 
 Its internal servers listen `PORT_SHIFT` above the ports that other processes
-know. The soak's proxy listens at those.
+know. The soak's proxy listens at those. Its outgoing connections leave from an
+address of its machine at which nothing listens, so that the proxy can tell
+between which machines a connection is.
 """
 
 from typing import Any
@@ -10,8 +12,17 @@
 import pynng
 
 from wisteriawall.platform import __main__ as program
+from wisteriawall.platform import settings as settings_lib
 
 PORT_SHIFT = 8
+# Set in the second number of a machine's address for outgoing connections.
+SOURCE_BIT = 128
+
+
+def source_host(host: str) -> str:
+    """Return the address from which a machine's connections leave."""
+    first, second, *rest = host.split(".")
+    return ".".join([first, str(int(second) ^ SOURCE_BIT), *rest])
 
 
 @final
@@ -38,6 +49,19 @@
     pynng.Socket.listen = listen_shifted
 
 
+def _name_sources(host: str) -> None:
+    dial = pynng.Socket.dial
+
+    def dial_from(
+        socket: pynng.Socket, url: str, *, block: bool | None = None
+    ) -> Any:
+        scheme, _, address = url.rpartition("/")
+        return dial(socket, f"{scheme}/{host};{address}", block=block)
+
+    pynng.Socket.dial = dial_from
+
+
 if __name__ == "__main__":
     _shift_listeners()
+    _name_sources(source_host(settings_lib.load().ip_address))
     program.main()
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -1,6 +1,9 @@
 """Proxy between gateways and runners that disturbs connections."""
 
 import asyncio
+import collections
+from collections.abc import Collection
+from collections.abc import Mapping
 import contextlib
 import enum
 import socket
@@ -59,9 +62,10 @@
 class _Link:
     """One proxied address and its open connections."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, machine: str) -> None:
         host, _, port = target.rpartition(":")
         self.target = (host, int(port))
+        self.machine = machine
         self.delay_s = 0.0
         self.relays: set[_Relay] = set()
         self.rate = Rate()
@@ -70,12 +74,19 @@
 
 @final
 class _Relay:
-    """The two directions of one connection; `cut` names the stopped ones."""
+    """The two directions of one connection; `cut` names the stopped ones.
+
+    `machines` are those at its two ends.
+    """
 
     def __init__(
-        self, gateway: asyncio.StreamWriter, runner: asyncio.StreamWriter
+        self,
+        gateway: asyncio.StreamWriter,
+        runner: asyncio.StreamWriter,
+        machines: frozenset[str],
     ) -> None:
         self.writers = (gateway, runner)
+        self.machines = machines
         self.cut: set[Disturbance] = set()
 
     def reset(self) -> None:
@@ -90,19 +101,47 @@
 
     Args:
         seen: Records that get each disturbance.
+        machine_by_source: Machines by the host from which they connect.
     """
 
-    def __init__(self, *, seen: records.Records) -> None:
+    def __init__(
+        self,
+        *,
+        seen: records.Records,
+        machine_by_source: Mapping[str, str] | None = None,
+    ) -> None:
         self._seen = seen
+        self._machine_by_source = machine_by_source or {}
+        # How many cuts are open, and what waits for the end of the last one.
+        self._cut_count_by_pair: collections.Counter[frozenset[str]] = (
+            collections.Counter()
+        )
+        self._healed_by_pair: dict[frozenset[str], asyncio.Event] = {}
         self._loop = asyncio.new_event_loop()
         self._link_by_address: dict[str, _Link] = {}
+        self._servers: list[asyncio.Server] = []
         self._late_ms: list[float] = []
-        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._thread.start()
         asyncio.run_coroutine_threadsafe(self._measure(), self._loop)
 
     def close(self) -> None:
         """End all connections."""
+        asyncio.run_coroutine_threadsafe(self._end_tasks(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    async def _end_tasks(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+            await server.wait_closed()
 
     def add(
         self,
@@ -110,24 +149,28 @@
         *,
         address: str = "127.0.0.1:0",
         rate: Rate | None = None,
+        machine: str = "",
     ) -> str:
         """Return an address whose connections go to `target`.
 
-        Port 0 selects a free port. Addresses with one `rate` share it.
+        Port 0 selects a free port. Addresses with one `rate` share it. The
+        target is on `machine`.
         """
         host, _, port = address.rpartition(":")
         listener = socket.create_server((host, int(port)), backlog=BACKLOG)
         address = f"{host}:{listener.getsockname()[1]}"
-        link = self._link_by_address[address] = _Link(target)
+        link = self._link_by_address[address] = _Link(target, machine)
         if rate is not None:
             link.rate = rate
-        asyncio.run_coroutine_threadsafe(
-            asyncio.start_server(
-                lambda reader, writer: self._serve(link, reader, writer),
-                sock=listener,
-            ),
-            self._loop,
-        ).result()
+        self._servers.append(
+            asyncio.run_coroutine_threadsafe(
+                asyncio.start_server(
+                    lambda reader, writer: self._serve(link, reader, writer),
+                    sock=listener,
+                ),
+                self._loop,
+            ).result()
+        )
         return address
 
     def sent_bytes(self, address: str) -> int:
@@ -191,18 +234,56 @@
                 if relay.cut:
                     relay.reset()
 
+    def cut(self, pairs: Collection[frozenset[str]], for_s: float) -> None:
+        """Pass nothing on between pairs of machines for some seconds.
+
+        Connections stay open, and what waits is passed on afterwards.
+        """
+        self._loop.call_soon_threadsafe(self._cut, pairs, for_s)
+
+    def _cut(self, pairs: Collection[frozenset[str]], for_s: float) -> None:
+        for pair in pairs:
+            self._cut_count_by_pair[pair] += 1
+            self._healed_by_pair.setdefault(pair, asyncio.Event())
+            self._loop.call_later(for_s, self._heal, pair)
+
+    def _heal(self, pair: frozenset[str]) -> None:
+        self._cut_count_by_pair[pair] -= 1
+        if not self._cut_count_by_pair[pair]:
+            self._healed_by_pair.pop(pair).set()
+
+    async def _wait_until_healed(self, pair: frozenset[str]) -> None:
+        while healed := self._healed_by_pair.get(pair):
+            await healed.wait()
+
+    def _machines(
+        self, link: _Link, writer: asyncio.StreamWriter
+    ) -> frozenset[str]:
+        """Return the machines at both ends of a connection."""
+        host, *_ = writer.get_extra_info("peername") or ("",)
+        return frozenset((link.machine, self._machine_by_source.get(host, "")))
+
     async def _serve(
         self,
         link: _Link,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        machines = self._machines(link, writer)
+        try:
+            await self._wait_until_healed(machines)
+        except asyncio.CancelledError:
+            writer.close()
+            raise
+        if reader.at_eof() or reader.exception() is not None:
+            writer.close()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(*link.target)
         except OSError:
             _reset(writer)
             return
-        relay = _Relay(writer, far_writer)
+        relay = _Relay(writer, far_writer, machines)
         link.relays.add(relay)
         try:
             await asyncio.gather(
@@ -214,6 +295,7 @@
                 ),
             )
         except OSError:
+            await self._wait_until_healed(machines)
             relay.reset()
         finally:
             link.relays.discard(relay)
@@ -231,6 +313,7 @@
         while data := await reader.read(RELAY_BYTES):
             if link.delay_s:
                 await asyncio.sleep(link.delay_s)
+            await self._wait_until_healed(relay.machines)
             if direction in relay.cut:
                 continue
             if direction is Disturbance.CUT_ANSWERS:
@@ -238,6 +321,7 @@
             await link.rate.pass_on(direction, len(data))
             writer.write(data)
             await writer.drain()
+        await self._wait_until_healed(relay.machines)
         # The other direction may not be half closed: a gateway or runner that
         # closes its connection wants no more bytes.
         with contextlib.suppress(OSError):
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -2,9 +2,11 @@
 
 import argparse
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import itertools
 import json
 import pathlib
 import signal
@@ -19,6 +21,7 @@
 from soak import accounts
 from soak import callers
 from soak import checks
+from soak import delays
 from soak import fleet
 from soak import hostile
 from soak import operators
@@ -70,6 +73,7 @@
         limits: Whether runners name limits.
         versions: Whether runners of two software versions serve.
         hostile_count: Number of hostile clients.
+        core: Whether replicas are replaced, lose their disks and are cut off.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -87,9 +91,29 @@
         limits: bool = False,
         versions: bool = False,
         hostile_count: int = 0,
+        core: bool = False,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
+        self._first_runners = FIRST_RUNNERS + (MORE_ENGINES if versions else ())
+        self.schedule = schedule.draw(
+            seed,
+            duration_s=duration_s,
+            scope=schedule.Scope(
+                gateways=tuple(f"g{n + 1}" for n in range(gateways)),
+                replicas=tuple(f"c{n + 1}" for n in range(REPLICAS)),
+                runners=len(self._first_runners),
+                large_tables=large_tables,
+                limits=limits,
+                versions=versions,
+                core=core,
+            ),
+        )
+        # Faults of replicas that would have lost one disk too many.
+        self.skipped: list[schedule.Fault] = []
+        # What is done later, by time.
+        self._later: list[tuple[float, Callable[[], object]]] = []
+        self._replacing = 0
         self._late_share = late_share
         self._runners: list[runners.StandInRunner] = []
         self._handles = runners.HandleStore()
@@ -99,7 +123,6 @@
             seed=seed,
             seen=self.seen,
         )
-        self._leaving: list[tuple[float, runners.StandInRunner]] = []
         self.fleet = fleet.Fleet(
             folder=folder,
             gateways=gateways,
@@ -107,11 +130,16 @@
             list_address=self._list.address,
             seen=self.seen,
             link_bytes_s=link_bytes_s,
+            spares=sum(
+                isinstance(timed.fault, schedule.ReplaceReplica)
+                for timed in self.schedule
+            ),
         )
         self._configuration = operators.Configuration()
         self._operator = operators.Operator(
             seed=seed,
             address_by_replica=self.fleet.replica_address_by_name,
+            listed=lambda: self.fleet.listed,
             seen=self.seen,
         )
         self._callers = [
@@ -120,6 +148,9 @@
                 seed=seed,
                 address_by_gateway=self.fleet.gateway_address_by_name,
                 seen=self.seen,
+                weights=callers.PROBING_WEIGHTS
+                if core
+                else callers.KIND_WEIGHTS,
             )
             for number in range(caller_count)
         ]
@@ -131,19 +162,6 @@
             )
             for number in range(hostile_count)
         ]
-        self._first_runners = FIRST_RUNNERS + (MORE_ENGINES if versions else ())
-        self.schedule = schedule.draw(
-            seed,
-            duration_s=duration_s,
-            scope=schedule.Scope(
-                gateways=tuple(self.fleet.gateway_address_by_name),
-                replicas=tuple(self.fleet.replica_address_by_name),
-                runners=len(self._first_runners),
-                large_tables=large_tables,
-                limits=limits,
-                versions=versions,
-            ),
-        )
         self._version_count = 2 if versions else 1
 
     def play(self) -> None:
@@ -193,17 +211,17 @@
         for timed in self.schedule:
             self._pause_until(start_s + timed.at_s)
             self._apply(timed.fault)
-        # Runners that drain leave before the end.
+        # What has begun is completed: runners that drain leave, replicas start.
         self._pause_until(
-            max((at_s for at_s, _ in self._leaving), default=0.0) + 0.1
+            max((at_s for at_s, _ in self._later), default=0.0) + 0.1
         )
 
     def _pause_until(self, until_s: float) -> None:
         while True:
             now_s = time.monotonic()
-            for entry in [e for e in self._leaving if e[0] <= now_s]:
-                self._leaving.remove(entry)
-                entry[1].close()
+            for entry in [e for e in self._later if e[0] <= now_s]:
+                self._later.remove(entry)
+                entry[1]()
             if now_s >= until_s:
                 return
             time.sleep(min(0.05, until_s - now_s))
@@ -211,14 +229,21 @@
     def _apply(self, fault: schedule.Fault) -> None:
         node_by_name = self.fleet.node_by_name
         match fault:
-            case schedule.Terminate(process=name):
-                node_by_name[name].terminate()
-            case schedule.Reload(process=name):
-                node_by_name[name].reload()
-            case schedule.Freeze(process=name, for_s=for_s):
-                node_by_name[name].freeze(for_s)
-            case schedule.Kill(process=name):
-                node_by_name[name].kill()
+            case schedule.Terminate(process=process):
+                node_by_name[self._machine(process)].terminate()
+            case schedule.Reload(process=process):
+                node_by_name[self._machine(process)].reload()
+            case schedule.Freeze(process=process, for_s=for_s):
+                node_by_name[self._machine(process)].freeze(for_s)
+            case schedule.Kill(process=process):
+                node_by_name[self._machine(process)].kill()
+            case (
+                schedule.ReplaceReplica()
+                | schedule.LoseDisk()
+                | schedule.WriteSeeds()
+                | schedule.CutLinks()
+            ):
+                self._apply_to_core(fault)
             case (
                 schedule.ToggleRoute()
                 | schedule.ToggleBlock()
@@ -231,6 +256,81 @@
             case _:
                 self._apply_to_runner(fault)
 
+    def _machine(self, process: str) -> str:
+        """Return the machine that a fault names by its place in the core."""
+        listed = self.fleet.listed
+        if process == schedule.LEADER:
+            return self._operator.leader
+        if process in schedule.LISTED:
+            return listed[schedule.LISTED.index(process) % len(listed)]
+        return process
+
+    def _apply_to_core(
+        self,
+        fault: (
+            schedule.ReplaceReplica
+            | schedule.LoseDisk
+            | schedule.WriteSeeds
+            | schedule.CutLinks
+        ),
+    ) -> None:
+        match fault:
+            case schedule.WriteSeeds(reloaded=reloaded):
+                self.fleet.write_seeds()
+                for process in reloaded:
+                    self.fleet.node_by_name[self._machine(process)].reload()
+                return
+            case schedule.CutLinks(
+                processes=processes, others=others, for_s=for_s
+            ):
+                machines = map(self._machine, others or self._running())
+                pairs = {
+                    (name, other)
+                    for name, other in itertools.product(
+                        map(self._machine, processes), list(machines)
+                    )
+                    if name != other
+                }
+                self.fleet.cut(sorted(pairs), for_s)
+                return
+        name = self._machine(fault.process)
+        if (
+            self._replacing
+            or name not in self.fleet.listed
+            or not self.fleet.may_lose_disk()
+        ):
+            self.skipped.append(fault)
+            return
+        match fault:
+            case schedule.LoseDisk():
+                self.fleet.node_by_name[name].lose_disk()
+            case schedule.ReplaceReplica(how=how, gap_s=gap_s):
+                self._replace(name, how, gap_s)
+
+    def _running(self) -> list[str]:
+        """Return all machines but replicas that aren't listed."""
+        return [*self.fleet.listed, *self.fleet.gateway_address_by_name]
+
+    def _replace(self, name: str, how: schedule.Removal, gap_s: float) -> None:
+        self._replacing += 1
+
+        def start() -> None:
+            self.fleet.start_spare()
+
+        def remove() -> None:
+            self.fleet.remove_replica(name, how=how)
+
+        steps = [remove, start]
+        if how is schedule.Removal.STOPPED:
+            steps.reverse()
+
+        def complete() -> None:
+            steps[1]()
+            self._replacing -= 1
+
+        steps[0]()
+        self._later.append((time.monotonic() + gap_s, complete))
+
     def _apply_to_runner(self, fault: schedule.Fault) -> None:
         match fault:
             case schedule.AddRunner(service=service, stage=stage):
@@ -276,7 +376,7 @@
         ]
         if others and runner.is_listed and runner.state == "ready":
             runner.state = "draining"
-            self._leaving.append((time.monotonic() + leave_after_s, runner))
+            self._later.append((time.monotonic() + leave_after_s, runner.close))
 
 
 def _is_ready(address: str) -> bool:
@@ -302,6 +402,7 @@
     limits: bool = False,
     versions: bool = False,
     hostile_count: int = 0,
+    core: bool = False,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -317,6 +418,7 @@
         limits=limits,
         versions=versions,
         hostile_count=hostile_count,
+        core=core,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -364,6 +466,8 @@
         counts = collections.Counter(value for value in values if value)
         text = ", ".join(f"{n} {v}" for v, n in counts.most_common())
         yield f"{title}: {text}"
+    if soak.skipped:
+        yield f"skipped, as a disk was lost before: {len(soak.skipped)}"
     yield f"time: {time.monotonic() - started_s:.1f} s"
     # They tell a soak that is too slow from a system that is.
     yield f"links between processes: {soak.fleet.links.report}"
@@ -372,6 +476,15 @@
     usage = accounts.describe_usage(seen, time.time() - time.monotonic())
     yield f"usage, reported of begun: {usage}"
     yield f"links to runners: {soak.proxy.report()}"
+    yield _describe_changes(seen)
+    yield from delays.describe(
+        seen,
+        {
+            name: soak.fleet.node_by_name[name].log_path
+            for name in soak.fleet.gateway_address_by_name
+        },
+        time.time() - time.monotonic(),
+    )
     judged = readings.count_judged(seen)
     yield "probes by bound: " + ", ".join(
         f"{count} {bound}" for bound, count in judged.most_common()
@@ -404,6 +517,20 @@
             yield ""
 
 
+def _describe_changes(seen: records.Records) -> str:
+    """Return how long the acknowledgements of configurations took."""
+    took_s = sorted(
+        publication.acknowledged_s - publication.sent_s
+        for publication in seen.publications
+        if publication.acknowledged_s
+    ) or [0.0]
+    return (
+        f"configurations: {len(seen.publications)}, acknowledged after"
+        f" {took_s[len(took_s) // 2]:.3f} s at the median, {took_s[-1]:.3f} s"
+        " at most"
+    )
+
+
 def _describe_duties(seen: records.Records) -> str:
     """Return the number of calls, and of the windows that they reported.
 
@@ -458,6 +585,7 @@
     parser.add_argument("--limits", action="store_true")
     parser.add_argument("--versions", action="store_true")
     parser.add_argument("--hostile", type=int, default=0)
+    parser.add_argument("--core", action="store_true")
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -479,6 +607,7 @@
             limits=arguments.limits,
             versions=arguments.versions,
             hostile_count=arguments.hostile,
+            core=arguments.core,
         )
     return 1 if findings else 0
 
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
+import enum
 import random
 from typing import final
 
@@ -17,6 +18,17 @@
 MAX_CHANGES = 8
 EXTRA_ROUTES = 6
 ROUTE_BLOCKS = 4
+# Names of the replica that leads, and of those on the operators' list, which
+# are not known before the soak.
+LEADER = "leader"
+LISTED = ("core-0", "core-1", "core-2")
+CORE_GAP_S = (0.5, 4.0)
+CUT_S = (1.0, 6.0)
+SUCCESSOR_GAP_S = (0.0, 3.0)
+# From a change of the operators' list to new seeds in settings files.
+SEED_LAG_S = (3.0, 6.0)
+STEADY_CHANGE_GAP_S = (0.3, 1.0)
+CORE_SERIES_GAP_S = (2.0, 6.0)
 
 
 @final
@@ -141,6 +153,63 @@
     for_s: float
 
 
+@final
+class Removal(enum.StrEnum):
+    """How a control replica is removed for good."""
+
+    # SIGTERM, after its successor was started.
+    STOPPED = "stopped"
+    # SIGKILL, and its successor is started later.
+    KILLED = "killed"
+    # The same, but its connections don't end.
+    SILENT = "silent"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceReplica:
+    """Replace a control replica by an empty one at another address.
+
+    `gap_s` passes between the removal and the start, or the other way round.
+    """
+
+    process: str
+    how: Removal
+    gap_s: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoseDisk:
+    """SIGKILL and a restart of a control replica with an empty disk."""
+
+    process: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteSeeds:
+    """Write the newest seeds to all settings files; SIGHUP to some processes.
+
+    Until then, processes that start have outdated ones.
+    """
+
+    reloaded: tuple[str, ...]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutLinks:
+    """Cut links silently: of each of `processes` to each of `others`.
+
+    Empty `others` stand for all machines.
+    """
+
+    processes: tuple[str, ...]
+    others: tuple[str, ...]
+    for_s: float
+
+
 Fault = (
     Terminate
     | Reload
@@ -156,6 +225,10 @@
     | AddRunner
     | DisturbLink
     | LimitRunner
+    | ReplaceReplica
+    | LoseDisk
+    | WriteSeeds
+    | CutLinks
 )
 
 
@@ -174,7 +247,8 @@
     """What a schedule may disturb.
 
     `large_tables` has tables become large, `limits` has runners name limits,
-    `versions` has them start with other versions of their software.
+    `versions` has them start with other versions of their software. `core` has
+    replicas be replaced, lose their disks and be cut off.
     """
 
     gateways: tuple[str, ...]
@@ -183,6 +257,7 @@
     large_tables: bool = False
     limits: bool = False
     versions: bool = False
+    core: bool = False
 
 
 Series = Callable[[random.Random, Scope], Iterator[Timed]]
@@ -221,10 +296,97 @@
     # They have a chance of their own, and begin early: a removed key is judged
     # only some seconds later.
     timed += _key_changes(random.Random(f"{seed}/keys"))
+    if scope.core:
+        timed = [
+            *_core_faults(random.Random(f"{seed}/core"), scope, duration_s),
+            *_key_changes(random.Random(f"{seed}/keys")),
+        ]
     in_time = (fault for fault in timed if fault.at_s < duration_s)
     return tuple(sorted(in_time, key=lambda fault: fault.at_s))
 
 
+def _core_faults(
+    chance: random.Random, scope: Scope, duration_s: float
+) -> Iterator[Timed]:
+    """Yield faults of the core and of links, beside a few others.
+
+    Gateways and runners are disturbed less often than otherwise, so that the
+    requests of most gateways are judged.
+    """
+    at_s = 0.5
+    while at_s < duration_s:
+        yield Timed(at_s, _draw_change(chance))
+        at_s += chance.uniform(*STEADY_CHANGE_GAP_S)
+    at_s = chance.uniform(0.5, 1.5)
+    while at_s < duration_s:
+        for timed in chance.choice(CORE_SERIES)(chance, scope):
+            yield Timed(at_s + timed.at_s, timed.fault)
+        at_s += chance.uniform(*CORE_GAP_S)
+    at_s = chance.uniform(*CORE_SERIES_GAP_S)
+    others = dataclasses.replace(scope, replicas=())
+    while at_s < duration_s:
+        for timed in chance.choice(CALM_SERIES)(chance, others):
+            yield Timed(at_s + timed.at_s, timed.fault)
+        at_s += chance.uniform(*CORE_SERIES_GAP_S)
+
+
+def _replace_replica(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    gap_s = chance.uniform(*SUCCESSOR_GAP_S)
+    process = chance.choice((LEADER, *LISTED))
+    how = chance.choice(list(Removal))
+    yield Timed(0.0, ReplaceReplica(process, how, gap_s))
+    reloaded = chance.sample(
+        scope.gateways, chance.randint(0, len(scope.gateways))
+    )
+    lag_s = gap_s + chance.uniform(*SEED_LAG_S)
+    yield Timed(lag_s, WriteSeeds((*reloaded, *LISTED)))
+
+
+def _lose_disk(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    del scope  # The replicas are named by their places.
+    yield Timed(0.0, LoseDisk(chance.choice((LEADER, *LISTED))))
+
+
+def _cut_replica(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    del scope  # The replicas are named by their places.
+    process = chance.choice((LEADER, *LISTED))
+    yield Timed(0.0, CutLinks((process,), (), chance.uniform(*CUT_S)))
+
+
+def _cut_gateways(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    """Cut some gateways from the leader, a part of the core, or others."""
+    most = max(1, len(scope.gateways) // 3)
+    some = tuple(chance.sample(scope.gateways, chance.randint(1, most)))
+    others = chance.choice(
+        (
+            (LEADER,),
+            tuple(chance.sample(LISTED, chance.randint(1, 2))),
+            scope.gateways,
+        )
+    )
+    yield Timed(0.0, CutLinks(some, others, chance.uniform(*CUT_S)))
+
+
+def _signal_replica(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    del scope  # The replicas are named by their places.
+    process = chance.choice((LEADER, *LISTED))
+    yield Timed(
+        0.0,
+        chance.choice(
+            (
+                Kill(process),
+                Terminate(process),
+                Freeze(process, chance.uniform(*FREEZE_S)),
+            )
+        ),
+    )
+
+
+def _restart_gateway(chance: random.Random, scope: Scope) -> Iterator[Timed]:
+    gateway = chance.choice(scope.gateways)
+    yield Timed(0.0, chance.choice((Kill(gateway), Terminate(gateway))))
+
+
 def _some_gateways(chance: random.Random, scope: Scope) -> list[str]:
     most = max(1, len(scope.gateways) * 2 // 3)
     return chance.sample(scope.gateways, chance.randint(1, most))
@@ -387,6 +549,23 @@
     )
 
 
+CORE_SERIES: tuple[Series, ...] = (
+    _replace_replica,
+    _replace_replica,
+    _lose_disk,
+    _cut_replica,
+    _cut_gateways,
+    _cut_gateways,
+    _signal_replica,
+)
+CALM_SERIES: tuple[Series, ...] = (
+    _restart_gateway,
+    _reloads,
+    _drain_runner,
+    _restart_runner,
+    _add_runner,
+    _disturb_link,
+)
 PLANNED_SERIES: tuple[Series, ...] = (
     _rolling_restart,
     _double_term,
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -28,6 +28,7 @@
     limits=True,
     versions=True,
 )
+CORE_SCOPE = dataclasses.replace(SCOPE, core=True)
 RUN = "a1/i-r1-1/7"
 EVENTS = b"".join(runners.event_bytes(number, RUN) for number in (1, 2, 3))
 UNANSWERED = {
@@ -54,6 +55,7 @@
         ),
         pytest.param(4, 11.0, {"limits": True}, id="4 limits"),
         pytest.param(5, 9.0, {"versions": True}, id="5 versions"),
+        pytest.param(6, 9.0, {"core": True}, id="6 core"),
     ],
 )
 def test_promises_hold_under_faults(
@@ -71,19 +73,26 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_same_seed_gives_the_same_schedule(seed: int) -> None:
+@pytest.mark.parametrize(
+    "scope",
+    [pytest.param(SCOPE, id="all"), pytest.param(CORE_SCOPE, id="core")],
+)
+def test_same_seed_gives_the_same_schedule(
+    seed: int, scope: schedule.Scope
+) -> None:
     first, second = (
-        schedule.draw(seed, duration_s=30.0, scope=SCOPE) for _ in range(2)
+        schedule.draw(seed, duration_s=30.0, scope=scope) for _ in range(2)
     )
     assert first == second
-    assert first != schedule.draw(seed + 1, duration_s=30.0, scope=SCOPE)
+    assert first != schedule.draw(seed + 1, duration_s=30.0, scope=scope)
 
 
 def test_schedules_contain_every_fault() -> None:
     kinds = {
         type(timed.fault)
         for seed in range(20)
-        for timed in schedule.draw(seed, duration_s=30.0, scope=SCOPE)
+        for scope in (SCOPE, CORE_SCOPE)
+        for timed in schedule.draw(seed, duration_s=30.0, scope=scope)
     }
     assert kinds == set(schedule.Fault.__args__)
 
