Ask the next control replica before one that is gone has timed out

A gateway refused requests as only an older table allows, more than 2 s after a change was acknowledged. Its polls went to one replica after the other: the one that answered last twice, up to 1.2 s each time, and each further one 0.6 to 1.2 s. Nothing was remembered of a failure, so that the next poll began with the same lost leader; a redirect to an address that is gone was waited for as well, and the seeds were added only after a whole round had failed.

`ControlClient.ask` asks the next replica after 100 ms without an answer, or at once after a failure or a redirect, and the first answer of a leader ends it. It is used where a request may be carried out more than once and one thread asks: the polls of gateways and requests to join. What replicas did before decides the order: the last leader, those that answered, those never asked, and last those that failed. Followers that redirected are asked again every 200 ms while a lost replica is waited for, as one of them may have been elected. The seeds join the round when no known replica is left to ask. At most 8 requests are in progress in a round, on 16 threads of each client. Calm polls go to the leader alone.

`call`, for claims, outcomes, orders and leases, asks one replica at a time as before, in the same order; it asks twice only a leader that had not failed, and doesn't follow a redirect to a replica that failed within the last second.

--- a/src/wisteriawall/control/joining.py
+++ b/src/wisteriawall/control/joining.py
@@ -69,7 +69,7 @@
             if self._replica.has_recent_leader(within_ms=LEADER_TIMEOUT_MS):
                 continue
             try:
-                reply = self._client.call(self._request)
+                reply = self._client.ask(self._request).reply
             except control_client.ControlUnavailable as error:
                 _LOG.info(
                     "control: request to join the cluster failed, retrying: %s",
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -591,18 +591,14 @@
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
         try:
-            asked = self._control.ask(follow)
+            asked = self._control.ask(
+                follow, fallback=self._seed_address_by_replica
+            )
         except control_client.ControlUnavailable as error:
             if self._stopping.is_set():
                 return
             self._record_connection(False, str(error))
             self._log_poll("", error.steps, called_ms)
-            self._control.set_replicas(
-                {
-                    **self._seed_address_by_replica,
-                    **self._control.address_by_replica,
-                }
-            )
             return
         answered_ms = clock.monotonic_ms()
         self._record_connection(True, "")
--- a/src/wisteriawall/wire/control_client.py
+++ b/src/wisteriawall/wire/control_client.py
@@ -5,9 +5,11 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+from concurrent import futures
 import dataclasses
 import enum
 import logging
+import queue
 import threading
 from typing import final
 
@@ -15,12 +17,18 @@
 from wisteriawall import errors
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
+from wisteriawall.wire import replica_rounds
 from wisteriawall.wire import transport
 
 __all__ = ["Asked", "ControlClient", "ControlUnavailable", "Outcome", "Step"]
 
 _LOG = logging.getLogger("rpc")
 
+# Requests of a round that are left when it ends keep their threads for up to
+# two timeouts, beside those of the next round.
+ASKING_THREADS = 2 * replica_rounds.MAX_PENDING
+MS_PER_S = 1_000
+
 
 @final
 class Outcome(enum.StrEnum):
@@ -32,6 +40,8 @@
     NO_ANSWER = "no-answer"
     MALFORMED = "malformed"
     CLOSED = "closed"
+    ERROR = "error"
+    PENDING = "pending"
 
 
 @final
@@ -39,6 +49,7 @@
 class Step:
     """One request to one replica, sent `asked_ms` after the call began.
 
+    It took `took_ms`, so far if it was still pending when the call ended.
     `redirect` is the leader that the replica named, empty if it named none.
     """
 
@@ -81,12 +92,24 @@
     reply: control_messages.ControlReply | None = None
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Ended:
+    """A request of a round that has ended, at `ended_ms`."""
+
+    replica: str
+    result: _Result
+    ended_ms: int
+
+
 @final
 class ControlClient:
     """Sends requests to the control replica that can answer them.
 
-    The replica that answered last, or that was named as the leader, is called
-    first; the others are tried in turn when it does not answer.
+    The replica that answered last is called first, and one that failed last of
+    all. `ask` calls the next one before the former has timed out, and is for
+    requests that may be carried out more than once, of one thread at a time.
+    `call` waits for each replica in turn.
 
     Args:
         address_by_replica: RPC address of every known replica, by its name.
@@ -112,7 +135,14 @@
         self._closed = False
         self._address_by_replica: dict[str, str] = {}
         self._client_by_replica: dict[str, transport.RpcClient] = {}
-        self._preferred_replica = next(iter(address_by_replica), "")
+        # Guarded by the lock.
+        self._replicas = replica_rounds.Replicas(
+            next(iter(address_by_replica), "")
+        )
+        # Starts threads when there is more to ask than they can.
+        self._asking = futures.ThreadPoolExecutor(
+            ASKING_THREADS, thread_name_prefix="ask-control"
+        )
         self.set_replicas(address_by_replica)
 
     def set_replicas(self, address_by_replica: Mapping[str, str]) -> None:
@@ -144,50 +174,108 @@
                     del addresses[replica]
             self._address_by_replica = addresses
             self._client_by_replica = clients
+            self._replicas.keep_only(clients)
 
     def call(
         self, request: control_messages.ControlRequest
     ) -> control_messages.ControlReply:
         """Return the first answer to `request` that is not a redirect.
 
-        Blocks for up to the RPC timeout at each replica that does not answer,
-        and twice at the one that is called first.
+        Blocks for up to two RPC timeouts at each replica that does not answer,
+        and twice at the one that answered last.
 
         Raises:
             ControlUnavailable: No replica answered, or each of them answered
                 that it is not the leader, or the client is closed.
         """
-        return self.ask(request).reply
+        named = ""
+        tried: set[str] = set()
+        while not self._closed and (
+            untried := set(self._client_by_replica) - tried
+        ):
+            with self._lock:
+                replica = (
+                    named if named in untried else self._replicas.first(untried)
+                )
+                # Its connection may have gone silent, and is replaced after the
+                # first attempt. The connections to others may be no better.
+                is_repeated = (
+                    replica == self._replicas.leader
+                    and not tried
+                    and not self._replicas.has_failed(replica)
+                )
+            tried.add(replica)
+            named = ""
+            result = self._call_replica(replica, request)
+            if result.reply is None and is_repeated:
+                result = self._call_replica(replica, request)
+            match result.reply:
+                case None:
+                    continue
+                case control_messages.NotLeader() as redirect:
+                    named = self._named_leader(redirect)
+                case reply:
+                    self._note_leader(replica)
+                    return reply
+        raise ControlUnavailable(self._failure())
 
-    def ask(self, request: control_messages.ControlRequest) -> Asked:
-        """Return the answer that `call` returns, and how it was found.
+    def ask(
+        self,
+        request: control_messages.ControlRequest,
+        *,
+        fallback: Mapping[str, str] | None = None,
+    ) -> Asked:
+        """Return the answer of the first replica that answers as the leader.
+
+        Replicas that are gone delay the call little, since the next one is
+        asked meanwhile. More than one replica may get the request.
+
+        Args:
+            request: A request that may be carried out more than once.
+            fallback: RPC addresses of further replicas by their names, which
+                are added when none of those that are known has answered.
 
         Raises:
             ControlUnavailable: As for `call`.
         """
-        steps: list[Step] = []
         started_ms = clock.monotonic_ms()
-        first = self._preferred_replica
-        for replica in self._replicas_to_try():
-            result = self._take_step(replica, request, started_ms, steps)
-            if result.reply is None and replica == first:
-                # Its connection may have gone silent, and is replaced now. The
-                # connections to the others may be no better.
-                result = self._take_step(replica, request, started_ms, steps)
-            match result.reply:
-                case None:
-                    continue
-                case control_messages.NotLeader() as redirect:
-                    self._follow_redirect(redirect)
-                case reply:
-                    self._prefer(replica)
-                    return Asked(reply, replica, tuple(steps))
-        raise ControlUnavailable(
-            "the client is closed"
-            if self._closed
-            else "no control replica could answer",
-            tuple(steps),
-        )
+        round_ = replica_rounds.Round(self._replicas)
+        ended: queue.SimpleQueue[_Ended] = queue.SimpleQueue()
+        asked_ms_by_replica: dict[str, int] = {}
+        steps: list[Step] = []
+        winner = None
+        while winner is None and not self._closed:
+            now_ms = clock.monotonic_ms()
+            known = self._client_by_replica
+            with self._lock:
+                replica = round_.next_replica(known, now_ms)
+            if replica is not None:
+                asked_ms_by_replica[replica] = now_ms
+                self._start_asking(replica, request, ended)
+                continue
+            if fallback and round_.wants_more(known, now_ms):
+                self._add_replicas(fallback)
+                fallback = None
+                continue
+            if not round_.is_waiting:
+                break
+            winner = self._await_answer(
+                round_, ended, started_ms, asked_ms_by_replica, steps
+            )
+        now_ms = clock.monotonic_ms()
+        steps += [
+            Step(
+                replica=replica,
+                outcome=Outcome.PENDING,
+                asked_ms=asked_ms - started_ms,
+                took_ms=now_ms - asked_ms,
+            )
+            for replica, asked_ms in asked_ms_by_replica.items()
+        ]
+        if winner is None or winner.result.reply is None:
+            raise ControlUnavailable(self._failure(), tuple(steps))
+        self._note_leader(winner.replica)
+        return Asked(winner.result.reply, winner.replica, tuple(steps))
 
     def call_all(
         self, request: control_messages.ControlRequest
@@ -222,57 +310,147 @@
         """Close the connections to all replicas and end calls in progress."""
         with self._lock:
             self._closed = True
+            self._asking.shutdown(wait=False, cancel_futures=True)
         for client in self._client_by_replica.values():
             client.close_after_calls()
         for client in self._client_by_replica.values():
             client.close()
 
-    def _replicas_to_try(self) -> Iterator[str]:
-        """Yield each replica once, the preferred one first.
-
-        The preference and the set of replicas are read again before each step,
-        because a redirect changes both.
-        """
-        tried: set[str] = set()
-        while not self._closed and (
-            untried := set(self._client_by_replica) - tried
-        ):
-            replica = self._preferred_replica
-            if replica not in untried:
-                replica = min(untried)
-            tried.add(replica)
-            yield replica
-
-    def _follow_redirect(self, reply: control_messages.NotLeader) -> None:
-        """Call the leader named in `reply` next, adding it if it is unknown."""
-        addresses = self._address_by_replica
-        if (
-            reply.rpc_address
-            and addresses.get(reply.leader) != reply.rpc_address
-        ):
-            self.set_replicas({**addresses, reply.leader: reply.rpc_address})
-        self._prefer(reply.leader)
-
-    def _prefer(self, replica: str) -> None:
-        """Call `replica` first from now on, unless it is unknown."""
+    def _start_asking(
+        self,
+        replica: str,
+        request: control_messages.ControlRequest,
+        ended: queue.SimpleQueue[_Ended],
+    ) -> None:
+        """Call a replica on another thread, unless the client is closed."""
         with self._lock:
-            if replica in self._client_by_replica:
-                self._preferred_replica = replica
+            if not self._closed:
+                self._asking.submit(self._ask_replica, replica, request, ended)
 
-    def _take_step(
+    def _ask_replica(
         self,
         replica: str,
         request: control_messages.ControlRequest,
+        ended: queue.SimpleQueue[_Ended],
+    ) -> None:
+        try:
+            result = self._call_replica(replica, request)
+        except Exception:
+            # The round waits for what comes of each request.
+            _LOG.exception("rpc: asking replica %s failed", replica)
+            result = _Result(Outcome.ERROR)
+        ended.put(
+            _Ended(
+                replica=replica,
+                result=result,
+                ended_ms=clock.monotonic_ms(),
+            )
+        )
+
+    def _await_answer(
+        self,
+        round_: replica_rounds.Round,
+        ended: queue.SimpleQueue[_Ended],
         started_ms: int,
+        asked_ms_by_replica: dict[str, int],
         steps: list[Step],
+    ) -> _Ended | None:
+        """Wait until a request has ended or the next replica is due.
+
+        Returns:
+            The answer of the leader, None if it has not answered.
+        """
+        wait_ms = round_.wait_ms(clock.monotonic_ms())
+        try:
+            last = ended.get(timeout=wait_ms / MS_PER_S)
+        except queue.Empty:
+            return None
+        asked_ms = asked_ms_by_replica.pop(last.replica)
+        now_ms = clock.monotonic_ms()
+        redirect = ""
+        winner = None
+        match last.result.reply:
+            case None:
+                is_sent = last.result.outcome is Outcome.NO_ANSWER
+                round_.note_failed(last.replica, is_sent=is_sent, now_ms=now_ms)
+            case control_messages.NotLeader(leader=redirect) as reply:
+                self._named_leader(reply)
+                with self._lock:
+                    round_.note_redirect(last.replica, redirect, now_ms)
+            case _:
+                winner = last
+        steps.append(
+            Step(
+                replica=last.replica,
+                outcome=last.result.outcome,
+                asked_ms=asked_ms - started_ms,
+                took_ms=last.ended_ms - asked_ms,
+                redirect=redirect,
+            )
+        )
+        return winner
+
+    def _named_leader(self, redirect: control_messages.NotLeader) -> str:
+        """Return the leader that a replica named, adding it if it is unknown.
+
+        Returns an empty name if that one failed a moment ago: replicas name a
+        leader that is gone until their next election.
+        """
+        leader = redirect.leader
+        if redirect.rpc_address and (
+            self._address_by_replica.get(leader) != redirect.rpc_address
+        ):
+            self.set_replicas(
+                {**self._address_by_replica, leader: redirect.rpc_address}
+            )
+        with self._lock:
+            failed_lately = self._replicas.failed_lately(
+                leader, clock.monotonic_ms()
+            )
+        return "" if failed_lately else leader
+
+    def _add_replicas(self, address_by_replica: Mapping[str, str]) -> None:
+        """Add the replicas whose names and addresses are not known."""
+        known = self._address_by_replica
+        addresses = set(known.values())
+        added = {
+            replica: address
+            for replica, address in address_by_replica.items()
+            if replica not in known and address not in addresses
+        }
+        if added:
+            self.set_replicas({**known, **added})
+
+    def _note_leader(self, replica: str) -> None:
+        """Call `replica` first from now on, unless it is unknown."""
+        with self._lock:
+            if replica in self._client_by_replica:
+                self._replicas.leader = replica
+
+    def _failure(self) -> str:
+        return (
+            "the client is closed"
+            if self._closed
+            else "no control replica could answer"
+        )
+
+    def _call_replica(
+        self, replica: str, request: control_messages.ControlRequest
     ) -> _Result:
-        """Call a replica and append what came of it to `steps`."""
+        """Call a replica and note whether it answered."""
         asked_ms = clock.monotonic_ms()
-        result = self._call_replica(replica, request)
-        steps.append(_to_step(replica, result, started_ms, asked_ms))
+        result = self._exchange(replica, request)
+        now_ms = clock.monotonic_ms()
+        with self._lock:
+            if replica not in self._client_by_replica:
+                pass
+            elif result.reply is not None:
+                self._replicas.note_answered(replica, now_ms)
+            elif result.outcome is not Outcome.CLOSED:
+                self._replicas.note_failed(replica, asked_ms, now_ms)
         return result
 
-    def _call_replica(
+    def _exchange(
         self, replica: str, request: control_messages.ControlRequest
     ) -> _Result:
         """Call a replica that may have been removed meanwhile."""
@@ -293,18 +471,3 @@
         if isinstance(reply, control_messages.NotLeader):
             return _Result(Outcome.REDIRECTED, reply)
         return _Result(Outcome.ANSWERED, reply)  # type: ignore[arg-type]
-
-
-def _to_step(
-    replica: str, result: _Result, started_ms: int, asked_ms: int
-) -> Step:
-    redirect = ""
-    if isinstance(result.reply, control_messages.NotLeader):
-        redirect = result.reply.leader
-    return Step(
-        replica=replica,
-        outcome=result.outcome,
-        asked_ms=asked_ms - started_ms,
-        took_ms=clock.monotonic_ms() - asked_ms,
-        redirect=redirect,
-    )
--- a/testing/wire/test_control_client.py
+++ b/testing/wire/test_control_client.py
@@ -42,7 +42,7 @@
     while True:
         started.set()
         try:
-            client.call(follow)
+            getattr(client, sys.argv[2])(follow)
         except control_client.ControlUnavailable:
             pass
 
@@ -133,8 +133,9 @@
                 client.call(FOLLOW)
 
 
+@pytest.mark.parametrize("method", ["call", "ask"])
 def test_close_waits_for_a_call_that_still_uses_nng(
-    monkeypatch: pytest.MonkeyPatch,
+    method: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     close_context = pynng.Context.close
     has_left_nng = threading.Event()
@@ -148,7 +149,7 @@
 
     def call(client: control_client.ControlClient) -> None:
         with pytest.raises(control_client.ControlUnavailable):
-            client.call(FOLLOW)
+            getattr(client, method)(FOLLOW)
 
     with (
         serve_mute_replica() as (address, received),
@@ -164,7 +165,10 @@
             thread.join()
 
 
-def test_process_ends_while_a_thread_polls_a_closed_client() -> None:
+@pytest.mark.parametrize("method", ["call", "ask"])
+def test_process_ends_while_a_thread_polls_a_closed_client(
+    method: str,
+) -> None:
     """Calls reached NNG after its shutdown: a traceback, SIGABRT or SIGFPE."""
     ended = subprocess.run(
         [
@@ -172,6 +176,7 @@
             "-c",
             POLLING_SCRIPT,
             cluster.unused_loopback_address(),
+            method,
         ],
         stderr=subprocess.PIPE,
         timeout=platform_site.WAIT_S,
