Share the retry slack by leases that contact with control renews

Callers' retries went beyond the retry budget while gateways were out of touch with control: it counted the gateways of the last 3 s, so that those in touch shared the whole slack, and those out of touch went on to use their former shares. A leader that had just been elected counted only those that it had heard since, and told each of the first ones an eighth.

Control now counts each gateway for 45 s after its last poll, and all divide by the largest count of the last 45 s. Gateways tell it to control, with its age, so that a new leader knows it. A gateway without contact for 30 s, a window and 5 s less, has no slack until control answers; it then earns its share over a window, as after a restart. What control said counts from when it was asked, so that the answer to a poll from before a freeze renews nothing. A fleet that starts for the first time has its slack with the first answer, as before.

While clocks differ by less than a tenth in speed, the shares that are in use in any window add up to half of the slack; only a count that grows while gateways are out of touch or at the first start makes them more, up to twice that. The other half is for gateways that start again and have lost their count of retries.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -8,6 +8,7 @@
 
 from wisteriawall.config import table_history
 from wisteriawall.control import events
+from wisteriawall.control import gateway_counts
 from wisteriawall.control import load_events as load_events_lib
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import redirect
@@ -73,7 +74,8 @@
     list of runners whose versions are not committed yet. They are committed
     once a gateway of this version asks (`commits_versions`): older replicas,
     which can't apply the command, are upgraded before it. `load_events` counts
-    the load events of the gateways.
+    the load events of the gateways, and `counts` the gateways that share the
+    retry budget.
     `limit_by_runner` are the newest limits that gateways know, and when the
     requests were sent whose answers named them.
     """
@@ -103,6 +105,9 @@
     load_events: load_events_lib.LoadEventCounts = dataclasses.field(
         default_factory=load_events_lib.LoadEventCounts
     )
+    counts: gateway_counts.GatewayCounts = dataclasses.field(
+        default_factory=gateway_counts.GatewayCounts
+    )
 
 
 def keep_table(updates: GatewayUpdates, ledger: state.Ledger) -> None:
@@ -186,6 +191,9 @@
     if not raft.holds_lease(now_ms):
         return redirect.to_leader(raft)
     _record_gateway(updates, request, now_ms)
+    gateways_heard, most_gateways = gateway_counts.note(
+        updates.counts, request, now_ms
+    )
     keep_table(updates, ledger)
     published = ledger.published
     number = published.table.number if published else 0
@@ -241,6 +249,8 @@
             term=raft.term,
         ),
         usage=usage or gateway_messages.UsageReceipt(),
+        gateways_heard=gateways_heard,
+        most_gateways=most_gateways,
     )
 
 
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -299,6 +299,10 @@
     usage: gateway_messages.UsageReceipt = dataclasses.field(
         default_factory=gateway_messages.UsageReceipt
     )
+    gateways_heard: int = 0
+    most_gateways: gateway_messages.GatewayCount = dataclasses.field(
+        default_factory=gateway_messages.GatewayCount
+    )
 
 
 @final
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -213,11 +213,8 @@
             random=chance,
             limits=runner_limits.RunnerLimits(chance),
             tuning=tuning,
-            retries=retry_window.RetryWindow(
-                window_ms=budget.window_ms,
-                ratio=budget.ratio,
-                slack=budget.slack / 2,
-                gateways=retry_budget.MIN_BUDGET_GATEWAYS,
+            retries=retry_budget.new_window(
+                budget,
                 started_ms=clock.monotonic_ms() if is_restart else None,
             ),
             usage=usage_lib.UsageCounts(window_ms=usage_window_ms),
@@ -569,6 +566,7 @@
             blocked_ms_by_parts, suspects = suspects_lib.report(gateway, now_ms)
             limit_by_runner = limits.known(gateway, now_ms)
             usage = usage_events.report(gateway, now_ms, clock.wall_ms())
+            most_gateways = retry_budget.report(gateway, now_ms)
         follow = gateway_messages.FollowRequest(
             self._identity.name,
             self._identity.incarnation,
@@ -584,6 +582,7 @@
             suspects,
             self._load_events_sent,
             usage=usage,
+            most_gateways=most_gateways,
         )
         self._announced_table = follow.table_number
         called_ms = clock.monotonic_ms()
@@ -666,6 +665,8 @@
             mixed_services=tuple(reply.mixed_services),
             load_events_of_others=reply.load_events_of_others,
             usage=reply.usage,
+            gateways_heard=reply.gateways_heard,
+            most_gateways=reply.most_gateways,
         )
         self._submit(update)
         if table is not None:
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -1,7 +1,9 @@
 """Retry budget of each service over a sliding window, in each gateway.
 
 A gateway counts only its own requests and retries. The retries that are always
-allowed are divided evenly among the gateways of the deployment.
+allowed, the slack, are divided evenly among the gateways of the deployment. A
+gateway's share is a lease, which contact with control renews: control may count
+no longer with a gateway that it has not heard for long.
 """
 
 import bisect
@@ -9,6 +11,8 @@
 import dataclasses
 from typing import final
 
+from wisteriawall.policy import gateway_count
+
 __all__ = ["Excess", "RetryBudgetSettings", "RetryWindow"]
 
 # Windows that are checked at each retry begin at this many times.
@@ -59,19 +63,24 @@
         window_ms: Length of the window.
         ratio: Retries allowed for each request in the window.
         slack: Retries that all gateways together may always make in a window.
-        gateways: Initial number of gateways that the slack is divided among.
+        gateways: Smallest number of gateways that the slack is divided among.
+        lease_ms: Time without contact after which no slack is left; there is
+            none before the first contact. None if contact is not needed.
         started_ms: When this gateway started again. The slack is earned over
             the first window, as an earlier process may have used it just
             before. With None it is available at once.
     """
 
     __slots__ = (
-        "_gateways",
+        "_contact_ms",
+        "_counts",
+        "_earned_from_ms",
+        "_lease_ms",
+        "_min_gateways",
         "_ratio",
         "_requests_by_service",
         "_retries_by_service",
         "_slack",
-        "_started_ms",
         "_window_ms",
     )
 
@@ -82,13 +91,17 @@
         ratio: float,
         slack: float,
         gateways: int = 1,
+        lease_ms: int | None = None,
         started_ms: int | None = None,
     ) -> None:
-        self._gateways = gateways
+        self._min_gateways = gateways
+        self._counts = gateway_count.LargestCount()
+        self._lease_ms = lease_ms
+        self._contact_ms: int | None = None
         self._window_ms = window_ms
         self._ratio = ratio
         self._slack = slack
-        self._started_ms = started_ms
+        self._earned_from_ms = started_ms
         # Times, oldest first.
         self._requests_by_service: dict[str, list[int]] = (
             collections.defaultdict(list)
@@ -105,14 +118,28 @@
         if now_ms - requests[len(requests) // 2] > 2 * self._window_ms:
             del requests[: len(requests) // 2]
 
-    @property
-    def gateways(self) -> int:
+    def find_count(self, now_ms: int) -> gateway_count.Count | None:
+        """Return the largest number of gateways that is known."""
+        return self._counts.find(now_ms)
+
+    def gateways(self, now_ms: int) -> int:
         """Return the number of gateways that the slack is divided among."""
-        return self._gateways
+        count = self._counts.find(now_ms)
+        return max(self._min_gateways, count.gateways if count else 0)
+
+    def note_count(self, count: gateway_count.Count) -> None:
+        """Record a number of gateways; it holds until it is old."""
+        self._counts.note(count)
+
+    def note_contact(self, contact_ms: int) -> None:
+        """Renew the share of the slack by contact with control at a time.
 
-    def set_gateways(self, gateways: int) -> None:
-        """Set the number of gateways that the slack is divided among."""
-        self._gateways = gateways
+        After the end of the last lease, other gateways may have used the whole
+        slack just before, so that it is earned over a window again.
+        """
+        if self._has_lease_ended(contact_ms) and self._contact_ms is not None:
+            self._earned_from_ms = contact_ms
+        self._contact_ms = max(contact_ms, self._contact_ms or contact_ms)
 
     def take_retry(self, service: str, now_ms: int) -> bool:
         """Count one retry; return False if the budget does not allow it."""
@@ -141,10 +168,21 @@
 
     def slack(self, now_ms: int) -> float:
         """Return this gateway's share of the slack."""
-        share = self._slack / self._gateways
-        if self._started_ms is None:
+        if self._has_lease_ended(now_ms):
+            return 0.0
+        share = self._slack / self.gateways(now_ms)
+        if self._earned_from_ms is None:
             return share
-        return share * min(1.0, (now_ms - self._started_ms) / self._window_ms)
+        earned_ms = max(0, now_ms - self._earned_from_ms)
+        return share * min(1.0, earned_ms / self._window_ms)
+
+    def _has_lease_ended(self, now_ms: int) -> bool:
+        if self._lease_ms is None:
+            return False
+        return (
+            self._contact_ms is None
+            or now_ms - self._contact_ms > self._lease_ms
+        )
 
     def _mean_requests(self, requests: list[int], start_ms: int) -> float:
         """Return the requests of the window that begins at `start_ms`."""
--- a/src/wisteriawall/wire/gateway_messages.py
+++ b/src/wisteriawall/wire/gateway_messages.py
@@ -19,6 +19,7 @@
     "FindStreamRequest",
     "FollowRequest",
     "Followed",
+    "GatewayCount",
     "GatewayPeer",
     "JoinReply",
     "JoinRequest",
@@ -187,6 +188,14 @@
     next_window: int = 0
 
 
+@final
+class GatewayCount(msgspec.Struct, frozen=True, array_like=True):
+    """Number of gateways that control heard `age_ms` ago; 0 if not known."""
+
+    gateways: int = 0
+    age_ms: int = 0
+
+
 @final
 class FollowRequest(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
     """Request of a gateway for updates; it is also a heartbeat.
@@ -206,7 +215,8 @@
     version: its blocks are not committed, as older replicas may not know how.
     `load_events_sent` counts the load events that it has broadcast, -1 at a
     gateway of an older version. `usage` is None at a gateway that counts no
-    usage, or of an older version, as `suspects` is.
+    usage, or of an older version, as `suspects` is. `most_gateways` is the
+    largest number of gateways that it was told lately.
     """
 
     gateway: str
@@ -223,6 +233,7 @@
     suspects: SuspectReport | None = None
     load_events_sent: int = -1
     usage: UsageReport | None = None
+    most_gateways: GatewayCount = GatewayCount()
 
 
 @final
@@ -243,6 +254,9 @@
     `load_events_of_others` is how many load events the other gateways sent
     since the leader began to count, -1 if the gateway does not count its own.
     `usage` says what is committed of the usage that the gateway reported.
+    `gateways_heard` is the number of gateways that share the retry budget, as
+    far as the leader has heard them, 0 at an older version, and `most_gateways`
+    the largest one that gateways know.
     """
 
     age_ms: int
@@ -260,6 +274,8 @@
     mixed_services: list[str] = []
     load_events_of_others: int = -1
     usage: UsageReceipt = UsageReceipt()
+    gateways_heard: int = 0
+    most_gateways: GatewayCount = GatewayCount()
 
 
 @final
--- a/testing/gateway/test_retry_budget.py
+++ b/testing/gateway/test_retry_budget.py
@@ -8,6 +8,7 @@
 from wisteriawall.gateway import events
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import reducer
+from wisteriawall.gateway import retry_budget
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import retry_window
 from wisteriawall.web import refusal as refusal_lib
@@ -39,7 +40,7 @@
 
 
 def tell(
-    gateway: state_lib.Gateway, gateways: int, now_ms: int
+    gateway: state_lib.Gateway, gateways: int, now_ms: int, took_ms: int = 5
 ) -> list[events.LogDecision]:
     """Let control tell the number of gateways; return the lines about it."""
     update = events.ControlUpdate(
@@ -47,7 +48,7 @@
         upstreams=gateway_messages.UpstreamList(1, 1, RUNNERS),
         gateway_count=gateways,
         now_ms=now_ms,
-        took_ms=5,
+        took_ms=took_ms,
     )
     return lines(gateway, update, "retry-share")
 
@@ -124,3 +125,21 @@
         "former_ms": 1_100,
         "silence_ms": 905,
     }
+
+
+def test_answer_from_before_a_freeze_renews_the_share() -> None:
+    """A gateway that was thawed used the share it was told long before."""
+    gateway = make_gateway()
+    gateway.retries = retry_budget.new_window(
+        retry_window.RetryBudgetSettings(
+            window_ms=10_000, ratio=0.2, slack=160
+        ),
+        started_ms=None,
+    )
+    tell(gateway, 8, 1_000)
+    assert gateway.retries.slack(1_000) == 10
+    frozen_ms = 60_000
+    tell(gateway, 8, 1_000 + frozen_ms, took_ms=frozen_ms)
+    assert gateway.retries.slack(1_000 + frozen_ms) == 0
+    tell(gateway, 8, 2_000 + frozen_ms)
+    assert gateway.retries.slack(12_000 + frozen_ms) == 10
--- a/testing/policy/test_retry_window.py
+++ b/testing/policy/test_retry_window.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from wisteriawall.policy import gateway_count
 from wisteriawall.policy import retry_window
 
 WINDOW_MS = 1_000
@@ -79,7 +80,7 @@
     window = retry_window.RetryWindow(
         window_ms=WINDOW_MS, ratio=RATIO, slack=88, gateways=4
     )
-    window.set_gateways(gateways)
+    window.note_count(gateway_count.Count(gateways=gateways, heard_ms=0))
     retry_count = sum(window.take_retry("a", now_ms) for now_ms in range(100))
     assert retry_count == allowed
 
@@ -96,6 +97,34 @@
     assert window.take_retry("a", WINDOW_MS)
 
 
+LEASE_MS = 3_000
+
+
+@pytest.mark.parametrize(
+    ("contacts_ms", "now_ms", "slack"),
+    [
+        pytest.param((), 500, 0, id="never"),
+        pytest.param((500,), 500, 8, id="first"),
+        pytest.param((500,), 500 + LEASE_MS, 8, id="lease"),
+        pytest.param((500,), 501 + LEASE_MS, 0, id="lease-ended"),
+        pytest.param((2_000, 500), 2_000 + LEASE_MS, 8, id="answers-overtake"),
+        pytest.param((500, 3_600), 3_600, 0, id="back"),
+        pytest.param((500, 3_600), 3_850, 2, id="back-a-quarter-window-ago"),
+        pytest.param((500, 3_600, 4_700), 4_700, 8, id="back-for-long"),
+    ],
+)
+def test_slack_is_used_without_contact(
+    contacts_ms: tuple[int, ...], now_ms: int, slack: float
+) -> None:
+    """Control forgets a silent gateway, and others take its share."""
+    window = retry_window.RetryWindow(
+        window_ms=WINDOW_MS, ratio=RATIO, slack=8, lease_ms=LEASE_MS
+    )
+    for contact_ms in contacts_ms:
+        window.note_contact(contact_ms)
+    assert window.slack(now_ms) == slack
+
+
 @dataclasses.dataclass(kw_only=True)
 class Day:
     """Gateways of a deployment, of which one service fails each first try.
