Don't believe an end that came before the request was taken

A runner answered a long upload at once with a 200 without a length, sent a part of its body, ended its side and reset the connection 50 ms later. Callers got the part as a whole 200 with a seal; streams ended as complete behind an event, and a prompt went on from the handle in such an answer.

An answer without a length ends with its connection. Linux tells a reset that follows the end of the peer's side only to writes (EPIPE): reads go on returning the end, whether the reset has arrived or not. But the socket knows how much of the upload the peer's kernel has not acknowledged (TIOCOUTQ), and poll reports a reset without events and without taking the error from the socket, so also after a failed write has taken it.

At the end of an answer without a length the connection is now looked at. Where the answer began before its request was taken, the end waits until the rest is acknowledged, for 250 ms without progress and 1 s at most, and then 100 ms for a reset; all other answers get one poll without a wait. What was reset or not taken is a broken answer: 502 and run unknown, another runner for requests that may be repeated, a cut for an answer that has begun. A runner that answers first and reads on stays whole. Where the platform refuses the ioctl, only resets that have arrived count; it is logged once.

--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -18,6 +18,7 @@
 import urllib3.connection
 
 from wisteriawall import clock
+from wisteriawall.web import connection_end
 
 __all__ = [
     "EXCHANGE_ERRORS",
@@ -182,8 +183,11 @@
             OSError: The connection failed.
         """
         for _attempt in range(MAX_SKIPPED_RESPONSES + 1):
-            response = _Response(self._reader, debuglevel, method)
+            response = _Response(
+                self._reader, self._raw_reader, debuglevel, method
+            )
             self._raw_reader.end_is_error = False
+            self._raw_reader.ends_response = False
             self.limit_reads(MAX_HEAD_BYTES)
             response.begin()
             if self._raw_reader.at_end:
@@ -196,6 +200,9 @@
             self._raw_reader.end_is_error = (
                 "Transfer-Encoding" in response.headers
             )
+            self._raw_reader.ends_response = (
+                response.length is None and not self._raw_reader.end_is_error
+            )
             self.limit_reads(None)
             if self._is_expected(response):
                 # A late response to HEAD has no body, which the next request's
@@ -264,10 +271,15 @@
     """Response whose heads, also that of an interim one, start as such."""
 
     def __init__(
-        self, reader: "_SharedReader", debuglevel: int, method: str | None
+        self,
+        reader: "_SharedReader",
+        raw_reader: "_SocketReader",
+        debuglevel: int,
+        method: str | None,
     ) -> None:
         super().__init__(_as_socket(reader), debuglevel, method)
         self._reader = reader
+        self._raw_reader = raw_reader
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return the parsed status line.
@@ -282,6 +294,7 @@
         start = self._reader.peek(1)[: len(HTTP_NAME)]
         if not HTTP_NAME.startswith(start):
             raise http.client.BadStatusLine(repr(start))
+        self._raw_reader.note_start()
         line = self._reader.readline()
         if not line:
             raise http.client.RemoteDisconnected(
@@ -302,7 +315,8 @@
 
     `at_end` is set once the peer has closed the connection. The read that finds
     this fails if `end_is_error` is set, since http.client takes a chunk size
-    that is cut after a zero for the last chunk.
+    that is cut after a zero for the last chunk. With `ends_response`, it fails
+    if the end may not be that of a complete response.
     """
 
     def __init__(self, source: socket.socket) -> None:
@@ -311,6 +325,8 @@
         self.deadline_at_ms: int | None = None
         self.at_end = False
         self.end_is_error = False
+        self.ends_response = False
+        self._began_early = False
         self.remaining_bytes: int | None = None
         self.notes_times = False
         self.received_wall_ms: int | None = None
@@ -319,6 +335,12 @@
         """Return True: this is a reader."""
         return True
 
+    def note_start(self) -> None:
+        """Note whether a response begins before its request was taken."""
+        self._began_early = bool(
+            connection_end.unacknowledged_bytes(self._socket)
+        )
+
     def readinto(self, buffer: Any) -> int | None:
         """Read into `buffer`; return None if a non-blocking read has no data.
 
@@ -336,6 +358,12 @@
         self.at_end = count == 0
         if self.at_end and self.end_is_error:
             raise ConnectionError("the connection ended within a response")
+        if self.at_end and self.ends_response:
+            connection_end.check_end(
+                self._socket,
+                began_early=self._began_early,
+                deadline_at_ms=self.deadline_at_ms,
+            )
         if self.remaining_bytes is not None:
             self.remaining_bytes -= count
             if self.remaining_bytes < 0:
--- a/testing/agent/test_proxy.py
+++ b/testing/agent/test_proxy.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 import itertools
 import queue
 
 import msgspec
 import pytest
+from support import early_server
 from support import status_lines
 from support import stuttering_server
 import urllib3
@@ -26,14 +28,14 @@
 class ProxyHarness:
     """A proxy that admits every attempt, and its upstream."""
 
-    def __init__(self) -> None:
-        """Start the upstream and the proxy."""
+    def __init__(self, upstream_address: str = "") -> None:
+        """Start the upstream and the proxy, which may use another upstream."""
         self.echoes_id = False
         self.refusal: refusal_lib.Refusal | None = None
         self.ended: queue.SimpleQueue[events.AttemptEnded] = queue.SimpleQueue()
         self.upstream = stuttering_server.StutteringServer(self._answer)
         self.proxy = proxy_lib.UpstreamProxy(
-            upstream=self.upstream.address,
+            upstream=upstream_address or self.upstream.address,
             token="token",
             submit=self._submit,
             metrics=metrics.NullMetrics(),
@@ -287,6 +289,26 @@
     assert not harness.ended.get(timeout=WAIT_S).not_run
 
 
+@pytest.mark.parametrize(
+    "end",
+    [early_server.End.END_AND_RESET, early_server.End.RESET],
+    ids=["end-and-reset", "reset"],
+)
+def test_answer_whose_request_was_not_taken_looks_incomplete(
+    end: early_server.End,
+) -> None:
+    upstream = early_server.EarlyServer()
+    upstream.answer = b"HTTP/1.1 200 OK\r\n\r\npart"
+    upstream.end = end
+    harness = ProxyHarness(upstream.address)
+    # An answer with the attempt's headers is one of the upstream.
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        assert headers.REQUEST_ID not in harness.send(200_000 * b"x").headers
+    assert not harness.ended.get(timeout=WAIT_S).not_run
+    harness.close()
+    upstream.close()
+
+
 def test_answer_behind_the_first_is_not_relayed(harness: ProxyHarness) -> None:
     harness.upstream.respond = lambda request: (
         2 * stuttering_server.answer_bytes(request.body)
--- a/testing/entry/test_attempt.py
+++ b/testing/entry/test_attempt.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import pytest
+from support import early_server
 from support import status_lines
 from support import stuttering_server
 
@@ -60,17 +61,18 @@
     def __init__(self) -> None:
         """Start the agent."""
         self.agent = stuttering_server.StutteringServer(_answer)
+        self.address = self.agent.address
         self._pool = connection_pool.ConnectionPool()
 
     def send(
-        self, request_id: str, *, attempt: int = 1
+        self, request_id: str, *, attempt: int = 1, body: bytes = b""
     ) -> bytes | tuple[refusal_lib.RunState, bool]:
         """Return the answer, or the run state and origin of a refusal."""
         dispatch = events.Dispatch(
             request_id=request_id,
             attempt=attempt,
             runner="r",
-            address=self.agent.address,
+            address=self.address,
             config_number=1,
             claim_id=0,
             delay_ms=0,
@@ -84,7 +86,7 @@
                         headers.REQUEST_ID: request_id,
                         headers.ATTEMPT: str(attempt),
                     },
-                    body=request_id.encode(),
+                    body=body or request_id.encode(),
                     timeouts=attempt_lib.AttemptTimeouts(),
                 )
                 return b"".join(sent.body())
@@ -195,3 +197,22 @@
             line + b"\r\n" + whole(request).split(b"\r\n", 1)[1]
         )
         assert entry.send("q1") == UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "end",
+    [early_server.End.END_AND_RESET, early_server.End.RESET],
+    ids=["end-and-reset", "reset"],
+)
+def test_answer_whose_request_was_not_taken_is_broken(
+    entry: EntrySide, end: early_server.End
+) -> None:
+    """A part of an answer without a length would look whole."""
+    agent = early_server.EarlyServer()
+    agent.answer = b"HTTP/1.1 200 OK\r\n\r\npart"
+    agent.echoes = (headers.REQUEST_ID, headers.ATTEMPT)
+    agent.end = end
+    entry.address = agent.address
+    with contextlib.suppress(attempt_lib.AnswerBroken):
+        assert entry.send("q1", body=200_000 * b"x") == UNKNOWN
+    agent.close()
--- a/testing/wire/test_http_call.py
+++ b/testing/wire/test_http_call.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
+from support import early_server
 from support import status_lines
 from support import stuttering_server
 
@@ -121,6 +122,28 @@
         _call(server, b"a")
 
 
+@pytest.mark.parametrize(
+    "end",
+    [early_server.End.END_AND_RESET, early_server.End.RESET],
+    ids=["end-and-reset", "reset"],
+)
+def test_answer_whose_request_was_not_taken_is_a_failed_call(
+    end: early_server.End,
+) -> None:
+    """A part of a list of runners would be one without the others."""
+    early = early_server.EarlyServer()
+    early.answer = b"HTTP/1.1 200 OK\r\n\r\n[]"
+    early.end = end
+    with pytest.raises(http_call.CallFailed):
+        http_call.call(
+            "POST",
+            f"http://{early.address}/x",
+            body=200_000 * b"x",
+            timeout_s=TIMEOUT_S,
+        )
+    early.close()
+
+
 def test_refused_connection_is_a_failed_call(
     server: stuttering_server.StutteringServer,
 ) -> None:
