Log how far answers had come when a stop ended them

`still-open` said that the answers had begun, not whether the gateway had them, waited for the runner or wrote to the caller.

It now has what the thread of the request waits for, whether the runner's answer was read to its end, when bytes last arrived at the host (by the kernel), how many of them the thread had not read, and how many the caller's host lacks.

--- a/src/wisteriawall/gateway/diagnostics.py
+++ b/src/wisteriawall/gateway/diagnostics.py
@@ -1,6 +1,7 @@
 """Log entries for events that explain a failure and change no state."""
 
 from collections.abc import Iterator
+import dataclasses
 
 from wisteriawall.gateway import events
 from wisteriawall.gateway import state as state_lib
@@ -22,9 +23,10 @@
                 request_id=request_id,
                 inputs={"error": event.error, "trace": event.trace},
             )
-        case events.StopTimedOut(now_ms=now_ms):
-            for request in gateway.request_by_key.values():
-                yield _still_open(request, now_ms)
+        case events.StopTimedOut():
+            for key, request in gateway.request_by_key.items():
+                progress = event.progress_by_key.get(key)
+                yield _still_open(request, progress, event.now_ms)
 
 
 def _foreign_answer(
@@ -44,7 +46,11 @@
     )
 
 
-def _still_open(request: state_lib.Request, now_ms: int) -> events.LogDecision:
+def _still_open(
+    request: state_lib.Request,
+    progress: events.AnswerProgress | None,
+    now_ms: int,
+) -> events.LogDecision:
     return events.LogDecision(
         decision="still-open",
         request_id=request.request_id,
@@ -53,6 +59,7 @@
             "began": request.answer_started,
             "ms": now_ms - request.arrived_ms,
             "left_ms": request.deadline_at_ms - now_ms,
+            **({} if progress is None else dataclasses.asdict(progress)),
             **_phase_inputs(request),
         },
     )
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -18,6 +18,7 @@
 from wisteriawall.wire import gateway_messages
 
 __all__ = [
+    "AnswerProgress",
     "AnswerStarted",
     "Arrived",
     "BroadcastLoad",
@@ -228,12 +229,35 @@
     answers_end_ms: int
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class AnswerProgress:
+    """How far the answer to a request has come.
+
+    Attributes:
+        waits_for: Whom the thread of the request deals with: the runner, the
+            caller, or control.
+        is_whole: Whether the runner's answer was read to its end.
+        quiet_ms: How long ago bytes of the runner last arrived at this host;
+            None without a connection.
+        unread_bytes: Bytes of the runner that the thread has not read.
+        unsent_bytes: Bytes of the answer that the caller's host lacks.
+    """
+
+    waits_for: str
+    is_whole: bool
+    quiet_ms: int | None
+    unread_bytes: int
+    unsent_bytes: int
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class StopTimedOut:
     """The time for finishing requests before the process ends is over."""
 
     now_ms: int
+    progress_by_key: Mapping[int, AnswerProgress]
 
 
 @final
--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import functools
 import http.client
@@ -49,6 +50,10 @@
 # Longest time that a thread waits for the processor to read what arrived.
 MAX_LATE_READ_MS = 2_000
 MAX_LOGGED_LENGTH = 80
+# Whom the thread of a request deals with, as the log names them.
+WAITS_FOR_RUNNER = "runner"
+WAITS_FOR_CALLER = "caller"
+WAITS_FOR_CONTROL = "control"
 SUCCESS_STATUSES = range(200, 300)
 # By these a caller takes its request for not run. 421 of a runner always means
 # that, the others only beside its own statement.
@@ -151,7 +156,8 @@
         self._status = 0
         self._scanner = stream.EventScanner()
         self._began_as_events = False
-        self._chunk_iterator = self._execute_effects()
+        self._waits_for = WAITS_FOR_RUNNER
+        self._chunk_iterator = self._note_writes(self._execute_effects())
 
     def cancel(self) -> None:
         """Abort the current exchange and all later ones, from any thread.
@@ -176,6 +182,24 @@
         if exchange is not None:
             exchange.cancel()
 
+    @property
+    def request_key(self) -> int:
+        """Return the number of the request in this process."""
+        return self._request.request_key
+
+    def progress(self) -> events.AnswerProgress:
+        """Return how far the answer has come, from any thread."""
+        with self._lock:
+            exchange = self._exchange
+        quiet_ms, unread_bytes = exchange.received() if exchange else (None, 0)
+        return events.AnswerProgress(
+            waits_for=self._waits_for,
+            is_whole=exchange is not None and exchange.is_whole,
+            quiet_ms=quiet_ms,
+            unread_bytes=unread_bytes,
+            unsent_bytes=self._caller.unsent_bytes,
+        )
+
     def __iter__(self) -> Iterator[bytes]:
         """Return an iterator over the chunks of the answer."""
         return self._chunk_iterator
@@ -192,6 +216,16 @@
         self._submit(ended)
         self._on_close()
 
+    def _note_writes(
+        self, chunks: Generator[bytes, None, None]
+    ) -> Generator[bytes, None, None]:
+        """Yield the chunks, and note that the caller gets each meanwhile."""
+        with contextlib.closing(chunks):
+            for chunk in chunks:
+                self._waits_for = WAITS_FOR_CALLER
+                yield chunk
+                self._waits_for = WAITS_FOR_RUNNER
+
     def _execute_effects(self) -> Generator[bytes, None, None]:
         """Carry out the effects, and yield the bytes of the answer."""
         effects = self._effects
@@ -203,11 +237,13 @@
                 case protocol.Send() as send:
                     effects = yield from self._run_phase(send)
                 case events.FindOrigin() as find:
+                    self._waits_for = WAITS_FOR_CONTROL
                     found = events.OriginFound(
                         request_key=self._request.request_key,
                         found=self._find_origin(find),
                         now_ms=clock.monotonic_ms(),
                     )
+                    self._waits_for = WAITS_FOR_RUNNER
                     effects = self._submit(found)
                 case effect:
                     raise AssertionError(f"unexpected {type(effect).__name__}")
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -311,8 +311,17 @@
 
     def _stop_timed_out(self) -> None:
         """End the requests in progress, each with an answer if none began."""
-        self._submit(events.StopTimedOut(now_ms=clock.monotonic_ms()))
-        for response in list(self._active_responses):
+        active = list(self._active_responses)
+        self._submit(
+            events.StopTimedOut(
+                now_ms=clock.monotonic_ms(),
+                progress_by_key={
+                    response.request_key: response.progress()
+                    for response in active
+                },
+            )
+        )
+        for response in active:
             response.end_by_stop()
 
     def set_seeds(self, control_address_by_replica: Mapping[str, str]) -> None:
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -1,11 +1,15 @@
 """One HTTP request to a runner and its response."""
 
+import array
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import fcntl
 import http.client
 import re
 import socket
+import struct
+import termios
 import threading
 from typing import final
 
@@ -17,7 +21,14 @@
 from wisteriawall.web import connection_pool
 from wisteriawall.web import runner_connection
 
-__all__ = ["Broken", "HttpExchange", "NotSent", "Unreachable"]
+__all__ = [
+    "Broken",
+    "HttpExchange",
+    "NotSent",
+    "Unreachable",
+    "quiet_ms",
+    "unread_bytes",
+]
 
 CHUNK_BYTES = 64 * 1024
 # Each chunk costs the same, however small it is.
@@ -30,6 +41,8 @@
 # A connection is reused only up to this long before the peer's keep-alive
 # timeout, so that the peer does not close it just as it is used.
 KEEP_ALIVE_MARGIN_MS = 1_000
+# Linux's `tcp_info` up to the field with the milliseconds since the last data.
+TCP_INFO = struct.Struct("8B12I")
 # Headers that urllib3 adds unless told otherwise.
 SUPPRESSED_HEADERS = {
     name: urllib3.util.SKIP_HEADER
@@ -84,6 +97,27 @@
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
         self._sent_ms = 0
+        self._whole_ms: int | None = None
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the response was read to its end."""
+        return self._whole_ms is not None
+
+    def received(self) -> tuple[int | None, int]:
+        """Return how long ago bytes last arrived, and how many are unread.
+
+        The first is in ms, and None without a connection. It may be called in
+        any thread.
+        """
+        if self._whole_ms is not None:
+            return clock.monotonic_ms() - self._whole_ms, 0
+        with self._lock:
+            if self._socket is None:
+                return None, 0
+            with contextlib.suppress(OSError):
+                return quiet_ms(self._socket), unread_bytes(self._socket)
+        return None, 0
 
     @property
     def sent_ms(self) -> int:
@@ -257,6 +291,7 @@
 
         Closes it instead if it can't be reused.
         """
+        self._whole_ms = clock.monotonic_ms()
         with self._lock:
             connection, self._connection = self._connection, None
             self._socket = None
@@ -307,6 +342,22 @@
         return connection
 
 
+def quiet_ms(connection: socket.socket) -> int:
+    """Return how long ago the kernel last received data, in ms."""
+    info = connection.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size
+    )
+    last_data_received_ms: int = TCP_INFO.unpack(info)[-1]
+    return last_data_received_ms
+
+
+def unread_bytes(connection: socket.socket) -> int:
+    """Return how many bytes wait in the kernel to be read."""
+    count = array.array("i", [0])
+    fcntl.ioctl(connection, termios.FIONREAD, count)
+    return count[0]
+
+
 def _broken_error(error: Exception) -> Broken:
     timed_out = isinstance(
         error, (TimeoutError, urllib3.exceptions.ReadTimeoutError)
--- a/src/wisteriawall/web/response_writer.py
+++ b/src/wisteriawall/web/response_writer.py
@@ -76,6 +76,7 @@
         self._budget = budget
         self._on_pressure = on_pressure
         self._pending = memoryview(b"")
+        self._waiting_bytes = 0
         self._reserved = 0
         self._blocked_ms = 0
         self._blocked_bytes = 0
@@ -90,6 +91,17 @@
         """Whether the end of the answer waits to be sent."""
         return bool(self._pending)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of the answer the caller's host lacks.
+
+        It may be called in any thread. It is 0 once the connection is closed.
+        """
+        try:
+            return self._waiting_bytes + self._unread_bytes()
+        except (OSError, ValueError):
+            return 0
+
     def begin_answer(self) -> None:
         """Reset the time that counts for one answer."""
         self._blocked_ms = 0
@@ -180,6 +192,7 @@
     def _wait_and_send(self, data: memoryview) -> memoryview:
         """Wait until bytes can be sent; return the rest."""
         self._begin_wait()
+        self._waiting_bytes = len(data)
         poll = select.poll()
         poll.register(self._socket, select.POLLOUT)
         while not poll.poll(POLL_MS):
@@ -188,6 +201,7 @@
             if self._is_too_slow():
                 raise TimeoutError("the caller reads too slowly")
         rest = self._send(data)
+        self._waiting_bytes = len(rest)
         if rest and self._is_too_slow():
             raise TimeoutError("the caller reads too slowly")
         return rest
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -77,6 +77,11 @@
         self._writer = writer
         self.aborted = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of the answer the caller's host lacks."""
+        return self._writer.unsent_bytes if self._writer is not None else 0
+
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call `callback` in the monitor thread if the caller disconnects."""
         self._monitor.on_disconnect(self._socket, callback)
--- a/testing/platform/test_stop.py
+++ b/testing/platform/test_stop.py
@@ -135,6 +135,11 @@
     lines = serving.decisions("a1")
     assert "still-open" in [line["decision"] for line in lines]
     assert not lines[-1]["whole"]
+    (still_open,) = [li for li in lines if li["decision"] == "still-open"]
+    assert still_open["waits_for"] == "runner"
+    assert still_open["is_whole"] is False
+    assert still_open["quiet_ms"] > 0
+    assert [still_open["unread_bytes"], still_open["unsent_bytes"]] == [0, 0]
 
 
 def test_balancer_connection_without_a_request_does_not_delay_the_stop(
