Deliver answers that are whole when a stop ends what is open

From 1.2 s before the end of the grace period on, the gateway ended every exchange alike and took what it read afterwards for cut, also a response whose end had been received or lay in the socket. A thread that had not come to the end lost its answer.

Now nothing waits for a runner from then on, and what has arrived is read: a response whose end is there is delivered, one without a length only if its peer had closed. Writing goes on until 0.6 s before the end of the grace period, in threads and in the event loop's drain, which reset complete answers 0.6 s earlier. A response that the kernel has whole is no longer taken back by a reset while its thread waits for the caller, and a write that is aborted ends although its caller reads on slowly.

In web/test_stop.py the answers that a thread or the drain writes failed too (ConnectionResetError, 'assert not True' for the drain's deadline), and one that the kernel had (ConnectionResetError).

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -171,16 +171,17 @@
             exchange.cancel()
 
     def end_by_stop(self) -> None:
-        """Abort the exchange and tell the caller, from any thread.
+        """End what waits for a runner, and tell the caller; from any thread.
 
-        A caller that has got nothing yet learns whether its request may have
-        run. An answer that has begun ends incomplete.
+        An answer that has arrived at this host up to its end is delivered.
+        Otherwise a caller that has got nothing yet learns whether its request
+        may have run, and an answer that has begun ends incomplete.
         """
         with self._lock:
             self._ended_by_stop = True
             exchange = self._exchange
         if exchange is not None:
-            exchange.cancel()
+            exchange.receive_no_more()
 
     @property
     def request_key(self) -> int:
@@ -592,7 +593,7 @@
         with self._memory.open(
             send.upstream.address,
             until_ms=self._request.deadline_at_ms,
-            is_cancelled=lambda: self._cancelled or self._ended_by_stop,
+            is_cancelled=lambda: self._cancelled,
         ) as buffer:
             for chunk in exchange.body_chunks(
                 max_bytes=MAX_BUFFERED_BYTES,
@@ -664,7 +665,7 @@
         if self._cancelled or (self._ended_by_stop and self._head_sent):
             self._abort("the caller disconnected, or the gateway's stop cut it")
         is_final = self._ended_by_stop
-        if is_final:
+        if is_final and not answered:
             reason = "the gateway stops before the answer is complete"
             status, cut_off, runner_failed = 0, False, False
         failed = events.PhaseFailed(
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -70,9 +70,13 @@
 # The balancer checks readiness once a second, and stops sending requests after
 # two failures.
 UNREADY_MS = 2_500
-# Part of the grace period reserved for the exit after the last answer, with the
-# answers to requests that the stop ends.
+# Part of the grace period from which on the gateway waits for no runner any
+# more. Answers that have arrived by then are delivered, and the other requests
+# get an answer of the stop.
 EXIT_RESERVE_MS = 1_200
+# Last part of the grace period, in which the process exits. Answers that are
+# not written by then are cut.
+EXIT_MS = 600
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
 POLL_END_TIMEOUT_S = 1.0
@@ -230,6 +234,7 @@
         self._active_responses: set[run_lib.ForwardedResponse] = set()
         self._draining = False
         self._arrivals_closed = False
+        self._waits_no_more = False
         self._start_gate = start_gate.StartGate(max_waiting=START_WAIT_THREADS)
         self._connected = False
         self._peer_count = 0
@@ -266,7 +271,9 @@
 
     def stop(self) -> None:
         """Report not ready, finish requests in progress, then shut down."""
-        answers_end_ms = clock.monotonic_ms() + self._grace_ms - EXIT_RESERVE_MS
+        began_ms = clock.monotonic_ms()
+        answers_end_ms = began_ms + self._grace_ms - EXIT_RESERVE_MS
+        cut_at_ms = began_ms + self._grace_ms - EXIT_MS
         self._submit(events.StopBegan(answers_end_ms=answers_end_ms))
         self._draining = True
         # Callers then move to other gateways while this one still serves them.
@@ -278,9 +285,8 @@
         # Requests that arrive from here on, on connections that are not closed
         # yet, may not end in time.
         self._arrivals_closed = True
-        response_timeout_s = (
-            max(0, answers_end_ms - clock.monotonic_ms()) / MS_PER_S
-        )
+        now_ms = clock.monotonic_ms()
+        answers_end_ms = max(now_ms, answers_end_ms)
         # Concurrently, since stopping a server takes up to 500 ms. Without its
         # answers the balancer takes the gateway for not ready, as before.
         with futures.ThreadPoolExecutor() as pool:
@@ -291,11 +297,14 @@
                 pool.submit(self._metrics.close),
             ]
             self._http.stop(
-                response_timeout_s=response_timeout_s,
+                response_timeout_s=(answers_end_ms - now_ms) / MS_PER_S,
+                delivery_timeout_s=max(0, cut_at_ms - answers_end_ms)
+                / MS_PER_S,
                 on_timeout=self._stop_timed_out,
             )
         for closed in closing:
             closed.result()
+        ended_ms = clock.monotonic_ms()
         self._stopping.set()
         if not self._gateway.usage.is_committed:
             self._thread.join(timeout=LAST_REPORT_TIMEOUT_S)
@@ -306,11 +315,20 @@
         self._control.close()
         self._thread.join(timeout=POLL_END_TIMEOUT_S)
         self._pool.close()
-        self._log.write("stopped", inputs={"cut": len(self._active_responses)})
+        stopped_ms = clock.monotonic_ms()
+        self._log.write(
+            "stopped",
+            inputs={
+                "cut": len(self._active_responses),
+                "ms": stopped_ms - began_ms,
+                "exit_ms": stopped_ms - ended_ms,
+            },
+        )
         self._log.close()
 
     def _stop_timed_out(self) -> None:
-        """End the requests in progress, each with an answer if none began."""
+        """End what waits for a runner, each with an answer if none began."""
+        self._waits_no_more = True
         active = list(self._active_responses)
         self._submit(
             events.StopTimedOut(
@@ -501,6 +519,8 @@
         )
         self._active_responses.add(response)
         caller.on_disconnect(response.cancel)
+        if self._waits_no_more:
+            response.end_by_stop()
         return response
 
     def _submit(self, event: events.Event) -> list[events.Effect]:
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -43,6 +43,8 @@
 KEEP_ALIVE_MARGIN_MS = 1_000
 # Linux's `tcp_info` up to the field with the milliseconds since the last data.
 TCP_INFO = struct.Struct("8B12I")
+# State of a connection whose peer has ended its sending side.
+TCP_CLOSE_WAIT = 8
 # Headers that urllib3 adds unless told otherwise.
 SUPPRESSED_HEADERS = {
     name: urllib3.util.SKIP_HEADER
@@ -96,6 +98,8 @@
         self._connection: runner_connection.RunnerConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
+        self._receives_no_more = False
+        self._is_sent = False
         self._sent_ms = 0
         self._whole_ms: int | None = None
 
@@ -208,6 +212,8 @@
                 decode_content=False,
                 enforce_content_length=True,
             )
+            with self._lock:
+                self._is_sent = True
             self._response = connection.getresponse()
         except runner_connection.EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
@@ -247,7 +253,7 @@
                 yield data
         except runner_connection.EXCHANGE_ERRORS as error:
             raise _broken_error(error) from error
-        if self._cancelled:
+        if self._cancelled or (self._receives_no_more and not self._has_end()):
             # To a response without a length, the shutdown looks like its end.
             raise Broken("cancelled")
 
@@ -298,7 +304,7 @@
         if connection is None:
             return
         keep_alive_ms = _keep_alive_ms(self._response)
-        if self._cancelled or not keep_alive_ms:
+        if self._cancelled or self._receives_no_more or not keep_alive_ms:
             connection.close()
             return
         self._pool.release(
@@ -309,9 +315,42 @@
         """Shut the connection down, which unblocks a thread reading from it."""
         with self._lock:
             self._cancelled = True
-            if self._socket is not None:
-                with contextlib.suppress(OSError):
-                    self._socket.shutdown(socket.SHUT_RDWR)
+            self._shut_down(socket.SHUT_RDWR)
+
+    def receive_no_more(self) -> None:
+        """Let reads wait for nothing more, from any thread.
+
+        What has arrived at this host can still be read, up to the end of the
+        response if that is there. It is `Broken` otherwise. A request that is
+        not sent yet is cancelled.
+        """
+        with self._lock:
+            if self._is_sent:
+                self._receives_no_more = True
+                # Linux returns what has arrived before it reports the end.
+                self._shut_down(socket.SHUT_RD)
+            else:
+                self._cancelled = True
+                self._shut_down(socket.SHUT_RDWR)
+
+    def _shut_down(self, how: int) -> None:
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(how)
+
+    def _has_end(self) -> bool:
+        """Return whether the response that was read ended by itself."""
+        response = self._response
+        assert response is not None
+        if getattr(response, "chunked", False) or (
+            getattr(response, "length_remaining", None) is not None
+        ):
+            # An early end was an error.
+            return True
+        with self._lock:
+            return self._socket is not None and _was_closed_by_peer(
+                self._socket
+            )
 
     def close(self) -> None:
         """Close the connection unless it was released."""
@@ -358,6 +397,17 @@
     return count[0]
 
 
+def _was_closed_by_peer(connection: socket.socket) -> bool:
+    """Return whether all was read that the peer sent before it closed."""
+    try:
+        (state,) = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state == TCP_CLOSE_WAIT and not connection.recv(
+            1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+        )
+    except OSError:
+        return False
+
+
 def _broken_error(error: Exception) -> Broken:
     timed_out = isinstance(
         error, (TimeoutError, urllib3.exceptions.ReadTimeoutError)
--- a/src/wisteriawall/web/response_writer.py
+++ b/src/wisteriawall/web/response_writer.py
@@ -191,6 +191,8 @@
 
     def _wait_and_send(self, data: memoryview) -> memoryview:
         """Wait until bytes can be sent; return the rest."""
+        if self.is_aborted:
+            raise ConnectionAbortedError("the response was aborted")
         self._begin_wait()
         self._waiting_bytes = len(data)
         poll = select.poll()
--- a/src/wisteriawall/web/server.py
+++ b/src/wisteriawall/web/server.py
@@ -173,13 +173,15 @@
         self,
         *,
         response_timeout_s: float = RESPONSE_TIMEOUT_S,
+        delivery_timeout_s: float = 0.0,
         on_timeout: Callable[[], None] | None = None,
     ) -> None:
         """Stop accepting, close idle connections and finish requests.
 
         Waits for responses in progress. If some are not finished after
         `response_timeout_s` seconds, `on_timeout` is called, which may end them
-        with an answer. Those that are left a moment later are cut: their
+        with an answer. Those that are left a moment later, or after
+        `delivery_timeout_s` more seconds if that is longer, are cut: their
         connections are reset and their disconnect callbacks are called.
         """
         self.disable_keep_alive()
@@ -188,11 +190,13 @@
         deadline_ms = clock.monotonic_ms() + round(
             response_timeout_s * MS_PER_S
         )
+        cut_at_ms = deadline_ms + round(delivery_timeout_s * MS_PER_S)
         self._workers.stop_deadline_ms = deadline_ms
+        self._workers.cut_at_ms = cut_at_ms
         loop = self._server.loop
-        loop.drain_deadline_ms = deadline_ms
+        loop.drain_deadline_ms = cut_at_ms
         self._server.stop()
-        remaining_ms = max(MIN_DRAIN_MS, deadline_ms - clock.monotonic_ms())
+        remaining_ms = max(MIN_DRAIN_MS, cut_at_ms - clock.monotonic_ms())
         loop.drain_deadline_ms = clock.monotonic_ms() + remaining_ms
         loop.join_drainer(2 * remaining_ms / MS_PER_S)
         self._thread.join(timeout=5.0)
--- a/src/wisteriawall/web/server_connection.py
+++ b/src/wisteriawall/web/server_connection.py
@@ -16,6 +16,7 @@
 import select
 import socket
 import struct
+import threading
 from typing import Any
 from typing import final
 
@@ -75,6 +76,8 @@
         self._socket = connection
         self._monitor = monitor
         self._writer = writer
+        self._lock = threading.Lock()
+        self._is_finished = False
         self.aborted = False
 
     @property
@@ -102,13 +105,24 @@
             socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
         )
 
+    def finish_response(self) -> None:
+        """Note that the kernel has the whole response.
+
+        A reset would take back what it has not sent yet.
+        """
+        with self._lock:
+            self._is_finished = not self.aborted
+
     def cut(self) -> None:
         """Reset the connection as soon as its thread closes it.
 
-        A thread that writes or runs the application is told to end.
+        A thread that writes or runs the application is told to end. After a
+        response that is finished the connection closes without a reset.
         """
         with contextlib.suppress(OSError):
-            self.abort_response()
+            with self._lock:
+                if not self._is_finished:
+                    self.abort_response()
             self._monitor.report_disconnect(self._socket)
             self._socket.shutdown(socket.SHUT_RD)
 
@@ -285,6 +299,8 @@
         )
         try:
             keep_open: bool = super().communicate()  # type: ignore[no-untyped-call]
+            if not self.wfile.has_pending:
+                self.caller.finish_response()
             return keep_open
         finally:
             self.caller.stop_monitoring()
@@ -338,6 +354,8 @@
         except OSError:
             self.reset()
             return
+        if self.caller is not None:
+            self.caller.finish_response()
         end_ms = clock.monotonic_ms() + MAX_LINGER_MS
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
--- a/src/wisteriawall/web/worker_pool.py
+++ b/src/wisteriawall/web/worker_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import logging
 import queue
 import threading
 from typing import Any
@@ -13,10 +14,13 @@
 
 __all__ = ["WorkerPool"]
 
+_LOG = logging.getLogger("http")
+
 MS_PER_S = 1_000
 # Ends the worker that takes it from the queue.
 SHUTDOWN_REQUEST = threadpool._SHUTDOWNREQUEST  # type: ignore[attr-defined]
-# Time for final answers to the requests that end when the time to stop is over.
+# Least time for final answers to the requests that end when the time to stop is
+# over.
 FINAL_ANSWER_MS = 200
 # Time for the workers to end after their responses were cut. A worker that is
 # still blocked then does not delay the end of the process.
@@ -45,12 +49,14 @@
         self._max_queued = max_queued
         self._lock = threading.Lock()
         self._stopping = False
-        # When responses in progress are cut, on the monotonic clock; None for
-        # the timeout of `stop`.
+        # When responses in progress have to end, on the monotonic clock; None
+        # for the timeout of `stop`.
         self.stop_deadline_ms: int | None = None
-        # Called once if responses are still in progress when the time to stop
-        # is over. They are cut `FINAL_ANSWER_MS` later.
+        # Called once if responses are still in progress then.
         self.on_timeout: Callable[[], None] = lambda: None
+        # When those that are left are cut, not before `FINAL_ANSWER_MS` after
+        # that call.
+        self.cut_at_ms = 0
 
     @property
     def busy_threads(self) -> int:
@@ -70,11 +76,11 @@
             self._queue.put_nowait(obj)
 
     def stop(self, timeout: float | None = None) -> None:
-        """End the threads, and cut what is in progress after the deadline.
+        """End the threads, and cut what is in progress at `cut_at_ms`.
 
         `on_timeout` may end it with an answer before. A cut response ends with
-        a reset of its connection. Connections that wait for a thread are
-        refused at once.
+        a reset of its connection, unless the kernel has all of it. Connections
+        that wait for a thread are refused at once.
         """
         deadline_ms = self.stop_deadline_ms
         if deadline_ms is None:
@@ -96,7 +102,14 @@
         if not running:
             return
         self.on_timeout()
-        _join(running, clock.monotonic_ms() + FINAL_ANSWER_MS)
+        _join(
+            running,
+            max(self.cut_at_ms, clock.monotonic_ms() + FINAL_ANSWER_MS),
+        )
+        running = [worker for worker in running if worker.is_alive()]
+        if not running:
+            return
+        _LOG.info("http: the stop cuts %d responses", len(running))
         for worker in running:
             connection = worker.conn
             if connection is not None:
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Iterator
 import http.client
+import socket
+import threading
 
 import pytest
+from support import raw_server
 from support import scripted_server
 
 from wisteriawall import clock
@@ -382,3 +385,92 @@
     with pytest.raises(http_exchange.Broken):
         next(chunks)
     sent.close()
+
+
+class EndingServer(raw_server.RawServer):
+    """Server that sends `data`, and then ends the connection as `end` says."""
+
+    def __init__(self, data: bytes, end: str) -> None:
+        """Listen on a free port."""
+        self._data, self._end = data, end
+        self.ended = threading.Event()
+        super().__init__()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.recv(65_536)
+        connection.sendall(self._data)
+        match self._end:
+            case "reset":
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                )
+                connection.close()
+            case "close":
+                connection.shutdown(socket.SHUT_WR)
+        self.ended.set()
+        if self._end != "reset":
+            connection.recv(1)
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "end", "is_whole"),
+    [
+        pytest.param("", b"part", "close", True, id="closed"),
+        pytest.param("", b"part", "open", False, id="no-length"),
+        pytest.param("", b"part", "reset", False, id="reset"),
+        pytest.param("Content-Length: 4", b"part", "open", True, id="length"),
+        pytest.param("Content-Length: 5", b"part", "open", False, id="short"),
+        pytest.param("Content-Length: 0", b"", "open", True, id="empty"),
+        pytest.param(
+            "Transfer-Encoding: chunked",
+            b"4\r\npart\r\n0\r\n\r\n",
+            "open",
+            True,
+            id="chunks",
+        ),
+        pytest.param(
+            "Transfer-Encoding: chunked",
+            b"4\r\npart\r\n",
+            "open",
+            False,
+            id="chunks-without-end",
+        ),
+        pytest.param(
+            "Transfer-Encoding: chunked",
+            b"4\r\npart\r\n0\r\n",
+            "open",
+            False,
+            id="chunks-without-last-line",
+        ),
+    ],
+)
+def test_only_what_arrived_to_its_end_is_whole_when_receiving_ends(
+    pool: connection_pool.ConnectionPool,
+    head: str,
+    body: bytes,
+    end: str,
+    is_whole: bool,
+) -> None:
+    """A whole response was dropped, or a part of one looked whole."""
+    lines = [f"HTTP/1.1 200 OK\r\n{ID}: r0", *([head] if head else [])]
+    server = EndingServer("\r\n".join(lines).encode() + b"\r\n\r\n", end)
+    server._data += body
+    sent = http_exchange.HttpExchange(pool)
+    sent.send(
+        server.address,
+        method="GET",
+        target="/",
+        headers={"Host": "h"},
+        body=None,
+        timeout_s=WAIT_MS / 1_000,
+    )
+    assert server.ended.wait(WAIT_MS / 1_000)
+    sent.receive_no_more()
+    if is_whole:
+        assert b"".join(sent.body_chunks()) == (b"part" if body else b"")
+        sent.release()
+    else:
+        with pytest.raises(http_exchange.Broken):
+            b"".join(sent.body_chunks())
+    sent.close()
+    server.close()
--- a/testing/web/test_stop.py
+++ b/testing/web/test_stop.py
@@ -1,5 +1,6 @@
 """Tests of a server that stops while answers are in progress."""
 
+import socket
 import threading
 import time
 
@@ -197,3 +198,133 @@
     stopping = harness.stop(server, response_timeout_s=0.2)
     assert not stopping.is_alive()
     assert [caller.read_to_end() for caller in callers] == 4 * [body]
+
+
+UNREAD = 8_000_000 * b"x"
+
+
+class HeldApp:
+    """Application that gives its answer once `go_on` is set."""
+
+    def __init__(self, body: bytes) -> None:
+        """Answer nothing yet."""
+        self._body = body
+        self.called, self.go_on = threading.Event(), threading.Event()
+
+    def __call__(
+        self,
+        environ: server_lib.Environ,
+        start_response: server_lib.StartResponse,
+    ) -> server_lib.Response:
+        """Answer with the body."""
+        server_lib.read_body(environ)
+        self.called.set()
+        assert self.go_on.wait(http_harness.WAIT_S)
+        return server_lib.send_response(
+            start_response, status=200, body=self._body
+        )
+
+
+def test_answer_that_is_whole_is_delivered_after_the_time_for_answers(
+    harness: http_harness.Harness,
+) -> None:
+    """Its caller had not read it when the time for answers ended."""
+    app, over = HeldApp(UNREAD), threading.Event()
+    server = harness.serve(app)
+    caller = harness.call(server)
+    caller.send()
+    assert app.called.wait(http_harness.WAIT_S)
+    stopping = harness.start_stop(
+        server,
+        response_timeout_s=0.1,
+        delivery_timeout_s=2 * http_harness.WAIT_S,
+        on_timeout=over.set,
+    )
+    app.go_on.set()
+    assert caller.read_head().startswith(b"HTTP/1.1 200 ")
+    assert over.wait(http_harness.WAIT_S)
+    assert caller.read_to_end() == UNREAD
+    stopping.join(http_harness.WAIT_S)
+    assert not stopping.is_alive()
+
+
+def test_rest_that_the_loop_sends_is_delivered_after_the_time_for_answers(
+    harness: http_harness.Harness,
+) -> None:
+    """It was cut although no thread needed to wait for it."""
+    app, over = HeldApp(UNREAD[:3_900_000]), threading.Event()
+    streaming = http_harness.StreamingApp()
+    server = harness.serve(
+        lambda environ, start_response: (
+            streaming if environ["PATH_INFO"] == "/stream" else app
+        )(environ, start_response)
+    )
+    caller, other = harness.call(server), harness.call(server)
+    other.send(b"stream")
+    assert streaming.began.wait(http_harness.WAIT_S)
+    caller.send()
+    app.go_on.set()
+    assert caller.read_head().startswith(b"HTTP/1.1 200 ")
+    http_harness.wait_until(
+        lambda: server.busy_worker_threads == 1, "the end of the answer"
+    )
+    stopping = harness.start_stop(
+        server,
+        response_timeout_s=0.1,
+        delivery_timeout_s=2 * http_harness.WAIT_S,
+        on_timeout=over.set,
+    )
+    assert over.wait(http_harness.WAIT_S)
+    # Its thread resets what is left as soon as this holds.
+    assert not server._server.loop._is_drain_over()
+    assert caller.read_to_end() == UNREAD[:3_900_000]
+    streaming.finish.set()
+    stopping.join(http_harness.WAIT_S)
+    assert not stopping.is_alive()
+
+
+def test_caller_that_reads_nothing_does_not_hold_the_stop(
+    harness: http_harness.Harness,
+) -> None:
+    app = HeldApp(UNREAD)
+    server = harness.serve(app)
+    caller = harness.call(server)
+    caller.send()
+    assert app.called.wait(http_harness.WAIT_S)
+    stopping = harness.start_stop(
+        server, response_timeout_s=0.1, delivery_timeout_s=0.2
+    )
+    app.go_on.set()
+    stopping.join(http_harness.WAIT_S)
+    assert not stopping.is_alive()
+    assert caller.is_reset()
+
+
+def test_answer_that_the_kernel_has_is_not_taken_back_by_the_stop(
+    harness: http_harness.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection was reset while its thread waited for the caller."""
+    monkeypatch.setattr(server_connection, "MAX_LINGER_MS", 60_000)
+    body = 60_000 * b"x"
+    app = HeldApp(body)
+    server = harness.serve(app)
+    host, _, port = server.address.rpartition(":")
+    with socket.socket() as caller:
+        # Most of the answer stays in the send queue.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.connect((host, int(port)))
+        caller.settimeout(http_harness.WAIT_S)
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: app.example\r\n\r\n")
+        assert app.called.wait(http_harness.WAIT_S)
+        stopping = harness.start_stop(server, response_timeout_s=0.1)
+        http_harness.wait_until(
+            lambda: server._server._connections._stop_requested,
+            "the end of the loop",
+        )
+        app.go_on.set()
+        stopping.join(http_harness.WAIT_S)
+        assert not stopping.is_alive()
+        data = b""
+        while chunk := caller.recv(65_536):
+            data += chunk
+    assert data.partition(b"\r\n\r\n")[2] == body
