Wait for runners 0.2 s longer at a stop

The rule excuses runners that work on in the last sixth of the grace period, from 6.67 s of 8 on; the gateway ended what was open at 6.8 s. Bytes that were sent in time and lost once are sent again after 200 ms at the earliest, and then came too late.

It now waits until 7.0 s and cuts what is not delivered at 7.4 s.

--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -70,12 +70,16 @@
 # The balancer checks readiness once a second, and stops sending requests after
 # two failures.
 UNREADY_MS = 2_500
-# Part of the grace period from which on the gateway waits for no runner any
+# Last part of the grace period, in which the gateway waits for no runner any
 # more. Answers that have arrived by then are delivered, and the other requests
-# get an answer of the stop.
-EXIT_RESERVE_MS = 1_200
-# Last part of the grace period, in which the process exits. Answers that are
-# not written by then are cut.
+# get an answer of the stop. Runners have to be done 1.33 s before the end of a
+# grace period of 8 s; their last bytes then arrive in time even if the first
+# packet was lost, which Linux sends again after 200 ms at the earliest.
+EXIT_RESERVE_MS = 1_000
+# Last part of it, in which the process exits. Answers that are not written by
+# then are cut; ending their threads may take `worker_pool.CUT_TIMEOUT_MS`, and
+# closing everything else took 50 to 90 ms on a machine with four times as many
+# busy threads as cores.
 EXIT_MS = 600
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
