--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import functools
 import http.client
@@ -49,6 +50,10 @@
 # Longest time that a thread waits for the processor to read what arrived.
 MAX_LATE_READ_MS = 2_000
 MAX_LOGGED_LENGTH = 80
+# Whom the thread of a request deals with, as the log names them.
+WAITS_FOR_RUNNER = "runner"
+WAITS_FOR_CALLER = "caller"
+WAITS_FOR_CONTROL = "control"
 SUCCESS_STATUSES = range(200, 300)
 # By these a caller takes its request for not run. 421 of a runner always means
 # that, the others only beside its own statement.
@@ -151,7 +156,8 @@
         self._status = 0
         self._scanner = stream.EventScanner()
         self._began_as_events = False
-        self._chunk_iterator = self._execute_effects()
+        self._waits_for = WAITS_FOR_RUNNER
+        self._chunk_iterator = self._note_writes(self._execute_effects())
 
     def cancel(self) -> None:
         """Abort the current exchange and all later ones, from any thread.
@@ -165,16 +171,35 @@
             exchange.cancel()
 
     def end_by_stop(self) -> None:
-        """Abort the exchange and tell the caller, from any thread.
+        """End what waits for a runner, and tell the caller; from any thread.
 
-        A caller that has got nothing yet learns whether its request may have
-        run. An answer that has begun ends incomplete.
+        An answer that has arrived at this host up to its end is delivered.
+        Otherwise a caller that has got nothing yet learns whether its request
+        may have run, and an answer that has begun ends incomplete.
         """
         with self._lock:
             self._ended_by_stop = True
             exchange = self._exchange
         if exchange is not None:
-            exchange.cancel()
+            exchange.receive_no_more()
+
+    @property
+    def request_key(self) -> int:
+        """Return the number of the request in this process."""
+        return self._request.request_key
+
+    def progress(self) -> events.AnswerProgress:
+        """Return how far the answer has come, from any thread."""
+        with self._lock:
+            exchange = self._exchange
+        quiet_ms, unread_bytes = exchange.received() if exchange else (None, 0)
+        return events.AnswerProgress(
+            waits_for=self._waits_for,
+            is_whole=exchange is not None and exchange.is_whole,
+            quiet_ms=quiet_ms,
+            unread_bytes=unread_bytes,
+            unsent_bytes=self._caller.unsent_bytes,
+        )
 
     def __iter__(self) -> Iterator[bytes]:
         """Return an iterator over the chunks of the answer."""
@@ -192,6 +217,16 @@
         self._submit(ended)
         self._on_close()
 
+    def _note_writes(
+        self, chunks: Generator[bytes, None, None]
+    ) -> Generator[bytes, None, None]:
+        """Yield the chunks, and note that the caller gets each meanwhile."""
+        with contextlib.closing(chunks):
+            for chunk in chunks:
+                self._waits_for = WAITS_FOR_CALLER
+                yield chunk
+                self._waits_for = WAITS_FOR_RUNNER
+
     def _execute_effects(self) -> Generator[bytes, None, None]:
         """Carry out the effects, and yield the bytes of the answer."""
         effects = self._effects
@@ -203,11 +238,13 @@
                 case protocol.Send() as send:
                     effects = yield from self._run_phase(send)
                 case events.FindOrigin() as find:
+                    self._waits_for = WAITS_FOR_CONTROL
                     found = events.OriginFound(
                         request_key=self._request.request_key,
                         found=self._find_origin(find),
                         now_ms=clock.monotonic_ms(),
                     )
+                    self._waits_for = WAITS_FOR_RUNNER
                     effects = self._submit(found)
                 case effect:
                     raise AssertionError(f"unexpected {type(effect).__name__}")
@@ -556,7 +593,7 @@
         with self._memory.open(
             send.upstream.address,
             until_ms=self._request.deadline_at_ms,
-            is_cancelled=lambda: self._cancelled or self._ended_by_stop,
+            is_cancelled=lambda: self._cancelled,
         ) as buffer:
             for chunk in exchange.body_chunks(
                 max_bytes=MAX_BUFFERED_BYTES,
@@ -628,7 +665,7 @@
         if self._cancelled or (self._ended_by_stop and self._head_sent):
             self._abort("the caller disconnected, or the gateway's stop cut it")
         is_final = self._ended_by_stop
-        if is_final:
+        if is_final and not answered:
             reason = "the gateway stops before the answer is complete"
             status, cut_off, runner_failed = 0, False, False
         failed = events.PhaseFailed(
