Lose a second disk in a soak only after the core was calm

A disk is lost only if, since the last loss, all listed replicas ran and were connected for catch_up_s in one stretch.

--- a/testing/soak/core_history.py
+++ b/testing/soak/core_history.py
@@ -29,6 +29,8 @@
     (records.Change.START, records.Change.END),
     (records.Change.FREEZE, records.Change.THAW),
 )
+# Longest time from the start of a process to that of its servers.
+START_S = 3.0
 Span = tuple[float, float]
 
 
@@ -136,6 +138,43 @@
                 return False
         return True
 
+    def longest_calm_s(
+        self, replicas: list[str], from_s: float, until_s: float
+    ) -> float:
+        """Return for how long at most all replicas ran, and were connected.
+
+        A replica that was started needs `START_S` until it takes part.
+        """
+        absences = sorted(
+            itertools.chain(
+                (
+                    (gone_s, back_s + START_S)
+                    for name in replicas
+                    for gone_s, back_s in _gaps(self._runs_by_name[name])
+                ),
+                (
+                    span
+                    for name in replicas
+                    for span in self._freezes_by_name[name]
+                ),
+                (
+                    (cut_s, healed_s)
+                    for pair, cut_s, healed_s in self._core_cuts
+                    if pair <= set(replicas)
+                ),
+                (
+                    (removed_s, removed_s)
+                    for removed_s in self._removed_s_by_name.values()
+                ),
+                ((until_s, until_s),),
+            )
+        )
+        longest_s = 0.0
+        for gone_s, back_s in absences:
+            longest_s = max(longest_s, min(gone_s, until_s) - from_s)
+            from_s = max(from_s, back_s)
+        return longest_s
+
     def runs_of(self, name: str) -> list[Span]:
         """Return when the processes of a machine started and ended."""
         return self._runs_by_name.get(name, [])
@@ -199,6 +238,13 @@
         yield since_s, float("inf")
 
 
+def _gaps(spans: list[Span]) -> Iterator[Span]:
+    """Yield the time between spans, and that after a last one that ended."""
+    ends_s = [ended_s for _, ended_s in spans if ended_s < float("inf")]
+    starts_s = [started_s for started_s, _ in spans[1:]]
+    yield from itertools.zip_longest(ends_s, starts_s, fillvalue=float("inf"))
+
+
 def _between(
     times_s: list[float] | tuple[float, ...], from_s: float, until_s: float
 ) -> list[float]:
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -536,26 +536,29 @@
         )
 
     def may_lose_disk(self) -> bool:
-        """Return whether all replicas that had lost their disks are back.
+        """Return whether the losses of disks before are made good.
 
-        They and most of the core have been there for `catch_up_s`.
+        Since the last one, all listed replicas have been there and connected
+        for `catch_up_s` in one stretch.
         """
         now_s = time.monotonic()
-        history = core_history.CoreHistory(self._seen)
         had_loss = {
             incident.name
             for incident in list(self._seen.incidents)
             if incident.change is records.Change.DISK_LOST
         }
-        return all(
-            self.node_by_name[name].last_start_s()
-            < now_s - core_history.CATCH_UP_S
-            and history.reaches_most(
-                name, now_s, rest_s=core_history.CATCH_UP_S
-            )
-            for name in self.listed
-            if name in had_loss or name not in self._founders
+        since_s = max(
+            (
+                self.node_by_name[name].last_start_s()
+                for name in self.listed
+                if name in had_loss or name not in self._founders
+            ),
+            default=0.0,
+        )
+        calm_s = core_history.CoreHistory(self._seen).longest_calm_s(
+            self.listed, since_s, now_s
         )
+        return not since_s or calm_s > core_history.CATCH_UP_S
 
     def close(self) -> None:
         """End all processes; fail if one is still running."""
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -11,6 +11,7 @@
 
 from soak import accounts
 from soak import checks
+from soak import core_history
 from soak import hostile
 from soak import misbehavior
 from soak import readings
@@ -896,6 +897,35 @@
     assert [finding.rule for finding in checks.judge(seen)] == rules
 
 
+@pytest.mark.parametrize(
+    ("incidents", "expected_s"),
+    [
+        pytest.param(_core(), 10.0, id="calm"),
+        pytest.param(_core(*KILLED), 8.5, id="killed"),
+        pytest.param(_core(*FROZEN), 5.0, id="frozen"),
+        pytest.param(
+            _core() + _cut("c3", "c1", from_s=93.0, until_s=98.0),
+            3.0,
+            id="cut",
+        ),
+        pytest.param(_core(("c2", END, 94.0)), 4.0, id="down"),
+        pytest.param(
+            _core() + _cut("c3", "g1", from_s=93.0, until_s=98.0),
+            10.0,
+            id="gateway-cut",
+        ),
+    ],
+)
+def test_disks_are_lost_only_after_replicas_could_catch_up(
+    incidents: list[records.Incident], expected_s: float
+) -> None:
+    """Two disks were lost while the leader was cut from the new replica."""
+    seen = records.Records()
+    seen.incidents += incidents
+    history = core_history.CoreHistory(seen)
+    assert history.longest_calm_s(["c1", "c2", "c3"], 90.0, 100.0) == expected_s
+
+
 EXTRA = frozenset({"/extra-1/"})
 
 
