Resume connections after a cut when TCP would repeat

The proxy passed on what it had held as soon as a cut ended. TCP is quiet until its next repeat: up to as long as the cut for data, and seconds for a connection that was begun meanwhile.

--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -17,6 +17,10 @@
 # Interval at which the proxy measures how late its thread runs.
 PULSE_S = 0.02
 BACKLOG = 256
+# When Linux repeats the first packet of a connection, and one on a link without
+# a delay, for the first time.
+CONNECT_RETRY_S = 1.0
+SEND_RETRY_S = 0.2
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 
 
@@ -252,9 +256,22 @@
         if not self._cut_count_by_pair[pair]:
             self._healed_by_pair.pop(pair).set()
 
-    async def _wait_until_healed(self, pair: frozenset[str]) -> None:
+    async def _wait_until_healed(
+        self, pair: frozenset[str], retry_s: float
+    ) -> None:
+        """Wait as TCP does: after a cut it is quiet until the next repeat.
+
+        Args:
+            pair: The machines at both ends.
+            retry_s: Time to the first repeat, which doubles with each.
+        """
+        due_s = self._loop.time()
         while healed := self._healed_by_pair.get(pair):
             await healed.wait()
+            while due_s < self._loop.time():
+                due_s += retry_s
+                retry_s *= 2
+            await asyncio.sleep(due_s - self._loop.time())
 
     def _machines(
         self, link: _Link, writer: asyncio.StreamWriter
@@ -271,7 +288,7 @@
     ) -> None:
         machines = self._machines(link, writer)
         try:
-            await self._wait_until_healed(machines)
+            await self._wait_until_healed(machines, CONNECT_RETRY_S)
         except asyncio.CancelledError:
             writer.close()
             raise
@@ -295,7 +312,7 @@
                 ),
             )
         except OSError:
-            await self._wait_until_healed(machines)
+            await self._wait_until_healed(machines, SEND_RETRY_S)
             relay.reset()
         finally:
             link.relays.discard(relay)
@@ -313,7 +330,7 @@
         while data := await reader.read(RELAY_BYTES):
             if link.delay_s:
                 await asyncio.sleep(link.delay_s)
-            await self._wait_until_healed(relay.machines)
+            await self._wait_until_healed(relay.machines, SEND_RETRY_S)
             if direction in relay.cut:
                 continue
             if direction is Disturbance.CUT_ANSWERS:
@@ -321,7 +338,7 @@
             await link.rate.pass_on(direction, len(data))
             writer.write(data)
             await writer.drain()
-        await self._wait_until_healed(relay.machines)
+        await self._wait_until_healed(relay.machines, SEND_RETRY_S)
         # The other direction may not be half closed: a gateway or runner that
         # closes its connection wants no more bytes.
         with contextlib.suppress(OSError):
