Take a probe for run only if its own arrival ran

Callers that give up send their attempt id again with another target. Runs are looked up by attempt id and target as everywhere else; each call is still judged. The test failed before with CONFIG 'run with a dropped route'.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -461,8 +461,8 @@
     for version, text in readings.find_stale(evidence.seen):
         yield Finding("CONFIG", version, text)
     ran = {
-        attempt
-        for (attempt, _), arrivals in evidence.arrivals_by_key.items()
+        key
+        for key, arrivals in evidence.arrivals_by_key.items()
         if any(arrival.has_run for arrival in arrivals)
     }
     for call, text in readings.find_disobeyed(evidence.seen, ran):
--- a/testing/soak/readings.py
+++ b/testing/soak/readings.py
@@ -64,7 +64,7 @@
 
 
 def find_disobeyed(
-    seen: records.Records, ran_attempts: set[str]
+    seen: records.Records, ran_keys: set[records.CallKey]
 ) -> Iterator[tuple[records.Call, str]]:
     """Yield each probe that only an older version allows."""
     history = core_history.CoreHistory(seen)
@@ -74,7 +74,7 @@
             continue
         if _is_denied(call) and allowed:
             yield call, "refused with 404 though the route is there"
-        if call.attempt in ran_attempts and not allowed:
+        if call.key in ran_keys and not allowed:
             yield call, "run with a dropped route"
 
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -990,6 +990,19 @@
     assert [finding.rule for finding in checks.judge(seen)] == rules
 
 
+def test_run_before_a_route_was_dropped_is_not_that_of_a_later_call() -> None:
+    """A caller that gave up may send its attempt id again."""
+    seen = _sound_records(PROBE)
+    _probe("/extra-1/", EXTRA, status=200)(seen)
+    seen.publications.append(records.Publication(5, "five", 101.0, 102.0))
+    seen.readings[0] = records.Reading(
+        "c1", 5, "five", 110.0, 110.1, is_final=True
+    )
+    _add_call(seen, is_run=False, started_s=105.0)
+    seen.calls[1].attempt = seen.calls[0].attempt
+    assert checks.judge(seen) == []
+
+
 def test_route_that_is_dropped_again_after_its_removal_showed_is_found() -> (
     None
 ):
