--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -23,6 +23,7 @@
 LEADER = "leader"
 LISTED = ("core-0", "core-1", "core-2")
 CORE_GAP_S = (0.5, 4.0)
+REPLACING_GAP_S = (1.0, 4.0)
 CUT_S = (1.0, 6.0)
 SUCCESSOR_GAP_S = (0.0, 3.0)
 # From a change of the operators' list to new seeds in settings files.
@@ -318,10 +319,15 @@
         yield Timed(at_s, _draw_change(chance))
         at_s += chance.uniform(*STEADY_CHANGE_GAP_S)
     at_s = chance.uniform(0.5, 1.5)
+    # Either many faults overlap, or one replica is replaced after the other:
+    # between overlapping ones most disks may not be lost.
+    every, gap_s = chance.choice(
+        ((CORE_SERIES, CORE_GAP_S), (REPLACING_SERIES, REPLACING_GAP_S))
+    )
     while at_s < duration_s:
-        for timed in chance.choice(CORE_SERIES)(chance, scope):
+        for timed in chance.choice(every)(chance, scope):
             yield Timed(at_s + timed.at_s, timed.fault)
-        at_s += chance.uniform(*CORE_GAP_S)
+        at_s += chance.uniform(*gap_s)
     at_s = chance.uniform(*CORE_SERIES_GAP_S)
     others = dataclasses.replace(scope, replicas=())
     while at_s < duration_s:
@@ -558,6 +564,12 @@
     _cut_gateways,
     _signal_replica,
 )
+REPLACING_SERIES: tuple[Series, ...] = (
+    _replace_replica,
+    _replace_replica,
+    _lose_disk,
+    _cut_gateways,
+)
 CALM_SERIES: tuple[Series, ...] = (
     _restart_gateway,
     _reloads,
