Answer 404 and 401 only by a table that control confirmed lately

Callers got 404 for a route that was there, more than 2 s after the change that added it was acknowledged: the gateway's polls were waiting, and it had had no proof for longer than a change may take. 401 for an unknown key has the same cause without strict revocation, and with a long limit of revocation.

Both are final for the caller. They are given now only if control confirmed within bounds.config_ms (a setting of the deployment, default 2,000) that the table in use is the newest; otherwise the answer is 503, not run, with Retry-After 0.2. A change that was acknowledged longer ago than config_ms then is in the table.

--- a/src/wisteriawall/gateway/accounts.py
+++ b/src/wisteriawall/gateway/accounts.py
@@ -16,6 +16,7 @@
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
 from wisteriawall.gateway import state as state_lib
+from wisteriawall.gateway import table_proof
 from wisteriawall.web import refusal as refusal_lib
 
 __all__ = ["Accepted", "Refused", "Verdict", "check", "check_head", "identify"]
@@ -139,8 +140,10 @@
         return Refused(refusals.TABLE_UNPROVED, "table-unproved")
     if account is not None:
         return _accept(account, until_ms)
-    if gateway.newest_table > index.table.number:
+    if table_proof.is_outdated(gateway, index.table):
         return Refused(refusals.OUTDATED_ACCOUNTS, "table-outdated")
+    if not table_proof.is_confirmed(gateway, proved_ms, now_ms):
+        return Refused(refusals.TABLE_UNPROVED, "table-unproved")
     return Refused(refusals.UNKNOWN_KEY, f"key-{key.kind.value}")
 
 
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -21,6 +21,7 @@
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
+from wisteriawall.gateway import table_proof
 from wisteriawall.gateway import usage_events as usage
 from wisteriawall.policy import placement as placement_lib
 from wisteriawall.policy import runner_notices
@@ -75,6 +76,21 @@
             yield from _handle_news(gateway, event)
 
 
+def _no_route(gateway: state_lib.Gateway, now_ms: int) -> refusal_lib.Refusal:
+    """Return the refusal of a request without a route in the table in use.
+
+    404 is final, and a newer table may have the route.
+    """
+    assert gateway.route_index is not None
+    if table_proof.is_outdated(gateway, gateway.route_index.table):
+        return refusals.OUTDATED_TABLE
+    if not table_proof.is_confirmed(
+        gateway, gateway.table_confirmed_ms, now_ms
+    ):
+        return refusals.ROUTES_UNPROVED
+    return refusals.NO_ROUTE
+
+
 def _handle_arrival(
     gateway: state_lib.Gateway, event: events.Arrived
 ) -> Iterator[events.Effect]:
@@ -102,13 +118,7 @@
                 "table_age_ms": event.now_ms - gateway.table_confirmed_ms,
             },
         )
-        # 404 is final, and a newer table may have the route.
-        is_outdated = gateway.newest_table > gateway.table_number
-        yield events.Refuse(
-            refusal=refusals.OUTDATED_TABLE
-            if is_outdated
-            else refusals.NO_ROUTE
-        )
+        yield events.Refuse(refusal=_no_route(gateway, event.now_ms))
         return
     request = state_lib.Request(
         request_key=event.request_key,
--- a/src/wisteriawall/gateway/refusals.py
+++ b/src/wisteriawall/gateway/refusals.py
@@ -10,6 +10,7 @@
     "ORIGIN_UNKNOWN",
     "OUTDATED_ACCOUNTS",
     "OUTDATED_TABLE",
+    "ROUTES_UNPROVED",
     "STOPPING",
     "TABLE_UNPROVED",
     "UNKNOWN_KEY",
@@ -45,6 +46,13 @@
     message="a newer routing table, which may have the route, is not here yet",
     retry_after_ms=TABLE_FETCH_RETRY_MS,
 )
+ROUTES_UNPROVED = refusal_lib.Refusal(
+    status=503,
+    code=refusal_lib.Code.UNAVAILABLE,
+    message="control has not confirmed lately that the routing table, which"
+    " lacks the route, is the newest",
+    retry_after_ms=TABLE_FETCH_RETRY_MS,
+)
 OUTDATED_ACCOUNTS = refusal_lib.Refusal(
     status=503,
     code=refusal_lib.Code.UNAVAILABLE,
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -32,6 +32,7 @@
 from wisteriawall.gateway import start_gate
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import suspects as suspects_lib
+from wisteriawall.gateway import table_proof
 from wisteriawall.gateway import table_relay
 from wisteriawall.gateway import usage as usage_lib
 from wisteriawall.gateway import usage_events
@@ -645,11 +646,13 @@
         )
 
     def _needs_proof(self) -> bool:
-        """Return whether keys will soon be refused for lack of a proof."""
+        """Return whether requests will soon be refused for lack of a proof."""
         gateway = self._gateway
-        revoke_ms = gateway.tuning.revoke_ms
-        age_ms = clock.monotonic_ms() - gateway.table_confirmed_ms
-        return revoke_ms is not None and age_ms > OLD_PROOF_PART * revoke_ms
+        tuning = gateway.tuning
+        limit_ms = table_proof.HURRY_PART * tuning.config_ms
+        if tuning.revoke_ms is not None:
+            limit_ms = min(limit_ms, OLD_PROOF_PART * tuning.revoke_ms)
+        return clock.monotonic_ms() - gateway.table_confirmed_ms > limit_ms
 
     def _apply_reply(
         self, reply: gateway_messages.Followed, called_ms: int
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -30,7 +30,8 @@
     """Parameters of placement and of the rejection of requests.
 
     `revoke_ms` is how long after its removal a key may still be in use, None
-    if that is not limited.
+    if that is not limited. `config_ms` is how long after its acknowledgement a
+    change of the routing table must be in force.
     """
 
     placement_options: placement_lib.Options = dataclasses.field(
@@ -40,6 +41,7 @@
         default_factory=admission.AdmissionBounds
     )
     revoke_ms: int | None = None
+    config_ms: int = 2_000
 
 
 @final
--- a/src/wisteriawall/platform/gateway_role.py
+++ b/src/wisteriawall/platform/gateway_role.py
@@ -34,7 +34,10 @@
             key=key,
             dialect=headers.PlatformDialect(),
             budget=settings.retry_budget,
-            tuning=gateway_state.Tuning(revoke_ms=settings.revoke_ms),
+            tuning=gateway_state.Tuning(
+                revoke_ms=settings.revoke_ms,
+                config_ms=settings.bounds.config_ms,
+            ),
             log=log,
             metrics=roles.open_metrics(settings, metrics_port, memory),
             grace_ms=settings.grace_ms,
--- a/src/wisteriawall/platform/settings.py
+++ b/src/wisteriawall/platform/settings.py
@@ -58,6 +58,8 @@
     budget_window_s: float = 10.0
     # Retries allowed in addition to the ratio, shared by all gateways.
     retry_budget_slack: float = 0.0
+    # How long after its acknowledgement a change must be in force.
+    config_ms: int = 2_000
     # Whether a withdrawn key is refused by every process after `revoke_ms`.
     strict_revocation: bool = False
     revoke_ms: int = 5_000
--- a/testing/gateway/test_accounts.py
+++ b/testing/gateway/test_accounts.py
@@ -249,6 +249,23 @@
     assert status(caller.send(key("k1"))) == 0
 
 
+@pytest.mark.parametrize("revoke_ms", [None, 10 * REVOKE_MS])
+def test_key_is_not_denied_by_a_table_that_may_be_outdated(
+    revoke_ms: int | None,
+) -> None:
+    """A key that was added while polls waited was refused for good."""
+    caller = Caller(revoke_ms=revoke_ms)
+    config_ms = caller.gateway.tuning.config_ms
+    caller.poll(1, make_table(1, "k1"))
+    caller.now_ms += config_ms
+    assert status(caller.send(key("k2"))) == 401
+    caller.now_ms += 1
+    assert status(caller.send(key("k2"))) == 503
+    assert status(caller.send(key("k1"))) == 0
+    caller.poll(1)
+    assert status(caller.send(key("k2"))) == 401
+
+
 def test_key_that_a_later_table_restores_works_again() -> None:
     caller = Caller()
     statuses = []
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -351,3 +351,17 @@
 ) -> None:
     loaded = msgspec.convert(SETTINGS | {"bounds": bounds}, settings.Settings)
     assert loaded.revoke_ms == expected
+
+
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        pytest.param({}, 2_000, id="absent"),
+        pytest.param({"config_ms": 900}, 900, id="own-limit"),
+    ],
+)
+def test_time_of_a_change_is_not_that_of_the_deployment(
+    bounds: dict[str, object], expected: int
+) -> None:
+    loaded = msgspec.convert(SETTINGS | {"bounds": bounds}, settings.Settings)
+    assert loaded.bounds.config_ms == expected
