Count prefills after the first one in the retry budget

A prefill hands a prompt to a decode engine by a transfer handle. If that engine rejected the request (503, not run, as after a lapsed handle), the gateway took one retry from the budget and then sent two more phases: a prefill and a decode. If the decode engine could not be reached, it took none, and sent a prefill for each such engine. The rule leaves out only the first prefill that a runner accepts; further ones count, and so do rejected ones. A service with short-lived handles or lost decode engines got up to twice the arrivals that are allowed, or more.

Each request now counts its arrivals and those that it has taken from the budget. A retry takes what is missing for a further prefill, two mostly, and gives back what a decode engine that does the prefill itself doesn't need. If the budget has too few for a prefill, the request goes to a decode engine alone. Plain requests, and prompts without a prefill phase, take one as before.

--- a/src/wisteriawall/gateway/placing.py
+++ b/src/wisteriawall/gateway/placing.py
@@ -19,6 +19,7 @@
 from wisteriawall.gateway import loads
 from wisteriawall.gateway import protocol
 from wisteriawall.gateway import refusals
+from wisteriawall.gateway import retry_budget
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.gateway import stream_origins
 from wisteriawall.gateway import suspects
@@ -267,6 +268,8 @@
             same_zone=upstream.zone == gateway.zone,
         )
         for upstream in upstreams
+        if request.may_prefill
+        or upstream.stage is not gateway_messages.Stage.PREFILL
     ]
     find_placement = functools.partial(
         _cheapest_placement,
@@ -487,6 +490,7 @@
     request.began_ms = 0
     if send.phase is not protocol.Phase.PREFILL:
         request.attempts += 1
+    retry_budget.note_send(gateway, request, send)
     request.tried_upstream_ids.add(send.upstream.upstream_id)
     load_event = gateway_messages.LoadEvent(
         gateway_messages.LoadEventKind.SENT,
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -228,6 +228,7 @@
     request = gateway.request_by_key.get(event.request_key)
     if request is None or request.current_send is None:
         return
+    request.has_prefilled = True
     placement = request.placement
     assert isinstance(placement, placement_lib.EnginePair)
     prefiller = request.current_send.upstream
@@ -341,6 +342,8 @@
     if event.cut_off:
         yield from suspects.report_cut_off(gateway, request, event)
     run = event.run
+    if event.unreachable:
+        request.arrivals -= 1
     if send.phase is protocol.Phase.PREFILL:
         # A prefill alone does not run the request.
         run = refusal_lib.RunState.NOT_RUN
@@ -459,9 +462,9 @@
     not_run = run is refusal_lib.RunState.NOT_RUN
     if not not_run and not request.route.is_repeatable:
         return False
-    if event.unreachable:
-        return True
-    if request.attempts >= request.route.max_attempts:
+    if not event.unreachable and (
+        request.attempts >= request.route.max_attempts
+    ):
         return False
     return (yield from retry_budget.take_retry(gateway, request, event.now_ms))
 
--- a/src/wisteriawall/gateway/retry_budget.py
+++ b/src/wisteriawall/gateway/retry_budget.py
@@ -4,12 +4,19 @@
 from collections.abc import Iterator
 
 from wisteriawall.gateway import events
+from wisteriawall.gateway import protocol
 from wisteriawall.gateway import state as state_lib
 from wisteriawall.policy import gateway_count
 from wisteriawall.policy import retry_window
 from wisteriawall.wire import gateway_messages
 
-__all__ = ["apply_gateway_count", "new_window", "report", "take_retry"]
+__all__ = [
+    "apply_gateway_count",
+    "new_window",
+    "note_send",
+    "report",
+    "take_retry",
+]
 
 # Smallest number of gateways among which the slack is divided. While a fleet
 # starts for the first time, control has not heard of most of them.
@@ -106,17 +113,31 @@
 def take_retry(
     gateway: state_lib.Gateway, request: state_lib.Request, now_ms: int
 ) -> Generator[events.LogDecision, None, bool]:
-    """Count one retry of a request; return False if the budget denies it."""
+    """Count a retry of a request; return False if the budget denies it.
+
+    The rule counts arrivals at runners, without the first one and the first
+    prefill that a runner accepts. So a retry takes two if it begins with a
+    prefill after the first one, unless sends before it reached no runner. If
+    the budget has too few for that, the request goes on without a prefill.
+    """
     service = request.service.name
-    if gateway.retries.take_retry(service, now_ms):
+    count = request.arrivals - request.counted_retries
+    if _take(gateway, request, count, now_ms):
+        request.may_prefill = True
         return True
-    excess = gateway.retries.find_excess(service, now_ms)
+    if request.has_prefilled:
+        count -= 1
+        request.may_prefill = False
+        if _take(gateway, request, count, now_ms):
+            return True
+    excess = gateway.retries.find_excess(service, now_ms, count=count)
     assert excess is not None
     yield events.LogDecision(
         decision="retry-denied",
         request_id=request.request_id,
         inputs={
             "service": service,
+            "wanted": count,
             "made": excess.made,
             "allowed": round(excess.allowed, 2),
             "slack": round(excess.slack, 2),
@@ -128,5 +149,33 @@
     return False
 
 
+def _take(
+    gateway: state_lib.Gateway,
+    request: state_lib.Request,
+    count: int,
+    now_ms: int,
+) -> bool:
+    if count > 0:
+        service = request.service.name
+        if not gateway.retries.take_retry(service, now_ms, count=count):
+            return False
+        request.counted_retries += count
+    return True
+
+
+def note_send(
+    gateway: state_lib.Gateway, request: state_lib.Request, send: protocol.Send
+) -> None:
+    """Count a send; return what a retry without a prefill took in excess."""
+    request.arrivals += 1
+    if send.phase is not protocol.Phase.WHOLE or not request.has_prefilled:
+        return
+    # Neither the first arrival nor the prefill is a retry.
+    unused = request.counted_retries - max(0, request.arrivals - 2)
+    if unused > 0:
+        gateway.retries.return_retries(request.service.name, unused)
+        request.counted_retries -= unused
+
+
 def _age_ms(at_ms: int | None, now_ms: int) -> int:
     return -1 if at_ms is None else now_ms - at_ms
--- a/src/wisteriawall/gateway/state.py
+++ b/src/wisteriawall/gateway/state.py
@@ -62,9 +62,13 @@
     `origin` is the version that began the stream, None before the first event.
     `account` is the name of the client account, empty without one, and
     `account_rank` its rank, None without one. `counted_attempt` is the last of
-    `attempts` that is counted as its usage. `work_ms` is the expected work of a
-    request without a prompt, and `found_free_slot` is set if its runner was
-    expected to serve it at once. Times are on the monotonic clock.
+    `attempts` that is counted as its usage. `arrivals` are the sends that may
+    have reached a runner, of all phases, of which `counted_retries` are in the
+    retry budget, and `has_prefilled` is set once a prefill is done.
+    `may_prefill` is unset if the retry budget allows no further one. `work_ms`
+    is the expected work of a request without a prompt, and `found_free_slot` is
+    set if its runner was expected to serve it at once. Times are on the
+    monotonic clock.
     """
 
     request_key: int
@@ -90,6 +94,10 @@
     account: str = ""
     account_rank: int | None = None
     counted_attempt: int = 0
+    arrivals: int = 0
+    counted_retries: int = 0
+    has_prefilled: bool = False
+    may_prefill: bool = True
     work_ms: float = 0.0
     found_free_slot: bool = False
 
--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -141,17 +141,24 @@
             self._earned_from_ms = contact_ms
         self._contact_ms = max(contact_ms, self._contact_ms or contact_ms)
 
-    def take_retry(self, service: str, now_ms: int) -> bool:
-        """Count one retry; return False if the budget does not allow it."""
+    def take_retry(self, service: str, now_ms: int, *, count: int = 1) -> bool:
+        """Count retries; return False if the budget does not allow them all."""
         retries = self._retries_by_service[service]
         del retries[: bisect.bisect_left(retries, now_ms - self._window_ms)]
-        if self.find_excess(service, now_ms) is not None:
+        if self.find_excess(service, now_ms, count=count) is not None:
             return False
-        retries.append(now_ms)
+        retries.extend([now_ms] * count)
         return True
 
-    def find_excess(self, service: str, now_ms: int) -> Excess | None:
-        """Return why the budget does not allow a retry, None if it does."""
+    def return_retries(self, service: str, count: int) -> None:
+        """Take back the last retries that were counted and are not made."""
+        if count > 0:
+            del self._retries_by_service[service][-count:]
+
+    def find_excess(
+        self, service: str, now_ms: int, *, count: int = 1
+    ) -> Excess | None:
+        """Return why the budget does not allow retries, None if it does."""
         retries = self._retries_by_service[service]
         requests = self._requests_by_service[service]
         slack = self.slack(now_ms)
@@ -160,7 +167,7 @@
             made = len(retries) - bisect.bisect_left(retries, start_ms)
             allowed = self._ratio * self._mean_requests(requests, start_ms)
             allowed += slack
-            if made + 1 > allowed:
+            if made + count > allowed:
                 return Excess(
                     start_ms=start_ms, made=made, allowed=allowed, slack=slack
                 )
