--- a/testing/web/test_early_ends.py
+++ b/testing/web/test_early_ends.py
@@ -285,6 +285,14 @@
         ended.check()
 
 
+@pytest.mark.usefixtures("patient")
+def test_cancelled_exchange_does_not_wait(ended: EndedConnection) -> None:
+    """A caller that has left would hold its thread."""
+    ended.on_first_look = lambda: ended.near.shutdown(socket.SHUT_RDWR)
+    with pytest.raises(ConnectionError):
+        ended.check()
+
+
 def test_request_that_stays_untaken_ends_the_wait(
     ended: EndedConnection,
 ) -> None:
