Await the rest of an answer that its sender holds for lack of room

While bytes of an answer are unread when nothing waits for a runner any more, its reads now wait up to 250 ms each for what comes once there is room.

test_rest_that_waits_for_room_is_received_when_receiving_ends failed before (Broken: IncompleteRead, 5 bytes read, 5 more expected).

--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -45,6 +45,9 @@
 TCP_INFO = struct.Struct("8B12I")
 # State of a connection whose peer has ended its sending side.
 TCP_CLOSE_WAIT = 8
+# Wait for what the server's host sends once there is room for it. Linux sends a
+# packet that was lost again after 200 ms at the earliest.
+REST_WAIT_MS = 250
 # Headers that urllib3 adds unless told otherwise.
 SUPPRESSED_HEADERS = {
     name: urllib3.util.SKIP_HEADER
@@ -318,20 +321,30 @@
             self._shut_down(socket.SHUT_RDWR)
 
     def receive_no_more(self) -> None:
-        """Let reads wait for nothing more, from any thread.
+        """Let reads wait for the server no more, from any thread.
 
         What has arrived at this host can still be read, up to the end of the
         response if that is there. It is `Broken` otherwise. A request that is
         not sent yet is cancelled.
         """
         with self._lock:
-            if self._is_sent:
-                self._receives_no_more = True
-                # Linux returns what has arrived before it reports the end.
-                self._shut_down(socket.SHUT_RD)
-            else:
+            if not self._is_sent:
                 self._cancelled = True
                 self._shut_down(socket.SHUT_RDWR)
+                return
+            self._receives_no_more = True
+            if self._connection is not None and self._has_unread_bytes():
+                # The rest may wait at its sender until these are read.
+                self._connection.limit_waits(REST_WAIT_MS)
+            else:
+                # Linux returns what has arrived before it reports the end.
+                self._shut_down(socket.SHUT_RD)
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return self._socket is not None and bool(unread_bytes(self._socket))
+        except OSError:
+            return False
 
     def _shut_down(self, how: int) -> None:
         if self._socket is not None:
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -140,6 +140,10 @@
         """Let reads fail after so many more bytes; with None, never."""
         self._raw_reader.remaining_bytes = max_bytes
 
+    def limit_waits(self, max_wait_ms: int) -> None:
+        """Let each read that begins from now on wait that long at most."""
+        self._raw_reader.max_wait_ms = max_wait_ms
+
     def request(self, *args: Any, **options: Any) -> None:
         """Send a request; arguments and errors are those of urllib3."""
         self.request_count += 1
@@ -282,7 +286,8 @@
 class _SocketReader(io.RawIOBase):
     """Reads a socket, until a deadline or a limit if there is one.
 
-    Reads fail after `remaining_bytes` more bytes, unless that is None.
+    Reads fail after `remaining_bytes` more bytes, and each waits at most
+    `max_wait_ms`, unless that is None.
 
     `at_end` is set once the peer has closed the connection. The read that finds
     this fails if `end_is_error` is set, since http.client takes a chunk size
@@ -296,6 +301,7 @@
         self.at_end = False
         self.end_is_error = False
         self.remaining_bytes: int | None = None
+        self.max_wait_ms: int | None = None
         self.notes_times = False
         self.received_wall_ms: int | None = None
 
@@ -313,6 +319,8 @@
         """
         if self.deadline_at_ms is not None:
             self._set_timeout(self.deadline_at_ms)
+        if self.max_wait_ms is not None:
+            self._socket.settimeout(self.max_wait_ms / MS_PER_S)
         try:
             count = self._receive(buffer)
         except BlockingIOError:
--- a/testing/web/test_http_exchange.py
+++ b/testing/web/test_http_exchange.py
@@ -4,6 +4,7 @@
 import http.client
 import socket
 import threading
+import time
 
 import pytest
 from support import raw_server
@@ -474,3 +475,51 @@
             b"".join(sent.body_chunks())
     sent.close()
     server.close()
+
+
+class ClosedWindowServer(raw_server.RawServer):
+    """Server whose rest of a response comes once its first part was read."""
+
+    def __init__(self) -> None:
+        """Listen on a free port."""
+        self.head_read, self.began = threading.Event(), threading.Event()
+        self.go_on = threading.Event()
+        super().__init__()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.recv(65_536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+        assert self.head_read.wait(WAIT_MS / 1_000)
+        connection.sendall(b"first")
+        self.began.set()
+        assert self.go_on.wait(WAIT_MS / 1_000)
+        # A packet takes a moment.
+        time.sleep(0.1)
+        connection.sendall(b"after")
+        connection.recv(1)
+
+
+def test_rest_that_waits_for_room_is_received_when_receiving_ends(
+    pool: connection_pool.ConnectionPool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was at its sender until the thread made room, and was not awaited."""
+    monkeypatch.setattr(http_exchange, "REST_WAIT_MS", WAIT_MS, raising=False)
+    server = ClosedWindowServer()
+    sent = http_exchange.HttpExchange(pool)
+    sent.send(
+        server.address,
+        method="GET",
+        target="/",
+        headers={"Host": "h"},
+        body=None,
+        timeout_s=WAIT_MS / 1_000,
+    )
+    server.head_read.set()
+    assert server.began.wait(WAIT_MS / 1_000)
+    sent.receive_no_more()
+    chunks = sent.body_chunks()
+    assert next(chunks) == b"first"
+    server.go_on.set()
+    assert b"".join(chunks) == b"after"
+    sent.release()
+    server.close()
