Use a new list of runners before the table beside it is fetched

A poll's answer may bring a list of runners and name a routing table that has to be fetched, from another gateway or a replica.

The answer is applied first, and the table once it is here, as an event of its own (TableFetched). An answer that brings no table does not clear the error of a table that could not be applied, so that this is still logged once.

--- a/src/wisteriawall/gateway/control_update.py
+++ b/src/wisteriawall/gateway/control_update.py
@@ -22,10 +22,12 @@
 from wisteriawall.gateway import usage_events
 from wisteriawall.wire import upstream_checks
 
-__all__ = ["announce_table", "apply"]
+__all__ = ["announce_table", "apply", "apply_fetched_table"]
 
 # A newer table is in use within half of this time, as long as nothing fails.
 LATE_TABLE_MS = 1_000
+# Name of the part of an answer that may have to be fetched.
+_TABLE = "table"
 
 _Part: TypeAlias = Callable[
     [state_lib.Gateway, events.ControlUpdate], Iterator[events.Effect]
@@ -42,7 +44,21 @@
         except Exception as error:
             yield from _note_failure(gateway, name, error)
         else:
-            gateway.error_by_part.pop(name, None)
+            if name != _TABLE or event.table is not None:
+                gateway.error_by_part.pop(name, None)
+
+
+def apply_fetched_table(
+    gateway: state_lib.Gateway, event: events.TableFetched
+) -> Iterator[events.Effect]:
+    """Use a table that was fetched after control's answer was applied."""
+    try:
+        yield from _use_table(gateway, event.table, event.took_ms, event.source)
+    except Exception as error:
+        yield from _note_failure(gateway, _TABLE, error)
+    else:
+        gateway.error_by_part.pop(_TABLE, None)
+        _confirm_table(gateway, event.newest_table, event.confirmed_ms)
 
 
 def announce_table(
@@ -68,7 +84,7 @@
             "table": gateway.table_number,
             "awaited_ms": awaited_ms,
             "source": event.source,
-            "error": gateway.error_by_part.get("table", ""),
+            "error": gateway.error_by_part.get(_TABLE, ""),
         },
     )
 
@@ -94,24 +110,41 @@
 def _apply_table(
     gateway: state_lib.Gateway, event: events.ControlUpdate
 ) -> Iterator[events.Effect]:
-    table = event.table
-    if table is not None and table.number > gateway.table_number:
-        gateway.route_index = route_table.RouteIndex(table)
-        gateway.table_awaited_ms = None
-        loads.apply_table(gateway)
-        yield events.LogDecision(
-            decision="table",
-            request_id="",
-            inputs={
-                "number": table.number,
-                "routes": len(table.routes),
-                "took_ms": event.took_ms,
-                "source": event.table_source,
-            },
-        )
-    if event.newest_table <= gateway.table_number:
+    if event.table is not None:
+        yield from _use_table(gateway, event.table, event.took_ms, "")
+    _confirm_table(gateway, event.newest_table, event.confirmed_ms)
+
+
+def _use_table(
+    gateway: state_lib.Gateway,
+    table: route_table.RouteTable,
+    took_ms: int,
+    source: str,
+) -> Iterator[events.Effect]:
+    if table.number <= gateway.table_number:
+        return
+    gateway.route_index = route_table.RouteIndex(table)
+    gateway.table_awaited_ms = None
+    loads.apply_table(gateway)
+    yield events.LogDecision(
+        decision="table",
+        request_id="",
+        inputs={
+            "number": table.number,
+            "routes": len(table.routes),
+            "took_ms": took_ms,
+            "source": source,
+        },
+    )
+
+
+def _confirm_table(
+    gateway: state_lib.Gateway, newest_table: int, confirmed_ms: int
+) -> None:
+    """Note when the table in use was the newest, unless it is not."""
+    if newest_table <= gateway.table_number:
         gateway.table_confirmed_ms = max(
-            gateway.table_confirmed_ms, event.confirmed_ms
+            gateway.table_confirmed_ms, confirmed_ms
         )
 
 
@@ -151,7 +184,7 @@
 
 
 _PART_BY_NAME: dict[str, _Part] = {
-    "table": _apply_table,
+    _TABLE: _apply_table,
     "suspects": suspects.apply_control,
     "mixed-services": stream_origins.accept_mixed_services,
     "gateway-count": retry_budget.apply_gateway_count,
--- a/src/wisteriawall/gateway/events.py
+++ b/src/wisteriawall/gateway/events.py
@@ -42,6 +42,7 @@
     "StopTimedOut",
     "StreamBegan",
     "TableAnnounced",
+    "TableFetched",
     "UnexpectedError",
 ]
 
@@ -289,13 +290,13 @@
 class ControlUpdate:
     """A control replica sent changes.
 
-    `table` and `upstreams` are None if unchanged. `gateway_count` is the number
-    of gateways of the deployment. `newest_table` is the number of the table
-    that was the newest at `confirmed_ms`, monotonic time, and `took_ms` the
-    duration of the call. `table_source` is where the table was fetched, empty
-    if it came with the answer. `blocked_ms_by_parts` are the sets of traits
-    that are blocked, `suspects` is what else control knows of requests under
-    which runners crash, and `limit_by_runner` are the limits that others know.
+    `table` is None if it is unchanged or has to be fetched, and `upstreams` if
+    it is unchanged. `gateway_count` is the number of gateways of the
+    deployment. `newest_table` is the number of the table that was the newest at
+    `confirmed_ms`, monotonic time, and `took_ms` the duration of the call.
+    `blocked_ms_by_parts` are the sets of traits that are blocked, `suspects` is
+    what else control knows of requests under which runners crash, and
+    `limit_by_runner` are the limits that others know.
     Of `mixed_services`, several software versions may have begun streams.
     `load_events_of_others` is how many load events the other gateways sent, -1
     if that isn't known. `usage` is what is committed of this gateway's usage.
@@ -308,7 +309,6 @@
     newest_table: int = 0
     confirmed_ms: int = 0
     took_ms: int = 0
-    table_source: str = ""
     blocked_ms_by_parts: Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
@@ -342,6 +342,22 @@
     source: str = ""
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class TableFetched:
+    """A table that control named was fetched from `source`.
+
+    The other attributes are as in `ControlUpdate`, and `took_ms` is the time
+    from the call of control until the table was here.
+    """
+
+    table: route_table.RouteTable
+    newest_table: int
+    confirmed_ms: int
+    took_ms: int
+    source: str
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class EngineAsked:
@@ -402,6 +418,7 @@
     | PeerLoadReceived
     | ControlUpdate
     | TableAnnounced
+    | TableFetched
     | EngineAsked
     | EngineAnswered
     | ContentsTold
--- a/src/wisteriawall/gateway/reducer.py
+++ b/src/wisteriawall/gateway/reducer.py
@@ -70,6 +70,7 @@
             events.PeerLoadReceived()
             | events.ControlUpdate()
             | events.TableAnnounced()
+            | events.TableFetched()
             | events.EngineAsked()
             | events.EngineAnswered()
             | events.ContentsTold()
@@ -512,6 +513,7 @@
     event: events.PeerLoadReceived
     | events.ControlUpdate
     | events.TableAnnounced
+    | events.TableFetched
     | events.EngineAsked
     | events.EngineAnswered
     | events.ContentsTold
@@ -529,5 +531,7 @@
             yield from control_update.apply(gateway, event)
         case events.TableAnnounced():
             yield from control_update.announce_table(gateway, event)
+        case events.TableFetched():
+            yield from control_update.apply_fetched_table(gateway, event)
         case _:
             yield from engine_contents.apply(gateway, event)
--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -707,17 +707,16 @@
                 source=reply.table_source,
             )
         )
-        table = reply.table or self._fetch_table(reply)
         now_ms = clock.monotonic_ms()
+        confirmed_ms = called_ms - reply.age_ms
         update = events.ControlUpdate(
-            table=table,
+            table=reply.table,
             upstreams=reply.upstreams,
             gateway_count=self._peer_count + 1,
             now_ms=now_ms,
             newest_table=reply.table_number,
-            confirmed_ms=called_ms - reply.age_ms,
+            confirmed_ms=confirmed_ms,
             took_ms=now_ms - called_ms,
-            table_source="" if reply.table else reply.table_source,
             blocked_ms_by_parts=reply.blocked_ms_by_parts,
             limit_by_runner=reply.limit_by_runner,
             suspects=reply.suspects,
@@ -728,6 +727,20 @@
             most_gateways=reply.most_gateways,
         )
         self._submit(update)
+        table = reply.table
+        if table is None:
+            # After all else is applied: the source may be gone.
+            table = self._fetch_table(reply)
+            if table is not None:
+                self._submit(
+                    events.TableFetched(
+                        table=table,
+                        newest_table=reply.table_number,
+                        confirmed_ms=confirmed_ms,
+                        took_ms=clock.monotonic_ms() - called_ms,
+                        source=reply.table_source,
+                    )
+                )
         if table is not None:
             self._relay.add(table)
         if table is None and reply.upstreams is None:
--- a/testing/gateway/test_control_update.py
+++ b/testing/gateway/test_control_update.py
@@ -128,14 +128,12 @@
 
 
 def test_log_names_the_source_of_a_table() -> None:
-    event = events.ControlUpdate(
+    event = events.TableFetched(
         table=TABLE,
-        upstreams=None,
-        gateway_count=1,
-        now_ms=1_000,
         newest_table=TABLE.number,
+        confirmed_ms=900,
         took_ms=7,
-        table_source="10.0.0.2:1",
+        source="10.0.0.2:1",
     )
     lines = [
         effect.inputs
@@ -178,3 +176,40 @@
         reducer.reduce(gateway, events.TableAnnounced(number=4, now_ms=9_000))
     )
     assert gateway.table_awaited_ms is None
+
+
+def test_fetched_table_that_fails_is_logged_once_and_not_confirmed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer before it, without a table, must not hide the error."""
+    gateway = make_gateway()
+    answer = events.ControlUpdate(
+        table=None,
+        upstreams=None,
+        gateway_count=1,
+        now_ms=1_000,
+        newest_table=TABLE.number,
+        confirmed_ms=1_000,
+    )
+    fetched = events.TableFetched(
+        table=TABLE,
+        newest_table=TABLE.number,
+        confirmed_ms=1_000,
+        took_ms=7,
+        source="10.0.0.2:1",
+    )
+    with monkeypatch.context() as patch:
+        patch.setattr(loads, "apply_table", fail)
+        patch.setattr(route_table, "RouteIndex", fail)
+        lines = [
+            effect.decision
+            for event in 3 * (answer, fetched)
+            for effect in reducer.reduce(gateway, event)
+            if isinstance(effect, events.LogDecision)
+        ]
+    assert lines == ["update-failed"]
+    assert gateway.table_confirmed_ms == 0
+    list(reducer.reduce(gateway, fetched))
+    assert gateway.error_by_part == {}
+    assert gateway.table_number == TABLE.number
+    assert gateway.table_confirmed_ms == 1_000
