Wait 2 ms for a reset right behind the end of a response

A runner that ends its side and resets at once sends both right behind each other.

The poll ends with the reset, so only sound answers without a length wait the 2 ms.

--- a/src/wisteriawall/web/connection_end.py
+++ b/src/wisteriawall/web/connection_end.py
@@ -25,6 +25,9 @@
 MAX_WAIT_MS = 1_000
 # Resets were seen up to 50 ms after the end of such a response.
 RESET_WAIT_MS = 100
+# A reset that is sent at once arrives right behind the end; a read is often
+# quicker.
+RESET_AT_ONCE_MS = 2
 # The kernel has no event for the acknowledgment of the last byte.
 LOOK_MS = 5
 COUNT = struct.Struct("i")
@@ -49,8 +52,9 @@
 ) -> None:
     """Check the end of the server's side, which ends a response.
 
-    It waits for at most `MAX_WAIT_MS`, and only for a response that began
-    before the server's kernel had taken the whole request.
+    It waits for at most `MAX_WAIT_MS` for a response that began before the
+    server's kernel had taken the whole request, and for `RESET_AT_ONCE_MS` for
+    others.
 
     Args:
         source: Socket of which a read has returned the end.
@@ -63,7 +67,7 @@
             request was taken.
     """
     if not began_early:
-        _check_reset(source, 0)
+        _check_reset(source, RESET_AT_ONCE_MS)
         return
     now_ms = clock.monotonic_ms()
     until_ms = now_ms + MAX_WAIT_MS
