Keep the times of the retry window in order after a freeze

A request's thread takes the time before it waits for the gateway's lock. A process that is frozen in between counts a retry at the time of before, after those of other threads. The times were no longer in order, and the search for the first one of the window could drop all that came before: the gateway then had its share again.

The window now never goes back: what comes with an older time counts at the latest one, when it is sent. On the code before, 16 retries passed instead of 10, and requests were not found:

--- a/src/wisteriawall/policy/retry_window.py
+++ b/src/wisteriawall/policy/retry_window.py
@@ -75,6 +75,7 @@
         "_contact_ms",
         "_counts",
         "_earned_from_ms",
+        "_latest_ms",
         "_lease_ms",
         "_min_gateways",
         "_ratio",
@@ -102,6 +103,7 @@
         self._ratio = ratio
         self._slack = slack
         self._earned_from_ms = started_ms
+        self._latest_ms = 0
         # Times, oldest first.
         self._requests_by_service: dict[str, list[int]] = (
             collections.defaultdict(list)
@@ -112,6 +114,7 @@
 
     def add_request(self, service: str, now_ms: int) -> None:
         """Count a request of a caller, not its retries."""
+        now_ms = self._advance(now_ms)
         requests = self._requests_by_service[service]
         requests.append(now_ms)
         # Half of them at a time, as removing from the start moves the rest.
@@ -143,6 +146,7 @@
 
     def take_retry(self, service: str, now_ms: int, *, count: int = 1) -> bool:
         """Count retries; return False if the budget does not allow them all."""
+        now_ms = self._advance(now_ms)
         retries = self._retries_by_service[service]
         del retries[: bisect.bisect_left(retries, now_ms - self._window_ms)]
         if self.find_excess(service, now_ms, count=count) is not None:
@@ -159,6 +163,7 @@
         self, service: str, now_ms: int, *, count: int = 1
     ) -> Excess | None:
         """Return why the budget does not allow retries, None if it does."""
+        now_ms = self._advance(now_ms)
         retries = self._retries_by_service[service]
         requests = self._requests_by_service[service]
         slack = self.slack(now_ms)
@@ -183,6 +188,15 @@
         earned_ms = max(0, now_ms - self._earned_from_ms)
         return share * min(1.0, earned_ms / self._window_ms)
 
+    def _advance(self, now_ms: int) -> int:
+        """Return the time, or the latest one if that is later.
+
+        Threads take the time before they wait for each other, or are frozen.
+        What they send is sent after that.
+        """
+        self._latest_ms = max(self._latest_ms, now_ms)
+        return self._latest_ms
+
     def _has_lease_ended(self, now_ms: int) -> bool:
         if self._lease_ms is None:
             return False
--- a/testing/policy/test_retry_window.py
+++ b/testing/policy/test_retry_window.py
@@ -97,6 +97,23 @@
     assert window.take_retry("a", WINDOW_MS)
 
 
+def test_event_from_before_a_freeze_makes_the_window_forget() -> None:
+    """Threads that were frozen tell the time of before, after newer events."""
+    window = retry_window.RetryWindow(
+        window_ms=WINDOW_MS, ratio=RATIO, slack=10
+    )
+    times_ms = [20_000] * 5 + [100] + [20_001] * 20
+    assert sum(window.take_retry("a", now_ms) for now_ms in times_ms) == 10
+
+
+def test_request_from_before_a_freeze_hides_the_others() -> None:
+    window = retry_window.RetryWindow(window_ms=WINDOW_MS, ratio=RATIO, slack=0)
+    for now_ms in [20_000] * 25 + [100] * 25:
+        window.add_request("a", now_ms)
+    # The window that begins now counts half of those before it.
+    assert sum(window.take_retry("a", 20_001) for _ in range(20)) == 5
+
+
 LEASE_MS = 3_000
 
 
