Log an unknown age of bytes where the kernel does not tell it

A shorter answer of the kernel would have raised an error while a stop ends the requests in progress.

--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -394,11 +394,13 @@
         return connection
 
 
-def quiet_ms(connection: socket.socket) -> int:
-    """Return how long ago the kernel last received data, in ms."""
+def quiet_ms(connection: socket.socket) -> int | None:
+    """Return how long ago the kernel last received data, None if unknown."""
     info = connection.getsockopt(
         socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size
     )
+    if len(info) < TCP_INFO.size:
+        return None
     last_data_received_ms: int = TCP_INFO.unpack(info)[-1]
     return last_data_received_ms
 
