Send a request whose id was used over another connection

Cause: responses are matched to requests by id, and the new request went over the connection on which the id had been used before.

Change: the pool doesn't reuse a connection that had a request with the id among its last 64. test_request_that_repeats_an_id_gets_no_answer_of_the_one_before failed before for payments and lookups: b'answer to one' != b'answer to two'.

--- a/src/wisteriawall/web/connection_pool.py
+++ b/src/wisteriawall/web/connection_pool.py
@@ -1,7 +1,6 @@
 """Pool of idle HTTP connections to runners and agents."""
 
 from collections import defaultdict
-import contextlib
 import dataclasses
 import enum
 import socket
@@ -91,6 +90,7 @@
         *,
         force_new: bool,
         max_idle_ms: int = NO_LIMIT_MS,
+        answer_id: str | None = None,
     ) -> runner_connection.RunnerConnection:
         """Return an open connection to `address`.
 
@@ -99,12 +99,15 @@
             force_new: Whether to open a new connection instead of an idle one.
             max_idle_ms: Longest idle time of a connection to reuse. After a
                 longer one the peer may close it just as it is used.
+            answer_id: Id of the request to send. A connection that had a
+                request with it lately is not reused, as a late response to
+                that one could not be told from the response to this one.
 
         Raises:
             urllib3.exceptions.HTTPError: The connection could not be opened.
         """
         while not force_new:
-            idle = self._pop_idle(address)
+            idle = self._pop_idle(address, answer_id)
             if idle is None:
                 break
             now_ms = clock.monotonic_ms()
@@ -167,9 +170,13 @@
             self._closed = True
         self.close_other_addresses(set())
 
-    def _pop_idle(self, address: str) -> _IdleConnection | None:
+    def _pop_idle(
+        self, address: str, answer_id: str | None
+    ) -> _IdleConnection | None:
+        """Return the connection used last that had no request with the id."""
         with self._lock:
-            idle = self._idle_by_address.get(address)
-            with contextlib.suppress(IndexError):
-                return idle.pop() if idle is not None else None
+            idle = self._idle_by_address.get(address, [])
+            for index in reversed(range(len(idle))):
+                if not idle[index].connection.has_sent(answer_id):
+                    return idle.pop(index)
         return None
--- a/src/wisteriawall/web/http_exchange.py
+++ b/src/wisteriawall/web/http_exchange.py
@@ -188,7 +188,10 @@
                 malformed, or may belong to another request.
         """
         connection = self._connect(
-            address, force_new=force_new, max_idle_ms=max_idle_ms
+            address,
+            force_new=force_new,
+            max_idle_ms=max_idle_ms,
+            answer_id=answer_id,
         )
         connection.deadline_at_ms = deadline_at_ms
         connection.timeout = timeout_s
@@ -376,12 +379,20 @@
             connection.close()
 
     def _connect(
-        self, address: str, *, force_new: bool, max_idle_ms: int
+        self,
+        address: str,
+        *,
+        force_new: bool,
+        max_idle_ms: int,
+        answer_id: runner_connection.AnswerId | None,
     ) -> runner_connection.RunnerConnection:
         self._address = address
         try:
             connection = self._pool.acquire(
-                address, force_new=force_new, max_idle_ms=max_idle_ms
+                address,
+                force_new=force_new,
+                max_idle_ms=max_idle_ms,
+                answer_id=answer_id.value if answer_id else None,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise Unreachable(f"{address}: {type(error).__name__}") from error
--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -4,6 +4,7 @@
 where the response to the next request is expected.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import http.client
@@ -42,6 +43,8 @@
 MAX_LINE_BYTES = 64 * 1024
 MAX_LOGGED_BYTES = 80
 MAX_SKIPPED_RESPONSES = 8
+# Late responses belong to one of the last requests of a connection.
+MAX_RECENT_IDS = 64
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 # A late head without its body takes the next response for that body.
 SKIP_TIMEOUT_MS = 500
@@ -111,6 +114,7 @@
 
     request_count = 0
     answer_id: AnswerId | None = None
+    _recent_ids: collections.deque[str]
     _is_last_response = False
     _raw_reader: "_SocketReader"
     _reader: "_SharedReader"
@@ -118,6 +122,7 @@
     def connect(self) -> None:
         """Open the connection."""
         super().connect()
+        self._recent_ids = collections.deque(maxlen=MAX_RECENT_IDS)
         self._raw_reader = _SocketReader(self.sock)
         self._reader = _SharedReader(self._raw_reader)
 
@@ -155,8 +160,14 @@
     def request(self, *args: Any, **options: Any) -> None:
         """Send a request; arguments and errors are those of urllib3."""
         self.request_count += 1
+        if self.answer_id is not None:
+            self._recent_ids.append(self.answer_id.value)
         super().request(*args, **options)
 
+    def has_sent(self, answer_id: str | None) -> bool:
+        """Return whether a request with this id was sent here lately."""
+        return answer_id in self._recent_ids
+
     def check_reusable(self) -> bool:
         """Return whether another request may be sent; reset the timeouts.
 
--- a/testing/platform/test_late_answers.py
+++ b/testing/platform/test_late_answers.py
@@ -187,6 +187,21 @@
     ]
 
 
+@pytest.mark.parametrize("path", ["/pay/", "/read/"])
+def test_request_that_repeats_an_id_gets_no_answer_of_the_one_before(
+    serving: ServingSite, path: str
+) -> None:
+    """A runner sent the answer to an earlier request with that id once more."""
+    (attempt,) = serving.new_attempts(1)
+    serving.site.call(path, attempt=attempt, body=b"one")
+    serving.stutter(lambda previous: previous)
+    answers = [
+        serving.site.call(path, attempt=attempt, body=body).data
+        for body in (b"two", b"three")
+    ]
+    assert answers == [b"answer to two", b"answer to three"]
+
+
 @pytest.mark.parametrize("stutter", IDENTIFIED)
 def test_prompt_goes_on_from_its_own_transfer_handle(
     serving: ServingSite, stutter: Stutter
