--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -12,6 +12,7 @@
 from soak import accounts
 from soak import checks
 from soak import core_history
+from soak import delays
 from soak import hostile
 from soak import misbehavior
 from soak import readings
@@ -926,6 +927,37 @@
     assert history.longest_calm_s(["c1", "c2", "c3"], 90.0, 100.0) == expected_s
 
 
+def test_delays_of_tables_are_measured_by_what_disturbed_them(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A gateway that never used a version must not be left out."""
+    seen = _sound_records(LOOKUP)
+    seen.incidents[:] = [
+        *_core(*KILLED),
+        records.Incident("g1", START, 80.0, 77),
+        records.Incident("g1", KILL, 100.0, 77),
+    ]
+    seen.publications[:] = [
+        records.Publication(4, "four", 90.0, 91.0),
+        records.Publication(5, "five", 97.0, 98.0),
+        records.Publication(6, "six", 98.0, 99.0),
+    ]
+    log = tmp_path / "g1.log"
+    log.write_bytes(
+        b'{"t":1091500,"decision":"table","number":4}\n'
+        b'{"t":1099250,"decision":"table","number":5}\n'
+        b'{"t":1099900,"decision":"ta'
+    )
+    lines = list(delays.describe(seen, {"g1": log}, 1_000.0))
+    assert [line for line in lines if not line.startswith("  ")] == [
+        "from acknowledgement to use, core not stable: 2, median 1.000 s,"
+        " 99th 1.250 s, most 1.250 s",
+        "from acknowledgement to use, in touch: 1, median 0.500 s, 99th"
+        " 0.500 s, most 0.500 s",
+    ]
+    assert lines[2].endswith("1.000 s, not used by then")
+
+
 EXTRA = frozenset({"/extra-1/"})
 
 
