--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -300,9 +300,12 @@
             ),
             default=float("inf"),
         )
+        if not self.log_path.exists():
+            return float("inf")
         offset_s = time.time() - time.monotonic()
         for line in reversed(self.log_path.read_bytes().splitlines()):
-            if b'"decision":"start"' in line:
+            # A killed process may not have written the whole line.
+            if b'"decision":"start"' in line and line.endswith(b"}"):
                 at_s = json.loads(line)["t"] / 1_000 - offset_s
                 return float(at_s) if at_s >= started_s else float("inf")
         return float("inf")
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -13,6 +13,7 @@
 from soak import checks
 from soak import core_history
 from soak import delays
+from soak import fleet
 from soak import hostile
 from soak import misbehavior
 from soak import readings
@@ -927,6 +928,39 @@
     assert history.longest_calm_s(["c1", "c2", "c3"], 90.0, 100.0) == expected_s
 
 
+@pytest.mark.parametrize(
+    ("log", "has_started"),
+    [
+        pytest.param(None, False, id="no-log-yet"),
+        pytest.param(b"", False, id="empty"),
+        pytest.param(b'{"t":1,"decision":"start"}\n', False, id="before"),
+        pytest.param(
+            b'{"t":9000000000000,"decision":"start"}\n{"t":9,"decision":"sta',
+            True,
+            id="started",
+        ),
+        pytest.param(b'{"t":1,"decision":"start","fol', False, id="cut-off"),
+    ],
+)
+def test_start_of_a_replica_is_read_from_its_log(
+    log: bytes | None, has_started: bool, tmp_path: pathlib.Path
+) -> None:
+    """A soak failed: a replica that was just started had no log yet."""
+    seen = records.Records()
+    seen.incidents.append(records.Incident("c4", START, 0.0, 77))
+    path = tmp_path / "c4.log"
+    if log is not None:
+        path.write_bytes(log)
+    node = fleet.Node(
+        name="c4",
+        role="control",
+        settings=tmp_path / "c4.json",
+        log=path,
+        seen=seen,
+    )
+    assert (node.last_start_s() < float("inf")) == has_started
+
+
 def test_delays_of_tables_are_measured_by_what_disturbed_them(
     tmp_path: pathlib.Path,
 ) -> None:
