End the wait for memory when a stop ends what is open

It is answered 502, run unknown, again. test_request_without_room_for_its_answer_is_answered_at_a_stop failed before.

--- a/src/wisteriawall/gateway/run.py
+++ b/src/wisteriawall/gateway/run.py
@@ -593,7 +593,7 @@
         with self._memory.open(
             send.upstream.address,
             until_ms=self._request.deadline_at_ms,
-            is_cancelled=lambda: self._cancelled,
+            is_cancelled=lambda: self._cancelled or self._ended_by_stop,
         ) as buffer:
             for chunk in exchange.body_chunks(
                 max_bytes=MAX_BUFFERED_BYTES,
