--- a/src/wisteriawall/web/runner_connection.py
+++ b/src/wisteriawall/web/runner_connection.py
@@ -114,7 +114,8 @@
 
     request_count = 0
     answer_id: AnswerId | None = None
-    _recent_ids: collections.deque[str]
+    # Hashes, as callers choose the length of ids.
+    _recent_ids: collections.deque[int]
     _is_last_response = False
     _raw_reader: "_SocketReader"
     _reader: "_SharedReader"
@@ -161,12 +162,15 @@
         """Send a request; arguments and errors are those of urllib3."""
         self.request_count += 1
         if self.answer_id is not None:
-            self._recent_ids.append(self.answer_id.value)
+            self._recent_ids.append(hash(self.answer_id.value))
         super().request(*args, **options)
 
     def has_sent(self, answer_id: str | None) -> bool:
-        """Return whether a request with this id was sent here lately."""
-        return answer_id in self._recent_ids
+        """Return whether a request with this id may have been sent here lately.
+
+        Two ids may have the same hash.
+        """
+        return answer_id is not None and hash(answer_id) in self._recent_ids
 
     def check_reusable(self) -> bool:
         """Return whether another request may be sent; reset the timeouts.
