--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -380,7 +380,7 @@
             self._log_leader_change()
 
     def _wait_for_room(self, failure: durable_files.StorageFailed) -> None:
-        """Wait until the disk has room, or the replica is stopped.
+        """Wait until the disk has room or fails, or the replica is stopped.
 
         A replica that ended at once could not start before. Calls are answered
         meanwhile, and messages of other replicas are dropped.
@@ -397,7 +397,8 @@
                 durable_files.check_room(self._folder)
             except durable_files.StorageFailed as error:
                 reason = str(error)
-                continue
+                if error.is_full:
+                    continue
             break
         _LOG.info(
             "control: replica waited %d ms for room, last error: %s",
--- a/testing/control/test_full_disks.py
+++ b/testing/control/test_full_disks.py
@@ -165,6 +165,43 @@
             replica.close()
 
 
+def test_replica_whose_full_disk_breaks_ends(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It waited for room for good."""
+
+    def break_down(folder: pathlib.Path) -> None:
+        error = OSError(errno.EIO, "Input/output error")
+        raise durable_files.StorageFailed(folder, error)
+
+    disks = Disks(tmp_path)
+    monkeypatch.setattr(os, "write", disks.write)
+    monkeypatch.setattr(durable_files, "check_room", break_down)
+    member = raft_messages.Member(
+        "a",
+        cluster.unused_loopback_address(),
+        cluster.unused_loopback_address(),
+    )
+    ended = threading.Event()
+    shell = shell_lib.ControlShell(
+        replica="a",
+        peer_address_by_replica={"a": member.peer_address},
+        rpc_address=member.rpc_address,
+        folder=tmp_path / "a",
+        key=KEY,
+        incarnation=1,
+        bootstrap=True,
+        founders=(member,),
+        on_failure=ended.set,
+    )
+    disks.full = "a"
+    shell.start()
+    try:
+        assert ended.wait(WAIT_S)
+    finally:
+        shell.stop()
+
+
 def _holds(replica: Replica, number: int) -> bool:
     """Return whether the replica reads the table `number` itself."""
     shell = replica.shell
