Acknowledge a table only while the leader holds its lease

All gateways lost control, another replica was elected 1.4 s later, and a gateway used the change 4.4 s after its acknowledgement. With a stable core the bound is 2 s.

Cause: a commit was acknowledged whenever a majority had answered, however long ago it was asked. A lease ends 500 ms after that; the leader then redirects polls, so that no gateway gets the change that it has acknowledged.

Change: the answer waits until the lease is proved again, and ends unclear after a second without, as the operator then calls another replica. Writes without a lease were refused before already.

test_no_change_is_acknowledged_that_gateways_can_not_get failed before (assert False, isinstance(PublishReply(...), Unavailable)); testing/control passes whole.

--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -44,6 +44,20 @@
     until_ms: int
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class PendingPublication:
+    """A call whose table is committed, while the leader lacks its lease.
+
+    It is answered with `reply` once the lease is proved, and as unclear at
+    `until_ms`, monotonic time.
+    """
+
+    call_id: int
+    reply: events.Reply
+    until_ms: int
+
+
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PendingRead:
@@ -92,6 +106,9 @@
     pending_patches: list[PendingPatch] = dataclasses.field(
         default_factory=list
     )
+    pending_publications: list[PendingPublication] = dataclasses.field(
+        default_factory=list
+    )
     pending_reads: list[PendingRead] = dataclasses.field(default_factory=list)
     document_size: renewal.DocumentSizeCache = dataclasses.field(
         default_factory=renewal.DocumentSizeCache
--- a/testing/support/control_fleet.py
+++ b/testing/support/control_fleet.py
@@ -73,6 +73,8 @@
         self.tolerated_losses = tolerated_losses
         self.machine_by_host: dict[str, Machine] = {}
         self.cut_off: set[str] = set()
+        # Added to the delay of each message between replicas.
+        self.extra_delay_ms = 0
         self._in_flight: list[tuple[int, int, str, object]] = []
         self._count = 0
         self._call_ids = 0
@@ -151,6 +153,16 @@
             if m.replica in voters and m is not leading
         ]
 
+    @property
+    def replies(self) -> list[events.Reply]:
+        """Return the replies to calls that came after their limit."""
+        return [*self._reply_by_call.values()]
+
+    def holds_lease(self, machine: Machine) -> bool:
+        """Return whether the machine's replica can prove that it leads."""
+        assert machine.control is not None
+        return machine.control.raft.holds_lease(self._clock(machine))
+
     def await_leader(self, limit_ms: int) -> Machine:
         """Run until a replica holds the lease; fail after `limit_ms`."""
         end_ms = self.now_ms + limit_ms
@@ -201,13 +213,17 @@
         raise AssertionError("no table can be read")
 
     def call(
-        self, machine: Machine, request: events.Request
+        self,
+        machine: Machine,
+        request: events.Request,
+        *,
+        limit_ms: int = CALL_TIMEOUT_MS,
     ) -> events.Reply | None:
-        """Return the reply of one machine within `CALL_TIMEOUT_MS`."""
+        """Return the reply of one machine within `limit_ms`."""
         self._call_ids += 1
         call_id = self._call_ids
         self._deliver_call(machine, call_id, request)
-        end_ms = self.now_ms + CALL_TIMEOUT_MS
+        end_ms = self.now_ms + limit_ms
         while call_id not in self._reply_by_call and self.now_ms < end_ms:
             self.run(STEP_MS)
         return self._reply_by_call.pop(call_id, None)
@@ -355,4 +371,5 @@
             return
         self._count += 1
         due_ms = self.now_ms + self.random.randint(1, LONGEST_DELAY_MS)
+        due_ms += self.extra_delay_ms
         self._in_flight.append((due_ms, self._count, peer, message))
