--- a/src/wisteriawall/gateway/shell.py
+++ b/src/wisteriawall/gateway/shell.py
@@ -80,9 +80,7 @@
 # packet was lost, which Linux sends again after 200 ms at the earliest.
 EXIT_RESERVE_MS = 1_000
 # Last part of it, in which the process exits. Answers that are not written by
-# then are cut; ending their threads may take `worker_pool.CUT_TIMEOUT_MS`, and
-# closing everything else took 46 to 104 ms on a machine with four times as many
-# busy threads as cores.
+# then are cut; ending their threads may take `worker_pool.CUT_TIMEOUT_MS`.
 EXIT_MS = 700
 MS_PER_S = 1_000
 # Closing the client ends the call in which the polling thread waits.
--- a/src/wisteriawall/web/connection_end.py
+++ b/src/wisteriawall/web/connection_end.py
@@ -23,7 +23,7 @@
 # once; one that fails leaves the rest unread.
 MAX_STALL_MS = 250
 MAX_WAIT_MS = 1_000
-# Resets were seen up to 50 ms after the end of such a response.
+# A server that fails may end its side some time before it resets.
 RESET_WAIT_MS = 100
 # A reset that is sent at once arrives right behind the end; a read is often
 # quicker.
