--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -32,6 +32,7 @@
 from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot
+from wisteriawall.control import timing_log
 from wisteriawall.control import usage
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.storage import data_folder
@@ -185,6 +186,7 @@
         self._configured_peers = dict(peer_address_by_replica)
         self._links_checked_ms = self._reconnected_ms = clock.monotonic_ms()
         self._logged_leader = ("", 0)
+        self._timing_log = timing_log.TimingLog()
         self._connected_members: tuple[raft_messages.Member, ...] = ()
         self._peer_connections = transport.PeerConnections(address_by_peer={})
         self._connect_members()
@@ -368,6 +370,8 @@
             batch = list(self._next_batch(next_tick))
             is_tick_due = time.monotonic() >= next_tick
             if is_tick_due:
+                late_s = time.monotonic() - next_tick
+                self._execute(self._timing_log.note_tick(round(late_s * 1_000)))
                 next_tick = time.monotonic() + TICK_S
             effects = (
                 effect
@@ -375,6 +379,11 @@
                 for effect in reducer.reduce(self._control, event)
             )
             self._execute(effects)
+            self._execute(
+                self._timing_log.note_lease(
+                    self._control.raft, clock.monotonic_ms()
+                )
+            )
             self._connect_members()
             self._reconnect_peers()
             self._log_leader_change()
@@ -510,27 +519,30 @@
     def _execute(self, effects: Iterable[events.Effect]) -> None:
         """Write and sync the log, then execute all other effects."""
         deferred: list[_DeferredEffect] = []
-        needs_sync = False
+        writes = 0
+        began_ms = clock.monotonic_ms()
         for effect in effects:
             match effect:
                 case raft.SaveHardState(term, voted_for):
                     self._log.save_hard_state(term=term, voted_for=voted_for)
-                    needs_sync = True
                 case raft.AppendLog(entries):
                     self._log.append(entries)
-                    needs_sync = True
                 case raft.TruncateLog(index):
                     self._log.truncate(index)
-                    needs_sync = True
                 case raft.ResetLog(index):
                     self._log.reset(index)
-                    needs_sync = True
                 case raft.SaveSnapshot(saved, keep_from):
                     self._log.save_snapshot(saved, first_kept_index=keep_from)
                 case _:
                     deferred.append(effect)
-        if needs_sync:
+                    continue
+            writes += 1
+        if writes:
             self._log.sync()
+            took_ms = clock.monotonic_ms() - began_ms
+            deferred += self._timing_log.note_sync(
+                took_ms=took_ms, writes=writes
+            )
         for effect in deferred:
             self._execute_deferred(effect)
 
