Let no message of a replica wait for a sync of its log

The thread of a control replica that sends heartbeats, counts the leader's lease and answers operators and polls also synced the log, before anything else of a batch. With syncs of some hundred milliseconds, which are ordinary on a disk that many processes share, leases ended while all replicas ran, and each change paid the syncs of leader and followers one after the other.

The log is written and synced on a thread of its own. Entries are sent before the leader's own sync, which counts in the commit only once it is done; what waits is synced together; a follower acknowledges an entry after its sync, and later requests at once, so that the lease goes on. A vote is counted, asked for and sent only when term and vote are durable; no prevote is granted meanwhile.

Tests: harnesses report syncs to the replicas; the cluster in virtual time lets disks take their time, and a crash keeps any prefix of what was not synced.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -69,7 +69,7 @@
         self.heartbeat()
 
     def apply_effects(self, name: str, effects: list[raft.Effect]) -> None:
-        """Write all records, sync once, then deliver the messages."""
+        """Write all records, sync once, and deliver the messages."""
         log = self.log_by_name[name]
         needs_sync = False
         for effect in effects:
@@ -82,14 +82,17 @@
                     needs_sync = True
                 case _:
                     pass
-        if needs_sync:
-            log.sync()
         for effect in effects:
             match effect:
                 case raft.SendPeer(peer, message):
                     self._deliver(peer, message)
                 case _:
                     pass
+        if needs_sync:
+            log.sync()
+            replica = self.raft_by_name[name]
+            synced = raft.synced(replica, replica.writes.requested, self.now_ms)
+            self.apply_effects(name, list(synced))
 
     def _deliver(self, peer: str, message: raft_messages.RaftMessage) -> None:
         encoded = self.codec.encode(message)
--- a/src/wisteriawall/control/events.py
+++ b/src/wisteriawall/control/events.py
@@ -37,6 +37,7 @@
     "Event",
     "HistoryReply",
     "HistoryRequest",
+    "LogSynced",
     "NotKept",
     "Note",
     "PatchReply",
@@ -467,8 +468,17 @@
     now_ms: int
 
 
+@final
+class LogSynced(msgspec.Struct, frozen=True, tag="synced"):
+    """Writes of the log are durable, up to the one with this number."""
+
+    number: int
+    now_ms: int
+
+
 Event = (
     Ticked
+    | LogSynced
     | PeerMessageReceived
     | CallReceived
     | VmListRead
--- a/src/wisteriawall/control/raft.py
+++ b/src/wisteriawall/control/raft.py
@@ -2,8 +2,8 @@
 
 The functions use no socket, file or clock. Every call passes the time in, and
 whatever must be stored, sent or applied is returned as an effect. The caller
-must execute log, snapshot and hard-state effects in order and sync them to disk
-before it executes any other effect of the same batch.
+must write log, snapshot and hard-state effects to disk in order, and call
+`synced` once they are durable. All other effects may be executed at once.
 """
 
 from collections.abc import Iterator
@@ -37,6 +37,7 @@
     "remove_member",
     "replaced_voter",
     "replicate",
+    "synced",
     "tick",
 ]
 
@@ -69,7 +70,8 @@
     _start_timers(raft, now_ms)
     if raft.role is RaftRole.LEADER:
         yield from _leader_tick(raft, now_ms)
-    elif now_ms >= raft.election_due_ms:
+    elif now_ms >= raft.election_due_ms and raft.writes.is_vote_synced:
+        # A replica whose disk is stuck could not win.
         yield from raft_election.start_prevote(raft, now_ms)
 
 
@@ -89,6 +91,27 @@
     yield from raft_replication.send_new_entries(raft, now_ms)
 
 
+def synced(raft: Raft, number: int, now_ms: int) -> Iterator[Effect]:
+    """Continue what waits for the disk.
+
+    Args:
+        raft: Replica whose writes are durable.
+        number: Value of `raft.writes.requested` after the newest effect that
+            is durable, and all effects before it are.
+        now_ms: Monotonic time.
+    """
+    was_vote_synced = raft.writes.is_vote_synced
+    raft.writes.complete(number)
+    ready = [sent for needed, sent in raft.delayed if needed <= number]
+    raft.delayed = [entry for entry in raft.delayed if entry[0] > number]
+    yield from ready
+    if raft.writes.is_vote_synced and not was_vote_synced:
+        yield from raft_election.on_vote_synced(raft, now_ms)
+    if raft.role is RaftRole.LEADER:
+        yield from raft_replication.advance_commit(raft)
+    yield from raft_follower.acknowledge_synced(raft, now_ms)
+
+
 def receive(
     raft: Raft, message: raft_messages.RaftMessage, now_ms: int
 ) -> Iterator[Effect]:
@@ -136,6 +159,7 @@
     )
     keep_from = max(raft.log.start_index + 1, index + 1 - catch_up_entries)
     raft.log.compact(snapshot, keep_from=keep_from)
+    raft.writes.request_entries(0)
     yield SaveSnapshot(snapshot, keep_from)
 
 
--- a/src/wisteriawall/control/raft_election.py
+++ b/src/wisteriawall/control/raft_election.py
@@ -6,7 +6,12 @@
 from wisteriawall.control import raft_state
 from wisteriawall.wire import raft_messages
 
-__all__ = ["on_vote_reply", "on_vote_request", "start_prevote"]
+__all__ = [
+    "on_vote_reply",
+    "on_vote_request",
+    "on_vote_synced",
+    "start_prevote",
+]
 
 
 def start_prevote(
@@ -40,6 +45,10 @@
         # A vote now could elect a second leader during the first one's lease.
         yield _reply(raft, message, term=raft.term, granted=False)
         return
+    if message.prevote and not raft.writes.is_vote_synced:
+        # The election that this replica's vote is for is still under way.
+        yield _reply(raft, message, term=raft.term, granted=False)
+        return
     if message.prevote:
         granted = message.term > raft.term and _is_up_to_date(raft, message)
         term = message.term if granted else raft.term
@@ -52,11 +61,14 @@
         and raft.voted_for in ("", message.candidate)
         and _is_up_to_date(raft, message)
     )
-    if granted:
-        raft.voted_for = message.candidate
-        raft_replication.reset_election_timer(raft, now_ms)
-        yield raft_state.SaveHardState(raft.term, raft.voted_for)
-    yield _reply(raft, message, term=raft.term, granted=granted)
+    reply = _reply(raft, message, term=raft.term, granted=granted)
+    if not granted:
+        yield reply
+        return
+    raft_replication.reset_election_timer(raft, now_ms)
+    if raft.voted_for != message.candidate:
+        yield from raft.adopt_term(raft.term, message.candidate)
+    yield from raft.send_when_synced(reply.peer, reply.message)
 
 
 def on_vote_reply(
@@ -114,13 +126,26 @@
 def _start_election(
     raft: raft_state.Raft, now_ms: int
 ) -> Iterator[raft_state.Effect]:
-    # Votes are synced to disk, which takes longer than a prevote.
+    # `on_vote_synced` asks for votes.
     raft_replication.reset_election_timer(raft, now_ms)
     raft.role = raft_state.RaftRole.CANDIDATE
-    raft.term += 1
-    raft.voted_for = raft.replica
+    raft.votes = set()
+    yield from raft.adopt_term(raft.term + 1, raft.replica)
+
+
+def on_vote_synced(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Continue an election once the term and vote are durable.
+
+    A candidate counts its own vote and asks for the others. A restarted one
+    that had asked before could do so again in the same term, with another log.
+    The timer starts anew, as others have to sync their votes, too.
+    """
+    raft_replication.reset_election_timer(raft, now_ms)
+    if raft.role is not raft_state.RaftRole.CANDIDATE or raft.votes:
+        return
     raft.votes = {raft.replica}
-    yield raft_state.SaveHardState(raft.term, raft.voted_for)
     if _has_majority(raft):
         yield from _become_leader(raft, now_ms)
         return
--- a/src/wisteriawall/control/raft_follower.py
+++ b/src/wisteriawall/control/raft_follower.py
@@ -6,7 +6,12 @@
 from wisteriawall.control import raft_state
 from wisteriawall.wire import raft_messages
 
-__all__ = ["MAX_SNAPSHOT_BYTES", "on_append_request", "on_snapshot_chunk"]
+__all__ = [
+    "MAX_SNAPSHOT_BYTES",
+    "acknowledge_synced",
+    "on_append_request",
+    "on_snapshot_chunk",
+]
 
 MAX_SNAPSHOT_BYTES = 512 * 1024 * 1024
 
@@ -22,7 +27,8 @@
     if message.term < raft.term:
         yield _append_reply(raft, message, now_ms, success=False, match_index=0)
         return
-    yield from _accept_leader(raft, message.term, message.leader, now_ms)
+    was_pending = raft.writes.is_pending
+    yield from _accept_leader(raft, message, now_ms)
     hint = _find_mismatch(raft, message)
     if hint is not None:
         yield _append_reply(
@@ -31,17 +37,24 @@
         return
     yield from _store_entries(raft, message.entries)
     matched = message.previous_index + len(message.entries)
+    raft.matched_index = max(raft.matched_index, matched)
     commit_index = min(message.commit_index, matched)
     raft.commit_index = max(raft.commit_index, commit_index)
     yield from raft_replication.apply_committed(raft)
     _update_fresh_as_of(raft, message)
-    yield _append_reply(
-        raft,
-        message,
-        now_ms,
-        success=True,
-        match_index=max(matched, raft.commit_index),
-    )
+    if raft.writes.is_pending and not was_pending:
+        # The first write after a pause is acknowledged when it is durable. If
+        # that takes long, later requests keep the leader's lease.
+        return
+    yield from _acknowledge(raft, now_ms)
+
+
+def acknowledge_synced(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Tell the leader what has become durable."""
+    if raft.role is raft_state.RaftRole.FOLLOWER and raft.leader:
+        yield from _acknowledge(raft, now_ms)
 
 
 def on_snapshot_chunk(
@@ -50,7 +63,7 @@
     """Store a chunk of a snapshot, and install the snapshot when complete."""
     if message.term < raft.term or message.total_bytes > MAX_SNAPSHOT_BYTES:
         return
-    yield from _accept_leader(raft, message.term, message.leader, now_ms)
+    yield from _accept_leader(raft, message, now_ms)
     snapshot = message.snapshot
     if snapshot.index > raft.commit_index:
         incoming = _add_chunk(raft, message)
@@ -63,21 +76,19 @@
             yield raft_state.SendPeer(message.leader, reply)
             return
         yield from _install_snapshot(raft, snapshot, bytes(incoming.data))
-    final_reply = raft_messages.AppendReply(
-        _reply_header(raft, message.leader_clock_ms, now_ms),
-        success=True,
-        previous_index=snapshot.index,
-        match_index=raft.commit_index,
-    )
-    yield raft_state.SendPeer(message.leader, final_reply)
+    raft.matched_index = max(raft.matched_index, raft.commit_index)
+    yield from _acknowledge(raft, now_ms)
 
 
 def _accept_leader(
-    raft: raft_state.Raft, term: int, leader: str, now_ms: int
+    raft: raft_state.Raft,
+    message: raft_messages.AppendRequest | raft_messages.SnapshotChunk,
+    now_ms: int,
 ) -> Iterator[raft_state.Effect]:
-    """Follow the sender of a valid request as the leader of `term`."""
-    yield from raft_replication.become_follower(raft, term, now_ms)
-    raft.leader = leader
+    """Follow the sender of a valid request as the leader of its term."""
+    yield from raft_replication.become_follower(raft, message.term, now_ms)
+    raft.leader = message.leader
+    raft.leader_clock_ms = max(raft.leader_clock_ms, message.leader_clock_ms)
     raft.leader_contact_ms = now_ms
     raft_replication.reset_election_timer(raft, now_ms)
 
@@ -110,11 +121,13 @@
     while new_entries and new_entries[0].index <= raft.last_index:
         if raft.log.term_at(new_entries[0].index) != new_entries[0].term:
             raft.log.truncate(new_entries[0].index)
+            raft.writes.request_removal(new_entries[0].index - 1)
             yield raft_state.TruncateLog(new_entries[0].index)
             break
         del new_entries[0]
     if new_entries:
         raft.log.append(new_entries)
+        raft.writes.request_entries(raft.last_index)
         yield raft_state.AppendLog(tuple(new_entries))
 
 
@@ -166,16 +179,40 @@
     )
     if raft.log.term_at(snapshot.index) == snapshot.term:
         raft.log.compact(snapshot, keep_from=snapshot.index + 1)
+        raft.writes.request_entries(snapshot.index)
         yield raft_state.SaveSnapshot(snapshot, snapshot.index + 1)
     else:
         raft.log.reset(snapshot)
+        raft.writes.request_removal(raft.commit_index)
         yield raft_state.SaveSnapshot(snapshot, snapshot.index + 1)
+        raft.writes.request_entries(snapshot.index)
         yield raft_state.ResetLog(snapshot.index)
     raft.commit_index = snapshot.index
     raft.applied_index = snapshot.index
     yield raft_state.Restore(snapshot)
 
 
+def _acknowledge(
+    raft: raft_state.Raft, now_ms: int
+) -> Iterator[raft_state.SendPeer]:
+    """Acknowledge the leader's newest request, and the durable entries.
+
+    Entries that are not durable yet are acknowledged after their sync. While
+    the term is not, nothing is.
+    """
+    if not raft.writes.is_vote_synced:
+        return
+    matched = max(raft.matched_index, raft.commit_index)
+    match_index = min(matched, raft.writes.synced_index)
+    reply = raft_messages.AppendReply(
+        _reply_header(raft, raft.leader_clock_ms, now_ms),
+        success=True,
+        previous_index=match_index,
+        match_index=match_index,
+    )
+    yield raft_state.SendPeer(raft.leader, reply)
+
+
 def _append_reply(
     raft: raft_state.Raft,
     request: raft_messages.AppendRequest,
--- a/src/wisteriawall/control/raft_replication.py
+++ b/src/wisteriawall/control/raft_replication.py
@@ -39,11 +39,9 @@
 ) -> Iterator[raft_state.Effect]:
     """Become a follower; adopt `term` if it is newer than the current one."""
     if term > raft.term:
-        raft.term = term
-        raft.voted_for = ""
         raft.leader = ""
         raft.incoming_snapshot = None
-        yield raft_state.SaveHardState(term, "")
+        yield from raft.adopt_term(term, "")
     if raft.role is not raft_state.RaftRole.FOLLOWER:
         raft.role = raft_state.RaftRole.FOLLOWER
         raft.leader = ""
@@ -65,12 +63,12 @@
         raft.last_index + 1, raft.term, command, members
     )
     raft.log.append([entry])
+    raft.writes.request_entries(entry.index)
     if members is not None:
         kept = set(raft.other_members)
         for peer in set(raft.progress_by_peer) - kept:
             del raft.progress_by_peer[peer]
     yield raft_state.AppendLog((entry,))
-    yield from advance_commit(raft)
 
 
 def send_new_entries(
@@ -144,7 +142,7 @@
         for name, progress in raft.progress_by_peer.items()
     }
     commit_index = raft.majority_value(
-        {**match_index_by_peer, raft.replica: raft.last_index}
+        {**match_index_by_peer, raft.replica: raft.writes.synced_index}
     )
     if (
         commit_index <= raft.commit_index
--- a/src/wisteriawall/control/raft_state.py
+++ b/src/wisteriawall/control/raft_state.py
@@ -1,11 +1,13 @@
 """State of one Raft replica, and the effects that its reducer yields."""
 
+from collections.abc import Iterator
 import dataclasses
 import enum
 import random
 from typing import final
 
 from wisteriawall.control import raft_log
+from wisteriawall.control import raft_writes
 from wisteriawall.wire import raft_messages
 
 __all__ = [
@@ -212,6 +214,13 @@
         newest_returned_clock_ms: Newest of this replica's own clock readings
             that a leader has returned, -1 before the first.
         elected_ms: Clock when this replica last became leader.
+        writes: Which of the effects that store something are durable.
+        delayed: Messages that may be sent once the write of their number is
+            durable.
+        matched_index: Newest entry that is known to match the log of the leader
+            of this term, 0 if there is none.
+        leader_clock_ms: Newest clock reading that the leader of this term has
+            sent.
         process_started_ms: Clock when this process started, -1 if an earlier
             process of this replica may have run after that time.
 
@@ -245,6 +254,14 @@
     newest_returned_clock_ms: int = -1
     elected_ms: int = -1
     process_started_ms: int = -1
+    writes: raft_writes.Writes = dataclasses.field(
+        default_factory=raft_writes.Writes
+    )
+    delayed: list[tuple[int, SendPeer]] = dataclasses.field(
+        default_factory=list
+    )
+    matched_index: int = 0
+    leader_clock_ms: int = -1
 
     def __post_init__(self, peers: tuple[str, ...] | None) -> None:
         """Found a cluster if `peers` are given, and start at the snapshot."""
@@ -257,6 +274,26 @@
             )
         self.commit_index = self.log.snapshot.index
         self.applied_index = self.log.snapshot.index
+        self.writes.synced_index = self.log.last_index
+
+    def adopt_term(self, term: int, voted_for: str) -> Iterator[SaveHardState]:
+        """Store a newer term, or a vote in the current one."""
+        if term > self.term:
+            self.matched_index = 0
+            self.leader_clock_ms = -1
+        self.term, self.voted_for = term, voted_for
+        self.writes.request_vote()
+        yield SaveHardState(term, voted_for)
+
+    def send_when_synced(
+        self, peer: str, message: raft_messages.RaftMessage
+    ) -> Iterator[SendPeer]:
+        """Send a message that promises that the term and vote are durable."""
+        sent = SendPeer(peer, message)
+        if self.writes.is_vote_synced:
+            yield sent
+        else:
+            self.delayed.append((self.writes.vote, sent))
 
     @property
     def last_index(self) -> int:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -57,6 +57,10 @@
             yield from _run_leader_duties(control, now_ms, wall_ms)
             yield from _run_usage(control, now_ms, wall_ms)
             yield from _send_liveness_summary(control, now_ms)
+        case events.LogSynced(number, now_ms):
+            yield from _process_raft_effects(
+                control, raft_lib.synced(control.raft, number, now_ms)
+            )
         case events.PeerMessageReceived():
             yield from _handle_peer_message(control, event)
         case events.CallReceived():
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -1,8 +1,8 @@
 """Run a control replica: sockets, timers and files around the reducer.
 
-One thread owns the state. It takes all queued events as a batch, reduces them
-and syncs the log once for the whole batch. Only then does it send messages and
-answer calls.
+One thread owns the state. It takes all queued events as a batch, reduces them,
+sends messages and answers calls. What must be durable goes to a thread that
+writes and syncs the log, and tells this one when it is done.
 """
 
 from collections.abc import Callable
@@ -26,6 +26,7 @@
 from wisteriawall.control import duties
 from wisteriawall.control import events
 from wisteriawall.control import link_health
+from wisteriawall.control import log_writer
 from wisteriawall.control import membership
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
@@ -37,6 +38,7 @@
 from wisteriawall.observability import metrics as metrics_lib
 from wisteriawall.storage import data_folder
 from wisteriawall.storage import durable_files
+from wisteriawall.storage import recovery
 from wisteriawall.storage import replica_log
 from wisteriawall.wire import control_messages
 from wisteriawall.wire import envelope
@@ -55,6 +57,8 @@
 ROOM_CHECK_INTERVAL_S = 0.25
 MAX_BATCH_EVENTS = 512
 MAX_QUEUED_EVENTS = 8_192
+# Part of a grace period that a stop waits for the disk.
+DISK_STOP_TIMEOUT_S = 2.0
 DEFAULT_CLUSTER = "wisteriawall"
 
 
@@ -83,10 +87,16 @@
     upstreams: list[gateway_messages.Upstream]
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class _LogProgress:
+    """The log's writer has synced something, or has failed."""
+
+
 _QueuedEvent: TypeAlias = (
-    peer_messages.PeerMessage | _Call | _VmList | _Upstreams
+    peer_messages.PeerMessage | _Call | _VmList | _Upstreams | _LogProgress
 )
-_DeferredEffect: TypeAlias = (
+_ImmediateEffect: TypeAlias = (
     raft.SendPeer | events.SendLivenessSummary | events.Answer | events.Note
 )
 
@@ -164,12 +174,19 @@
             founders=founders if bootstrap else (),
         )
         self._folder = folder
-        self._log = replica_log.ReplicaLog(owned_folder)
+        log = replica_log.ReplicaLog(owned_folder)
+        self._writer = log_writer.LogWriter(
+            log, on_progress=self._wake, on_sync=self._note_sync
+        )
+        self._synced = 0
         self._control = replica_state.ReplicaState(
             raft=self._recovered_raft(
-                owned_folder.identity, incarnation, process_started_ms
+                log.recovered,
+                owned_folder.identity,
+                incarnation,
+                process_started_ms,
             ),
-            ledger=snapshot.decode(self._log.recovered.snapshot.data),
+            ledger=snapshot.decode(log.recovered.snapshot.data),
             usage=usage.UsageMerger(settings=usage_settings),
             tolerated_losses=tolerated_losses,
         )
@@ -199,6 +216,7 @@
 
     def start(self) -> None:
         """Start the replica's threads and servers."""
+        self._writer.start()
         self._thread.start()
         self._peer_server.start()
         self._rpc_server.start()
@@ -217,7 +235,7 @@
         self._rpc_server.close()
         self._peer_server.close()
         self._peer_connections.close()
-        self._log.close()
+        self._writer.close(DISK_STOP_TIMEOUT_S)
 
     def accept_vm_list(self, vm_by_name: dict[str, membership.VmState]) -> None:
         """Queue a VM list for the reducer. Thread-safe."""
@@ -311,11 +329,11 @@
 
     def _recovered_raft(
         self,
+        recovered: recovery.RecoveredState,
         identity: data_folder.Identity,
         incarnation: int,
         process_started_ms: int,
     ) -> raft.Raft:
-        recovered = self._log.recovered
         return raft.Raft(
             replica=identity.replica,
             identity=identity.folder_id,
@@ -487,10 +505,16 @@
                     )
                 case _VmList(vm_by_name):
                     yield events.VmListRead(vm_by_name, clock.monotonic_ms())
+                case _LogProgress():
+                    pass
                 case message:
                     yield events.PeerMessageReceived(
                         message, clock.monotonic_ms(), clock.wall_ms()
                     )
+        synced = self._writer.synced
+        if synced > self._synced:
+            self._synced = synced
+            yield events.LogSynced(synced, clock.monotonic_ms())
         yield events.BatchEnded(clock.monotonic_ms())
 
     def _connect_members(self) -> None:
@@ -516,37 +540,35 @@
             {p: a for p, a in addresses.items() if p != own}
         )
 
+    def _wake(self) -> None:
+        """Let the state thread look at the log's writer. Thread-safe."""
+        # A full queue keeps it awake.
+        with contextlib.suppress(queue.Full):
+            self._queue.put_nowait(_LogProgress())
+
+    def _note_sync(self, took_ms: int, writes: int) -> None:
+        for note in self._timing_log.note_sync(took_ms=took_ms, writes=writes):
+            self._execute_now(note)
+
     def _execute(self, effects: Iterable[events.Effect]) -> None:
-        """Write and sync the log, then execute all other effects."""
-        deferred: list[_DeferredEffect] = []
-        writes = 0
-        began_ms = clock.monotonic_ms()
+        """Execute all effects; those of the log go to its writer."""
+        durable: list[log_writer.DurableEffect] = []
         for effect in effects:
             match effect:
-                case raft.SaveHardState(term, voted_for):
-                    self._log.save_hard_state(term=term, voted_for=voted_for)
-                case raft.AppendLog(entries):
-                    self._log.append(entries)
-                case raft.TruncateLog(index):
-                    self._log.truncate(index)
-                case raft.ResetLog(index):
-                    self._log.reset(index)
-                case raft.SaveSnapshot(saved, keep_from):
-                    self._log.save_snapshot(saved, first_kept_index=keep_from)
+                case (
+                    raft.SaveHardState()
+                    | raft.AppendLog()
+                    | raft.TruncateLog()
+                    | raft.ResetLog()
+                    | raft.SaveSnapshot()
+                ):
+                    durable.append(effect)
                 case _:
-                    deferred.append(effect)
-                    continue
-            writes += 1
-        if writes:
-            self._log.sync()
-            took_ms = clock.monotonic_ms() - began_ms
-            deferred += self._timing_log.note_sync(
-                took_ms=took_ms, writes=writes
-            )
-        for effect in deferred:
-            self._execute_deferred(effect)
+                    self._execute_now(effect)
+        if durable:
+            self._writer.write(durable, self._control.raft.writes.requested)
 
-    def _execute_deferred(self, effect: _DeferredEffect) -> None:
+    def _execute_now(self, effect: _ImmediateEffect) -> None:
         match effect:
             case raft.SendPeer(peer, message) | events.SendLivenessSummary(
                 peer, message
--- a/testing/control/raft_cluster.py
+++ b/testing/control/raft_cluster.py
@@ -10,6 +10,7 @@
 import dataclasses
 import pathlib
 import random
+from typing import TypeAlias
 
 import msgspec
 
@@ -21,6 +22,7 @@
 TICK_MS = 20
 STEP_MS = 5
 NO_CRASH = -1
+Effects: TypeAlias = list[raft.Effect]
 DURABLE = (
     raft.SaveHardState,
     raft.AppendLog,
@@ -32,7 +34,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Disk:
-    """Data on a replica's disk; a crash keeps a prefix of a batch of writes."""
+    """Data on a replica's disk; a crash keeps a prefix of what is written."""
 
     identity: str
     is_founder: bool
@@ -92,6 +94,8 @@
         crash_after: Number of further disk writes before it crashes, or
             `NO_CRASH`.
         newest_commit: Highest commit index seen so far.
+        waiting: Effects for the disk, and the number of the last one.
+        syncing: Those that are being written until `synced_ms`, virtual time.
     """
 
     disk: Disk
@@ -105,6 +109,11 @@
     is_late: bool = False
     crash_after: int = NO_CRASH
     newest_commit: int = 0
+    waiting: Effects = dataclasses.field(default_factory=list)
+    waiting_number: int = 0
+    syncing: Effects = dataclasses.field(default_factory=list)
+    syncing_number: int = 0
+    synced_ms: int = 0
 
 
 @dataclasses.dataclass(order=True)
@@ -125,6 +134,8 @@
         loss: Probability that a message is lost.
         duplication: Probability that a message is delivered twice.
         delay_ms: Longest delay of a message.
+        sync_ms: Longest time that writing and syncing takes on each disk. With
+            0 it is done before the next event.
         isolated_groups: Groups of replicas that are cut off from all others.
         sent: Number of messages sent.
         messages: Messages sent while `records_messages` is set.
@@ -145,6 +156,7 @@
         self.snapshot_interval_entries = snapshot_interval_entries
         self.loss = self.duplication = 0.0
         self.delay_ms = 2
+        self.sync_ms = 0
         self.isolated_groups: list[set[str]] = []
         self.in_flight: list[InFlightMessage] = []
         self.sent = 0
@@ -178,8 +190,13 @@
         self._boot(name, self.node_by_name[name].disk)
 
     def crash(self, name: str) -> None:
-        """Stop a replica's process; its disk stays."""
-        self.node_by_name[name].is_up = False
+        """Stop a replica's process; its disk keeps a part of the writes."""
+        node = self.node_by_name[name]
+        node.is_up = False
+        unsynced = node.syncing + node.waiting
+        for effect in unsynced[: self.random.randint(0, len(unsynced))]:
+            node.disk.write(effect)
+        node.syncing, node.waiting = [], []
 
     def _boot(self, name: str, disk: Disk) -> None:
         self.incarnation += 1
@@ -270,6 +287,7 @@
         """End all faults except lost disks."""
         self.isolated_groups, self.loss, self.duplication = [], 0.0, 0.0
         self.delay_ms = 2
+        self.sync_ms = 0
         for name, node in list(self.node_by_name.items()):
             node.is_paused = False
             node.crash_after = NO_CRASH
@@ -283,6 +301,9 @@
             for sent in sorted(self.in_flight)
             if sent.target == name and sent.due_ms <= self.now_ms
         ]
+        self._sync(name, node)
+        if not node.is_up:
+            return
         is_tick = self.now_ms % TICK_MS == 0
         if due:
             received = {sent.number for sent in due}
@@ -305,7 +326,7 @@
     def _execute(
         self, name: str, node: Node, effects: Iterator[raft.Effect]
     ) -> None:
-        """Apply, write to disk, crash if that is due, and then send."""
+        """Apply and send, and let the disk write."""
         batch = list(effects)
         for effect in batch:
             match effect:
@@ -314,19 +335,33 @@
                 case raft.Restore(snapshot):
                     node.applied = _applied_in(snapshot)
         batch += self._snapshot(node)
-        for effect in batch:
-            if isinstance(effect, DURABLE):
-                if node.crash_after == 0:
-                    self.crash(name)
-                    return
-                node.crash_after -= node.crash_after > 0
-                node.disk.write(effect)
+        node.waiting += [e for e in batch if isinstance(e, DURABLE)]
+        node.waiting_number = node.raft.writes.requested
         for effect in batch:
             match effect:
                 case raft.SendPeer(peer, message):
                     self._send(name, peer, message)
         self._record_commits(node)
         self.check(name, node)
+        self._sync(name, node)
+
+    def _sync(self, name: str, node: Node) -> None:
+        """Complete what is written by now, and begin to write what waits."""
+        if not node.syncing and node.waiting:
+            node.syncing, node.waiting = node.waiting, []
+            node.syncing_number = node.waiting_number
+            node.synced_ms = self.now_ms + self.random.randint(0, self.sync_ms)
+        if not node.syncing or self.now_ms < node.synced_ms:
+            return
+        while node.syncing:
+            if node.crash_after == 0:
+                self.crash(name)
+                return
+            node.crash_after -= node.crash_after > 0
+            node.disk.write(node.syncing.pop(0))
+        now_ms = self.clock(node)
+        effects = raft.synced(node.raft, node.syncing_number, now_ms)
+        self._execute(name, node, effects)
 
     def _snapshot(self, node: Node) -> list[raft.Effect]:
         covered = node.raft.applied_index - node.raft.log.snapshot.index
--- a/testing/control/test_bulk.py
+++ b/testing/control/test_bulk.py
@@ -4,13 +4,13 @@
 import random
 
 import pytest
+from support import instant_disk
 from support import large_tables
 from support import leading_raft
 
 from wisteriawall.control import events
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.platform import operators
 from wisteriawall.wire import raft_messages
@@ -36,7 +36,7 @@
         )
     )
     for now_ms in range(0, 3_000, 50):
-        list(reducer.reduce(control, events.Ticked(now_ms, now_ms)))
+        list(instant_disk.reduce(control, events.Ticked(now_ms, now_ms)))
     return control
 
 
@@ -45,7 +45,7 @@
     body = json.dumps(document).encode()
     request = events.PublishRequest("op", operators.decode_table(body), body)
     call = events.CallReceived(1, request, 3_000, 3_000)
-    effects = list(reducer.reduce(control, call))
+    effects = list(instant_disk.reduce(control, call))
     assert any(
         isinstance(e, events.Answer)
         and isinstance(e.reply, events.PublishReply)
--- a/testing/control/test_gateway_updates.py
+++ b/testing/control/test_gateway_updates.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from support import instant_disk
 from support import leading_raft
 
 from wisteriawall.control import gateway_updates
@@ -29,9 +30,14 @@
             log=raft_log.RaftLog(snapshot=snapshot, entries=[]),
         )
         for now_ms in range(0, 3_000, 50):
-            list(raft.tick(self.raft, now_ms))
+            self.tick(now_ms)
         self.updates = gateway_updates.GatewayUpdates()
 
+    def tick(self, now_ms: int) -> None:
+        """Let time pass."""
+        effects = raft.tick(self.raft, now_ms)
+        list(instant_disk.settle(self.raft, effects, now_ms))
+
     def follow(
         self,
         name: str,
@@ -89,7 +95,7 @@
         case "silent":
             now_ms += gateway_updates.GATEWAY_TIMEOUT_MS + 1
             for _ in range(2):
-                list(raft.tick(leader.raft, now_ms))
+                leader.tick(now_ms)
     reply = leader.follow("b", version=version, now_ms=now_ms)
     expected = ["a", "d"] if change == "added" else []
     assert reply.peers is not None
@@ -110,7 +116,7 @@
         "u/2": gateway_messages.RunnerLimit(1.4, 950),
     }
     for now_ms in range(3_050, 64_000, 50):
-        list(raft.tick(leader.raft, now_ms))
+        leader.tick(now_ms)
     assert leader.follow("g3", now_ms=64_000).limit_by_runner == {}
 
 
--- a/testing/control/test_invariants.py
+++ b/testing/control/test_invariants.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 import msgspec
 import pytest
+from support import instant_disk
 
 from wisteriawall.agent import events as agent_events
 from wisteriawall.agent import reducer as agent_reducer
@@ -21,7 +22,6 @@
 from wisteriawall.control import events
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import state
 from wisteriawall.entry import events as entry_events
@@ -363,7 +363,7 @@
         control = self.control_by_name[name]
         # The shell ends each batch of events, here a batch of one.
         batch = (event, events.BatchEnded(event.now_ms))
-        reduced = (reducer.reduce(control, part) for part in batch)
+        reduced = (instant_disk.reduce(control, part) for part in batch)
         for effect in itertools.chain.from_iterable(reduced):
             match effect:
                 case raft.SendPeer(peer, message):
--- a/testing/control/test_raft.py
+++ b/testing/control/test_raft.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+from support import instant_disk
 
 from wisteriawall.control import raft
 
@@ -34,7 +35,8 @@
 
     def collect(self, name: str, effects: Iterator[raft.Effect]) -> None:
         """Queue messages and record applied commands."""
-        for effect in effects:
+        replica = self.replica_by_name[name]
+        for effect in instant_disk.settle(replica, effects, self.now_ms):
             match effect:
                 case raft.SendPeer(peer, _) if not self.isolated & {name, peer}:
                     self.messages.append(effect)
--- a/testing/control/test_raft_model.py
+++ b/testing/control/test_raft_model.py
@@ -54,6 +54,11 @@
         self.cluster.duplication = duplication
         self.cluster.delay_ms = delay_ms
 
+    @stateful.rule(sync_ms=strategies.sampled_from([0, 60, 300, 1_200]))
+    def slow_disks(self, sync_ms: int) -> None:
+        """Let each sync take up to this time from now on."""
+        self.cluster.sync_ms = sync_ms
+
     @stateful.rule()
     def heal(self) -> None:
         """End all faults except a lost disk."""
--- a/testing/control/test_raft_rules.py
+++ b/testing/control/test_raft_rules.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from support import instant_disk
 
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
@@ -63,17 +64,21 @@
     return raft_messages.AppendRequest(**(fields | changed))  # type: ignore
 
 
-def granted(effects: Iterable[raft.Effect]) -> bool:
-    """Return whether a vote was granted; check that it was saved first."""
+def granted(
+    state: raft.Raft, request: raft_messages.VoteRequest, now_ms: int
+) -> bool:
+    """Return whether a vote is granted; check that it is synced first."""
     saved = False
-    for effect in effects:
+    effects = raft.receive(state, request, now_ms)
+    is_granted = False
+    for effect in instant_disk.settle(state, effects, now_ms):
         match effect:
             case raft.SaveHardState(_, "b"):
                 saved = True
             case raft.SendPeer(_, raft_messages.VoteReply(granted=True) as r):
-                assert saved or r.prevote
-                return True
-    return False
+                assert r.prevote or (saved and not state.writes.is_pending)
+                is_granted = True
+    return is_granted
 
 
 def test_an_unanswered_prevote_is_repeated_soon() -> None:
@@ -160,7 +165,7 @@
     )
     # Vote and prevote share one state: a prevote leaves it as it is, and the
     # change by a vote is undone below.
-    assert granted(raft.receive(state, asked, now_ms)) is expected
+    assert granted(state, asked, now_ms) is expected
     state.term, state.voted_for = 2, ""
 
 
@@ -181,8 +186,7 @@
         state = make()
         state.election_due_ms = -1
         list(raft.tick(state, 1_000))
-    effects = raft.receive(state, vote_request(), 1_000 + after_ms)
-    assert granted(effects) is expected
+    assert granted(state, vote_request(), 1_000 + after_ms) is expected
 
 
 @pytest.mark.parametrize(
@@ -200,8 +204,7 @@
     state.process_started_ms = 600
     list(raft.tick(state, 1_000))
     assert 1_200 <= state.election_due_ms <= 1_800
-    effects = raft.receive(state, vote_request(), 600 + after_ms)
-    assert granted(effects) is expected
+    assert granted(state, vote_request(), 600 + after_ms) is expected
 
 
 @pytest.mark.parametrize(
@@ -230,7 +233,8 @@
     list(raft.tick(state, now_ms))
     for prevote in (True, False):
         reply = raft_messages.VoteReply(3, "b", True, prevote, "b-1")
-        list(raft.receive(state, reply, now_ms))
+        effects = raft.receive(state, reply, now_ms)
+        list(instant_disk.settle(state, effects, now_ms))
     assert state.role is raft.RaftRole.LEADER
 
 
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -1,4 +1,4 @@
-"""Tests of replicas whose disks are slow or stall, with real threads."""
+"""Tests of replicas whose disks are slow or stall."""
 
 from collections.abc import Iterator
 import contextlib
@@ -8,6 +8,7 @@
 import time
 
 import pytest
+from testing.control import raft_cluster
 
 from wisteriawall.config import route_table
 from wisteriawall.control import events
@@ -17,6 +18,10 @@
 KEY = b"k" * 32
 REPLICAS = ("a", "b", "c")
 WAIT_S = 20.0
+# Longest time to an acknowledgement while nothing is disturbed.
+MAX_ACKNOWLEDGED_MS = 4_000
+CALM_MS = 20_000
+SUBMIT_INTERVAL_MS = 500
 
 
 class _Disks:
@@ -119,3 +124,48 @@
         reply = shell_by_name[leader].call(request)
         assert not isinstance(reply, events.PublishReply)
     _publish(shell_by_name, 3)
+
+
+@pytest.mark.parametrize("sync_ms", [60, 300, 600, 1_200])
+@pytest.mark.parametrize("seed", range(8))
+def test_lease_and_commits_do_not_wait_for_each_slow_sync(
+    sync_ms: int, seed: int
+) -> None:
+    """Nobody held the lease for seconds while all replicas ran."""
+    cluster = raft_cluster.Cluster(seed=seed, snapshot_interval_entries=CALM_MS)
+    cluster.sync_ms = sync_ms
+    leader = cluster.await_leader(CALM_MS)
+    end_ms = cluster.now_ms + CALM_MS
+    submitted_ms_by_command: dict[bytes, int] = {}
+    while cluster.now_ms < end_ms:
+        command = b"%d" % cluster.now_ms
+        submitted_ms_by_command[command] = cluster.now_ms
+        assert cluster.submit(command) == 1
+        for _ in range(SUBMIT_INTERVAL_MS // raft_cluster.STEP_MS):
+            cluster.run(raft_cluster.STEP_MS)
+            assert cluster.leader() is leader
+    cluster.run(MAX_ACKNOWLEDGED_MS)
+    committed_ms_by_command = {
+        entry.command: at_ms
+        for entry, at_ms in zip(
+            cluster.committed, cluster.committed_ms, strict=True
+        )
+    }
+    for command, submitted_ms in submitted_ms_by_command.items():
+        took_ms = committed_ms_by_command[command] - submitted_ms
+        assert took_ms < MAX_ACKNOWLEDGED_MS
+
+
+def test_commit_takes_two_syncs_at_most() -> None:
+    """The leader synced first, then its followers, then what followed."""
+    cluster = raft_cluster.Cluster(seed=1, snapshot_interval_entries=CALM_MS)
+    cluster.await_leader()
+    cluster.run(1_000)
+    cluster.sync_ms = 300
+    for number in range(40):
+        began_ms = cluster.now_ms
+        assert cluster.submit(b"%d" % number) == 1
+        while cluster.committed[-1].command != b"%d" % number:
+            cluster.run(raft_cluster.STEP_MS)
+        took_ms = cluster.now_ms - began_ms
+        assert took_ms <= 2 * cluster.sync_ms + raft_cluster.TICK_MS * 2
--- a/testing/control/test_tables.py
+++ b/testing/control/test_tables.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from support import instant_disk
 from support import platform_site
 
 from wisteriawall.control import commands
@@ -13,7 +14,6 @@
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import state
 from wisteriawall.control import tables
@@ -81,7 +81,7 @@
         return {a.call_id: a.reply for a in self._reduce(event)}
 
     def _reduce(self, event: events.Event) -> Iterator[events.Answer]:
-        for effect in reducer.reduce(self.control, event):
+        for effect in instant_disk.reduce(self.control, event):
             if isinstance(effect, events.Answer):
                 yield effect
 
--- a/testing/support/control_fleet.py
+++ b/testing/support/control_fleet.py
@@ -11,12 +11,12 @@
 
 from testing.control import raft_cluster
 
+from support import instant_disk
 from wisteriawall.config import route_table
 from wisteriawall.control import events
 from wisteriawall.control import joining
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.control import snapshot as snapshot_lib
 from wisteriawall.wire import control_messages
@@ -346,10 +346,10 @@
         )
 
     def _reduce(self, machine: Machine, event: events.Event) -> None:
-        """Let a replica handle an event: write to its disk first, then send."""
+        """Let a replica handle an event, and write to its disk."""
         control = machine.control
         assert control is not None
-        effects = list(reducer.reduce(control, event))
+        effects = list(instant_disk.reduce(control, event))
         for effect in effects:
             if isinstance(effect, raft_cluster.DURABLE):
                 machine.disk.write(effect)
--- a/testing/support/leading_raft.py
+++ b/testing/support/leading_raft.py
@@ -2,6 +2,7 @@
 
 import random
 
+from support import instant_disk
 from wisteriawall.control import raft
 from wisteriawall.control import raft_log
 from wisteriawall.wire import raft_messages
@@ -28,7 +29,8 @@
     list(raft.tick(leader, 10_000))
     for prevote in (True, False):
         vote = raft_messages.VoteReply(3, "b", True, prevote, "b-1")
-        list(raft.receive(leader, vote, 10_000))
+        effects = raft.receive(leader, vote, 10_000)
+        list(instant_disk.settle(leader, effects, 10_000))
     list(acknowledge(leader, 1))
     return leader
 
@@ -44,4 +46,5 @@
         follower_clock=raft_messages.ClockReading(1, 1),
     )
     reply = raft_messages.AppendReply(header, True, index, index)
-    return list(raft.receive(leader, reply, 10_010))
+    effects = raft.receive(leader, reply, 10_010)
+    return list(instant_disk.settle(leader, effects, 10_010))
--- a/tools/capacity/fixtures.py
+++ b/tools/capacity/fixtures.py
@@ -4,11 +4,11 @@
 import random
 
 import msgspec
+from support import instant_disk
 
 from wisteriawall.config import document
 from wisteriawall.control import events
 from wisteriawall.control import raft
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 
 __all__ = ["configured_control", "make_document", "single_replica"]
@@ -60,7 +60,7 @@
         raft=raft.Raft(replica="c1", peers=(), random=random.Random(1))
     )
     for now_ms in range(START_MS, ELECTED_MS, STEP_MS):
-        list(reducer.reduce(control, events.Ticked(now_ms, now_ms)))
+        list(instant_disk.reduce(control, events.Ticked(now_ms, now_ms)))
     return control
 
 
@@ -74,5 +74,5 @@
         change=msgspec.json.encode(config),
     )
     call = events.CallReceived(1, request, ELECTED_MS, ELECTED_MS)
-    list(reducer.reduce(control, call))
+    list(instant_disk.reduce(control, call))
     return control
--- a/tools/capacity/slopes.py
+++ b/tools/capacity/slopes.py
@@ -14,6 +14,7 @@
 from typing import final
 
 import msgspec
+from support import instant_disk
 
 from tools.capacity import fixtures
 from wisteriawall.config import document
@@ -21,7 +22,6 @@
 from wisteriawall.control import commands
 from wisteriawall.control import events
 from wisteriawall.control import raft
-from wisteriawall.control import reducer
 from wisteriawall.control import replica_state
 from wisteriawall.demo import cluster
 from wisteriawall.entry import events as entry_events
@@ -115,7 +115,7 @@
         _, message = requests.decode(encoded_request)
         assert isinstance(message, control_messages.RenewRequest)
         call = events.CallReceived(1, message, NOW_MS, NOW_MS)
-        [answer] = list(reducer.reduce(control, call))
+        [answer] = list(instant_disk.reduce(control, call))
         assert isinstance(answer, events.Answer)
         assert isinstance(answer.reply, control_messages.Grant)
         return replies.encode(answer.reply)
@@ -198,7 +198,7 @@
             incarnation=SENDER.incarnation,
         )
         call = events.CallReceived(number, request, NOW_MS, NOW_MS)
-        effects = list(reducer.reduce(control, call))
+        effects = list(instant_disk.reduce(control, call))
         assert isinstance(effects[-1], events.Answer)
 
     yield Slope(
