Commit overlapping publications once each, and repeated ones not at all

Each publication was made as a change of the table in force. One that another overtook in the log had to be made and committed again, once for each of them, and an operator that sent its call again after a second waited for one more commit. With a slow disk each of these is a chain of syncs more.

A publication is made as a change of the newest table that the leader has appended in its term. A repeated or older one waits for that entry and appends nothing; it leaves no audit record any more, as it changes nothing.

--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -34,8 +34,6 @@
 
 LEADER_DUTIES_INTERVAL_MS = 500
 PLANNING_INTERVAL_MS = 1_000
-# An operator calls another replica after a second without an answer.
-MAX_PROOF_WAIT_MS = 1_000
 # Longer than a lease: by then every live process has renewed or expired.
 MAX_PATCH_WAIT_MS = 2_400
 
@@ -78,7 +76,7 @@
             )
     yield from _abandon_open_writes(control)
     yield from _answer_patch_calls(control)
-    yield from _answer_publications(control)
+    yield from control.publications.answer(control.raft, control.now_ms)
     yield from reads.answer_confirmed_reads(control)
     if raft_lib.is_snapshot_due(control.raft):
         data = snapshot_lib.encode(control.ledger)
@@ -191,12 +189,11 @@
         members = list(control.raft.members)
         yield events.Answer(pending.call_id, events.ReplicasReply(members))
     elif isinstance(outcome, outcomes.TableInForce):
-        control.pending_publications.append(
-            replica_state.PendingPublication(
-                call_id=pending.call_id,
-                reply=writes.reply_for(command, outcome),
-                until_ms=control.now_ms + MAX_PROOF_WAIT_MS,
-            )
+        control.publications.wait(
+            control.raft,
+            call_id=pending.call_id,
+            index=entry.index,
+            reply=writes.reply_for(command, outcome),
         )
     else:
         yield events.Answer(pending.call_id, writes.reply_for(command, outcome))
@@ -222,33 +219,6 @@
         patch.until_ms = control.now_ms
 
 
-def _answer_publications(
-    control: replica_state.ReplicaState,
-) -> Iterator[events.Answer]:
-    """Acknowledge committed tables while this replica holds the lease.
-
-    Without it gateways get no table from here, so that the change could not be
-    in force in time.
-    """
-    if not control.pending_publications:
-        return
-    publications = control.pending_publications
-    control.pending_publications = []
-    for publication in publications:
-        if control.raft.holds_lease(control.now_ms):
-            yield events.Answer(publication.call_id, publication.reply)
-        elif (
-            control.raft.role is not raft_lib.RaftRole.LEADER
-            or control.now_ms >= publication.until_ms
-        ):
-            yield events.Answer(
-                publication.call_id,
-                events.Unavailable("no proof that this replica still leads"),
-            )
-        else:
-            control.pending_publications.append(publication)
-
-
 def _answer_patch_calls(
     control: replica_state.ReplicaState,
 ) -> Iterator[events.Effect]:
@@ -387,7 +357,13 @@
         reply = redirect.to_leader(control.raft)
         yield events.Answer(event.call_id, reply)
         return
-    command = writes.command_for(control.ledger, event.request, event.wall_ms)
+    newest = control.publications.newest_table(control.raft, control.ledger)
+    request = event.request
+    if isinstance(request, events.PublishRequest) and control.publications.join(
+        control.raft, newest, call_id=event.call_id, request=request
+    ):
+        return
+    command = writes.command_for(newest, request, event.wall_ms)
     size = len(commands.encode(command))
     if size > raft_lib.MAX_COMMAND_BYTES:
         reason = (
@@ -398,8 +374,10 @@
         return
     index = control.raft.last_index + 1
     control.pending_call_by_index[index] = replica_state.PendingCall(
-        call_id=event.call_id, term=control.raft.term, request=event.request
+        call_id=event.call_id, term=control.raft.term, request=request
     )
+    if isinstance(request, events.PublishRequest):
+        control.publications.append(control.raft, newest, request)
     yield from _submit_command(control, command, event.now_ms)
 
 
--- a/src/wisteriawall/control/replica_state.py
+++ b/src/wisteriawall/control/replica_state.py
@@ -8,6 +8,7 @@
 from wisteriawall.control import liveness
 from wisteriawall.control import membership
 from wisteriawall.control import outcomes
+from wisteriawall.control import publications as publications_lib
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import renewal
 from wisteriawall.control import state
@@ -44,20 +45,6 @@
     until_ms: int
 
 
-@final
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class PendingPublication:
-    """A call whose table is committed, while the leader lacks its lease.
-
-    It is answered with `reply` once the lease is proved, and as unclear at
-    `until_ms`, monotonic time.
-    """
-
-    call_id: int
-    reply: events.Reply
-    until_ms: int
-
-
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PendingRead:
@@ -89,6 +76,7 @@
         planner_due_ms: Monotonic time when the role planner is due.
         last_leader_command_index: Log index of the newest command that the
             leader submitted by itself.
+        publications: Calls that wait for a routing table to be in force.
         usage: Usage that gateways reported, beyond the ledger.
         now_ms: Monotonic time of the newest event.
         tolerated_losses: How many replicas may be lost at the same time.
@@ -106,8 +94,8 @@
     pending_patches: list[PendingPatch] = dataclasses.field(
         default_factory=list
     )
-    pending_publications: list[PendingPublication] = dataclasses.field(
-        default_factory=list
+    publications: publications_lib.Publications = dataclasses.field(
+        default_factory=publications_lib.Publications
     )
     pending_reads: list[PendingRead] = dataclasses.field(default_factory=list)
     document_size: renewal.DocumentSizeCache = dataclasses.field(
--- a/src/wisteriawall/control/tables.py
+++ b/src/wisteriawall/control/tables.py
@@ -12,19 +12,27 @@
 from wisteriawall.control import outcomes
 from wisteriawall.control import state
 
-__all__ = ["change", "command_for", "publish"]
+__all__ = ["change", "command_for", "digest", "publish", "published"]
 
 DIGEST_BYTES = 16
 
 
+def published(request: events.PublishRequest) -> state.PublishedTable:
+    """Return the table of a request as it is kept."""
+    return state.PublishedTable(
+        request.table, request.source, digest(request.table)
+    )
+
+
 def command_for(
-    ledger: state.Ledger, request: events.PublishRequest, wall_ms: int
+    current: state.PublishedTable | None,
+    request: events.PublishRequest,
+    wall_ms: int,
 ) -> commands.ChangeTable:
-    """Return the command that publishes a table, as a change of the current.
+    """Return the command that publishes a table, as a change of `current`.
 
     Its size depends on what changes, not on the size of the table.
     """
-    current = ledger.published
     base_number = current.table.number if current else 0
     table_difference = source_difference = b""
     if request.table.number > base_number:
@@ -39,7 +47,7 @@
     return commands.ChangeTable(
         number=request.table.number,
         base_number=base_number,
-        digest=_table_digest(request.table),
+        digest=digest(request.table),
         table_change=table_difference,
         source_change=source_difference,
         operator=request.operator,
@@ -82,25 +90,26 @@
     A lower number changes nothing, and neither does the current table sent
     again. A different table under the current number is refused.
     """
-    digest = _table_digest(command.table)
+    new_digest = digest(command.table)
     current = ledger.published
     if current is not None and command.table.number <= current.table.number:
-        return _keep(current, command.table.number, digest)
+        return _keep(current, command.table.number, new_digest)
     ledger.published = state.PublishedTable(
-        command.table, command.source, digest
+        command.table, command.source, new_digest
     )
     return outcomes.TableInForce(command.table.number, changed=True)
 
 
 def _keep(
-    current: state.PublishedTable, number: int, digest: bytes
+    current: state.PublishedTable, number: int, new_digest: bytes
 ) -> outcomes.TableInForce | outcomes.TableConflict:
     """Return the outcome of a publication under a number that is not newer."""
-    if number == current.table.number and digest != current.digest:
+    if number == current.table.number and new_digest != current.digest:
         return outcomes.TableConflict(number)
     return outcomes.TableInForce(current.table.number, changed=False)
 
 
-def _table_digest(table: route_table.RouteTable) -> bytes:
+def digest(table: route_table.RouteTable) -> bytes:
+    """Return a digest that differs for different tables."""
     encoded = msgspec.msgpack.encode(table)
     return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
--- a/src/wisteriawall/control/writes.py
+++ b/src/wisteriawall/control/writes.py
@@ -12,12 +12,12 @@
 
 
 def command_for(
-    ledger: state.Ledger, request: events.Request, wall_ms: int
+    newest: state.PublishedTable | None, request: events.Request, wall_ms: int
 ) -> commands.Command:
     """Return the command that carries out a write request.
 
     Args:
-        ledger: State to which the changes of a routing table refer.
+        newest: Table to which the change of a routing table refers.
         request: Request that changes the ledger.
         wall_ms: Unix time at the leader, which becomes part of the command.
     """
@@ -27,7 +27,7 @@
                 patch_id, operator, base_number, change, wall_ms
             )
         case events.PublishRequest():
-            return tables.command_for(ledger, request, wall_ms)
+            return tables.command_for(newest, request, wall_ms)
         case events.DrainRequest(operator, runner, undo, drain_id):
             return commands.SetDrain(
                 runner, not undo, operator, wall_ms, drain_id
--- a/testing/control/test_tables.py
+++ b/testing/control/test_tables.py
@@ -137,7 +137,7 @@
             ledger, commands.PublishTable(first.table, first.source, "op", 1)
         )
     else:
-        tables.change(ledger, tables.command_for(ledger, first, 1))
+        tables.change(ledger, tables.command_for(None, first, 1))
     request = publication(version, **more)
-    command = tables.command_for(ledger, request, 2)
+    command = tables.command_for(ledger.published, request, 2)
     assert tables.change(ledger, command) == expected
