Count votes that arrive after a candidate's election timeout

A candidate that had asked for prevotes again dropped the votes of its term. A vote holds for its term, so that it counts until the candidate follows, leads or begins a new term.

testing/control/test_slow_disks.py: 12 of 12 new cases failed before.

--- a/src/wisteriawall/control/raft_election.py
+++ b/src/wisteriawall/control/raft_election.py
@@ -28,8 +28,8 @@
         return
     raft.role = raft_state.RaftRole.PRECANDIDATE
     raft.leader = ""
-    raft.votes = {raft.replica}
-    if _has_majority(raft):
+    raft.prevotes = {raft.replica}
+    if _has_majority(raft, raft.prevotes):
         yield from _start_election(raft, now_ms)
         return
     yield from _request_votes(raft, term=raft.term + 1, prevote=True)
@@ -88,24 +88,45 @@
             )
         return
     if message.prevote:
-        expected_role = raft_state.RaftRole.PRECANDIDATE
-        is_current = message.term == raft.term + 1
+        yield from _count_prevote(raft, message, now_ms)
     else:
-        expected_role = raft_state.RaftRole.CANDIDATE
-        is_current = message.term == raft.term
-    if raft.role is not expected_role or not is_current:
-        return
-    raft.votes.add(message.voter)
-    if not _has_majority(raft):
+        yield from _count_vote(raft, message, now_ms)
+
+
+def _count_prevote(
+    raft: raft_state.Raft, message: raft_messages.VoteReply, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    if (
+        raft.role is not raft_state.RaftRole.PRECANDIDATE
+        or message.term != raft.term + 1
+    ):
         return
-    if message.prevote:
+    raft.prevotes.add(message.voter)
+    if _has_majority(raft, raft.prevotes):
         yield from _start_election(raft, now_ms)
-    else:
+
+
+def _count_vote(
+    raft: raft_state.Raft, message: raft_messages.VoteReply, now_ms: int
+) -> Iterator[raft_state.Effect]:
+    """Count a vote, also one that arrives after the election's timeout.
+
+    A voter with a slow disk sends it only after its sync, when the candidate
+    may already have asked for prevotes again. The vote holds for its term.
+    """
+    is_candidate = raft.role in (
+        raft_state.RaftRole.CANDIDATE,
+        raft_state.RaftRole.PRECANDIDATE,
+    )
+    if not is_candidate or message.term != raft.term or not raft.votes:
+        return
+    raft.votes.add(message.voter)
+    if _has_majority(raft, raft.votes):
         yield from _become_leader(raft, now_ms)
 
 
-def _has_majority(raft: raft_state.Raft) -> bool:
-    granted = sum(name in raft.votes for name in raft.voters)
+def _has_majority(raft: raft_state.Raft, granting: set[str]) -> bool:
+    granted = sum(name in granting for name in raft.voters)
     return granted > len(raft.voters) // 2
 
 
@@ -129,7 +150,6 @@
     # `on_vote_synced` asks for votes.
     raft_replication.reset_election_timer(raft, now_ms)
     raft.role = raft_state.RaftRole.CANDIDATE
-    raft.votes = set()
     yield from raft.adopt_term(raft.term + 1, raft.replica)
 
 
@@ -146,7 +166,7 @@
     if raft.role is not raft_state.RaftRole.CANDIDATE or raft.votes:
         return
     raft.votes = {raft.replica}
-    if _has_majority(raft):
+    if _has_majority(raft, raft.votes):
         yield from _become_leader(raft, now_ms)
         return
     yield from _request_votes(raft, term=raft.term, prevote=False)
@@ -190,6 +210,7 @@
 ) -> Iterator[raft_state.Effect]:
     raft.role = raft_state.RaftRole.LEADER
     raft.leader = raft.replica
+    raft.votes = set()
     raft.elected_ms = now_ms
     raft.incoming_snapshot = None
     raft.heartbeat_due_ms = now_ms
--- a/src/wisteriawall/control/raft_replication.py
+++ b/src/wisteriawall/control/raft_replication.py
@@ -44,6 +44,7 @@
         yield from raft.adopt_term(term, "")
     if raft.role is not raft_state.RaftRole.FOLLOWER:
         raft.role = raft_state.RaftRole.FOLLOWER
+        raft.votes = set()
         raft.leader = ""
         raft.progress_by_peer = {}
         reset_election_timer(raft, now_ms)
--- a/src/wisteriawall/control/raft_state.py
+++ b/src/wisteriawall/control/raft_state.py
@@ -205,8 +205,9 @@
         voted_for: Candidate that got this replica's vote in the current term,
             empty if none did.
         leader: Leader of the current term, empty if it is unknown.
-        votes: Voters that have granted their vote, or prevote, to this
-            replica.
+        prevotes: Voters that have granted their prevote to this replica.
+        votes: Voters that have granted this replica their vote in the current
+            term. Empty until its own is durable, and once it leads or follows.
         incoming_snapshot: Snapshot that is being received, None if none is.
         leader_contact_ms: Clock when the newest message of a leader arrived.
         fresh_as_of_ms: Clock reading that bounds staleness: everything that was
@@ -242,6 +243,7 @@
     leader: str = ""
     commit_index: int = 0
     applied_index: int = 0
+    prevotes: set[str] = dataclasses.field(default_factory=set)
     votes: set[str] = dataclasses.field(default_factory=set)
     progress_by_peer: dict[str, Progress] = dataclasses.field(
         default_factory=dict
@@ -279,6 +281,7 @@
     def adopt_term(self, term: int, voted_for: str) -> Iterator[SaveHardState]:
         """Store a newer term, or a vote in the current one."""
         if term > self.term:
+            self.votes = set()
             self.matched_index = 0
             self.leader_clock_ms = -1
         self.term, self.voted_for = term, voted_for
--- a/testing/control/raft_cluster.py
+++ b/testing/control/raft_cluster.py
@@ -136,6 +136,7 @@
         delay_ms: Longest delay of a message.
         sync_ms: Longest time that writing and syncing takes on each disk. With
             0 it is done before the next event.
+        min_sync_ms: Shortest such time.
         isolated_groups: Groups of replicas that are cut off from all others.
         sent: Number of messages sent.
         messages: Messages sent while `records_messages` is set.
@@ -156,7 +157,7 @@
         self.snapshot_interval_entries = snapshot_interval_entries
         self.loss = self.duplication = 0.0
         self.delay_ms = 2
-        self.sync_ms = 0
+        self.sync_ms = self.min_sync_ms = 0
         self.isolated_groups: list[set[str]] = []
         self.in_flight: list[InFlightMessage] = []
         self.sent = 0
@@ -287,7 +288,7 @@
         """End all faults except lost disks."""
         self.isolated_groups, self.loss, self.duplication = [], 0.0, 0.0
         self.delay_ms = 2
-        self.sync_ms = 0
+        self.sync_ms = self.min_sync_ms = 0
         for name, node in list(self.node_by_name.items()):
             node.is_paused = False
             node.crash_after = NO_CRASH
@@ -350,7 +351,9 @@
         if not node.syncing and node.waiting:
             node.syncing, node.waiting = node.waiting, []
             node.syncing_number = node.waiting_number
-            node.synced_ms = self.now_ms + self.random.randint(0, self.sync_ms)
+            node.synced_ms = self.now_ms + self.random.randint(
+                self.min_sync_ms, self.sync_ms
+            )
         if not node.syncing or self.now_ms < node.synced_ms:
             return
         while node.syncing:
--- a/testing/control/test_raft_rules.py
+++ b/testing/control/test_raft_rules.py
@@ -106,6 +106,39 @@
     assert state.election_due_ms >= 10_001 + 600
 
 
+def _vote(
+    state: raft.Raft, voter: str, now_ms: int, *, prevote: bool = False
+) -> None:
+    reply = raft_messages.VoteReply(3, voter, True, prevote, f"{voter}-1")
+    effects = raft.receive(state, reply, now_ms)
+    list(instant_disk.settle(state, effects, now_ms))
+
+
+def test_a_vote_counts_after_the_election_timeout() -> None:
+    """A voter with a slow disk sends it only after its sync."""
+    state = make()
+    list(raft.tick(state, 10_000))
+    _vote(state, "b", 10_001, prevote=True)
+    list(raft.tick(state, state.election_due_ms))
+    assert state.role is raft.RaftRole.PRECANDIDATE
+    _vote(state, "b", 12_000)
+    assert state.role is raft.RaftRole.LEADER
+
+
+def test_late_votes_do_not_elect_a_leader_that_has_stepped_down() -> None:
+    state = make()
+    list(raft.tick(state, 10_000))
+    _vote(state, "b", 10_001, prevote=True)
+    _vote(state, "b", 10_002)
+    assert state.role is raft.RaftRole.LEADER
+    list(raft.tick(state, 12_000))
+    list(raft.tick(state, state.election_due_ms))
+    assert state.role is raft.RaftRole.PRECANDIDATE
+    for voter in "bc":
+        _vote(state, voter, 14_000)
+    assert state.role is raft.RaftRole.PRECANDIDATE
+
+
 @pytest.mark.parametrize("prevote", [False, True], ids=["vote", "prevote"])
 @pytest.mark.parametrize(
     ("state", "request_", "now_ms", "expected"),
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -169,3 +169,14 @@
             cluster.run(raft_cluster.STEP_MS)
         took_ms = cluster.now_ms - began_ms
         assert took_ms <= 2 * cluster.sync_ms + raft_cluster.TICK_MS * 2
+
+
+@pytest.mark.parametrize("sync_ms", [1_300, 2_000, 3_000])
+@pytest.mark.parametrize("seed", range(4))
+def test_leader_is_elected_though_each_sync_outlasts_the_election_timeout(
+    sync_ms: int, seed: int
+) -> None:
+    """Votes arrived when the candidate had asked for prevotes again."""
+    cluster = raft_cluster.Cluster(seed=seed, snapshot_interval_entries=CALM_MS)
+    cluster.sync_ms = cluster.min_sync_ms = sync_ms
+    cluster.await_leader(CALM_MS)
