Let no stop of a replica wait for its disk for good

The state thread waits while more than 16 MiB wait for the disk, and a stop waited for the state thread before it told the writer. With a hung disk neither ended, until the process was killed. The stop tells the writer first.

testing/control/test_slow_disks.py: the stop was still waiting after 5 s before.

--- a/src/wisteriawall/control/log_writer.py
+++ b/src/wisteriawall/control/log_writer.py
@@ -105,14 +105,18 @@
                 raise self._failure
             return self._synced
 
+    def begin_close(self) -> None:
+        """Let no `write` wait for the disk any more. Thread-safe."""
+        with self._changed:
+            self._closing = True
+            self._changed.notify_all()
+
     def close(self, timeout_s: float) -> None:
         """Write what waits and end the thread, within `timeout_s` if it can.
 
         What is not written by then was not acknowledged either.
         """
-        with self._changed:
-            self._closing = True
-            self._changed.notify_all()
+        self.begin_close()
         if self._thread.ident is None:
             self._log.close()
             return
--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -230,6 +230,8 @@
         if self._stopping.is_set():
             return
         self._stopping.set()
+        # The state thread may wait for a disk that hangs.
+        self._writer.begin_close()
         self._thread.join()
         self._refuse_calls("the replica has stopped")
         self._rpc_server.close()
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -12,6 +12,7 @@
 
 from wisteriawall.config import route_table
 from wisteriawall.control import events
+from wisteriawall.control import log_writer
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.demo import cluster as cluster_lib
 
@@ -126,6 +127,29 @@
     _publish(shell_by_name, 3)
 
 
+def test_replica_stops_while_more_waits_for_its_disk_than_may(
+    disks: _Disks,
+    shell_by_name: dict[str, shell_lib.ControlShell],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The stop waited for a thread that waited for the disk."""
+    leader = _publish(shell_by_name, 1)
+    monkeypatch.setattr(log_writer, "MAX_WAITING_BYTES", 1)
+    monkeypatch.setattr(shell_lib, "CALL_TIMEOUT_S", 0.3)
+    with disks.stalled(*REPLICAS):
+        for number in range(2, 6):
+            table = route_table.RouteTable(
+                number=number, routes=[], services=[]
+            )
+            request = events.PublishRequest("op", table, b"%d" % number)
+            reply = shell_by_name[leader].call(request)
+            assert not isinstance(reply, events.PublishReply)
+        stop = threading.Thread(target=shell_by_name[leader].stop, daemon=True)
+        stop.start()
+        stop.join(2 * shell_lib.DISK_STOP_TIMEOUT_S + 1)
+        assert not stop.is_alive()
+
+
 @pytest.mark.parametrize("sync_ms", [60, 300, 600, 1_200])
 @pytest.mark.parametrize("seed", range(8))
 def test_lease_and_commits_do_not_wait_for_each_slow_sync(
