Answer an operator's call when the operator has given up

Operators ask another replica after a second. A call that waited for a commit kept one of the eight threads for five seconds, or ten if the queue was full, so that eight of them kept every other call, reads too, from an answer. A call ends after one second, and one more for each MB of its body, five at most.

testing/control/test_slow_disks.py: with eight such calls, a read had no answer within two seconds before.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -308,12 +308,18 @@
             return True
         return clock.monotonic_ms() - replica.leader_contact_ms <= within_ms
 
-    def call(self, request: events.Request) -> events.Reply:
+    def call(
+        self, request: events.Request, *, timeout_s: float | None = None
+    ) -> events.Reply:
         """Return the reply to `request`, waiting for it. Thread-safe.
 
         The reply is `Unavailable` if the replica has failed or does not answer
-        within `CALL_TIMEOUT_S`.
+        within `timeout_s`, by default `CALL_TIMEOUT_S`. What was requested may
+        still be done then.
         """
+        if timeout_s is None:
+            timeout_s = CALL_TIMEOUT_S
+        deadline_s = time.monotonic() + timeout_s
         call_id = next(self._call_ids)
         future: futures.Future[events.Reply] = futures.Future()
         self._future_by_call[call_id] = future
@@ -322,8 +328,9 @@
             if self._failure:
                 return events.Unavailable(self._failure)
             with contextlib.suppress(queue.Full):
-                self._queue.put(_Call(call_id, request), timeout=CALL_TIMEOUT_S)
-            return future.result(timeout=CALL_TIMEOUT_S)
+                self._queue.put(_Call(call_id, request), timeout=timeout_s)
+            remaining_s = max(0.0, deadline_s - time.monotonic())
+            return future.result(timeout=remaining_s)
         except futures.TimeoutError:
             return events.Unavailable("no answer in time")
         finally:
--- a/src/wisteriawall/platform/operators.py
+++ b/src/wisteriawall/platform/operators.py
@@ -25,6 +25,10 @@
 
 OPERATOR_NAME = "platform"
 BITS_PER_MS_PER_MBPS = 1_000
+# An operator calls another replica after a second, or later if it has sent a
+# long table. A call that waits longer only keeps others from a thread.
+CALL_TIMEOUT_S = 1.0
+BODY_BYTES_PER_S = 1_000_000
 
 _KIND_BY_TYPE = {
     "read_only": route_table.RequestKind.READ_ONLY,
@@ -244,7 +248,11 @@
             case _:
                 return server_lib.send_refusal(start_response, _NOT_FOUND)
         called_ms = clock.monotonic_ms()
-        reply = self._shell.call(request)
+        timeout_s = min(
+            shell_lib.CALL_TIMEOUT_S,
+            CALL_TIMEOUT_S + len(body) / BODY_BYTES_PER_S,
+        )
+        reply = self._shell.call(request, timeout_s=timeout_s)
         _LOG.info(
             "operators: %s answered %s, version %d, after %d ms",
             environ["PATH_INFO"],
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import json
 import os
 import pathlib
 import threading
@@ -9,12 +10,16 @@
 
 import pytest
 from testing.control import raft_cluster
+import urllib3
 
 from wisteriawall.config import route_table
 from wisteriawall.control import events
 from wisteriawall.control import log_writer
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.demo import cluster as cluster_lib
+from wisteriawall.platform import control_role
+from wisteriawall.platform import operators
+from wisteriawall.web import server as server_lib
 
 KEY = b"k" * 32
 REPLICAS = ("a", "b", "c")
@@ -150,6 +155,47 @@
         assert not stop.is_alive()
 
 
+def test_operators_that_have_given_up_keep_no_other_from_a_thread(
+    disks: _Disks, shell_by_name: dict[str, shell_lib.ControlShell]
+) -> None:
+    """A read waited up to 5 s for one of the threads that serve operators."""
+    leader = _publish(shell_by_name, 1)
+    http = server_lib.HttpServer(
+        address="127.0.0.1:0",
+        app=operators.OperatorApp(shell=shell_by_name[leader]),
+        threads=control_role.OPERATOR_THREADS,
+    )
+    http.start()
+    put = f"http://{http.address}/Configuration.Put"
+    table = json.dumps({"version": 2, "routes": [], "services": []})
+    threads = [
+        threading.Thread(
+            target=_send, args=("POST", put, table, WAIT_S), daemon=True
+        )
+        for _ in range(control_role.OPERATOR_THREADS)
+    ]
+    try:
+        with disks.stalled(*(set(REPLICAS) - {leader})):
+            for thread in threads:
+                thread.start()
+            time.sleep(0.2)
+            get = f"http://{http.address}/Configuration.Get"
+            # In the second after the first calls have given up.
+            assert _send("GET", get, "", 2.0) in (200, 307, 503)
+            for thread in threads:
+                thread.join(2.0)
+                assert not thread.is_alive()
+    finally:
+        http.stop()
+
+
+def _send(method: str, url: str, body: str, timeout_s: float) -> int:
+    response = urllib3.request(
+        method, url, body=body, timeout=timeout_s, retries=False
+    )
+    return int(response.status)
+
+
 @pytest.mark.parametrize("sync_ms", [60, 300, 600, 1_200])
 @pytest.mark.parametrize("seed", range(8))
 def test_lease_and_commits_do_not_wait_for_each_slow_sync(
