--- a/src/wisteriawall/control/log_writer.py
+++ b/src/wisteriawall/control/log_writer.py
@@ -13,6 +13,7 @@
 
 from wisteriawall import clock
 from wisteriawall.control import raft
+from wisteriawall.control import snapshot_writer
 from wisteriawall.storage import durable_files
 from wisteriawall.storage import replica_log
 
@@ -37,12 +38,15 @@
 class LogWriter:
     """Makes the effects of one replica durable, in order.
 
+    The snapshots of own compactions are saved beside them, after the effects
+    that they follow.
+
     Args:
         log: Log of the replica; after `start` only the writer uses it.
-        on_progress: Called on the writer's thread after each sync, and when
+        on_progress: Called on a thread of the writer after each sync, and when
             the writer has failed. It must not block.
         on_sync: Called with the time of each sync in ms and the number of
-            effects that it made durable, on the writer's thread.
+            effects that it made durable, on a thread of the writer.
     """
 
     def __init__(
@@ -62,12 +66,18 @@
         self._synced = 0
         self._failure: Exception | None = None
         self._closing = False
+        self._snapshots = snapshot_writer.SnapshotWriter(
+            log, on_failure=self._fail, on_sync=on_sync
+        )
+        # Newest snapshot of the effects that are being written.
+        self._compaction: raft.SaveSnapshot | None = None
         self._thread = threading.Thread(
             target=self._run, name="log-writer", daemon=True
         )
 
     def start(self) -> None:
-        """Start the writer's thread."""
+        """Start the writer's threads."""
+        self._snapshots.start()
         self._thread.start()
 
     def write(self, effects: list[DurableEffect], number: int) -> None:
@@ -133,15 +143,21 @@
             while self._write_waiting():
                 self._on_progress()
         except Exception as error:
-            if not isinstance(error, durable_files.StorageFailed):
-                _LOG.exception("control: unexpected error in the log's writer")
-            with self._changed:
-                self._failure = error
-                self._changed.notify_all()
-            self._on_progress()
+            self._fail(error)
         finally:
+            self._snapshots.close()
             self._log.close()
 
+    def _fail(self, error: Exception) -> None:
+        if not isinstance(error, durable_files.StorageFailed):
+            _LOG.error(
+                "control: unexpected error in the log's writer", exc_info=error
+            )
+        with self._changed:
+            self._failure = self._failure or error
+            self._changed.notify_all()
+        self._on_progress()
+
     def _write_waiting(self) -> bool:
         """Write and sync what waits, at least one effect; False at the end."""
         with self._changed:
@@ -155,6 +171,12 @@
         for effect in effects:
             self._write(effect)
         self._log.sync()
+        if self._compaction is not None:
+            compaction, self._compaction = self._compaction, None
+            self._snapshots.request(
+                compaction.snapshot,
+                self._log.release_before(compaction.keep_from),
+            )
         self._on_sync(clock.monotonic_ms() - began_ms, len(effects))
         with self._changed:
             self._synced = number
@@ -170,7 +192,12 @@
                 self._log.truncate(index)
             case raft.ResetLog(index):
                 self._log.reset(index)
+            case raft.SaveSnapshot(is_compaction=True):
+                self._compaction = effect
             case raft.SaveSnapshot(snapshot, keep_from):
+                # It is newer than those of own compactions.
+                self._compaction = None
+                self._snapshots.wait_until_idle()
                 self._log.save_snapshot(snapshot, first_kept_index=keep_from)
 
 
--- a/src/wisteriawall/control/raft.py
+++ b/src/wisteriawall/control/raft.py
@@ -160,7 +160,7 @@
     keep_from = max(raft.log.start_index + 1, index + 1 - catch_up_entries)
     raft.log.compact(snapshot, keep_from=keep_from)
     raft.writes.request_entries(0)
-    yield SaveSnapshot(snapshot, keep_from)
+    yield SaveSnapshot(snapshot, keep_from, is_compaction=True)
 
 
 def _start_timers(raft: Raft, now_ms: int) -> None:
--- a/src/wisteriawall/control/raft_state.py
+++ b/src/wisteriawall/control/raft_state.py
@@ -84,13 +84,16 @@
 @final
 @dataclasses.dataclass(slots=True, frozen=True)
 class SaveSnapshot:
-    """Persist a snapshot at once.
+    """Persist a snapshot.
 
-    Log entries before the index `keep_from` are no longer needed.
+    Log entries before the index `keep_from` are no longer needed then. The
+    snapshot of a compaction replaces entries that the log holds. It need not be
+    durable when the effects after it are, but those before it must be first.
     """
 
     snapshot: raft_messages.Snapshot
     keep_from: int
+    is_compaction: bool = False
 
 
 @final
--- a/src/wisteriawall/storage/replica_log.py
+++ b/src/wisteriawall/storage/replica_log.py
@@ -134,12 +134,49 @@
         """
         self.sync()
         try:
-            snapshot_file.save(self._folder.path, snapshot)
-            self._remove_before(first_kept_index)
+            self.replace_segments(
+                snapshot, self.release_before(first_kept_index)
+            )
         except durable_files.StorageFailed as failure:
             self._failure = failure
             raise
 
+    def release_before(self, first_kept_index: int) -> list[pathlib.Path]:
+        """Return the oldest segments that hold no entry to keep.
+
+        They may be removed in this order, by `replace_segments`, once a
+        snapshot replaces them.
+        """
+        released = []
+        for number in sorted(self._newest_index_by_segment):
+            newest_index = self._newest_index_by_segment[number]
+            if (
+                number == self._segment_number
+                or newest_index >= first_kept_index
+            ):
+                break
+            released.append(self._segment_path(number))
+            del self._newest_index_by_segment[number]
+        return released
+
+    def replace_segments(
+        self, snapshot: raft_messages.Snapshot, segments: list[pathlib.Path]
+    ) -> None:
+        """Make a snapshot durable, then remove segments that it replaces.
+
+        Each removal is durable before the next one. Otherwise a loss of power
+        could undo only the first ones, and leave a gap in the segments.
+
+        Another thread may call this while the log is written, but no two save
+        snapshots at a time.
+
+        Raises:
+            durable_files.StorageFailed: A write to the folder failed.
+        """
+        snapshot_file.save(self._folder.path, snapshot)
+        for segment in segments:
+            durable_files.remove_file(segment)
+
     def close(self) -> None:
         """Close the segment file and release the folder's lock."""
         if self._descriptor >= 0:
@@ -184,22 +221,6 @@
         durable_files.sync_folder(self._folder.path)
         self._written_bytes = len(data)
 
-    def _remove_before(self, first_kept_index: int) -> None:
-        """Remove the oldest segments that hold no entry to keep.
-
-        Each removal is durable before the next one. Otherwise a loss of power
-        could undo only the first ones, and leave a gap in the segments.
-        """
-        for number in sorted(self._newest_index_by_segment):
-            newest_index = self._newest_index_by_segment[number]
-            if (
-                number == self._segment_number
-                or newest_index >= first_kept_index
-            ):
-                return
-            durable_files.remove_file(self._segment_path(number))
-            del self._newest_index_by_segment[number]
-
     def _recover(self) -> int:
         """Read every segment; return the number of the one to append to.
 
--- a/testing/control/raft_cluster.py
+++ b/testing/control/raft_cluster.py
@@ -22,6 +22,8 @@
 TICK_MS = 20
 STEP_MS = 5
 NO_CRASH = -1
+# Syncs of saving a snapshot and removing a segment.
+SNAPSHOT_SYNCS = 3
 Effects: TypeAlias = list[raft.Effect]
 DURABLE = (
     raft.SaveHardState,
@@ -96,6 +98,8 @@
         newest_commit: Highest commit index seen so far.
         waiting: Effects for the disk, and the number of the last one.
         syncing: Those that are being written until `synced_ms`, virtual time.
+        compactions: Snapshots that are saved beside the log until
+            `compacted_ms`, virtual time.
     """
 
     disk: Disk
@@ -114,6 +118,8 @@
     syncing: Effects = dataclasses.field(default_factory=list)
     syncing_number: int = 0
     synced_ms: int = 0
+    compactions: Effects = dataclasses.field(default_factory=list)
+    compacted_ms: int = 0
 
 
 @dataclasses.dataclass(order=True)
@@ -196,8 +202,11 @@
         node.is_up = False
         unsynced = node.syncing + node.waiting
         for effect in unsynced[: self.random.randint(0, len(unsynced))]:
+            self._write(node, effect)
+        saved = self.random.randint(0, len(node.compactions))
+        for effect in node.compactions[:saved]:
             node.disk.write(effect)
-        node.syncing, node.waiting = [], []
+        node.syncing, node.waiting, node.compactions = [], [], []
 
     def _boot(self, name: str, disk: Disk) -> None:
         self.incarnation += 1
@@ -346,8 +355,32 @@
         self.check(name, node)
         self._sync(name, node)
 
+    def _write(self, node: Node, effect: raft.Effect) -> None:
+        """Write an effect to the log, or begin to save a snapshot beside it."""
+        match effect:
+            case raft.SaveSnapshot(is_compaction=True):
+                if not node.compactions:
+                    node.compacted_ms = self.now_ms + self.random.randint(
+                        self.min_sync_ms, SNAPSHOT_SYNCS * self.sync_ms
+                    )
+                node.compactions.append(effect)
+            case raft.SaveSnapshot():
+                # Older snapshots don't replace it.
+                node.compactions = []
+                node.disk.write(effect)
+            case _:
+                node.disk.write(effect)
+
+    def _compact(self, node: Node) -> None:
+        """Complete the snapshots that are saved by now."""
+        if self.now_ms >= node.compacted_ms:
+            for effect in node.compactions:
+                node.disk.write(effect)
+            node.compactions = []
+
     def _sync(self, name: str, node: Node) -> None:
         """Complete what is written by now, and begin to write what waits."""
+        self._compact(node)
         if not node.syncing and node.waiting:
             node.syncing, node.waiting = node.waiting, []
             node.syncing_number = node.waiting_number
@@ -361,7 +394,7 @@
                 self.crash(name)
                 return
             node.crash_after -= node.crash_after > 0
-            node.disk.write(node.syncing.pop(0))
+            self._write(node, node.syncing.pop(0))
         now_ms = self.clock(node)
         effects = raft.synced(node.raft, node.syncing_number, now_ms)
         self._execute(name, node, effects)
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -15,6 +15,7 @@
 from wisteriawall.config import route_table
 from wisteriawall.control import events
 from wisteriawall.control import log_writer
+from wisteriawall.control import raft
 from wisteriawall.control import shell as shell_lib
 from wisteriawall.demo import cluster as cluster_lib
 from wisteriawall.platform import control_role
@@ -155,6 +156,36 @@
         assert not stop.is_alive()
 
 
+def test_changes_are_acknowledged_while_snapshots_wait_for_the_disk(
+    shell_by_name: dict[str, shell_lib.ControlShell],
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All replicas save one at about the same entry, and commits waited."""
+    has_room = threading.Event()
+    fsync = os.fsync
+
+    def stall(descriptor: int) -> None:
+        if ".snapshot" in os.readlink(f"/proc/self/fd/{descriptor}"):
+            has_room.wait(WAIT_S)
+        fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", stall)
+    monkeypatch.setattr(raft, "SNAPSHOT_INTERVAL_ENTRIES", 4)
+    began_s = time.monotonic()
+    try:
+        for number in range(1, 21):
+            _publish(shell_by_name, number)
+        assert time.monotonic() - began_s < WAIT_S
+        assert not list(tmp_path.glob("*/*.snapshot"))
+    finally:
+        has_room.set()
+    deadline_s = time.monotonic() + WAIT_S
+    while len(list(tmp_path.glob("*/*.snapshot"))) < len(REPLICAS):
+        assert time.monotonic() < deadline_s
+        time.sleep(0.02)
+
+
 def test_operators_that_have_given_up_keep_no_other_from_a_thread(
     disks: _Disks, shell_by_name: dict[str, shell_lib.ControlShell]
 ) -> None:
