Keep a thread for polls while writes of gateways wait for commits

A control replica answered requests of gateways, entries and agents on eight threads, and each that waits for a commit kept one, up to five seconds. Nine gateways that reported streams at a time kept all polls from an answer while commits waited for disks, so that gateways used old tables. Up to 64 requests are handled now, by threads that are started while all others are busy and end when they are not needed.

testing/control/test_slow_disks.py: beside 33 reports that waited, a request that needs no commit had no answer within 400 ms before.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -55,6 +55,8 @@
 CALL_TIMEOUT_S = 5.0
 # Interval at which a replica without room on its disk tries a write.
 ROOM_CHECK_INTERVAL_S = 0.25
+# A request that waits for a commit keeps a thread, and a poll needs another.
+MAX_RPC_THREADS = 64
 MAX_BATCH_EVENTS = 512
 MAX_QUEUED_EVENTS = 8_192
 # Part of a grace period that a stop waits for the disk.
@@ -208,7 +210,9 @@
         self._peer_connections = transport.PeerConnections(address_by_peer={})
         self._connect_members()
         self._rpc_server = transport.RpcServer(
-            address=rpc_address, handler=self._on_rpc
+            address=rpc_address,
+            handler=self._on_rpc,
+            max_threads=MAX_RPC_THREADS,
         )
         self._thread = threading.Thread(
             target=self._run, name=f"control-{replica}", daemon=True
--- a/src/wisteriawall/wire/transport.py
+++ b/src/wisteriawall/wire/transport.py
@@ -111,7 +111,9 @@
             `address` has the chosen one.
         handler: Returns the answer to a request, or None to send none. It is
             called from several threads.
-        threads: Number of requests that are handled at the same time.
+        threads: Number of threads that are kept to handle requests.
+        max_threads: Number of requests that are handled at the same time, by
+            threads that are started while all others are busy; 0 for `threads`.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         address: str,
         handler: Callable[[bytes], bytes | None],
         threads: int = RPC_THREADS,
+        max_threads: int = 0,
     ) -> None:
         self._socket = pynng.Rep0(recv_timeout=RECEIVE_TIMEOUT_MS)
         listener = self._socket.listen(f"tcp://{address}")
@@ -127,41 +130,85 @@
         self._handler = handler
         self._errors = _HandlerErrors()
         self._closing = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._serve, name="rpc", daemon=True)
-            for _ in range(threads)
-        ]
+        self._kept_threads = threads
+        self._max_threads = max_threads or threads
+        # Guards the attributes below.
+        self._lock = threading.Lock()
+        self._threads: set[threading.Thread] = set()
+        # Of these, those that don't end, and those that handle a request.
+        self._serving_count = self._busy_count = 0
 
     def start(self) -> None:
         """Start the threads that answer requests."""
-        for thread in self._threads:
-            thread.start()
+        with self._lock:
+            for _ in range(self._kept_threads):
+                self._start_thread()
 
     def close(self) -> None:
         """Stop answering, release the port and wait for the threads."""
-        self._closing.set()
+        with self._lock:
+            self._closing.set()
+            threads = list(self._threads)
         # Each thread closes its own context: pynng raises a TypeError in a
         # thread whose context another one closed.
-        _join(self._threads)
+        _join(threads)
         self._socket.close()
 
+    def _start_thread(self) -> None:
+        thread = threading.Thread(target=self._serve, name="rpc", daemon=True)
+        thread.start()
+        self._threads.add(thread)
+        self._serving_count += 1
+
     def _serve(self) -> None:
         with (
             contextlib.suppress(pynng.Closed),
             self._socket.new_context() as context,
         ):
             while not self._closing.is_set():
-                self._serve_one(context)
+                if not self._serve_one(context) and self._may_leave():
+                    break
+        # Its context is closed, so `close` need not wait for it.
+        with self._lock:
+            self._threads.discard(threading.current_thread())
 
-    def _serve_one(self, context: pynng.Context) -> None:
+    def _may_leave(self) -> bool:
+        """Return whether this thread, which had no request, is to end."""
+        with self._lock:
+            if self._serving_count <= self._kept_threads + self._busy_count:
+                return False
+            self._serving_count -= 1
+            return True
+
+    @contextlib.contextmanager
+    def _hold_thread(self) -> Iterator[None]:
+        """Let another thread wait for requests during the block."""
+        with self._lock:
+            if (
+                self._busy_count + 1 == self._serving_count
+                and self._serving_count < self._max_threads
+                and not self._closing.is_set()
+            ):
+                self._start_thread()
+            self._busy_count += 1
         try:
-            answer = self._handler(context.recv())
+            yield
+        finally:
+            with self._lock:
+                self._busy_count -= 1
+
+    def _serve_one(self, context: pynng.Context) -> bool:
+        """Answer one request; return whether there was one."""
+        try:
+            request = context.recv()
+            with self._hold_thread():
+                answer = self._handler(request)
             if answer is not None and not self._closing.is_set():
                 context.send(answer)
         except pynng.Closed:
             raise
         except pynng.Timeout:
-            return
+            return False
         except pynng.NNGException as error:
             # The requester disconnected before it had the answer.
             _LOG.info("rpc: an exchange failed: %s", error)
@@ -171,6 +218,7 @@
             # answer to this request.
             self._errors.log()
             self._closing.wait(ERROR_PAUSE_S)
+        return True
 
 
 @final
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -21,6 +21,10 @@
 from wisteriawall.platform import control_role
 from wisteriawall.platform import operators
 from wisteriawall.web import server as server_lib
+from wisteriawall.wire import control_messages
+from wisteriawall.wire import envelope
+from wisteriawall.wire import gateway_messages
+from wisteriawall.wire import transport
 
 KEY = b"k" * 32
 REPLICAS = ("a", "b", "c")
@@ -70,9 +74,17 @@
     return disks
 
 
+@pytest.fixture
+def rpc_address_by_replica() -> dict[str, str]:
+    """Return where the replicas answer gateways."""
+    return {name: cluster_lib.unused_loopback_address() for name in REPLICAS}
+
+
 @pytest.fixture
 def shell_by_name(
-    disks: _Disks, tmp_path: pathlib.Path
+    disks: _Disks,
+    tmp_path: pathlib.Path,
+    rpc_address_by_replica: dict[str, str],
 ) -> Iterator[dict[str, shell_lib.ControlShell]]:
     """Yield three replicas that have started."""
     address_by_replica = {
@@ -82,7 +94,7 @@
         name: shell_lib.ControlShell(
             replica=name,
             peer_address_by_replica=address_by_replica,
-            rpc_address=cluster_lib.unused_loopback_address(),
+            rpc_address=rpc_address_by_replica[name],
             folder=tmp_path / name,
             key=KEY,
             incarnation=time.time_ns(),
@@ -223,6 +235,46 @@
         http.stop()
 
 
+def test_writes_that_wait_for_disks_keep_no_poll_from_a_thread(
+    disks: _Disks,
+    shell_by_name: dict[str, shell_lib.ControlShell],
+    rpc_address_by_replica: dict[str, str],
+) -> None:
+    """Polls of gateways waited for commits of what other gateways reported."""
+    leader = _publish(shell_by_name, 1)
+
+    def ask(name: str, request: object, timeout_ms: int) -> object:
+        codec: envelope.Codec[object] = envelope.Codec(
+            message_type=control_messages.ControlReply,
+            key=KEY,
+            sender=envelope.Sender(name, 1),
+        )
+        client = transport.RpcClient(
+            address=rpc_address_by_replica[leader], timeout_ms=timeout_ms
+        )
+        try:
+            return codec.decode(client.call(codec.encode(request)))[1]
+        finally:
+            client.close()
+
+    def report(number: int) -> None:
+        origin = gateway_messages.StreamOrigin("s", "v1", "f")
+        request = gateway_messages.RecordStreamsRequest({f"{number}": origin})
+        ask(f"g{number}", request, 10_000)
+
+    threads = [
+        threading.Thread(target=report, args=(number,)) for number in range(33)
+    ]
+    with disks.stalled(*(set(REPLICAS) - {leader})):
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        request = gateway_messages.FindStreamRequest("a", "s")
+        assert ask("g", request, 400) is not None
+    for thread in threads:
+        thread.join()
+
+
 def _send(method: str, url: str, body: str, timeout_s: float) -> int:
     response = urllib3.request(
         method, url, body=body, timeout=timeout_s, retries=False
--- a/testing/wire/test_transport.py
+++ b/testing/wire/test_transport.py
@@ -275,3 +275,46 @@
         "sent",
         "closed",
     ]
+
+
+def test_requests_that_wait_leave_a_thread_to_others() -> None:
+    """Threads that were started for them end afterwards."""
+    released = threading.Event()
+
+    def answer(data: bytes) -> bytes:
+        if data == b"waits":
+            assert released.wait(platform_site.WAIT_S)
+        return data
+
+    server = transport.RpcServer(
+        address="127.0.0.1:0", handler=answer, threads=2, max_threads=6
+    )
+    server.start()
+    address = server.address.removeprefix("tcp://")
+    clients = [transport.RpcClient(address=address) for _ in range(6)]
+    waiting = [
+        threading.Thread(target=client.call, args=(b"waits",), daemon=True)
+        for client in clients[1:]
+    ]
+    try:
+        before = _rpc_threads()
+        for thread in waiting:
+            thread.start()
+        assert clients[0].call(b"asks") == b"asks"
+        assert _rpc_threads() <= before + 4
+        released.set()
+        for thread in waiting:
+            thread.join(platform_site.WAIT_S)
+        platform_site.wait_until(
+            lambda: _rpc_threads() == before, "threads to end"
+        )
+        assert clients[0].call(b"asks") == b"asks"
+    finally:
+        released.set()
+        for client in clients:
+            client.close()
+        server.close()
+
+
+def _rpc_threads() -> int:
+    return sum(thread.name == "rpc" for thread in threading.enumerate())
