--- a/testing/soak/core_history.py
+++ b/testing/soak/core_history.py
@@ -9,6 +9,7 @@
 import itertools
 from typing import final
 
+from soak import own_ends
 from soak import records
 
 __all__ = ["CATCH_UP_S", "CONTACT_S", "CoreHistory"]
@@ -48,15 +49,20 @@
     """
 
     def __init__(self, seen: records.Records) -> None:
+        counted, self.own_ends = own_ends.split(seen.incidents)
         incidents_by_name = collections.defaultdict(list)
+        # All cuts and stalls of disks, then those of the core.
+        self._cuts: list[Span] = []
+        self._stalls_by_name: dict[str, list[Span]] = {}
         # Cuts between replicas, and those between a replica and a gateway.
         self._core_cuts: list[tuple[frozenset[str], float, float]] = []
         self._cuts_by_gateway = collections.defaultdict(list)
         self._removed_s_by_name: dict[str, float] = {}
-        for incident in sorted(seen.incidents, key=lambda i: i.at_s):
+        for incident in counted:
             match incident.change:
                 case records.Change.CUT:
                     pair = frozenset((incident.name, incident.other))
+                    self._cuts.append((incident.at_s, incident.until_s))
                     gateways = [n for n in pair if not is_replica(n)]
                     cut = pair, incident.at_s, incident.until_s
                     if not gateways:
@@ -65,25 +71,42 @@
                         self._cuts_by_gateway[gateways[0]].append(cut)
                 case records.Change.REMOVED:
                     self._removed_s_by_name[incident.name] = incident.at_s
+                case records.Change.DISK_STALLED:
+                    self._stalls_by_name.setdefault(incident.name, []).append(
+                        (incident.at_s, incident.until_s)
+                    )
                 case change if change in DISRUPTIONS:
                     incidents_by_name[incident.name].append(incident)
         self._disrupted_s_by_name = {
             name: [incident.at_s for incident in incidents]
             for name, incidents in incidents_by_name.items()
         }
-        self._runs_by_name, self._freezes_by_name = (
+        self._counted_runs_by_name, self._freezes_by_name = (
             {
                 name: list(_spans(incidents, begin, end))
                 for name, incidents in incidents_by_name.items()
             }
             for begin, end in SPANS
         )
+        # Those of processes that ended by themselves too.
+        self._runs_by_name = dict(self._counted_runs_by_name)
+        for name in {end.name for end in self.own_ends}:
+            self._runs_by_name[name] = list(
+                _spans(
+                    sorted(
+                        (i for i in seen.incidents if i.name == name),
+                        key=lambda i: i.at_s,
+                    ),
+                    *SPANS[0],
+                )
+            )
         self._replicas = sorted(filter(is_replica, incidents_by_name))
         self._core_changes_s = sorted(
             itertools.chain(
                 *(self._disrupted_s_by_name[name] for name in self._replicas),
                 self._removed_s_by_name.values(),
                 *((from_s, until_s) for _, from_s, until_s in self._core_cuts),
+                *itertools.chain(*self._stalls_by_name.values()),
             )
         )
 
@@ -91,11 +114,14 @@
         """Return whether nothing disrupted a machine, beside cuts."""
         return not _between(
             self._disrupted_s_by_name.get(name, ()), from_s, until_s
-        )
+        ) and not _overlaps(self._stalls_by_name.get(name, ()), from_s, until_s)
 
     def is_stable(self, from_s: float, until_s: float) -> bool:
         """Return whether the core was not disrupted, and was connected."""
-        if _between(self._core_changes_s, from_s, until_s):
+        if _between(self._core_changes_s, from_s, until_s) or any(
+            _overlaps(stalls, from_s, until_s)
+            for stalls in self._stalls_by_name.values()
+        ):
             return False
         is_cut = any(
             cut_s <= until_s <= healed_s
@@ -138,6 +164,28 @@
                 return False
         return True
 
+    def calm_spans(self, from_s: float, until_s: float) -> Iterator[Span]:
+        """Yield when the core was stable and no link was cut.
+
+        Each span begins `CONTACT_S` after the last disruption of the core.
+        """
+        stalls = itertools.chain(*self._stalls_by_name.values())
+        absences = sorted(
+            itertools.chain(
+                ((at_s, at_s + CONTACT_S) for at_s in self._core_changes_s),
+                ((at_s, end_s + CONTACT_S) for at_s, end_s in stalls),
+                self._cuts,
+                ((until_s, until_s),),
+            )
+        )
+        for gone_s, back_s in absences:
+            end_s = min(gone_s, until_s)
+            if end_s > from_s and any(
+                self.reaches_most(name, from_s) for name in self._replicas
+            ):
+                yield from_s, end_s
+            from_s = max(from_s, back_s)
+
     def longest_calm_s(
         self, replicas: list[str], from_s: float, until_s: float
     ) -> float:
@@ -192,7 +240,8 @@
     ) -> bool:
         """Return whether a replica ran and reached more than half of the core.
 
-        Those that were down, frozen or cut in the last `rest_s` don't count.
+        Those that were down, frozen or cut in the last `rest_s` don't count,
+        nor do, if there is one, those whose disk stalls.
         """
         members = self._members(at_s)
         if name not in members or not self._runs(name, at_s, rest_s):
@@ -209,9 +258,11 @@
         return 1 + reached > len(members) / 2
 
     def _runs(self, name: str, at_s: float, rest_s: float) -> bool:
+        if rest_s and _overlaps(self._stalls_by_name.get(name, ()), at_s, at_s):
+            return False
         return any(
             started_s + rest_s <= at_s < ended_s
-            for started_s, ended_s in self._runs_by_name[name]
+            for started_s, ended_s in self._counted_runs_by_name[name]
         ) and not any(
             frozen_s <= at_s <= thawed_s + rest_s
             for frozen_s, thawed_s in self._freezes_by_name[name]
@@ -238,6 +289,14 @@
         yield since_s, float("inf")
 
 
+def _overlaps(
+    spans: list[Span] | tuple[()], from_s: float, until_s: float
+) -> bool:
+    return any(
+        begin_s <= until_s and from_s <= end_s for begin_s, end_s in spans
+    )
+
+
 def _gaps(spans: list[Span]) -> Iterator[Span]:
     """Yield the time between spans, and that after a last one that ended."""
     ends_s = [ended_s for _, ended_s in spans if ended_s < float("inf")]
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -23,6 +23,7 @@
 from soak import accounts
 from soak import budget
 from soak import core_history
+from soak import disks
 from soak import links as links_lib
 from soak import proxied
 from soak import records
@@ -175,12 +176,17 @@
     """A process of the system. Signals go to it alone, never to a later pid."""
 
     def __init__(
-        self, role: str, settings: pathlib.Path, log_path: pathlib.Path
+        self,
+        role: str,
+        settings: pathlib.Path,
+        log_path: pathlib.Path,
+        environment: dict[str, str],
     ) -> None:
         with log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "soak.proxied", role],
                 env=os.environ
+                | environment
                 | {
                     settings_lib.SETTINGS_VARIABLE: str(settings),
                     "WISTERIAWALL_CLUSTER_KEY": KEY,
@@ -228,6 +234,7 @@
         log: Path of its log.
         seen: Records that get its starts, signals and ends.
         data: Data folder of a control replica.
+        environment: Further variables of its environment.
     """
 
     def __init__(
@@ -239,11 +246,13 @@
         log: pathlib.Path,
         seen: records.Records,
         data: pathlib.Path | None = None,
+        environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
         self.log_path = log
         self._role, self._settings, self._seen = role, settings, seen
         self._data = data
+        self._environment = environment or {}
         self._loses_disk = False
         self._is_finishing = False
         self._lock = threading.Lock()
@@ -405,7 +414,9 @@
             if self._is_finishing:
                 return None
             at_s = time.monotonic()
-            self._program = _Program(self._role, self._settings, self.log_path)
+            self._program = _Program(
+                self._role, self._settings, self.log_path, self._environment
+            )
             self._add(records.Change.START, at_s, self._program)
             return self._program
 
@@ -427,6 +438,7 @@
         gateways: Number of gateways.
         replicas: Number of control replicas.
         spares: Number of further replicas, which are started later.
+        slow_syncs_ms: Least and most time that each sync of a replica waits.
         list_address: Address of the list of runners.
         seen: Records of what happens to the processes.
         link_bytes_s: Bytes a second that fit through the link of each machine,
@@ -443,12 +455,14 @@
         seen: records.Records,
         link_bytes_s: int = 0,
         spares: int = 0,
+        slow_syncs_ms: tuple[float, float] | None = None,
     ) -> None:
         count = replicas + gateways
         hosts = [_host(number) for number in range(count + spares)]
         hosts_of_replicas = hosts[:replicas] + hosts[count:]
         self._seen = seen
         self._folder, self._list_address = folder, list_address
+        self._slow_syncs_ms = slow_syncs_ms
         self._ports = find_ports(hosts)
         self._seeds = [
             f"{host}:{self._ports.control}" for host in hosts[:replicas][:3]
@@ -538,6 +552,19 @@
             for name, other in pairs
         )
 
+    def stall_disk(self, name: str, for_s: float) -> None:
+        """Have the syncs of a replica wait for some time."""
+        now_s = time.monotonic()
+        self._seen.incidents.append(
+            records.Incident(
+                name, records.Change.DISK_STALLED, now_s, until_s=now_s + for_s
+            )
+        )
+        disks.stall(self._stall_path(name), now_s + for_s)
+
+    def _stall_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.stall"
+
     def may_lose_disk(self) -> bool:
         """Return whether the losses of disks before are made good.
 
@@ -642,4 +669,9 @@
             log=self._folder / "logs" / f"{name}.log",
             seen=seen,
             data=data,
+            environment=disks.environment(
+                self._slow_syncs_ms, self._stall_path(name)
+            )
+            if data
+            else None,
         )
--- a/testing/soak/proxied.py
+++ b/testing/soak/proxied.py
@@ -11,6 +11,7 @@
 
 import pynng
 
+from soak import disks
 from wisteriawall.platform import __main__ as program
 from wisteriawall.platform import settings as settings_lib
 
@@ -64,4 +65,5 @@
 if __name__ == "__main__":
     _shift_listeners()
     _name_sources(source_host(settings_lib.load().ip_address))
+    disks.patch()
     program.main()
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -158,6 +158,8 @@
     CUT = "links cut"
     REMOVED = "removed for good"
     DISK_LOST = "disk lost"
+    # Syncs of a replica wait until `until_s`.
+    DISK_STALLED = "disk stalled"
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -74,6 +74,8 @@
         versions: Whether runners of two software versions serve.
         hostile_count: Number of hostile clients.
         core: Whether replicas are replaced, lose their disks and are cut off.
+        slow_syncs_ms: Least and most time that each sync of a replica waits.
+        stalls: Whether disks of replicas stall.
         folder: Folder of settings files, data folders and logs.
     """
 
@@ -92,6 +94,8 @@
         versions: bool = False,
         hostile_count: int = 0,
         core: bool = False,
+        slow_syncs_ms: tuple[float, float] | None = None,
+        stalls: bool = False,
     ) -> None:
         self.seen = records.Records()
         self.seed = seed
@@ -107,6 +111,7 @@
                 limits=limits,
                 versions=versions,
                 core=core,
+                stalls=stalls,
             ),
         )
         # Faults of replicas that would have lost one disk too many.
@@ -130,6 +135,7 @@
             list_address=self._list.address,
             seen=self.seen,
             link_bytes_s=link_bytes_s,
+            slow_syncs_ms=slow_syncs_ms,
             spares=sum(
                 isinstance(timed.fault, schedule.ReplaceReplica)
                 for timed in self.schedule
@@ -240,6 +246,7 @@
             case (
                 schedule.ReplaceReplica()
                 | schedule.LoseDisk()
+                | schedule.StallDisk()
                 | schedule.WriteSeeds()
                 | schedule.CutLinks()
             ):
@@ -270,6 +277,7 @@
         fault: (
             schedule.ReplaceReplica
             | schedule.LoseDisk
+            | schedule.StallDisk
             | schedule.WriteSeeds
             | schedule.CutLinks
         ),
@@ -294,6 +302,9 @@
                 self.fleet.cut(sorted(pairs), for_s)
                 return
         name = self._machine(fault.process)
+        if isinstance(fault, schedule.StallDisk):
+            self.fleet.stall_disk(name, fault.for_s)
+            return
         if (
             self._replacing
             or name not in self.fleet.listed
@@ -403,6 +414,8 @@
     versions: bool = False,
     hostile_count: int = 0,
     core: bool = False,
+    slow_syncs_ms: tuple[float, float] | None = None,
+    stalls: bool = False,
 ) -> list[checks.Finding]:
     """Play a soak, print its report and return the findings."""
     started_s = time.monotonic()
@@ -419,6 +432,8 @@
         versions=versions,
         hostile_count=hostile_count,
         core=core,
+        slow_syncs_ms=slow_syncs_ms,
+        stalls=stalls,
     )
     with _thread_errors() as errors:
         soak.play()
@@ -572,6 +587,11 @@
     return repr(value)[:MAX_DUMPED_LENGTH]
 
 
+def _parse_range(text: str) -> tuple[float, float]:
+    low, high = map(float, text.split(","))
+    return low, high
+
+
 def main() -> int:
     """Play a soak from the command line; 1 if a rule was broken."""
     parser = argparse.ArgumentParser(prog="soak")
@@ -586,6 +606,8 @@
     parser.add_argument("--versions", action="store_true")
     parser.add_argument("--hostile", type=int, default=0)
     parser.add_argument("--core", action="store_true")
+    parser.add_argument("--slow-syncs", type=_parse_range, metavar="LOW,HIGH")
+    parser.add_argument("--stalls", action="store_true")
     parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
     # So that the processes are ended if the soak is.
@@ -608,6 +630,8 @@
             versions=arguments.versions,
             hostile_count=arguments.hostile,
             core=arguments.core,
+            slow_syncs_ms=arguments.slow_syncs,
+            stalls=arguments.stalls,
         )
     return 1 if findings else 0
 
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -30,6 +30,9 @@
 SEED_LAG_S = (3.0, 6.0)
 STEADY_CHANGE_GAP_S = (0.3, 1.0)
 CORE_SERIES_GAP_S = (2.0, 6.0)
+STALL_S = (1.0, 5.0)
+# Long ones leave time until the core is stable and a change is due.
+STALL_GAP_S = (1.0, 10.0)
 
 
 @final
@@ -187,6 +190,15 @@
     process: str
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class StallDisk:
+    """Have the disk of a control replica stall."""
+
+    process: str
+    for_s: float
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteSeeds:
@@ -228,6 +240,7 @@
     | LimitRunner
     | ReplaceReplica
     | LoseDisk
+    | StallDisk
     | WriteSeeds
     | CutLinks
 )
@@ -249,7 +262,8 @@
 
     `large_tables` has tables become large, `limits` has runners name limits,
     `versions` has them start with other versions of their software. `core` has
-    replicas be replaced, lose their disks and be cut off.
+    replicas be replaced, lose their disks and be cut off. `stalls` has their
+    disks stall.
     """
 
     gateways: tuple[str, ...]
@@ -259,6 +273,7 @@
     limits: bool = False
     versions: bool = False
     core: bool = False
+    stalls: bool = False
 
 
 Series = Callable[[random.Random, Scope], Iterator[Timed]]
@@ -302,10 +317,23 @@
             *_core_faults(random.Random(f"{seed}/core"), scope, duration_s),
             *_key_changes(random.Random(f"{seed}/keys")),
         ]
+    if scope.stalls:
+        timed += _disk_stalls(random.Random(f"{seed}/stalls"), duration_s)
     in_time = (fault for fault in timed if fault.at_s < duration_s)
     return tuple(sorted(in_time, key=lambda fault: fault.at_s))
 
 
+def _disk_stalls(chance: random.Random, duration_s: float) -> Iterator[Timed]:
+    """Yield stalls of disks, one at a time."""
+    at_s = chance.uniform(*STALL_GAP_S)
+    while at_s < duration_s:
+        fault = StallDisk(
+            chance.choice((LEADER, *LISTED)), chance.uniform(*STALL_S)
+        )
+        yield Timed(at_s, fault)
+        at_s += fault.for_s + chance.uniform(*STALL_GAP_S)
+
+
 def _core_faults(
     chance: random.Random, scope: Scope, duration_s: float
 ) -> Iterator[Timed]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -30,6 +30,7 @@
     large_tables=True,
     limits=True,
     versions=True,
+    stalls=True,
 )
 CORE_SCOPE = dataclasses.replace(SCOPE, core=True)
 RUN = "a1/i-r1-1/7"
@@ -59,6 +60,12 @@
         pytest.param(4, 11.0, {"limits": True}, id="4 limits"),
         pytest.param(5, 9.0, {"versions": True}, id="5 versions"),
         pytest.param(6, 9.0, {"core": True}, id="6 core"),
+        pytest.param(
+            7,
+            9.0,
+            {"slow_syncs_ms": (30.0, 300.0), "stalls": True},
+            id="7 slow disks",
+        ),
     ],
 )
 def test_promises_hold_under_faults(
