Judge in soaks how long a change waits for its acknowledgement in calm

Each try is recorded; a change that waits for more than ack_ms in one stretch with a stable core and no cut link is a finding ACKS, with its tries and the replicas' lines on syncs, ticks and leases.

The operator goes on like the users': increasing pauses, another replica after a failure, eight changes at once, the first one until it is accepted.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -12,6 +12,7 @@
 from support import duty_platform
 
 from soak import accounts
+from soak import acks
 from soak import budget
 from soak import fleet
 from soak import limits
@@ -35,6 +36,7 @@
     "LIMIT",
     "DUTY",
     "KEY",
+    "ACKS",
 )
 # A signal before the program handles it ends it with one of these codes. It
 # ignores SIGHUP from its first instruction on.
@@ -72,6 +74,8 @@
     lines: tuple[str, ...] = ()
     # What runners sent before their answers to this request.
     preceded_by: str = ""
+    # Time in which the replicas' logs tell more.
+    span: tuple[float, float] | None = None
 
 
 @final
@@ -163,6 +167,7 @@
         _check_limits,
         _check_duties,
         _check_keys,
+        _check_acks,
     )
     return [finding for check in checks for finding in check(evidence)]
 
@@ -210,6 +215,13 @@
         yield Finding("DUTY", "", text)
 
 
+def _check_acks(evidence: _Evidence) -> Iterator[Finding]:
+    for wait, text, tries in acks.find(evidence.seen):
+        name = f"version {wait.publication.version}"
+        span = wait.from_s, wait.until_s
+        yield Finding("ACKS", name, text, tries, span=span)
+
+
 def _check_keys(evidence: _Evidence) -> Iterator[Finding]:
     for call, text in accounts.find_refused(evidence.seen):
         yield evidence.finding("KEY", call.key, text)
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -20,9 +20,15 @@
 CALL_TIMEOUT_S = 1.0
 MAX_REDIRECTS = 2
 RETRY_PAUSE_S = 0.1
+# The pause after a failed try of a change doubles up to this.
+MAX_RETRY_PAUSE_S = 0.8
+# "Up to eight orders may be in progress at once."
+MAX_CHANGES = 8
 READ_GAP_S = (0.02, 0.2)
 # Longer than any route is unavailable while processes restart.
 ACKNOWLEDGEMENT_TIMEOUT_S = 20.0
+# The first configuration "is resent until it is accepted".
+FIRST_TIMEOUT_S = 60.0
 ROUTE_TIMEOUT_MS = 12_000
 ROUTE_TARGET_MS = 4_000
 IDLE_MS = 2_000
@@ -146,6 +152,7 @@
         self._stopping = threading.Event()
         self._reader = threading.Thread(target=self._keep_reading, daemon=True)
         self._writers: list[threading.Thread] = []
+        self._turns = threading.Semaphore(MAX_CHANGES)
 
     def start(self) -> None:
         """Start to read the configuration."""
@@ -160,13 +167,25 @@
 
     def publish(self, document: dict[str, Any]) -> None:
         """Send a configuration until it is acknowledged, in a thread."""
-        writer = threading.Thread(target=self._publish, args=(document,))
+        writer = threading.Thread(
+            target=self._publish_in_turn, args=(document,)
+        )
         writer.start()
         self._writers.append(writer)
 
     def publish_first(self, document: dict[str, Any]) -> None:
         """Send a configuration until it is acknowledged."""
-        self._publish(document)
+        writer = threading.Thread(
+            target=self._publish, args=(document, FIRST_TIMEOUT_S)
+        )
+        writer.start()
+        deadline_s = time.monotonic() + FIRST_TIMEOUT_S
+        waiting = self._listed()
+        while waiting and time.monotonic() < deadline_s:
+            time.sleep(RETRY_PAUSE_S)
+            waiting = [name for name in waiting if not self._answers(name)]
+        self._seen.all_answer_s = time.monotonic()
+        writer.join()
 
     def read_last(self) -> bool:
         """Read the configuration at the end; return whether it came."""
@@ -179,25 +198,42 @@
             time.sleep(RETRY_PAUSE_S)
         return not waiting
 
-    def _publish(self, document: dict[str, Any]) -> None:
+    def _answers(self, name: str) -> bool:
+        address = self._address_by_replica[name]
+        url = f"http://{address}/Configuration.Get"
+        return self._call("GET", url, redirects=0)[0] is not None
+
+    def _publish_in_turn(self, document: dict[str, Any]) -> None:
+        with self._turns:
+            self._publish(document, ACKNOWLEDGEMENT_TIMEOUT_S)
+
+    def _publish(self, document: dict[str, Any], timeout_s: float) -> None:
         body = json.dumps(document).encode()
         content = json.dumps(document, sort_keys=True)
         sent_s = time.monotonic()
-        deadline_s = sent_s + ACKNOWLEDGEMENT_TIMEOUT_S
-        acknowledged_s = 0.0
+        deadline_s = sent_s + timeout_s
+        acknowledged_s, pause_s, name = 0.0, RETRY_PAUSE_S, ""
+        tries: list[records.Try] = []
         while not acknowledged_s and time.monotonic() < deadline_s:
-            address = self._address_by_replica[
-                self._chance.choice(self._listed())
-            ]
-            response, url = self._call(
+            name = self._chance.choice(
+                [n for n in self._listed() if n != name] or self._listed()
+            )
+            address = self._address_by_replica[name]
+            at_s = time.monotonic()
+            response, url, error = self._call(
                 "POST", f"http://{address}/Configuration.Put", body
             )
-            if response is not None and response.status == 200:
-                acknowledged_s = time.monotonic()
-                host = urllib.parse.urlsplit(url).netloc
-                self.leader = self._replica_by_address[host]
+            ended_s = time.monotonic()
+            status = 0 if response is None else response.status
+            replica = self._replica_by_address[
+                urllib.parse.urlsplit(url).netloc
+            ]
+            tries.append(records.Try(at_s, ended_s, replica, status, error))
+            if status == 200:
+                acknowledged_s, self.leader = ended_s, replica
             else:
-                time.sleep(RETRY_PAUSE_S)
+                time.sleep(pause_s)
+                pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
         self._seen.publications.append(
             records.Publication(
                 document["version"],
@@ -206,6 +242,7 @@
                 acknowledged_s,
                 frozenset(r["path_prefix"] for r in document["routes"]),
                 accounts.keys(document),
+                tuple(tries),
             )
         )
 
@@ -215,7 +252,8 @@
 
     def _read(self, address: str, *, is_final: bool = False) -> bool:
         sent_s = time.monotonic()
-        response, _ = self._call("GET", f"http://{address}/Configuration.Get")
+        url = f"http://{address}/Configuration.Get"
+        response, _, _ = self._call("GET", url)
         if response is None or response.status != 200:
             return False
         document = json.loads(response.data)
@@ -232,10 +270,14 @@
         return True
 
     def _call(
-        self, method: str, url: str, body: bytes | None = None
-    ) -> tuple[urllib3.BaseHTTPResponse | None, str]:
-        """Return the answer, None if none came, and the URL that gave it."""
-        for _ in range(MAX_REDIRECTS + 1):
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        redirects: int = MAX_REDIRECTS,
+    ) -> tuple[urllib3.BaseHTTPResponse | None, str, str]:
+        """Return the answer, None if none came, its URL and what failed."""
+        for left in range(redirects, -1, -1):
             try:
                 response = self._pool.request(
                     method,
@@ -244,10 +286,10 @@
                     timeout=CALL_TIMEOUT_S,
                     redirect=False,
                 )
-            except urllib3.exceptions.HTTPError:
+            except urllib3.exceptions.HTTPError as error:
                 # A lost call is sent again, to any replica.
-                return None, url
-            if response.status != 307:
-                return response, url
+                return None, url, type(error).__name__
+            if response.status != 307 or not left:
+                break
             url = response.headers["Location"]
-        return None, url
+        return response, url, ""
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -179,6 +179,21 @@
     other: str = ""
 
 
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class Try:
+    """One try to send a configuration; without an answer, the status is 0.
+
+    `replica` gave the answer, or was asked last.
+    """
+
+    at_s: float
+    ended_s: float
+    replica: str
+    status: int
+    error: str = ""
+
+
 @final
 @dataclasses.dataclass(slots=True, frozen=True)
 class Publication:
@@ -192,6 +207,7 @@
     prefixes: frozenset[str] = frozenset()
     # Keys of the accounts, None without accounts.
     keys: frozenset[str] | None = None
+    tries: tuple[Try, ...] = ()
 
 
 @final
@@ -218,6 +234,8 @@
         self.incidents: list[Incident] = []
         self.publications: list[Publication] = []
         self.readings: list[Reading] = []
+        # When all first replicas had answered an operator.
+        self.all_answer_s = 0.0
         # Calls of singleton duties, and whether the platform took them.
         self.duty_calls: list[tuple[duty_platform.DutyCall, bool]] = []
         self.attempt_by_handle: dict[str, str] = {}
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -19,6 +19,7 @@
 import urllib3
 
 from soak import accounts
+from soak import acks
 from soak import callers
 from soak import checks
 from soak import delays
@@ -491,7 +492,7 @@
     usage = accounts.describe_usage(seen, time.time() - time.monotonic())
     yield f"usage, reported of begun: {usage}"
     yield f"links to runners: {soak.proxy.report()}"
-    yield _describe_changes(seen)
+    yield from acks.describe(seen)
     yield from delays.describe(
         seen,
         {
@@ -529,23 +530,18 @@
             described[finding.rule] += 1
             yield from finding.lines
             yield from soak.fleet.log_lines(finding.attempt)
+            if finding.span is not None:
+                yield from acks.timing_lines(
+                    {
+                        name: soak.fleet.node_by_name[name].log_path
+                        for name in soak.fleet.replica_address_by_name
+                    },
+                    *finding.span,
+                    time.time() - time.monotonic(),
+                )
             yield ""
 
 
-def _describe_changes(seen: records.Records) -> str:
-    """Return how long the acknowledgements of configurations took."""
-    took_s = sorted(
-        publication.acknowledged_s - publication.sent_s
-        for publication in seen.publications
-        if publication.acknowledged_s
-    ) or [0.0]
-    return (
-        f"configurations: {len(seen.publications)}, acknowledged after"
-        f" {took_s[len(took_s) // 2]:.3f} s at the median, {took_s[-1]:.3f} s"
-        " at most"
-    )
-
-
 def _describe_duties(seen: records.Records) -> str:
     """Return the number of calls, and of the windows that they reported.
 
