--- a/testing/soak/acks.py
+++ b/testing/soak/acks.py
@@ -131,6 +131,9 @@
 ) -> Iterator[str]:
     """Yield what replicas logged of their disks, ticks and leases in a span.
 
+    Changes of the lease go first if there are too many lines, then the longest
+    delays.
+
     Args:
         log_by_replica: Path of the log of each replica.
         from_s: Begin of the span.
@@ -143,13 +146,18 @@
             if not any(d.encode() in text for d in TIMING_DECISIONS):
                 continue
             try:
-                at_s = json.loads(text)["t"] / MS_PER_S - wall_offset_s
+                line = json.loads(text)
             except ValueError:
                 continue  # A killed process may not have written all.
+            at_s = line["t"] / MS_PER_S - wall_offset_s
             if from_s <= at_s <= until_s:
-                found.append((at_s, f"  {name} {at_s:.3f}: {text.decode()}"))
-    found.sort()
-    yield from (line for _, line in found[:MAX_TIMING_LINES])
+                is_lease = line["decision"].startswith("lease")
+                weight = float("inf") if is_lease else line.get("ms", 0)
+                text_of_it = f"  {name} {at_s:.3f}: {text.decode()}"
+                found.append((weight, at_s, text_of_it))
+    found.sort(reverse=True)
+    most = sorted(found[:MAX_TIMING_LINES], key=lambda entry: entry[1])
+    yield from (text_of_it for _, _, text_of_it in most)
     if len(found) > MAX_TIMING_LINES:
         yield f"  and {len(found) - MAX_TIMING_LINES} more such lines"
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -14,6 +14,7 @@
 from soak import accounts
 from soak import acks
 from soak import budget
+from soak import core_history
 from soak import fleet
 from soak import limits
 from soak import lost
@@ -218,7 +219,8 @@
 def _check_acks(evidence: _Evidence) -> Iterator[Finding]:
     for wait, text, tries in acks.find(evidence.seen):
         name = f"version {wait.publication.version}"
-        span = wait.from_s, wait.until_s
+        # What came shortly before tells why it began to wait.
+        span = wait.from_s - core_history.CONTACT_S, wait.until_s
         yield Finding("ACKS", name, text, tries, span=span)
 
 
--- a/testing/soak/test_acks.py
+++ b/testing/soak/test_acks.py
@@ -128,7 +128,7 @@
     seen = _records()
     _publish(seen, 100.0)
     (found,) = (f for f in checks.judge(seen) if f.rule == "ACKS")
-    assert (found.attempt, found.span) == ("version 7", (100.0, 120.0))
+    assert (found.attempt, found.span) == ("version 7", (97.0, 120.0))
     assert "never acknowledged" in found.text
     tries = [line.split(": ")[1] for line in found.lines]
     assert tries[0] == "c2 ReadTimeoutError after 1.000 s"
@@ -171,17 +171,22 @@
 ) -> None:
     log = tmp_path / "c1.log"
     log.write_bytes(
-        b'{"t":1099000,"decision":"slow-sync"}\n'
-        b'{"t":1101000,"decision":"lease-lost"}\n'
+        b'{"t":1099000,"decision":"slow-sync","ms":900}\n'
+        + b'{"t":1100500,"decision":"slow-sync","ms":100}\n' * 40
+        + b'{"t":1101000,"decision":"lease-lost","ms":0}\n'
         b'{"t":1101500,"decision":"start"}\n'
+        b'{"t":1101600,"decision":"slow-sync","ms":200}\n'
         b'{"t":1102000,"decision":"late-ti'
     )
-    lines = acks.timing_lines(
+    *lines, lease, longest, more = acks.timing_lines(
         {"c1": log, "c2": tmp_path / "none"}, 100.0, 104.0, 1_000.0
     )
-    assert list(lines) == [
-        '  c1 101.000: {"t":1101000,"decision":"lease-lost"}'
-    ]
+    assert set(lines) == {
+        '  c1 100.500: {"t":1100500,"decision":"slow-sync","ms":100}'
+    }
+    assert lease.startswith("  c1 101.000:") and "lease-lost" in lease
+    assert longest.startswith("  c1 101.600:") and "200" in longest
+    assert more == "  and 2 more such lines"
 
 
 @pytest.mark.parametrize(
