Send the change of a test shortly before its acknowledgement

The tests of the bound of changes had one that was acknowledged 7 s after it was sent in calm, which now breaks ACKS too; what they judge is the same.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -900,7 +900,9 @@
     seen = _sound_records(PROBE)
     _probe("/extra-1/", frozenset(), status=200)(seen)
     seen.publications[0] = dataclasses.replace(
-        seen.publications[0], acknowledged_s=acknowledged_s
+        seen.publications[0],
+        sent_s=acknowledged_s - 1.0,
+        acknowledged_s=acknowledged_s,
     )
     seen.incidents += incidents
     assert [finding.rule for finding in checks.judge(seen)] == rules
