Move routes between services in the soak, and judge which one runs a request

In soaks of the core, and in half of the others, four probe routes change their service, half of the times with a release. A run by the old service later than the bound is a finding of CONFIG, as is a process that goes back to it; a run by a service that no version allows is one of ROUTE. Half of the probes go to these routes, by a chance of their own, so that the other draws of a seed stay.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -53,6 +53,11 @@
     "/split/",
     *(f"/extra-{number}/" for number in range(schedule.EXTRA_ROUTES)),
 )
+MOVED_PATHS = tuple(
+    f"/moved-{number}/" for number in range(schedule.MOVED_ROUTES)
+)
+# Share of the probes that go to routes that change their service.
+MOVED_SHARE = 0.5
 KINDS = tuple(records.Kind)
 KIND_WEIGHTS = (3, 4, 2, 2, 1)
 # Where changes of the configuration are what is looked at.
@@ -209,12 +214,15 @@
         size = chance.choice((0, 20, 500, 20_000))
         is_post = kind not in (records.Kind.LOOKUP, records.Kind.PROBE)
         path = PATH_BY_KIND.get(kind) or chance.choice(PROBED_PATHS)
+        # A chance of its own leaves the other draws of a seed as they were.
+        moved = random.Random(f"{self._seed}/moved/{attempt}")
+        if kind is records.Kind.PROBE and moved.random() < MOVED_SHARE:
+            path = moved.choice(MOVED_PATHS)
         header_by_name = {
             "Host": platform_site.HOST,
             platform_site.ATTEMPT_ID: attempt,
             "X-Wisteriawall-Deadline-Remaining": f"{DEADLINE_S * 1_000:.0f}",
         }
-        # A chance of its own leaves the other draws of a seed as they were.
         header_by_name |= accounts.draw_headers(
             random.Random(f"{self._seed}/key/{attempt}")
         )
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -18,6 +18,7 @@
 from soak import fleet
 from soak import limits
 from soak import lost
+from soak import moves
 from soak import readings
 from soak import records
 from soak import runners
@@ -33,6 +34,7 @@
     "ORDER",
     "CONFIG",
     "DENIED",
+    "ROUTE",
     "STOP",
     "LIMIT",
     "DUTY",
@@ -178,6 +180,11 @@
     return list(lost.find_held(seen, _Evidence(seen).arrivals_by_key))
 
 
+def describe_moves(seen: records.Records) -> str:
+    """Return how much could be judged of the services of routes."""
+    return moves.describe(seen, _Evidence(seen).arrivals_by_key)
+
+
 def is_failure(surplus: bytes) -> bool:
     """Return whether bytes without a request are an answer that is a failure.
 
@@ -485,6 +492,15 @@
         evidence.seen, evidence.arrivals_by_key
     ):
         yield evidence.finding("CONFIG", call.key, text)
+    for call, text in (
+        *moves.find_disobeyed(evidence.seen, evidence.arrivals_by_key),
+        *moves.find_regressed(evidence.seen, evidence.arrivals_by_key),
+    ):
+        yield evidence.finding("CONFIG", call.key, text)
+    for call, text in moves.find_unrouted(
+        evidence.seen, evidence.arrivals_by_key
+    ):
+        yield evidence.finding("ROUTE", call.key, text)
     for call, text in readings.find_denied(evidence.seen):
         yield evidence.finding("DENIED", call.key, text)
 
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -45,6 +45,7 @@
         self._extra: set[int] = set()
         self._blocks: set[int] = set()
         self._withdrawn: set[str] = set()
+        self._moved: set[int] = set()
         self._weights = (50, 51)
         self._timeout_ms = ROUTE_TIMEOUT_MS
 
@@ -56,6 +57,7 @@
             | schedule.ToggleKey
             | schedule.SetWeights
             | schedule.SetTimeout
+            | schedule.MoveRoute
         ),
     ) -> None:
         """Apply a change; the version grows by an uneven step."""
@@ -71,6 +73,12 @@
                 self._weights = weights
             case schedule.SetTimeout(timeout_ms=timeout_ms):
                 self._timeout_ms = timeout_ms
+            case schedule.MoveRoute(number=number):
+                self._moved ^= {number}
+
+    def moved_services(self, number: int) -> tuple[str, str]:
+        """Return the former and the present service of a moved route."""
+        return ("shop", "store") if number in self._moved else ("store", "shop")
 
     def document(self) -> dict[str, Any]:
         """Return the configuration in the operators' format."""
@@ -103,6 +111,14 @@
             platform_site.route(f"/extra-{number}/", "read_only", "shop")
             for number in sorted(self._extra)
         ]
+        routes += [
+            platform_site.route(
+                f"/moved-{number}/",
+                "read_only",
+                self.moved_services(number)[1],
+            )
+            for number in range(schedule.MOVED_ROUTES)
+        ]
         for number in sorted(self._blocks):
             block = large_tables.document(1, routes=BLOCK_ROUTES, seed=number)
             routes += block["routes"]
@@ -119,6 +135,15 @@
         }
 
 
+def services(document: dict[str, Any]) -> frozenset[tuple[str, str]]:
+    """Return the prefix and the service of each route, all of a split one."""
+    return frozenset(
+        (route["path_prefix"], target["service"])
+        for route in document["routes"]
+        for target in route.get("weighted_services", [route])
+    )
+
+
 @final
 class Operator:
     """Publishes configurations and reads them at all replicas.
@@ -243,6 +268,7 @@
                 frozenset(r["path_prefix"] for r in document["routes"]),
                 accounts.keys(document),
                 tuple(tries),
+                services(document),
             )
         )
 
--- a/testing/soak/readings.py
+++ b/testing/soak/readings.py
@@ -92,7 +92,7 @@
         "none" if bound_s is None else f"{bound_s:.0f} s"
         for call in seen.calls
         if call.kind is records.Kind.PROBE
-        for bound_s in [_bound_s(call, history)]
+        for bound_s in [config_bound_s(call, history)]
     )
 
 
@@ -109,7 +109,7 @@
     match = PREFIX.match(call.target)
     if call.kind is not records.Kind.PROBE or match is None:
         return None
-    bound_s = _bound_s(call, history)
+    bound_s = config_bound_s(call, history)
     if bound_s is None:
         return None
     oldest = max(
@@ -130,7 +130,7 @@
     return in_force.pop() if len(in_force) == 1 else None
 
 
-def _bound_s(
+def config_bound_s(
     call: records.Call, history: core_history.CoreHistory
 ) -> float | None:
     """Return how old an acknowledgement is that binds, None if none does.
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -208,6 +208,8 @@
     # Keys of the accounts, None without accounts.
     keys: frozenset[str] | None = None
     tries: tuple[Try, ...] = ()
+    # Prefix and service of each route, several for a split one.
+    services: frozenset[tuple[str, str]] = frozenset()
 
 
 @final
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import functools
 import itertools
 import json
 import pathlib
@@ -258,9 +259,12 @@
                 | schedule.ToggleKey()
                 | schedule.SetWeights()
                 | schedule.SetTimeout()
+                | schedule.MoveRoute()
             ):
                 self._configuration.change(fault)
                 self._operator.publish(self._configuration.document())
+                if isinstance(fault, schedule.MoveRoute):
+                    self._release(fault)
             case _:
                 self._apply_to_runner(fault)
 
@@ -374,10 +378,31 @@
         runner.listed_address = self.proxy.add(runner.address)
         self._runners.append(runner)
 
+    def _release(self, move: schedule.MoveRoute) -> None:
+        """Have a runner of a route's old service leave for one of the new."""
+        old, new = self._configuration.moved_services(move.number)
+        if move.release is schedule.Release.ADDED:
+            self._add_runner(new, "")
+        leaving = (
+            r
+            for r in self._runners
+            if r.service == old and r.is_listed and r.state == "ready"
+        )
+        runner = next(leaving, None)
+        if runner is None or move.release is schedule.Release.NONE:
+            return
+        end: Callable[[], object] = runner.close
+        if move.release is schedule.Release.REUSED:
+            end = functools.partial(runner.restart, service=new)
+        self._drain_runner(runner, move.leave_after_s, end)
+
     def _drain_runner(
-        self, runner: runners.StandInRunner, leave_after_s: float
+        self,
+        runner: runners.StandInRunner,
+        leave_after_s: float,
+        end: Callable[[], object] | None = None,
     ) -> None:
-        """Drain a runner unless it is the last one of its kind."""
+        """Drain and end a runner unless it is the last one of its kind."""
         others = [
             r
             for r in self._runners
@@ -388,7 +413,9 @@
         ]
         if others and runner.is_listed and runner.state == "ready":
             runner.state = "draining"
-            self._later.append((time.monotonic() + leave_after_s, runner.close))
+            self._later.append(
+                (time.monotonic() + leave_after_s, end or runner.close)
+            )
 
 
 def _is_ready(address: str) -> bool:
@@ -505,6 +532,7 @@
     yield "probes by bound: " + ", ".join(
         f"{count} {bound}" for bound, count in judged.most_common()
     )
+    yield f"routes and services: {checks.describe_moves(seen)}"
     counts = collections.Counter(finding.rule for finding in findings)
     yield "findings: " + ", ".join(
         f"{rule} {counts[rule]}" for rule in checks.RULES
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -136,14 +136,16 @@
             "born": self._born_ms,
         }
 
-    def restart(self, version: str = "") -> None:
+    def restart(self, version: str = "", service: str = "") -> None:
         """End all work and start under a new id at the same address.
 
-        It may start with another version of its software.
+        It may start with another version of its software, or as a runner of
+        another service that uses the address again.
         """
         self.break_off()
         self.version = version or self.version
         self._starts += 1
+        self.service = service or self.service
         self._born_ms = round(time.time() * 1_000)
         self.state = "ready"
         self.limit_per_s = None
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -17,6 +17,10 @@
 SERIES_GAP_S = (0.3, 1.5)
 MAX_CHANGES = 8
 EXTRA_ROUTES = 6
+MOVED_ROUTES = 4
+MOVE_GAP_S = (0.5, 3.0)
+# Share of the soaks without disturbances of the core in which routes move.
+MOVING_SHARE = 0.5
 ROUTE_BLOCKS = 4
 # Names of the replica that leads, and of those on the operators' list, which
 # are not known before the soak.
@@ -108,6 +112,27 @@
     timeout_ms: int
 
 
+@final
+class Release(enum.StrEnum):
+    """How runners change their service together with a route."""
+
+    NONE = "none"
+    # One of the old service leaves, one of the new service is added.
+    ADDED = "added"
+    # The same, at the address of the one that left.
+    REUSED = "address reused"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveRoute:
+    """Have a route change its service, perhaps together with a release."""
+
+    number: int
+    release: Release
+    leave_after_s: float
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainRunner:
@@ -233,6 +258,7 @@
     | ToggleKey
     | SetWeights
     | SetTimeout
+    | MoveRoute
     | DrainRunner
     | RestartRunner
     | AddRunner
@@ -319,6 +345,9 @@
         ]
     if scope.stalls:
         timed += _disk_stalls(random.Random(f"{seed}/stalls"), duration_s)
+    moves = random.Random(f"{seed}/moves")
+    if scope.core or moves.random() < MOVING_SHARE:
+        timed += _moves(moves, duration_s)
     in_time = (fault for fault in timed if fault.at_s < duration_s)
     return tuple(sorted(in_time, key=lambda fault: fault.at_s))
 
@@ -511,6 +540,21 @@
         yield Timed(back_s + chance.uniform(0.5, 3.0), ToggleKey(key))
 
 
+def _moves(chance: random.Random, duration_s: float) -> Iterator[Timed]:
+    """Move routes, half of them together with a release."""
+    at_s = chance.uniform(*MOVE_GAP_S)
+    while at_s < duration_s:
+        yield Timed(
+            at_s,
+            MoveRoute(
+                chance.randrange(MOVED_ROUTES),
+                chance.choice((Release.NONE, *Release)),
+                chance.uniform(*LEAVE_AFTER_S),
+            ),
+        )
+        at_s += chance.uniform(*MOVE_GAP_S)
+
+
 def _large_changes(chance: random.Random, scope: Scope) -> Iterator[Timed]:
     """Add or remove many routes, with smaller changes right after."""
     yield Timed(0.0, ToggleBlock(chance.randrange(ROUTE_BLOCKS)))
