Judge a lost answer by when the proxy passed it on, not by the runner's clock

The rule doesn't count a request whose runner was still at work in the last sixth of the grace period. With 33 gateways the soak's proxy of the links to runners is seconds late, and so an answer that the runner had given to the proxy long before had not come to the gateway when its grace period ended. Narrowed only on that evidence: the moment at which the proxy passed the last byte of that answer on is recorded, or that it had not when the caller saw the end. A prompt proxy, a cut before the last sixth and an answer without a record are judged as before.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -142,7 +142,8 @@
     headers = arrival.header_by_name
     return (
         f"  runner {arrival.runner} ({arrival.service} {arrival.stage}):"
-        f" {arrival.at_s:.3f} to {arrival.ended_s:.3f}, run"
+        f" {arrival.at_s:.3f} to {arrival.ended_s:.3f}, passed on at"
+        f" {arrival.passed_s}, run"
         f" {arrival.has_run}, {arrival.ending}, status {arrival.status},"
         f" {arrival.misbehavior or 'sound'},"
         f" after {arrival.preceded_by or 'nothing'},"
--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -165,11 +165,20 @@
     incidents: list[records.Incident],
     grace_s: float,
 ) -> bool:
-    """Return whether the runner worked on into the grace period's end."""
+    """Return whether the runner worked on into the grace period's end.
+
+    An answer counts from when it was passed on to the gateway. One that wasn't
+    when the caller saw the end of the call kept the gateway waiting until then.
+    """
+    worked_until_s = arrival.ended_s
+    if arrival.passed_s is not None:
+        worked_until_s = max(
+            worked_until_s, min(arrival.passed_s, call.ended_s)
+        )
     return any(
         call.sent_s <= term.at_s + SENT_EARLY_S
         and term.at_s + grace_s * WORKING_SHARE_OF_GRACE
-        <= arrival.ended_s
+        <= worked_until_s
         <= term.at_s + grace_s + AFTER_GRACE_S
         for term in incidents
         if term.change is records.Change.TERM
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -11,6 +11,7 @@
 import time
 from typing import final
 
+from soak import passages
 from soak import records
 
 RELAY_BYTES = 65_536
@@ -88,7 +89,9 @@
         gateway: asyncio.StreamWriter,
         runner: asyncio.StreamWriter,
         machines: frozenset[str],
+        passage: passages.Passage,
     ) -> None:
+        self.passage = passage
         self.writers = (gateway, runner)
         self.machines = machines
         self.cut: set[Disturbance] = set()
@@ -115,6 +118,7 @@
         machine_by_source: Mapping[str, str] | None = None,
     ) -> None:
         self._seen = seen
+        self.passages = passages.Passages()
         self._machine_by_source = machine_by_source or {}
         # How many cuts are open, and what waits for the end of the last one.
         self._cut_count_by_pair: collections.Counter[frozenset[str]] = (
@@ -300,7 +304,9 @@
         except OSError:
             _reset(writer)
             return
-        relay = _Relay(writer, far_writer, machines)
+        _, port = far_writer.get_extra_info("sockname")
+        passage = self.passages.add(port, link.target[1])
+        relay = _Relay(writer, far_writer, machines, passage)
         link.relays.add(relay)
         try:
             await asyncio.gather(
@@ -316,6 +322,7 @@
             relay.reset()
         finally:
             link.relays.discard(relay)
+            passage.close()
             for end in relay.writers:
                 end.close()
 
@@ -338,6 +345,10 @@
             await link.rate.pass_on(direction, len(data))
             writer.write(data)
             await writer.drain()
+            if direction is Disturbance.CUT_ANSWERS:
+                relay.passage.pass_on(len(data))
+        if direction is Disturbance.CUT_REQUESTS:
+            relay.passage.close()
         await self._wait_until_healed(relay.machines, SEND_RETRY_S)
         # The other direction may not be half closed: a gateway or runner that
         # closes its connection wants no more bytes.
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -126,6 +126,9 @@
     has_run: bool = False
     ending: RunEnding = RunEnding.OPEN
     ended_s: float = 0.0
+    # When the proxy had passed the whole answer on, or the gateway had closed;
+    # infinite before, None if it isn't known or there is no whole answer.
+    passed_s: float | None = None
     status: int = 0
     seal: str = ""
     # Whole body of the answer, also if only a part of it was sent.
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -374,6 +374,7 @@
             seen=self.seen,
             handles=self._handles,
             version=f"v{len(self._runners) % self._version_count + 1}",
+            passages=self.proxy.passages,
         )
         runner.listed_address = self.proxy.add(runner.address)
         self._runners.append(runner)
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -13,6 +13,7 @@
 
 from soak import hostile
 from soak import misbehavior
+from soak import passages as passages_lib
 from soak import proxy
 from soak import records
 from soak import wire
@@ -30,6 +31,7 @@
 STAGE = "x-wisteriawall-serving-stage"
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"
+WHOLE_ENDINGS = (records.RunEnding.ANSWERED, records.RunEnding.REJECTED)
 
 
 def event_bytes(number: int, run: str) -> bytes:
@@ -76,6 +78,7 @@
         seen: Records of what it sees.
         handles: Handles that all runners share.
         version: Version of its software.
+        passages: What the proxy has passed on of each connection.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         seen: records.Records,
         handles: HandleStore,
         version: str = "v1",
+        passages: passages_lib.Passages | None = None,
     ) -> None:
         self.name, self.service, self.stage = name, service, stage
         self.late_share = late_share
@@ -101,6 +105,7 @@
         # Requests a second that it takes, None for any number.
         self.limit_per_s: float | None = None
         self._seed, self._seen, self._handles = seed, seen, handles
+        self._passages = passages or passages_lib.Passages()
         self._starts = 1
         # Grows when all work ends.
         self.generation = 0
@@ -218,6 +223,14 @@
         chance = random.Random(f"{self._seed}/{attempt}/{self.name}/{number}")
         return arrival, chance
 
+    def find_passage(
+        self, connection: socket.socket
+    ) -> passages_lib.Passage | None:
+        """Return the passage of one of its connections."""
+        _, proxy_port = connection.getpeername()
+        _, own_port = connection.getsockname()
+        return self._passages.get(proxy_port, own_port)
+
     def is_expected(self, headers: dict[str, str]) -> bool:
         """Return whether a request is meant for this start of the runner."""
         expected = headers.get(EXPECT_INSTANCE, self.identifier)
@@ -254,6 +267,9 @@
         self._late = misbehavior.Late.NOTHING
         self._late_bytes = b""
         self._sent = b""
+        # Of all answers, and of what came between them.
+        self._sent_bytes = 0
+        self._passage: passages_lib.Passage | None = None
 
     def serve(self) -> None:
         """Answer requests until the connection ends."""
@@ -276,8 +292,12 @@
     ) -> bool:
         arrival, chance = self._runner.start_arrival(first, headers, body)
         arrival.preceded_by = self._late
+        # It is known when the first request has come through the proxy.
+        self._passage = self._passage or self._runner.find_passage(
+            self._connection
+        )
         if self._late_bytes:
-            self._connection.sendall(self._late_bytes)
+            self._send(self._late_bytes)
         self._sent = b""
         try:
             is_kept = self._answer(arrival, chance)
@@ -286,6 +306,8 @@
             raise
         finally:
             arrival.ended_s = time.monotonic()
+        if self._passage and arrival.ending in WHOLE_ENDINGS:
+            self._passage.expect(arrival, self._sent_bytes)
         self._late = misbehavior.draw_late(
             chance, share=self._runner.late_share
         )
@@ -302,9 +324,7 @@
             "X-Wisteriawall-Instance-Id": self._runner.identifier,
             "Content-Length": "2",
         }
-        self._connection.sendall(
-            wire.format_head("HTTP/1.1 200 OK", head) + b"{}"
-        )
+        self._send(wire.format_head("HTTP/1.1 200 OK", head) + b"{}")
 
     def _answer(self, arrival: records.Arrival, chance: random.Random) -> bool:
         headers = arrival.header_by_name
@@ -487,7 +507,11 @@
         if self._runner.generation != self._generation:
             raise ConnectionResetError("the runner ended")
         self._sent += data
+        self._send(data)
+
+    def _send(self, data: bytes) -> None:
         self._connection.sendall(data)
+        self._sent_bytes += len(data)
 
 
 def _frame(
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -682,6 +682,29 @@
     assert [f.text for f in checks.judge(seen) if f.rule == "LOST"] == []
 
 
+@pytest.mark.parametrize(
+    ("passed_s", "ended_s", "is_lost"),
+    [
+        pytest.param(100.16, 106.5, True, id="prompt"),
+        pytest.param(None, 106.5, True, id="not recorded"),
+        pytest.param(104.0, 106.5, True, id="late, but in time"),
+        pytest.param(106.0, 106.5, False, id="late"),
+        pytest.param(float("inf"), 106.5, False, id="never passed on"),
+        pytest.param(float("inf"), 104.0, True, id="cut before the last sixth"),
+        pytest.param(111.0, 104.0, True, id="passed on after an early cut"),
+    ],
+)
+def test_late_proxy_excuses_what_it_still_held_at_the_end_of_grace(
+    passed_s: float | None, ended_s: float, is_lost: bool
+) -> None:
+    """The runner ended at 100.15; SIGTERM came at 99, grace lasts 8 s."""
+    seen = _sound_records(PAYMENT)
+    _change_call(**UNANSWERED, ended_s=ended_s)(seen)
+    seen.arrivals[0].passed_s = passed_s
+    found = [f.rule for f in checks.judge(seen) if f.rule == "LOST"]
+    assert found == ["LOST"] * is_lost
+
+
 @pytest.mark.parametrize(
     ("thawed_s", "rules"),
     [
