--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -185,6 +185,11 @@
         """Return how many bytes have come from an address."""
         return self._link_by_address[address].sent_bytes
 
+    @property
+    def late_s(self) -> float:
+        """Return by how much the relaying thread was late at most."""
+        return max(self._late_ms, default=0.0) / 1_000
+
     def report(self) -> str:
         """Return what was relayed, and how long it was held back."""
         links = self._link_by_address.values()
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -35,7 +35,12 @@
 
 REPLICAS = 3
 CALLERS_PER_GATEWAY = 12
+# By default: with more, the threads of callers and runners, and the proxy of
+# the links to runners, wait for each other in this process.
+MAX_CALLERS = 48
 LATE_SHARE = 0.25
+# Of the links to runners, beyond which the soak itself is what is slow.
+MAX_LATE_S = 1.0
 LAST_CALLS_S = 4.0
 READY_TIMEOUT_S = 60.0
 FIRST_RUNNERS = (
@@ -520,6 +525,7 @@
     usage = accounts.describe_usage(seen, time.time() - time.monotonic())
     yield f"usage, reported of begun: {usage}"
     yield f"links to runners: {soak.proxy.report()}"
+    yield describe_judged(seen, soak.proxy.late_s)
     yield from acks.describe(seen)
     yield from delays.describe(
         seen,
@@ -571,6 +577,15 @@
             yield ""
 
 
+def describe_judged(seen: records.Records, late_s: float) -> str:
+    """Return how many answers were judged, and whether the soak was late."""
+    good = sum(call.status == 200 for call in seen.calls)
+    late = f"{late_s:.1f} s late at most"
+    if late_s > MAX_LATE_S:
+        late += ": the soak was too slow, this run judged little"
+    return f"judged: {good} answers with 200 of {len(seen.calls)} calls, {late}"
+
+
 def _describe_duties(seen: records.Records) -> str:
     """Return the number of calls, and of the windows that they reported.
 
@@ -647,7 +662,7 @@
             late_share=arguments.late,
             gateways=arguments.gateways,
             caller_count=arguments.callers
-            or CALLERS_PER_GATEWAY * arguments.gateways,
+            or min(CALLERS_PER_GATEWAY * arguments.gateways, MAX_CALLERS),
             folder=folder,
             link_bytes_s=arguments.link_bytes,
             large_tables=arguments.large_tables,
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -121,6 +121,21 @@
     assert set(first) == set(misbehavior.Manner)
 
 
+@pytest.mark.parametrize(
+    ("late_s", "ending"),
+    [
+        pytest.param(1.0, "1.0 s late at most", id="in time"),
+        pytest.param(1.1, "this run judged little", id="late"),
+    ],
+)
+def test_report_tells_a_run_that_judged_little(
+    late_s: float, ending: str
+) -> None:
+    line = run.describe_judged(_sound_records(LOOKUP), late_s)
+    assert line.startswith("judged: 1 answers with 200 of 1 calls")
+    assert line.endswith(ending)
+
+
 def _add_duties(*tokens: int) -> Callable[[records.Records], object]:
     """Return a change that adds calls of one holder for each token."""
     return lambda seen: seen.duty_calls.extend(
