Judge a runner that learns late of a call's end by when the proxy saw it

Only the proxy's record of the gateway's close excuses it; one that left the runner earlier is found.

--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -167,19 +167,20 @@
 ) -> bool:
     """Return whether the runner worked on into the grace period's end.
 
-    An answer counts from when it was passed on to the gateway. One that wasn't
-    when the caller saw the end of the call kept the gateway waiting until then.
+    An answer that the proxy had not passed on to the gateway by then is one
+    that it still waited for. Nothing counts that came after the call's end.
     """
-    worked_until_s = arrival.ended_s
+    worked_until_s = [arrival.ended_s]
     if arrival.passed_s is not None:
-        worked_until_s = max(
-            worked_until_s, min(arrival.passed_s, call.ended_s)
-        )
+        worked_until_s.append(min(arrival.passed_s, call.ended_s))
     return any(
         call.sent_s <= term.at_s + SENT_EARLY_S
-        and term.at_s + grace_s * WORKING_SHARE_OF_GRACE
-        <= worked_until_s
-        <= term.at_s + grace_s + AFTER_GRACE_S
+        and any(
+            term.at_s + grace_s * WORKING_SHARE_OF_GRACE
+            <= at_s
+            <= term.at_s + grace_s + AFTER_GRACE_S
+            for at_s in worked_until_s
+        )
         for term in incidents
         if term.change is records.Change.TERM
     )
--- a/testing/soak/passages.py
+++ b/testing/soak/passages.py
@@ -22,7 +22,7 @@
         self._passed_bytes = 0
         self._passed_s = 0.0
         self._is_closed = False
-        self._waiting: collections.deque[tuple[int, records.Arrival]] = (
+        self._waiting: collections.deque[tuple[float, records.Arrival]] = (
             collections.deque()
         )
 
@@ -41,8 +41,11 @@
                 self._passed_s = time.monotonic()
                 self._settle()
 
-    def expect(self, arrival: records.Arrival, end_bytes: int) -> None:
-        """Have the moment recorded at which so many bytes were passed on."""
+    def expect(self, arrival: records.Arrival, end_bytes: float) -> None:
+        """Have the moment recorded at which so many bytes were passed on.
+
+        An answer that the runner didn't complete has no end.
+        """
         with self._lock:
             arrival.passed_s = float("inf")
             self._waiting.append((end_bytes, arrival))
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -127,7 +127,7 @@
     ending: RunEnding = RunEnding.OPEN
     ended_s: float = 0.0
     # When the proxy had passed the whole answer on, or the gateway had closed;
-    # infinite before, None if it isn't known or there is no whole answer.
+    # infinite before, None if it isn't known or the runner broke off.
     passed_s: float | None = None
     status: int = 0
     seal: str = ""
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import json
+import math
 import random
 import re
 import socket
@@ -32,6 +33,7 @@
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"
 WHOLE_ENDINGS = (records.RunEnding.ANSWERED, records.RunEnding.REJECTED)
+PASSED_ENDINGS = (*WHOLE_ENDINGS, records.RunEnding.ABANDONED)
 
 
 def event_bytes(number: int, run: str) -> bytes:
@@ -306,8 +308,10 @@
             raise
         finally:
             arrival.ended_s = time.monotonic()
-        if self._passage and arrival.ending in WHOLE_ENDINGS:
-            self._passage.expect(arrival, self._sent_bytes)
+            if self._passage and arrival.ending in PASSED_ENDINGS:
+                is_whole = arrival.ending in WHOLE_ENDINGS
+                end_bytes = self._sent_bytes if is_whole else math.inf
+                self._passage.expect(arrival, end_bytes)
         self._late = misbehavior.draw_late(
             chance, share=self._runner.late_share
         )
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -716,6 +716,30 @@
     seen = _sound_records(PAYMENT)
     _change_call(**UNANSWERED, ended_s=ended_s)(seen)
     seen.arrivals[0].passed_s = passed_s
+    _judge_lost(seen, is_lost=is_lost)
+
+
+@pytest.mark.parametrize(
+    ("passed_s", "is_lost"),
+    [
+        pytest.param(106.5, False, id="left at the end of grace"),
+        pytest.param(104.0, True, id="left the runner before"),
+        pytest.param(None, True, id="not recorded"),
+    ],
+)
+def test_runner_that_learns_late_of_the_end_was_at_work_until_it(
+    passed_s: float | None, *, is_lost: bool
+) -> None:
+    """The call ends at 106.6, which the runner sees 7 s later."""
+    seen = _sound_records(PAYMENT)
+    _change_call(**UNANSWERED, ended_s=106.6)(seen)
+    _change_arrival(
+        ending=records.RunEnding.ABANDONED, ended_s=113.6, passed_s=passed_s
+    )(seen)
+    _judge_lost(seen, is_lost=is_lost)
+
+
+def _judge_lost(seen: records.Records, *, is_lost: bool) -> None:
     found = [f.rule for f in checks.judge(seen) if f.rule == "LOST"]
     assert found == ["LOST"] * is_lost
 
