--- a/testing/soak/test_moves.py
+++ b/testing/soak/test_moves.py
@@ -1,7 +1,7 @@
 """Judgement of routes that changed their service, from made-up records."""
 
-from collections.abc import Iterator
 import dataclasses
+from typing import Any
 
 import pytest
 
@@ -15,204 +15,194 @@
 SCOPE = schedule.Scope(
     gateways=("g1", "g2"), replicas=("c1", "c2", "c3"), runners=8
 )
-START, END, KILL = (
-    records.Change.START,
-    records.Change.END,
-    records.Change.KILL,
-)
-PREFIX = "/moved-1/"
-
-
-def _add_run(
-    seen: records.Records,
-    service: str,
-    started_s: float,
-    *,
-    prefix: str = PREFIX,
-) -> None:
-    """Add a probe of 0.2 s at g1 that `service` ran in the middle of it."""
-    attempt = f"a{len(seen.calls)}"
-    call = records.Call(
-        attempt=attempt,
-        kind=records.Kind.PROBE,
-        gateway="g1",
-        connection=1,
-        use=1,
-        method="GET",
-        target=f"{prefix}{attempt}",
-        header_by_name={},
-        body=b"",
-        deadline_s=15.0,
-        started_s=started_s,
-        ended_s=started_s + 0.2,
-    )
-    seen.calls.append(call)
-    seen.arrivals.append(
-        records.Arrival(
-            attempt=attempt,
-            runner=f"i-{service}-1",
-            place=service,
-            stage="",
-            service=service,
-            method="GET",
-            target=call.target,
-            header_by_name={},
-            body=b"",
-            at_s=started_s + 0.1,
-            has_run=True,
-        )
-    )
-
-
-def _publish(
-    seen: records.Records,
-    version: int,
-    service: str,
-    acknowledged_s: float,
-    *,
-    prefix: str = PREFIX,
-) -> None:
-    """Add a version, sent 0.2 s before it was acknowledged, if it was."""
-    seen.publications.append(
-        records.Publication(
-            version,
-            "",
-            (acknowledged_s or 100.0) - 0.2,
-            acknowledged_s,
-            services=frozenset({(prefix, service)}),
-        )
-    )
-
-
-def _moved(acknowledged_s: float) -> records.Records:
-    """Return records with a route that moved from shop to store."""
+FINDS = (moves.find_disobeyed, moves.find_regressed, moves.find_unrouted)
+DISOBEYED, REGRESSED, UNROUTED = (find.__name__ for find in FINDS)
+PREFIX, OTHER_PREFIX = "/moved-1/", "/moved-2/"
+# Service and start.
+Run = tuple[str, float]
+SHOP, STORE, MODEL = ("shop", 100.0), ("store", 100.0), ("model", 100.0)
+LATER = ("shop", 100.4)
+# Version, service and acknowledgement, 0.2 s after the sending; 0 for none.
+Version = tuple[int, str, float]
+FIRST, MOVED = (1, "shop", 60.0), (3, "store", 90.0)
+UNACKNOWLEDGED = (3, "store", 0.0)
+
+
+def _make_records(
+    versions: tuple[Version, ...],
+    runs: tuple[Run, ...],
+    *restarts: tuple[str, float],
+    prefixes: tuple[str, ...] = (PREFIX, PREFIX, PREFIX),
+) -> records.Records:
+    """Return probes of 0.2 s at g1, which were run in the middle of it.
+
+    `prefixes` are those of the runs.
+    """
     seen = records.Records()
     for name in ("c1", "c2", "c3", "g1"):
-        seen.incidents.append(records.Incident(name, START, 50.0))
-    _publish(seen, 1, "shop", 60.0)
-    _publish(seen, 3, "store", acknowledged_s)
-    return seen
-
-
-def _found(seen: records.Records) -> Iterator[tuple[str, str]]:
-    arrivals_by_key = {
-        (arrival.attempt, arrival.target): [arrival]
-        for arrival in seen.arrivals
-    }
-    for find in (
-        moves.find_disobeyed,
-        moves.find_regressed,
-        moves.find_unrouted,
-    ):
-        for call, text in find(seen, arrivals_by_key):
-            yield find.__name__, f"{call.attempt} {text}"
-
-
-@pytest.mark.parametrize(
-    ("acknowledged_s", "incidents", "is_found"),
-    [
-        pytest.param(97.9, (), True, id="calm"),
-        pytest.param(98.1, (), False, id="calm in time"),
-        pytest.param(0.0, (), False, id="not acknowledged"),
-        pytest.param(92.9, (("c1", KILL, 98.0),), True, id="stretched"),
-        pytest.param(
-            93.1, (("c1", KILL, 98.0),), False, id="stretched in time"
-        ),
-        pytest.param(90.0, (("g1", KILL, 98.0),), False, id="not in touch"),
-    ],
-)
-def test_run_by_the_old_service_is_found_after_the_bound(
-    acknowledged_s: float,
-    incidents: tuple[tuple[str, records.Change, float], ...],
-    is_found: bool,
-) -> None:
-    seen = _moved(acknowledged_s)
+        seen.incidents.append(
+            records.Incident(name, records.Change.START, 50.0)
+        )
     seen.incidents += [
         records.Incident(name, change, at_s)
-        for name, kill, at_s in incidents
-        for change in (kill, END)
+        for name, at_s in restarts
+        for change in (
+            records.Change.KILL,
+            records.Change.END,
+            records.Change.START,
+        )
     ]
-    _add_run(seen, "shop", 100.0)
-    found = list(_found(seen))
-    assert [name for name, _ in found] == ["find_disobeyed"] * is_found
-    assert all("run by the old service shop" in text for _, text in found)
-
-
-def test_run_by_the_new_service_breaks_no_rule() -> None:
-    seen = _moved(90.0)
-    _add_run(seen, "store", 100.0)
-    assert list(_found(seen)) == []
-
-
-@pytest.mark.parametrize("acknowledged_s", [0.0, 99.0])
-def test_route_that_is_moved_back_may_be_run_by_either_service(
-    acknowledged_s: float,
-) -> None:
-    """A version without an acknowledgement may be in force too."""
-    seen = _moved(90.0)
-    _publish(seen, 4, "shop", acknowledged_s)
-    _add_run(seen, "shop", 100.0)
-    _add_run(seen, "store", 100.0)
-    assert list(_found(seen)) == []
+    for version, service, acknowledged_s in versions:
+        services = {(prefix, service) for prefix in prefixes}
+        sent_s = (acknowledged_s or 100.0) - 0.2
+        seen.publications.append(
+            records.Publication(
+                version,
+                "",
+                sent_s,
+                acknowledged_s,
+                services=frozenset(services),
+            )
+        )
+    for (service, started_s), prefix in zip(runs, prefixes, strict=False):
+        attempt = f"a{len(seen.calls)}"
+        request: dict[str, Any] = {
+            "attempt": attempt,
+            "method": "GET",
+            "target": f"{prefix}{attempt}",
+        }
+        seen.calls.append(
+            records.Call(
+                **request,
+                kind=records.Kind.PROBE,
+                gateway="g1",
+                connection=1,
+                use=1,
+                header_by_name={},
+                body=b"",
+                deadline_s=15.0,
+                started_s=started_s,
+                ended_s=started_s + 0.2,
+            )
+        )
+        seen.arrivals.append(
+            records.Arrival(
+                **request,
+                runner=f"i-{service}-1",
+                place=service,
+                stage="",
+                service=service,
+                header_by_name={},
+                body=b"",
+                at_s=started_s + 0.1,
+                has_run=True,
+            )
+        )
+    return seen
 
 
-def test_version_that_was_sent_after_a_run_does_not_allow_it() -> None:
-    seen = _moved(90.0)
-    _publish(seen, 4, "shop", 101.0)
-    _add_run(seen, "shop", 100.0)
-    assert [name for name, _ in _found(seen)] == ["find_disobeyed"]
+def _find(seen: records.Records) -> list[tuple[str, str]]:
+    """Return what was found, and of which attempt."""
+    arrivals_by_key = {(a.attempt, a.target): [a] for a in seen.arrivals}
+    found = [
+        (find.__name__, call.attempt, text)
+        for find in FINDS
+        for call, text in find(seen, arrivals_by_key)
+    ]
+    assert all(
+        "run by the old service shop, as only" in text
+        for name, _, text in found
+        if name != UNROUTED
+    )
+    return [(name, attempt) for name, attempt, _ in found]
 
 
 @pytest.mark.parametrize(
-    ("started_s", "restarted_s", "is_found"),
+    ("versions", "runs", "restarts", "found"),
     [
-        pytest.param(100.4, 0.0, True, id="went back"),
-        pytest.param(100.3, 0.0, False, id="at once"),
-        pytest.param(100.4, 100.3, False, id="restarted"),
+        pytest.param((FIRST, *versions), runs, restarts, found, id=name)
+        for name, versions, runs, restarts, found in (
+            ("late", [(3, "store", 97.9)], [SHOP], (), [(DISOBEYED, "a0")]),
+            ("in time", [(3, "store", 98.1)], [SHOP], (), []),
+            ("not acknowledged", [UNACKNOWLEDGED], [SHOP], (), []),
+            ("by the new service", [MOVED], [STORE], (), []),
+            (
+                "stretched",
+                [(3, "store", 92.9)],
+                [SHOP],
+                [("c1", 98.0)],
+                [(DISOBEYED, "a0")],
+            ),
+            (
+                "stretched in time",
+                [(3, "store", 93.1)],
+                [SHOP],
+                [("c1", 98.0)],
+                [],
+            ),
+            ("not in touch", [MOVED], [SHOP], [("g1", 98.0)], []),
+            # A version without an acknowledgement may be in force too.
+            ("back", [MOVED, (4, "shop", 99.0)], [SHOP, STORE], (), []),
+            ("back perhaps", [MOVED, (4, "shop", 0.0)], [SHOP, STORE], (), []),
+            (
+                "back after the run",
+                [MOVED, (4, "shop", 101.0)],
+                [SHOP],
+                (),
+                [(DISOBEYED, "a0")],
+            ),
+            # A runner saw the new version at 100.1.
+            (
+                "went back",
+                [UNACKNOWLEDGED],
+                [STORE, LATER],
+                (),
+                [(REGRESSED, "a1")],
+            ),
+            ("at once", [UNACKNOWLEDGED], [STORE, ("shop", 100.3)], (), []),
+            (
+                "went back as another process",
+                [UNACKNOWLEDGED],
+                [STORE, LATER],
+                [("g1", 100.3)],
+                [],
+            ),
+            (
+                "by no version",
+                [UNACKNOWLEDGED],
+                [MODEL, ("store", 90.0)],
+                (),
+                [(UNROUTED, "a0"), (UNROUTED, "a1")],
+            ),
+        )
     ],
 )
-def test_process_that_goes_back_to_the_old_service_is_found(
-    started_s: float, restarted_s: float, is_found: bool
+def test_services_are_judged_by_what_may_be_in_force(
+    versions: tuple[Version, ...],
+    runs: tuple[Run, ...],
+    restarts: tuple[tuple[str, float], ...],
+    found: list[tuple[str, str]],
 ) -> None:
-    """A runner saw the new version at 100.1, before any acknowledgement."""
-    seen = _moved(0.0)
-    if restarted_s:
-        seen.incidents += [
-            records.Incident("g1", change, restarted_s)
-            for change in (KILL, END, START)
-        ]
-    _add_run(seen, "store", 100.0)
-    _add_run(seen, "shop", started_s)
-    found = list(_found(seen))
-    assert [name for name, _ in found] == ["find_regressed"] * is_found
-    assert all("a1 run by the old service" in text for _, text in found)
+    assert _find(_make_records(versions, runs, *restarts)) == found
 
 
 def test_effect_of_one_route_binds_the_others() -> None:
-    seen = _moved(90.0)
-    _publish(seen, 4, "store", 0.0, prefix="/moved-2/")
-    _add_run(seen, "store", 100.0, prefix="/moved-2/")
-    _add_run(seen, "shop", 100.4)
-    assert [name for name, _ in _found(seen)] == [
-        "find_disobeyed",
-        "find_regressed",
-    ]
+    seen = _make_records(
+        (FIRST, UNACKNOWLEDGED),
+        (STORE, LATER),
+        prefixes=(OTHER_PREFIX, PREFIX),
+    )
+    assert _find(seen) == [(REGRESSED, "a1")]
 
 
-def test_service_that_no_version_allows_is_found_at_any_time() -> None:
-    """As where an address is used again by another service."""
-    seen = _moved(0.0)
-    _add_run(seen, "model", 90.0)
-    _add_run(seen, "store", 90.0)
-    seen.calls[0] = dataclasses.replace(seen.calls[0], kind=records.Kind.LOOKUP)
-    found = [(name, text.split()[0]) for name, text in _found(seen)]
-    assert found == [("find_unrouted", "a0"), ("find_unrouted", "a1")]
+def test_service_that_no_version_allows_is_found_for_any_request() -> None:
+    seen = _make_records((FIRST,), (MODEL,))
+    seen.calls[0].kind = records.Kind.PAYMENT
+    assert _find(seen) == [(UNROUTED, "a0")]
 
 
 def test_judgement_of_services_is_part_of_the_rules() -> None:
-    seen = _moved(90.0)
-    _add_run(seen, "shop", 100.0)
-    _add_run(seen, "model", 100.0)
+    seen = _make_records((FIRST, MOVED), (SHOP, MODEL))
     rules = {finding.rule for finding in checks.judge(seen)}
     assert {"CONFIG", "ROUTE"} <= rules
     assert checks.describe_moves(seen).startswith(
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -66,6 +66,7 @@
             {"slow_syncs_ms": (30.0, 300.0), "stalls": True},
             id="7 slow disks",
         ),
+        pytest.param(7, 12.0, {"core": True}, id="7 moves"),
     ],
 )
 def test_promises_hold_under_faults(
