Keep a write no longer than its caller waits for it

Gateways, entries and agents wait up to a second for a replica's answer, and those that report streams 0.3 s, then send it again. The replica kept a thread for five seconds for each of these calls. It is freed after 1.2 s, when no caller can take the refusal for an answer any more.

testing/control/test_slow_disks.py: a write whose commit stalled had no answer within three seconds before.

--- a/src/wisteriawall/control/shell.py
+++ b/src/wisteriawall/control/shell.py
@@ -53,6 +53,9 @@
 
 TICK_S = 0.02
 CALL_TIMEOUT_S = 5.0
+# Longer than callers wait (`transport.RPC_TIMEOUT_MS`): none takes the refusal
+# for an answer to a write that is committed later.
+RPC_CALL_TIMEOUT_S = 1.2
 # Interval at which a replica without room on its disk tries a write.
 ROOM_CHECK_INTERVAL_S = 0.25
 # A request that waits for a commit keeps a thread, and a poll needs another.
@@ -379,7 +382,10 @@
         except envelope.MessageRejected as error:
             _LOG.warning("control: rejected a request: %s", error)
             return None
-        reply = self.call(request)  # type: ignore[arg-type]
+        reply = self.call(
+            request,  # type: ignore[arg-type]
+            timeout_s=RPC_CALL_TIMEOUT_S,
+        )
         if isinstance(reply, events.Unavailable):
             reply = control_messages.NotLeader("")
         return self._rpc_codec.encode(reply)
--- a/testing/control/test_slow_disks.py
+++ b/testing/control/test_slow_disks.py
@@ -243,24 +243,10 @@
     """Polls of gateways waited for commits of what other gateways reported."""
     leader = _publish(shell_by_name, 1)
 
-    def ask(name: str, request: object, timeout_ms: int) -> object:
-        codec: envelope.Codec[object] = envelope.Codec(
-            message_type=control_messages.ControlReply,
-            key=KEY,
-            sender=envelope.Sender(name, 1),
-        )
-        client = transport.RpcClient(
-            address=rpc_address_by_replica[leader], timeout_ms=timeout_ms
-        )
-        try:
-            return codec.decode(client.call(codec.encode(request)))[1]
-        finally:
-            client.close()
-
     def report(number: int) -> None:
         origin = gateway_messages.StreamOrigin("s", "v1", "f")
         request = gateway_messages.RecordStreamsRequest({f"{number}": origin})
-        ask(f"g{number}", request, 10_000)
+        _ask(rpc_address_by_replica[leader], request, 10_000)
 
     threads = [
         threading.Thread(target=report, args=(number,)) for number in range(33)
@@ -270,11 +256,38 @@
             thread.start()
         time.sleep(0.5)
         request = gateway_messages.FindStreamRequest("a", "s")
-        assert ask("g", request, 400) is not None
+        address = rpc_address_by_replica[leader]
+        assert _ask(address, request, 400) is not None
     for thread in threads:
         thread.join()
 
 
+def test_a_write_keeps_its_thread_no_longer_than_its_caller_waits(
+    disks: _Disks,
+    shell_by_name: dict[str, shell_lib.ControlShell],
+    rpc_address_by_replica: dict[str, str],
+) -> None:
+    leader = _publish(shell_by_name, 1)
+    origin = gateway_messages.StreamOrigin("s", "v1", "f")
+    request = gateway_messages.RecordStreamsRequest({"a": origin})
+    with disks.stalled(*(set(REPLICAS) - {leader})):
+        reply = _ask(rpc_address_by_replica[leader], request, 3_000)
+    assert reply == control_messages.NotLeader("")
+
+
+def _ask(address: str, request: object, timeout_ms: int) -> object:
+    codec: envelope.Codec[object] = envelope.Codec(
+        message_type=control_messages.ControlReply,
+        key=KEY,
+        sender=envelope.Sender("g", 1),
+    )
+    client = transport.RpcClient(address=address, timeout_ms=timeout_ms)
+    try:
+        return codec.decode(client.call(codec.encode(request)))[1]
+    finally:
+        client.close()
+
+
 def _send(method: str, url: str, body: str, timeout_s: float) -> int:
     response = urllib3.request(
         method, url, body=body, timeout=timeout_s, retries=False
