--- a/testing/control/test_shell.py
+++ b/testing/control/test_shell.py
@@ -75,7 +75,8 @@
     for number in range(2):
         reply = patch(shell, number)
         assert isinstance(reply, events.PatchReply)
-    assert list((tmp_path / "data").glob("snapshot-*"))
+    shell.stop()
+    assert list((tmp_path / "data").glob("snapshot-*.snapshot"))
     shell = open_shell()
     reply = patch(shell, 1)
     assert isinstance(reply, events.PatchReply)
