Acknowledge a table once the gateways that poll have it

The leader acknowledged a publication as soon as it was committed and the lease was held, whether or not any gateway had the table, so that the whole time from the commit to its use at the slowest gateway counted.

The leader knows from each poll which table a gateway has. A table is acknowledged when every gateway that polled within 3 s and is not stopping has it or a newer one, or 1.5 s after its commit. A repeated call is answered at the same moment. A leader waits 0.7 s after it has got the lease in its term, until gateways have polled it. table-acknowledged logs number, time and the gateways that lack the table.

The harness of test_tables.py lets its leader lead for a second before it is called, as time stands still in it and a new leader waits; what is asserted is unchanged.

--- a/src/wisteriawall/control/gateway_updates.py
+++ b/src/wisteriawall/control/gateway_updates.py
@@ -20,12 +20,14 @@
 
 __all__ = [
     "GatewayUpdates",
+    "TableSpread",
     "accept_upstreams",
     "follow",
     "hold_upstreams",
     "keep_table",
     "publish_held_upstreams",
     "read_table_part",
+    "table_spread",
 ]
 
 # Gateways send requests several times a second.
@@ -42,13 +44,26 @@
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Gateway:
-    """A gateway that requests updates here, the last time at `seen_ms`."""
+    """A gateway that requests updates here, the last time at `seen_ms`.
+
+    `table_number` is the newest table that it has had.
+    """
 
     address: str
     incarnation: int
     seen_ms: int
     stopping: bool
     table_address: str
+    table_number: int
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class TableSpread:
+    """How many gateways poll, and which of them lack a table."""
+
+    gateways: int
+    lacking: list[str]
 
 
 @final
@@ -254,6 +269,25 @@
     )
 
 
+def table_spread(
+    updates: GatewayUpdates, number: int, now_ms: int
+) -> TableSpread:
+    """Return which gateways lack the table `number` and newer ones.
+
+    Gateways that stop or have been silent don't count.
+    """
+    held_by_name = {
+        name: gateway.table_number
+        for name, gateway in updates.gateway_by_name.items()
+        if not gateway.stopping
+        and now_ms - gateway.seen_ms <= GATEWAY_TIMEOUT_MS
+    }
+    return TableSpread(
+        gateways=len(held_by_name),
+        lacking=sorted(n for n, held in held_by_name.items() if held < number),
+    )
+
+
 def _merge_limits(
     updates: GatewayUpdates,
     request: gateway_messages.FollowRequest,
@@ -350,12 +384,17 @@
         or known.table_address != request.table_address
     ):
         updates.peers_version = 0
+    table_number = request.table_number
+    if known is not None and known.incarnation == request.incarnation:
+        # A request may arrive after a later one.
+        table_number = max(table_number, known.table_number)
     updates.gateway_by_name[request.gateway] = _Gateway(
         address=request.address,
         incarnation=request.incarnation,
         seen_ms=now_ms,
         stopping=request.stopping,
         table_address=request.table_address,
+        table_number=table_number,
     )
     for name, gateway in list(updates.gateway_by_name.items()):
         if now_ms - gateway.seen_ms > GATEWAY_TIMEOUT_MS:
--- a/src/wisteriawall/control/publications.py
+++ b/src/wisteriawall/control/publications.py
@@ -3,6 +3,10 @@
 Several may be in the log at once. Each is made as a change of the newest table
 that this leader has appended, so that they need one commit each. A call that
 repeats one in the log, or is older, waits for that one and appends nothing.
+
+A table is acknowledged once the gateways that poll this leader have it, so that
+they go by it from then on. No gateway holds it up for longer than
+`MAX_SPREAD_MS` after the commit.
 """
 
 from collections.abc import Iterator
@@ -10,6 +14,7 @@
 from typing import final
 
 from wisteriawall.control import events
+from wisteriawall.control import gateway_updates as gateway_updates_lib
 from wisteriawall.control import outcomes
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import state
@@ -19,6 +24,12 @@
 
 # An operator calls another replica after a second without an answer.
 MAX_PROOF_WAIT_MS = 1_000
+# Longest time from a commit to its acknowledgement while gateways lack the
+# table.
+MAX_SPREAD_MS = 1_500
+# By then each gateway has polled a new leader, unless a poll was lost.
+GATEWAYS_KNOWN_MS = 700
+MAX_NAMED_GATEWAYS = 5
 
 
 @final
@@ -34,7 +45,7 @@
 @final
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class _Waiting:
-    """A call that is answered once the entry at `index` is applied.
+    """A call that waits for the entry at `index` and for the table `number`.
 
     It is answered as unclear at `until_ms`, monotonic time, if the leader's
     lease is not proved by then.
@@ -43,6 +54,7 @@
     call_id: int
     term: int
     index: int
+    number: int
     reply: events.Reply
     until_ms: int | None = None
 
@@ -51,11 +63,20 @@
 class Publications:
     """The calls of one replica that wait for a table to be in force."""
 
-    __slots__ = ("_newest", "_waiting")
+    __slots__ = (
+        "_acknowledged",
+        "_applied_ms_by_number",
+        "_newest",
+        "_waiting",
+    )
 
     def __init__(self) -> None:
         self._newest: _Appended | None = None
         self._waiting: list[_Waiting] = []
+        # Of the newest table, and of those that calls wait for.
+        self._applied_ms_by_number: dict[int, int] = {}
+        # Newest table that was acknowledged here.
+        self._acknowledged = 0
 
     def newest_table(
         self, raft: raft_lib.Raft, ledger: state.Ledger
@@ -100,6 +121,7 @@
             raft,
             call_id=call_id,
             index=index,
+            number=outcome.number,
             reply=events.PublishReply(outcome),
         )
         return True
@@ -125,35 +147,66 @@
         *,
         call_id: int,
         index: int,
+        number: int,
         reply: events.Reply,
     ) -> None:
-        """Answer a call with `reply` once `index` is applied."""
+        """Answer a call once `index` is applied and gateways have `number`."""
         self._waiting.append(
-            _Waiting(call_id=call_id, term=raft.term, index=index, reply=reply)
+            _Waiting(
+                call_id=call_id,
+                term=raft.term,
+                index=index,
+                number=number,
+                reply=reply,
+            )
         )
 
+    def note_applied(self, number: int, now_ms: int) -> None:
+        """Note that the table `number` has come into force."""
+        kept = {call.number for call in self._waiting}
+        self._applied_ms_by_number = {
+            number: now_ms,
+            **{
+                earlier: applied_ms
+                for earlier, applied_ms in self._applied_ms_by_number.items()
+                if earlier in kept
+            },
+        }
+
     def answer(
-        self, raft: raft_lib.Raft, now_ms: int
-    ) -> Iterator[events.Answer]:
+        self,
+        raft: raft_lib.Raft,
+        gateways: gateway_updates_lib.GatewayUpdates,
+        *,
+        leads_since_ms: int,
+        now_ms: int,
+    ) -> Iterator[events.Answer | events.Note]:
         """Acknowledge applied tables while this replica holds the lease.
 
         Without it gateways get no table from here, so that the change could not
         be in force in time.
+
+        Args:
+            raft: State of the replica.
+            gateways: The gateways that have polled it.
+            leads_since_ms: When it first held the lease in this term.
+            now_ms: Monotonic time.
         """
         if not self._waiting:
             return
         waiting, self._waiting = self._waiting, []
         holds_lease = raft.holds_lease(now_ms)
+        applied: list[_Waiting] = []
         for call in waiting:
             is_applied = call.index <= raft.applied_index
             if raft.role is not raft_lib.RaftRole.LEADER or (
                 call.term != raft.term
             ):
                 yield _unclear(call)
-            elif is_applied and holds_lease:
-                yield events.Answer(call.call_id, call.reply)
             elif not is_applied:
                 self._waiting.append(call)
+            elif holds_lease:
+                applied.append(call)
             elif call.until_ms is None:
                 until_ms = now_ms + MAX_PROOF_WAIT_MS
                 self._waiting.append(
@@ -163,6 +216,52 @@
                 yield _unclear(call)
             else:
                 self._waiting.append(call)
+        for number in sorted({call.number for call in applied}):
+            calls = [call for call in applied if call.number == number]
+            yield from self._acknowledge(
+                calls,
+                gateway_updates_lib.table_spread(gateways, number, now_ms),
+                leads_since_ms=leads_since_ms,
+                now_ms=now_ms,
+            )
+
+    def _acknowledge(
+        self,
+        calls: list[_Waiting],
+        spread: gateway_updates_lib.TableSpread,
+        *,
+        leads_since_ms: int,
+        now_ms: int,
+    ) -> Iterator[events.Answer | events.Note]:
+        """Answer the calls that wait for a table, if that is due.
+
+        Time without a leader doesn't count, as no gateway gets a table in it.
+        """
+        number = calls[0].number
+        applied_ms = self._applied_ms_by_number.get(number, leads_since_ms)
+        since_commit_ms = now_ms - max(applied_ms, leads_since_ms)
+        is_held = not spread.lacking and (
+            now_ms - leads_since_ms >= GATEWAYS_KNOWN_MS
+        )
+        if not is_held and since_commit_ms < MAX_SPREAD_MS:
+            self._waiting += [
+                dataclasses.replace(call, until_ms=None) for call in calls
+            ]
+            return
+        if number > self._acknowledged:
+            self._acknowledged = number
+            yield events.Note(
+                "table-acknowledged",
+                {
+                    "number": number,
+                    "ms": since_commit_ms,
+                    "gateways": spread.gateways,
+                    "lacking": len(spread.lacking),
+                    "lacking_names": spread.lacking[:MAX_NAMED_GATEWAYS],
+                },
+            )
+        for call in calls:
+            yield events.Answer(call.call_id, call.reply)
 
 
 def _unclear(call: _Waiting) -> events.Answer:
--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -76,7 +76,7 @@
             )
     yield from _abandon_open_writes(control)
     yield from _answer_patch_calls(control)
-    yield from control.publications.answer(control.raft, control.now_ms)
+    yield from _answer_publications(control)
     yield from reads.answer_confirmed_reads(control)
     if raft_lib.is_snapshot_due(control.raft):
         data = snapshot_lib.encode(control.ledger)
@@ -153,7 +153,7 @@
     outcome = ledger_lib.apply(
         control.ledger, index=entry.index, term=entry.term, command=command
     )
-    gateway_updates_lib.keep_table(control.gateway_updates, control.ledger)
+    _keep_table(control, outcome)
     is_own = entry.term == control.raft.term
     if isinstance(command, commands.FixUsage) and is_own:
         # Others are applied again after a restart.
@@ -193,12 +193,22 @@
             control.raft,
             call_id=pending.call_id,
             index=entry.index,
+            number=outcome.number,
             reply=writes.reply_for(command, outcome),
         )
     else:
         yield events.Answer(pending.call_id, writes.reply_for(command, outcome))
 
 
+def _keep_table(
+    control: replica_state.ReplicaState, outcome: outcomes.Outcome
+) -> None:
+    """Keep the table in force for gateways, and note since when it is."""
+    gateway_updates_lib.keep_table(control.gateway_updates, control.ledger)
+    if isinstance(outcome, outcomes.TableInForce) and outcome.changed:
+        control.publications.note_applied(outcome.number, control.now_ms)
+
+
 def _abandon_open_writes(
     control: replica_state.ReplicaState,
 ) -> Iterator[events.Effect]:
@@ -219,6 +229,21 @@
         patch.until_ms = control.now_ms
 
 
+def _answer_publications(
+    control: replica_state.ReplicaState,
+) -> Iterator[events.Effect]:
+    """Answer the calls whose tables are in force at the gateways."""
+    leads_since_ms = control.now_ms
+    if control.leader_term == control.raft.term:
+        leads_since_ms = control.leader_since_ms
+    yield from control.publications.answer(
+        control.raft,
+        control.gateway_updates,
+        leads_since_ms=leads_since_ms,
+        now_ms=control.now_ms,
+    )
+
+
 def _answer_patch_calls(
     control: replica_state.ReplicaState,
 ) -> Iterator[events.Effect]:
--- a/testing/control/test_tables.py
+++ b/testing/control/test_tables.py
@@ -20,7 +20,10 @@
 from wisteriawall.platform import operators
 from wisteriawall.wire import raft_messages
 
-NOW_MS = 10_000
+ELECTED_MS = 10_000
+# It knows by then that no gateway polls it.
+NOW_MS = ELECTED_MS + 1_000
+STEP_MS = 100
 
 
 def publication(version: int, **more: Any) -> events.PublishRequest:
@@ -48,11 +51,16 @@
                 log=raft_log.RaftLog(snapshot=snapshot, entries=[]),
             )
         )
-        self.control.raft.election_due_ms = NOW_MS
-        list(self._reduce(events.Ticked(NOW_MS, NOW_MS)))
+        self._now_ms = ELECTED_MS
+        self.control.raft.election_due_ms = ELECTED_MS
+        list(self._reduce(events.Ticked(ELECTED_MS, ELECTED_MS)))
         for prevote in (True, False):
             self._receive(raft_messages.VoteReply(3, "b", True, prevote, "b-1"))
         self.acknowledge()
+        while self._now_ms < NOW_MS:
+            self._now_ms += STEP_MS
+            list(self._reduce(events.Ticked(self._now_ms, self._now_ms)))
+            self.acknowledge()
 
     def call(self, call_id: int, request: events.Request) -> None:
         """Handle a call that is not answered yet."""
@@ -66,7 +74,7 @@
             follower="b",
             identity="b-1",
             is_founder=False,
-            leader_clock_ms=NOW_MS,
+            leader_clock_ms=self._now_ms,
             follower_clock=raft_messages.ClockReading(1, 1),
         )
         last = self.control.raft.last_index
@@ -77,7 +85,7 @@
     def _receive(
         self, message: raft_messages.RaftMessage
     ) -> dict[int, events.Reply]:
-        event = events.PeerMessageReceived(message, NOW_MS, NOW_MS)
+        event = events.PeerMessageReceived(message, self._now_ms, self._now_ms)
         return {a.call_id: a.reply for a in self._reduce(event)}
 
     def _reduce(self, event: events.Event) -> Iterator[events.Answer]:
