--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -39,6 +39,8 @@
 # the links to runners, wait for each other in this process.
 MAX_CALLERS = 48
 LATE_SHARE = 0.25
+# One of so many callers probes, where routes move in calm of the core.
+PROBING_GAP = 4
 # Of the links to runners, beyond which the soak itself is what is slow.
 MAX_LATE_S = 1.0
 LAST_CALLS_S = 4.0
@@ -155,6 +157,10 @@
             listed=lambda: self.fleet.listed,
             seen=self.seen,
         )
+        is_moving = any(
+            isinstance(timed.fault, schedule.MoveRoute)
+            for timed in self.schedule
+        )
         self._callers = [
             callers.Caller(
                 number=number,
@@ -162,7 +168,7 @@
                 address_by_gateway=self.fleet.gateway_address_by_name,
                 seen=self.seen,
                 weights=callers.PROBING_WEIGHTS
-                if core
+                if core or (is_moving and number % PROBING_GAP == 0)
                 else callers.KIND_WEIGHTS,
             )
             for number in range(caller_count)
