Let no late record of a runner excuse an answer that was passed on before

Once the whole answer was passed on, that moment alone counts; a runner that the gateway left is at work until it ends, as before.

--- a/testing/soak/lost.py
+++ b/testing/soak/lost.py
@@ -170,7 +170,8 @@
     An answer that the proxy had not passed on to the gateway by then is one
     that it still waited for. Nothing counts that came after the call's end.
     """
-    worked_until_s = [arrival.ended_s]
+    # The thread that records the end may be late too.
+    worked_until_s = [] if arrival.is_passed else [arrival.ended_s]
     if arrival.passed_s is not None:
         worked_until_s.append(min(arrival.passed_s, call.ended_s))
     return any(
--- a/testing/soak/passages.py
+++ b/testing/soak/passages.py
@@ -55,8 +55,9 @@
         while self._waiting and (
             self._is_closed or self._waiting[0][0] <= self._passed_bytes
         ):
-            _, arrival = self._waiting.popleft()
+            end_bytes, arrival = self._waiting.popleft()
             arrival.passed_s = self._passed_s
+            arrival.is_passed = end_bytes <= self._passed_bytes
 
 
 @final
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -129,6 +129,8 @@
     # When the proxy had passed the whole answer on, or the gateway had closed;
     # infinite before, None if it isn't known or the runner broke off.
     passed_s: float | None = None
+    # Whether it was passed on whole.
+    is_passed: bool = False
     status: int = 0
     seal: str = ""
     # Whole body of the answer, also if only a part of it was sent.
--- a/testing/soak/test_passages.py
+++ b/testing/soak/test_passages.py
@@ -44,6 +44,8 @@
     passage.expect(second, 200)
     passage.pass_on(49)
     assert (first.passed_s, second.passed_s) == (passed_s, math.inf)
+    assert first.is_passed
+    assert not second.is_passed
     assert passed_s < math.inf
 
 
@@ -64,6 +66,7 @@
     passage.expect(second, 200)
     assert closed_s is not None
     assert second.passed_s == closed_s < math.inf
+    assert not first.is_passed
 
 
 def test_connection_without_a_proxy_has_no_passage() -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -740,6 +740,20 @@
     _judge_lost(seen, is_lost=is_lost)
 
 
+@pytest.mark.parametrize("is_passed", [False, True])
+def test_late_record_of_a_runner_does_not_excuse_what_was_passed_on(
+    *, is_passed: bool
+) -> None:
+    """The runner's thread records the end 5 s after the proxy's passing.
+
+    A runner that a gateway left at that time was at work for so long.
+    """
+    seen = _sound_records(PAYMENT)
+    _change_call(**UNANSWERED, ended_s=106.5)(seen)
+    _change_arrival(ended_s=106.0, passed_s=101.0, is_passed=is_passed)(seen)
+    _judge_lost(seen, is_lost=is_passed)
+
+
 def _judge_lost(seen: records.Records, *, is_lost: bool) -> None:
     found = [f.rule for f in checks.judge(seen) if f.rule == "LOST"]
     assert found == ["LOST"] * is_lost
