Let a patch at the start of a leadership wait for processes

Since the log is synced on a thread of its own, a replica gets the lease between two ticks. A patch that it accepted before the first tick counted the time since an earlier leadership, or since 0, and was answered at once as held by all processes, of which none was known yet.

--- a/src/wisteriawall/control/reducer.py
+++ b/src/wisteriawall/control/reducer.py
@@ -261,9 +261,10 @@
         )
     ]
     # A new leader has received a heartbeat of every live process only after
-    # one lease period.
+    # one lease period, which begins at the first tick with the lease.
     sees_all_processes = (
-        control.now_ms - control.leader_since_ms >= liveness.LIVE_TIMEOUT_MS
+        control.leader_term == control.raft.term
+        and control.now_ms - control.leader_since_ms >= liveness.LIVE_TIMEOUT_MS
     )
     for patch in list(control.pending_patches):
         holding_count = sum(
