--- a/testing/platform/test_exit.py
+++ b/testing/platform/test_exit.py
@@ -30,7 +30,10 @@
     answer = threading.Event()
     close_context = pynng.Context.close
 
-    def call(_: events.Request) -> events.Reply:
+    def call(
+        _: events.Request, *, timeout_s: float | None = None
+    ) -> events.Reply:
+        del timeout_s
         asked.set()
         answer.wait(platform_site.WAIT_S)
         return events.Unavailable("")
--- a/testing/support/budget_fleet.py
+++ b/testing/support/budget_fleet.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 
+from support import instant_disk
 from wisteriawall.control import gateway_updates
 from wisteriawall.control import raft as raft_lib
 from wisteriawall.control import raft_log
@@ -179,7 +180,9 @@
         self._updates = gateway_updates.GatewayUpdates()
 
     def tick(self, now_ms: int) -> None:
-        for _ in raft_lib.tick(self._raft, now_ms + ELECTION_MS):
+        at_ms = now_ms + ELECTION_MS
+        effects = raft_lib.tick(self._raft, at_ms)
+        for _ in instant_disk.settle(self._raft, effects, at_ms):
             pass
 
     def change_leader(self) -> None:
