Review case 6: long attempt ids during a release fill the control replicas

Seen: while the list of runners has two versions of a service, 8 clients send streams with attempt ids of 15,500 characters, within header_bytes. After some 4,100 of them the data folders of all replicas pass 64 MB, after some 5,000 all replicas are over 200 MB. Killed and started again, they read the same log and are over the limit again; a configuration sent after the clients have stopped is not acknowledged.

Code at fault: gateway/stream_origins.py and gateway/origin_keeper.py report ids of any length, control/stream_origins.py bounds streams by number only, and control/raft.py compacts the log by the number of entries only.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -422,7 +422,7 @@
         "service": service,
         "address": address,
         "zone": "ro-vest-a",
-        "version": "v1",
+        "version": more.get("version", "v1"),
         "slots": 64,
         "state": "ready",
         "cold_remaining_ms": 0,
